--- /dev/null
+++ b/fuchsiahaven/core/errors.py
@@ -0,0 +1,106 @@
+"""Name every kind of failure a caller can be told, and its answer."""
+
+import enum
+from typing import Final, NamedTuple
+
+
+class Ran(enum.StrEnum):
+    """Say whether the request ran on any searcher."""
+
+    NO = 'no'
+    YES = 'yes'
+    UNKNOWN = 'unknown'
+
+
+class Kind(enum.StrEnum):
+    """List the closed set of failure kinds."""
+
+    BAD_REQUEST = 'bad_request'
+    TOO_LARGE = 'too_large'
+    SLOW_REQUEST = 'slow_request'
+    NOT_FOUND = 'not_found'
+    UNKNOWN_CLASS = 'unknown_class'
+    DEADLINE_UNREACHABLE = 'deadline_unreachable'
+    OVERLOADED = 'overloaded'
+    STOPPING = 'stopping'
+    NOT_READY = 'not_ready'
+    NO_ROUTE = 'no_route'
+    NO_SNAPSHOT = 'no_snapshot'
+    INCOMPLETE = 'incomplete'
+    TIMED_OUT = 'timed_out'
+    DUPLICATE_REQUEST = 'duplicate_request'
+    REQUEST_EXPIRED = 'request_expired'
+    PLATFORM_UNAVAILABLE = 'platform_unavailable'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    INTERNAL = 'internal'
+
+
+class Row(NamedTuple):
+    """Hold how one kind is answered: HTTP status, text, default `ran`."""
+
+    status: int
+    text: str
+    ran: Ran
+    retry: bool = False
+
+
+class Failure(NamedTuple):
+    """Carry one failure as a value, with where it arose.
+
+    `retry_after` is in seconds; None means asking again will not help.
+    """
+
+    kind: Kind
+    source: str
+    detail: str
+    ran: Ran
+    retry_after: float | None = None
+
+
+TABLE: Final = {
+    Kind.BAD_REQUEST: Row(400, 'the request is not well formed', Ran.NO),
+    Kind.TOO_LARGE: Row(413, 'the request exceeds a size limit', Ran.NO),
+    Kind.SLOW_REQUEST: Row(408, 'the request arrived too slowly', Ran.NO),
+    Kind.NOT_FOUND: Row(404, 'there is nothing at this path', Ran.NO),
+    Kind.UNKNOWN_CLASS: Row(422, 'the class is not configured', Ran.NO),
+    Kind.DEADLINE_UNREACHABLE: Row(
+        503, 'the deadline cannot be met', Ran.NO, retry=True
+    ),
+    Kind.OVERLOADED: Row(503, 'the host is overloaded', Ran.NO, retry=True),
+    Kind.STOPPING: Row(503, 'the host is stopping', Ran.NO, retry=True),
+    Kind.NOT_READY: Row(503, 'the host is not ready', Ran.NO, retry=True),
+    Kind.NO_ROUTE: Row(
+        503, 'no live searcher may be reached', Ran.NO, retry=True
+    ),
+    Kind.NO_SNAPSHOT: Row(
+        503, 'no snapshot could be held', Ran.YES, retry=True
+    ),
+    Kind.INCOMPLETE: Row(503, 'some shards are missing', Ran.YES, retry=True),
+    Kind.TIMED_OUT: Row(504, 'the deadline passed', Ran.YES, retry=True),
+    Kind.DUPLICATE_REQUEST: Row(
+        409, 'this request id has been claimed before', Ran.UNKNOWN
+    ),
+    Kind.REQUEST_EXPIRED: Row(
+        422, 'the time inside the request id is out of bounds', Ran.NO
+    ),
+    Kind.PLATFORM_UNAVAILABLE: Row(
+        503, 'the platform cannot record the claim', Ran.NO, retry=True
+    ),
+    Kind.OUTCOME_UNKNOWN: Row(
+        504, 'the outcome of the request is unknown', Ran.UNKNOWN
+    ),
+    Kind.INTERNAL: Row(500, 'an internal error', Ran.UNKNOWN),
+}
+
+
+def make_failure(
+    kind: Kind,
+    source: str,
+    detail: str = '',
+    *,
+    retry_after: float | None = None,
+    ran: Ran | None = None,
+) -> Failure:
+    """Build a failure whose `ran` is the table's unless given."""
+    row = TABLE[kind]
+    return Failure(kind, source, detail, ran or row.ran, retry_after)
--- /dev/null
+++ b/fuchsiahaven/core/messages.py
@@ -0,0 +1,276 @@
+"""Define the messages between the decisions and the edge.
+
+The edge turns bytes into events; `dispatch.handle(state, event, now)` turns
+events into actions; the edge turns actions into bytes. Times are seconds on
+the host's monotonic clock, except where a name ends in `_epoch`.
+"""
+
+import enum
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from fuchsiahaven.core import configurations, coverage, errors, snapshots
+
+
+class Query(NamedTuple):
+    """Hold one validated request of a caller."""
+
+    request_id: str
+    class_name: str
+    terms: Mapping[str, object]
+    key: str | None
+    arrived: float
+    deadline: float
+
+
+class Answer(NamedTuple):
+    """Hold the one answer to a query: rows, snapshots, coverage.
+
+    `snapshots` maps each group to the one snapshot its rows come from.
+    """
+
+    request_id: str
+    rows: tuple[Mapping[str, object], ...]
+    snapshots: Mapping[str, int]
+    coverage: coverage.Coverage
+    revision: int
+
+
+class PartKey(NamedTuple):
+    """Identify one sub-request: query, group, shard and attempt."""
+
+    query: int
+    group: str
+    shard: int
+    attempt: int
+
+
+class PartRequest(NamedTuple):
+    """Hold what one searcher is asked.
+
+    `not_after_epoch` is the wall-clock time after which the searcher must
+    refuse to start, so that a sender that was paused can do no harm.
+    """
+
+    request_id: str
+    class_name: str
+    group: str
+    shard: int
+    snapshot: int
+    attempt: int
+    terms: Mapping[str, object]
+    deadline: float
+    at_most_once: bool
+    not_after_epoch: float | None = None
+
+
+class Load(NamedTuple):
+    """Hold a searcher's own report of its load, which may lag or mislead."""
+
+    in_flight: int
+    queued: int
+    slots: int
+
+
+class TargetState(enum.StrEnum):
+    """Say what a searcher says of itself."""
+
+    LIVE = 'live'
+    COLD = 'cold'
+    LEAVING = 'leaving'
+
+
+class Health(NamedTuple):
+    """Hold one health report; `sequence` grows over a target's life.
+
+    `started_epoch` tells a restarted target from its predecessor, so that
+    newer evidence can end a state that older reports cannot.
+    """
+
+    name: str
+    state: TargetState
+    started_epoch: float
+    sequence: int
+    load: Load
+    holdings: tuple[snapshots.Holding, ...]
+
+
+class Submitted(NamedTuple):
+    """Bring one query in; `token` names who waits for the reply."""
+
+    token: int
+    query: Query
+
+
+class Answered(NamedTuple):
+    """Bring a checked answer of one searcher."""
+
+    part: PartKey
+    target: str
+    rows: tuple[Mapping[str, object], ...]
+    state: TargetState
+    load: Load | None
+
+
+class RefusalReason(enum.StrEnum):
+    """List why a searcher refused without running."""
+
+    SHED = 'shed'
+    COLD = 'cold'
+    LEAVING = 'leaving'
+    SNAPSHOT_GONE = 'snapshot_gone'
+    DEADLINE = 'deadline'
+    CANCELLED = 'cancelled'
+    NO_CONNECTION = 'no_connection'
+
+
+class Refused(NamedTuple):
+    """Bring a refusal: the sub-request was not run."""
+
+    part: PartKey
+    target: str
+    reason: RefusalReason
+    retry_after: float | None = None
+
+
+class Fault(enum.StrEnum):
+    """List how a sub-request can break with an unknown outcome."""
+
+    CONNECTION_LOST = 'connection_lost'
+    MISMATCHED = 'mismatched'
+    MALFORMED = 'malformed'
+    TOO_LARGE = 'too_large'
+    TIMED_OUT = 'timed_out'
+
+
+class Broken(NamedTuple):
+    """Bring a fault after the first byte was sent: outcome unknown."""
+
+    part: PartKey
+    target: str
+    fault: Fault
+
+
+class Configured(NamedTuple):
+    """Bring a configuration in force; lower revisions are ignored."""
+
+    configuration: configurations.Configuration
+
+
+class Probed(NamedTuple):
+    """Bring a health report, or None where the target did not answer."""
+
+    target: str
+    health: Health | None
+
+
+class HostListed(NamedTuple):
+    """Bring the platform's host list: target name to live or leaving."""
+
+    leaving: frozenset[str]
+    live: frozenset[str]
+
+
+class MembersChanged(NamedTuple):
+    """Bring the live hosts of the own data centre, this one included."""
+
+    hosts: tuple[str, ...]
+
+
+class ConnectionsChanged(NamedTuple):
+    """Bring how many connections to a target are open and idle."""
+
+    target: str
+    opened: int
+    idle: int
+
+
+class ClaimResult(enum.StrEnum):
+    """List how a claim can settle."""
+
+    GRANTED = 'granted'
+    HELD = 'held'
+    EXPIRED = 'expired'
+    UNAVAILABLE = 'unavailable'
+
+
+class ClaimSettled(NamedTuple):
+    """Bring the result of a claim.
+
+    GRANTED: this attempt alone may send until `not_after_epoch`. HELD: the
+    id was claimed before; `outcome` is the recorded answer as JSON text, or
+    None where it is not known. UNAVAILABLE: nothing was run.
+    """
+
+    token: int
+    result: ClaimResult
+    not_after_epoch: float = 0.0
+    outcome: str | None = None
+
+
+class Ticked(NamedTuple):
+    """Bring the passing of time."""
+
+
+class StopAsked(NamedTuple):
+    """Ask for a planned stop."""
+
+
+class Send(NamedTuple):
+    """Ask the edge to send one sub-request."""
+
+    part: PartKey
+    target: configurations.Target
+    request: PartRequest
+
+
+class Cancel(NamedTuple):
+    """Ask the edge to cancel a sub-request whose answer is not needed."""
+
+    part: PartKey
+    target: str
+
+
+class Probe(NamedTuple):
+    """Ask the edge for one health report."""
+
+    target: configurations.Target
+
+
+class Claim(NamedTuple):
+    """Ask for the right to run an at-most-once request."""
+
+    token: int
+    request_id: str
+    deadline: float
+
+
+class Record(NamedTuple):
+    """Ask that the outcome be kept beside its claim, as JSON text."""
+
+    request_id: str
+    outcome: str
+
+
+class Reply(NamedTuple):
+    """Give a caller its one answer or failure."""
+
+    token: int
+    outcome: Answer | errors.Failure
+
+
+Event = (
+    Submitted
+    | Answered
+    | Refused
+    | Broken
+    | Configured
+    | Probed
+    | HostListed
+    | MembersChanged
+    | ConnectionsChanged
+    | ClaimSettled
+    | Ticked
+    | StopAsked
+)
+Action = Send | Cancel | Probe | Claim | Record | Reply
