Set up the package, its checks and its build

Cause: the repository held no code, and everything that follows needs one way to be formatted, linted, typed, tested and shipped.

Ruled out: an editable install for the tests (the package is run from the clone, so nothing can go stale); a home-made list of wemake codes to select (its defaults stay on, and each relaxation says why); skipping red tests by marks (a mark hides its cause, a list of three at most is printed each run).

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure, and show the whole path."""
--- /dev/null
+++ b/fuchsiahaven/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide: no sockets, files, clocks, threads or randomness in here."""
--- /dev/null
+++ b/fuchsiahaven/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Touch the world: callers, targets, the platform, peers and time."""
--- /dev/null
+++ b/fuchsiahaven/operate/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the operators: command line, settings, logs and metrics."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform and the targets, for tests, bench and demo."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the project; the folders mirror the package."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,65 @@
+"""Set up the tests: a steady verdict and the list of known red tests."""
+
+from pathlib import Path
+from typing import Final
+
+import hypothesis
+import pytest
+
+from tests import known_red
+
+#: Same examples on every machine, and no verdict that depends on its speed.
+hypothesis.settings.register_profile(
+    'steady',
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
+hypothesis.settings.load_profile('steady')
+
+_LISTED: Final = pytest.StashKey[list[known_red.Entry]]()
+
+
+def pytest_addoption(parser: pytest.Parser) -> None:
+    """Add the option that names the file of known red tests."""
+    parser.addoption('--known-red', metavar='FILE', default=None)
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    """Read the list, and stop on a list that is not as agreed."""
+    name = config.getoption('--known-red')
+    path = Path(name) if name else None
+    text = path.read_text() if path and path.exists() else ''
+    try:
+        config.stash[_LISTED] = known_red.read_entries(text)
+    except ValueError as fault:
+        raise pytest.UsageError(str(fault)) from fault
+
+
+def pytest_collection_modifyitems(
+    config: pytest.Config,
+    items: list[pytest.Item],
+) -> None:
+    """Pass over just the listed tests; an entry without its test is wrong."""
+    listed = {entry.test for entry in config.stash[_LISTED]}
+    missing = listed - {item.nodeid for item in items}
+    if missing:
+        raise pytest.UsageError(f'KNOWN-RED names no test: {sorted(missing)}')
+    red = [item for item in items if item.nodeid in listed]
+    kept = [item for item in items if item.nodeid not in listed]
+    # pytest runs what stays in the list that it handed over.
+    items.clear()
+    items.extend(kept)
+    config.hook.pytest_deselected(items=red)
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter,
+    config: pytest.Config,
+) -> None:
+    """Print what was passed over, so that nobody forgets it."""
+    for entry in config.stash[_LISTED]:
+        terminalreporter.write_line(
+            f'KNOWN RED, not run: {entry.test} ({entry.cause}; {entry.issue})',
+        )
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Run the scenarios of the feature files."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what builds and checks the project."""
--- /dev/null
+++ b/tools/check_lock.py
@@ -0,0 +1,44 @@
+"""Compare installed versions with a lock file.
+
+Only the standard library is used: this runs before anything is installed.
+"""
+
+import sys
+from importlib import metadata
+from pathlib import Path
+
+
+def read_pins(lock: Path) -> list[tuple[str, str]]:
+    """Read the pinned names and versions of a lock file."""
+    lines = (line.strip() for line in lock.read_text().splitlines())
+    pins = (line.partition('==') for line in lines if '==' in line)
+    return [(name, version) for name, _, version in pins]
+
+
+def find_stale(pins: list[tuple[str, str]]) -> list[str]:
+    """Find the pinned names whose installed version is another or none."""
+    installed = {
+        _normalize(found.metadata['Name']): found.version
+        for found in metadata.distributions()
+    }
+    return [
+        name
+        for name, version in pins
+        if installed.get(_normalize(name)) != version
+    ]
+
+
+def main(arguments: list[str]) -> int:
+    """Tell by the exit code whether the environment matches the lock."""
+    stale = find_stale(read_pins(Path(arguments[0])))
+    if stale:
+        print('Not as locked: {0}'.format(', '.join(stale)))
+    return int(bool(stale))
+
+
+def _normalize(name: str) -> str:
+    return name.lower().replace('-', '_').replace('.', '_')
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
