--- a/fuchsiahaven/operate/commands.py
+++ b/fuchsiahaven/operate/commands.py
@@ -32,7 +32,13 @@
 
 
 #: Add a command here: one line, sorted as an operator would look for it.
-COMMANDS: Final[tuple[Entry, ...]] = ()
+COMMANDS: Final = (
+    Entry(
+        'check',
+        'fuchsiahaven.operate.command_check',
+        'check a settings file and tell every fault in it',
+    ),
+)
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/tests/operate/test_commands.py
+++ b/tests/operate/test_commands.py
@@ -1,9 +1,12 @@
 """Test the command line."""
 
+import json
+from pathlib import Path
+
 import pytest
 
 import fuchsiahaven
-from fuchsiahaven.operate import commands
+from fuchsiahaven.operate import commands, exits
 
 
 def test_version_is_printed(capsys: pytest.CaptureFixture[str]) -> None:
@@ -12,3 +15,15 @@
         commands.main(['--version'])
     assert not stopped.value.code
     assert fuchsiahaven.__version__ in capsys.readouterr().out
+
+
+def test_check_tells_faults_as_json(
+    capsys: pytest.CaptureFixture[str],
+    tmp_path: Path,
+) -> None:
+    """Print the faults for a program, and fail."""
+    path = tmp_path / 'host.ini'
+    path.write_text('[hosts]\n')
+    assert commands.main(['check', str(path), '--json']) == exits.FAILED
+    told = json.loads(capsys.readouterr().out)
+    assert told['faults'][0]['section'] == 'hosts'
