Log by part and declare every metric in one place

Cause: the parts that follow need one way to log and to count.

Ruled out: the global registry of prometheus_client (two hosts in one test process would share counts); its multiprocess mode (it maps files, and hosts have no disks); a label lookup for each sub-request (closed lists are looked up once when the metrics are built).

Change: logs with a prefix per part, quoted key=value fields and JSON lines on request; metrics for latency and coverage per class, sub-requests by outcome, refusals by kind, connections and slots, queue, revision in force, control bytes and platform calls. Labels never come from what a caller sends.

--- /dev/null
+++ b/fuchsiahaven/operate/metrics.py
@@ -0,0 +1,180 @@
+"""Declare every metric of a process, in one place.
+
+Labels come from closed lists and from the configuration, never from what a
+caller sends: each value of a label costs memory for the life of the process.
+"""
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import Final, NamedTuple, TypeVar
+
+import prometheus_client
+from prometheus_client import registry as registries
+
+from fuchsiahaven.core import errors
+
+PREFIX: Final = 'fuchsiahaven'
+#: Seconds; finer where the deadlines of the classes lie.
+LATENCY_BUCKETS: Final = (
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.035,
+    0.05,
+    0.07,
+    0.089,
+    0.12,
+    0.18,
+    0.25,
+    0.35,
+    0.5,
+    0.7,
+    1,
+    1.5,
+    2.5,
+    5,
+    10,
+)
+#: Parts of all shards; most answers are complete or miss a few.
+COVERAGE_BUCKETS: Final = (0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.98, 0.99, 0.999, 1)
+
+Named = TypeVar('Named', bound=enum.StrEnum)
+
+
+class Outcome(enum.StrEnum):
+    """List what became of sub-requests, and why they were sent."""
+
+    FIRST = 'first'
+    HEDGE = 'hedge'
+    RETRY = 'retry'
+    ANSWERED = 'answered'
+    REFUSED = 'refused'
+    BROKEN = 'broken'
+    CANCELLED = 'cancelled'
+    LATE = 'late'
+    MISMATCHED = 'mismatched'
+
+
+class Control(enum.StrEnum):
+    """List the kinds of control traffic."""
+
+    GOSSIP = 'gossip'
+    CONFIGURATION = 'configuration'
+    CLAIMS = 'claims'
+    PROBES = 'probes'
+    PLATFORM = 'platform'
+
+
+class PlatformCall(enum.StrEnum):
+    """List the calls to the platform's service, each counted by it."""
+
+    READ = 'read'
+    WRITE = 'write'
+    WATCH = 'watch'
+    LEASE = 'lease'
+    HOSTS = 'hosts'
+
+
+Counters = Mapping[Named, prometheus_client.Counter]
+
+
+class Metrics(NamedTuple):
+    """Hold the metrics of one process.
+
+    Counters over closed lists are looked up by member, as
+    `metrics.sub_requests[Outcome.HEDGE].inc()`; the lookup by label takes a
+    lock and would be paid for every sub-request.
+    """
+
+    registry: prometheus_client.CollectorRegistry
+    latency: prometheus_client.Histogram
+    coverage: prometheus_client.Histogram
+    answers: prometheus_client.Counter
+    sub_requests: Counters[Outcome]
+    refusals: Counters[errors.Kind]
+    connections: prometheus_client.Gauge
+    slots_in_use: prometheus_client.Gauge
+    queued: prometheus_client.Gauge
+    revision: prometheus_client.Gauge
+    control_bytes: Counters[Control]
+    platform_calls: Counters[PlatformCall]
+    platform_faults: Counters[PlatformCall]
+
+
+def build_metrics() -> Metrics:
+    """Build the metrics of one process, in a registry of their own."""
+    registry = prometheus_client.CollectorRegistry()
+    prometheus_client.ProcessCollector(registry=registry)
+    return Metrics(
+        registry=registry,
+        latency=prometheus_client.Histogram(
+            f'{PREFIX}_latency_seconds',
+            'Time from a query to its answer.',
+            ('request_class',),
+            buckets=LATENCY_BUCKETS,
+            registry=registry,
+        ),
+        coverage=prometheus_client.Histogram(
+            f'{PREFIX}_coverage_ratio',
+            'Part of the shards that an answer covers.',
+            ('request_class',),
+            buckets=COVERAGE_BUCKETS,
+            registry=registry,
+        ),
+        answers=prometheus_client.Counter(
+            f'{PREFIX}_answers',
+            'Answers by class, complete or partial.',
+            ('request_class', 'status'),
+            registry=registry,
+        ),
+        sub_requests=_count(registry, 'sub_requests', 'outcome', Outcome),
+        refusals=_count(registry, 'refusals', 'kind', errors.Kind),
+        connections=_gauge(registry, 'connections', 'Open target connections.'),
+        slots_in_use=_gauge(
+            registry, 'slots_in_use', 'Sub-requests in flight.'
+        ),
+        queued=_gauge(registry, 'queued', 'Queries that wait to start.'),
+        revision=_gauge(registry, 'revision', 'Configuration in force.'),
+        control_bytes=_count(registry, 'control_bytes', 'kind', Control),
+        platform_calls=_count(registry, 'platform_calls', 'call', PlatformCall),
+        platform_faults=_count(
+            registry,
+            'platform_faults',
+            'call',
+            PlatformCall,
+        ),
+    )
+
+
+def write_metrics(metrics: Metrics) -> bytes:
+    """Write the metrics in the text format of Prometheus."""
+    return prometheus_client.generate_latest(metrics.registry)
+
+
+def _gauge(
+    registry: registries.CollectorRegistry,
+    name: str,
+    text: str,
+) -> prometheus_client.Gauge:
+    return prometheus_client.Gauge(
+        f'{PREFIX}_{name}',
+        text,
+        registry=registry,
+    )
+
+
+def _count(
+    registry: registries.CollectorRegistry,
+    name: str,
+    label: str,
+    members: Iterable[Named],
+) -> Counters[Named]:
+    text = name.replace('_', ' ').capitalize()
+    counter = prometheus_client.Counter(
+        f'{PREFIX}_{name}',
+        f'{text} by {label}.',
+        (label,),
+        registry=registry,
+    )
+    return {member: counter.labels(member.value) for member in members}
--- /dev/null
+++ b/tests/operate/test_logs.py
@@ -0,0 +1,36 @@
+"""Test the log lines."""
+
+import json
+
+import pytest
+
+from fuchsiahaven.operate import logs, settings
+
+
+def test_value_of_a_caller_cannot_forge_a_line(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Keep what a caller sent inside its own field.
+
+    Symptom: the log shows an error that no part has logged.
+    Sequence: a request id with a line break in it is refused and logged.
+    Cause: the value was written into the line as it came.
+    """
+    logs.set_up(settings.Logs())
+    logs.info('callers', 'refused', request_id='a\nE loop: down', ms=3)
+    (line,) = capsys.readouterr().err.splitlines()
+    assert line.endswith(
+        'INFO callers: refused request_id="a\\nE loop: down" ms=3',
+    )
+
+
+def test_json_line_keeps_its_head(capsys: pytest.CaptureFixture[str]) -> None:
+    """Write one JSON object whose fields cannot replace its head."""
+    logs.set_up(settings.Logs(json=True))
+    logs.warning('gossip', 'suspects a host', host='kotoni-02', level='none')
+    logs.debug('gossip', 'not wanted')
+    (line,) = capsys.readouterr().err.splitlines()
+    told = json.loads(line)
+    assert told['level'] == 'warning'
+    assert told['host'] == 'kotoni-02'
+    assert told['part'] == 'gossip'
--- /dev/null
+++ b/tests/operate/test_metrics.py
@@ -0,0 +1,15 @@
+"""Test that what is counted is exposed under its name."""
+
+from fuchsiahaven.core import errors
+from fuchsiahaven.operate import metrics
+
+
+def test_counts_are_exposed_by_member() -> None:
+    """Expose a counted hedge, and members not yet counted as zero."""
+    counted = metrics.build_metrics()
+    counted.sub_requests[metrics.Outcome.HEDGE].inc(2)
+    text = metrics.write_metrics(counted).decode()
+    assert 'fuchsiahaven_sub_requests_total{outcome="hedge"} 2.0' in text
+    assert 'fuchsiahaven_sub_requests_total{outcome="late"} 0.0' in text
+    for kind in errors.Kind:
+        assert f'fuchsiahaven_refusals_total{{kind="{kind}"}} 0.0' in text
