Add the adapter for the platform's service and its host list

Cause: configuration, membership and claims all need the key-value service, and a write whose answer was lost must not look like one that was refused.

--- /dev/null
+++ b/fuchsiahaven/core/rates.py
@@ -0,0 +1,33 @@
+"""Bound how often something may be done, as a token bucket."""
+
+from typing import NamedTuple
+
+
+class Rate(NamedTuple):
+    """Allow `per_second` calls on average and `burst` at once."""
+
+    per_second: float
+    burst: float
+
+
+class Bucket(NamedTuple):
+    """Hold the tokens left at a time, in seconds of the caller's clock."""
+
+    rate: Rate
+    tokens: float
+    at: float
+
+
+def fill_bucket(rate: Rate, now: float) -> Bucket:
+    """Start with a full bucket."""
+    return Bucket(rate, rate.burst, now)
+
+
+def take_token(bucket: Bucket, now: float) -> tuple[Bucket, float]:
+    """Take one token; give 0 where taken, else the seconds to wait."""
+    gained = max(0.0, now - bucket.at) * bucket.rate.per_second
+    tokens = min(bucket.rate.burst, bucket.tokens + gained)
+    if tokens >= 1:
+        return bucket._replace(tokens=tokens - 1, at=now), 0.0
+    wait = (1 - tokens) / bucket.rate.per_second
+    return bucket._replace(tokens=tokens, at=now), wait
--- /dev/null
+++ b/fuchsiahaven/edge/hostlist.py
@@ -0,0 +1,49 @@
+"""Read the platform's host list: the one adapter for it.
+
+The list lags, so what it says of a host is one signal among others.
+"""
+
+from typing import NamedTuple
+
+from fuchsiahaven.core import messages
+from fuchsiahaven.edge import store, store_answers
+
+
+class EntryHost(NamedTuple):
+    """Hold one entry host as listed: name, `ip:port`, data centre."""
+
+    name: str
+    address: str
+    data_centre: str
+    leaving: bool
+
+
+class Listing(NamedTuple):
+    """Hold one reading: targets as an event, entry hosts as seeds.
+
+    `age_s` is how old the platform says its list is, in seconds.
+    """
+
+    targets: messages.HostListed
+    entries: tuple[EntryHost, ...]
+    age_s: float
+
+
+def read_hosts(platform: store.Store) -> Listing:
+    """Read the list once. Raises store.StoreUnavailable."""
+    listed = platform.list_hosts()
+    targets = [
+        host
+        for host in listed.hosts
+        if host.kind is store_answers.HostKind.TARGET
+    ]
+    entries = tuple(
+        EntryHost(host.name, host.address, host.data_centre, host.leaving)
+        for host in listed.hosts
+        if host.kind is store_answers.HostKind.ENTRY
+    )
+    event = messages.HostListed(
+        leaving=frozenset(host.name for host in targets if host.leaving),
+        live=frozenset(host.name for host in targets if not host.leaving),
+    )
+    return Listing(event, entries, listed.age_s)
--- /dev/null
+++ b/fuchsiahaven/edge/store_answers.py
@@ -0,0 +1,169 @@
+"""Check the answers of the platform's service and hold them as data."""
+
+import enum
+import json
+from typing import Final, NamedTuple, Protocol
+
+import fastjsonschema
+
+
+class Entry(NamedTuple):
+    """Hold one key, its text and its revision."""
+
+    key: str
+    value: str
+    revision: int
+
+
+class KeyRevision(NamedTuple):
+    """Name one key and its revision, without the value."""
+
+    key: str
+    revision: int
+
+
+class HostKind(enum.StrEnum):
+    """Say whether a listed host serves callers or searches."""
+
+    ENTRY = 'entry'
+    TARGET = 'target'
+
+
+class ListedHost(NamedTuple):
+    """Hold one row of the platform's host list, which lags."""
+
+    name: str
+    kind: HostKind
+    address: str
+    data_centre: str
+    leaving: bool
+
+
+class HostList(NamedTuple):
+    """Hold the platform's host list and its age in seconds."""
+
+    hosts: tuple[ListedHost, ...]
+    age_s: float
+
+
+class MalformedAnswer(Exception):
+    """Report an answer that is not what the protocol promises."""
+
+
+class _Check(Protocol):
+    def __call__(self, answer: object) -> object: ...
+
+
+_REVISION: Final = {'type': 'integer', 'minimum': 0}
+_TEXT: Final = {'type': 'string'}
+
+
+def _compile_object(**properties: object) -> _Check:
+    schema = {
+        'type': 'object',
+        'properties': properties,
+        'required': list(properties),
+    }
+    check: _Check = fastjsonschema.compile(schema)
+    return check
+
+
+def _list_of(**properties: object) -> object:
+    return {
+        'type': 'array',
+        'items': {
+            'type': 'object',
+            'properties': properties,
+            'required': list(properties),
+        },
+    }
+
+
+_CHECK_ENTRY: Final = _compile_object(
+    key=_TEXT, value=_TEXT, revision=_REVISION
+)
+_CHECK_KEYS: Final = _compile_object(
+    keys=_list_of(key=_TEXT, revision=_REVISION)
+)
+_CHECK_REVISION: Final = _compile_object(revision=_REVISION)
+_CHECK_LEASE: Final = _compile_object(lease=_TEXT)
+_CHECK_HOSTS: Final = _compile_object(
+    hosts=_list_of(
+        name=_TEXT,
+        kind={'enum': [kind.value for kind in HostKind]},
+        address=_TEXT,
+        data_centre=_TEXT,
+        state={'enum': ['live', 'leaving']},
+    ),
+    age_s={'type': 'number', 'minimum': 0},
+)
+
+
+def _parse(check: _Check, body: bytes) -> dict[str, object]:
+    try:
+        answer = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise MalformedAnswer(str(error)) from error
+    try:
+        check(answer)
+    except fastjsonschema.JsonSchemaException as error:
+        raise MalformedAnswer(str(error)) from error
+    assert isinstance(answer, dict)
+    return answer
+
+
+def parse_entry(body: bytes, key: str) -> Entry:
+    """Read one entry and refuse one of another key."""
+    answer = _parse(_CHECK_ENTRY, body)
+    entry = Entry(
+        str(answer['key']), str(answer['value']), _as_int(answer['revision'])
+    )
+    if entry.key != key:
+        raise MalformedAnswer(f'asked for {key}, got {entry.key}')
+    return entry
+
+
+def parse_keys(body: bytes) -> tuple[KeyRevision, ...]:
+    """Read a list of keys."""
+    answer = _parse(_CHECK_KEYS, body)
+    return tuple(
+        KeyRevision(str(row['key']), _as_int(row['revision']))
+        for row in _as_rows(answer['keys'])
+    )
+
+
+def parse_revision(body: bytes) -> int:
+    """Read the revision that a write gave or met."""
+    return _as_int(_parse(_CHECK_REVISION, body)['revision'])
+
+
+def parse_lease(body: bytes) -> str:
+    """Read the id of a new lease."""
+    return str(_parse(_CHECK_LEASE, body)['lease'])
+
+
+def parse_hosts(body: bytes) -> HostList:
+    """Read the host list."""
+    answer = _parse(_CHECK_HOSTS, body)
+    hosts = tuple(
+        ListedHost(
+            str(row['name']),
+            HostKind(str(row['kind'])),
+            str(row['address']),
+            str(row['data_centre']),
+            row['state'] == 'leaving',
+        )
+        for row in _as_rows(answer['hosts'])
+    )
+    return HostList(hosts, float(str(answer['age_s'])))
+
+
+def _as_int(number: object) -> int:
+    # JSON schema calls 3.0 an integer, so a float can come through here.
+    assert isinstance(number, int | float)
+    return int(number)
+
+
+def _as_rows(rows: object) -> list[dict[str, object]]:
+    assert isinstance(rows, list)
+    return rows
--- /dev/null
+++ b/tests/edge/test_store.py
@@ -0,0 +1,127 @@
+"""Test the adapter of the platform's service against scripted bytes."""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from fuchsiahaven.core import messages, rates
+from fuchsiahaven.edge import hostlist, store
+
+JSON = b'HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n%b'
+
+
+def answer(status: int, body: bytes) -> bytes:
+    return JSON % (status, len(body), body)
+
+
+@contextlib.contextmanager
+def open_store(
+    reply: bytes, limits: store.Limits = store.DEFAULT_LIMITS
+) -> Iterator[store.Store]:
+    """Serve one connection: read one request, send `reply`, close."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+        port = listener.getsockname()[1]
+
+        def serve() -> None:
+            connection, _ = listener.accept()
+            with connection:
+                connection.recv(65_536)
+                connection.sendall(reply)
+
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        opened = store.Store(f'http://127.0.0.1:{port}', limits)
+        stack.callback(opened.close)
+        yield opened
+
+
+def test_reads_and_swaps() -> None:
+    body = b'{"key": "a/b", "value": "v", "revision": 7, "new_field": 1}'
+    with open_store(answer(200, body)) as platform:
+        assert platform.read('a/b') == store.Entry('a/b', 'v', 7)
+        assert platform.calls['read'] == 1
+    with open_store(answer(200, b'{"revision": 8}')) as platform:
+        assert platform.swap('a/b', 'w', 7).revision == 8
+    with open_store(answer(409, b'{"revision": 9}')) as platform:
+        with pytest.raises(store.StoreConflict) as caught:
+            platform.swap('a/b', 'w', 7)
+        assert caught.value.revision == 9
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        b'',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{"revi',
+        answer(200, b'{"revision": "eight"}'),
+        answer(500, b''),
+        JSON % (200, 8_000_000, b' ' * 8_000_000),
+    ],
+    ids=['closed', 'truncated', 'garbled', 'failed', 'endless'],
+)
+def test_a_write_without_a_sound_answer_is_unclear(reply: bytes) -> None:
+    """Tell a lost answer of a write from a write that was refused.
+
+    Symptom: a refund is told as not run, then runs. Sequence: the write
+    takes effect, its answer is lost or spoilt, and the adapter reports that
+    nothing was written. Cause: one exception for both cases.
+    """
+    with open_store(reply) as platform:
+        with pytest.raises(store.StoreUnclear):
+            platform.swap('k', 'v', 0)
+    with open_store(reply) as platform:
+        with pytest.raises(store.StoreUnavailable):
+            platform.read('k')
+
+
+def test_a_write_that_never_left_is_certainly_not_written() -> None:
+    """Refuse at once, and truthfully, what cannot have been written."""
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        port = listener.getsockname()[1]
+    platform = store.Store(f'http://127.0.0.1:{port}')
+    with pytest.raises(store.StoreUnavailable):
+        platform.swap('k', 'v', 0)
+    for status in (429, 503):
+        with open_store(answer(status, b'')) as platform:
+            with pytest.raises(store.StoreUnavailable):
+                platform.swap('k', 'v', 0)
+
+
+def test_an_entry_of_another_key_is_refused() -> None:
+    """Drop an answer that crossed with another.
+
+    Symptom: a host acts on the value of a different key. Sequence: an
+    answer meant for an earlier call arrives on the reused connection.
+    Cause: the key inside the answer was not compared.
+    """
+    body = b'{"key": "other", "value": "v", "revision": 7}'
+    with open_store(answer(200, body)) as platform:
+        with pytest.raises(store.StoreUnavailable):
+            platform.read('k')
+
+
+def test_the_budget_holds_calls_back() -> None:
+    slow = store.Limits(writes=rates.Rate(0.01, burst=1))
+    with open_store(answer(200, b'{"revision": 1}'), slow) as platform:
+        platform.swap('k', 'v', 0)
+        with pytest.raises(store.StoreOverBudget) as caught:
+            platform.swap('k', 'w', 1)
+    assert caught.value.retry_after > 1
+
+
+def test_reads_the_host_list() -> None:
+    body = b"""{"age_s": 4.0, "hosts": [
+        {"name": "t1", "kind": "target", "address": "127.0.0.1:1",
+         "data_centre": "odori", "state": "leaving"},
+        {"name": "e1", "kind": "entry", "address": "127.0.0.1:2",
+         "data_centre": "odori", "state": "live"}]}"""
+    with open_store(answer(200, body)) as platform:
+        listing = hostlist.read_hosts(platform)
+    assert listing.targets == messages.HostListed(
+        leaving=frozenset(('t1',)), live=frozenset()
+    )
+    assert [host.name for host in listing.entries] == ['e1']
