--- /dev/null
+++ b/fuchsiahaven/core/budgets.py
@@ -0,0 +1,46 @@
+"""Bound hedges and retries by a share of first tries."""
+
+from typing import Final, NamedTuple
+
+# Tokens that may be saved up: what a class may add at once after a quiet time.
+BURST: Final = 10.0
+
+
+class Budget(NamedTuple):
+    """Hold the tokens of one class and group.
+
+    Every extra sub-request takes one of `tokens`; a hedge also takes one of
+    `hedge_tokens`, so that hedges cannot use up what retries need.
+    """
+
+    hedge_share: float
+    retry_share: float
+    tokens: float = BURST
+    hedge_tokens: float = BURST
+
+
+def deposit(budget: Budget, first_tries: int = 1) -> Budget:
+    """Add the shares of so many first tries; extra tries add nothing."""
+    hedge_share, retry_share, tokens, hedge_tokens = budget
+    return Budget(
+        hedge_share,
+        retry_share,
+        min(BURST, tokens + first_tries * (hedge_share + retry_share)),
+        min(BURST, hedge_tokens + first_tries * hedge_share),
+    )
+
+
+def withdraw_retry(budget: Budget) -> Budget | None:
+    """Take the token of one retry, or None where there is none."""
+    hedge_share, retry_share, tokens, hedge_tokens = budget
+    if tokens < 1:
+        return None
+    return Budget(hedge_share, retry_share, tokens - 1, hedge_tokens)
+
+
+def withdraw_hedge(budget: Budget) -> Budget | None:
+    """Take the tokens of one hedge, or None where there are none."""
+    hedge_share, retry_share, tokens, hedge_tokens = budget
+    if tokens < 1 or hedge_tokens < 1:
+        return None
+    return Budget(hedge_share, retry_share, tokens - 1, hedge_tokens - 1)
