Let a claim be given back and say more of one that is held

Cause: a refused refund is told as not run and is asked for again with the same id; a claim that stays behind would then answer outcome unknown for ever, though nothing ran. And a held claim without an outcome could not be told from one that still runs, nor from one that ran to its end. Change: the action Release, and the fields done, maybe_written, detail of ClaimSettled, all with defaults; HELD carries the holder's not_after_epoch. Ruled out: recording a refusal as an outcome, because a repeat would then get the refusal although it may run.

--- a/fuchsiahaven/core/messages.py
+++ b/fuchsiahaven/core/messages.py
@@ -198,14 +198,21 @@
     """Bring the result of a claim.
 
     GRANTED: this attempt alone may send until `not_after_epoch`. HELD: the
-    id was claimed before; `outcome` is the recorded answer as JSON text, or
-    None where it is not known. UNAVAILABLE: nothing was run.
+    id was claimed before, and that attempt may start until its own
+    `not_after_epoch`; `outcome` is its recorded answer as JSON text, or None
+    where none is kept; `done` says that it ran to its end nevertheless.
+    UNAVAILABLE: this attempt was not run and must not be sent; where
+    `maybe_written`, the claim may stand all the same, and asking again with
+    this id may then find an unknown outcome. `detail` says why, for people.
     """
 
     token: int
     result: ClaimResult
     not_after_epoch: float = 0.0
     outcome: str | None = None
+    done: bool = False
+    maybe_written: bool = False
+    detail: str = ''
 
 
 class Ticked(NamedTuple):
@@ -252,6 +259,16 @@
     outcome: str
 
 
+class Release(NamedTuple):
+    """Ask that a granted claim be given back, so that the id can run.
+
+    Only for an attempt that ran on no searcher and never will: nothing was
+    sent, or every searcher that was asked refused without running.
+    """
+
+    request_id: str
+
+
 class Reply(NamedTuple):
     """Give a caller its one answer or failure."""
 
@@ -273,4 +290,4 @@
     | Ticked
     | StopAsked
 )
-Action = Send | Cancel | Probe | Claim | Record | Reply
+Action = Send | Cancel | Probe | Claim | Record | Release | Reply
