Store the configuration as a manifest and parts

Cause: configuration has to fit values of 1 MB, and a change to one data centre must not rewrite the targets of all. Ruled out: one value for all (at 91,000 searchers it does not fit), one key per group (a group over 28 data centres does not fit either, and each change rewrites all of it), keys by content alone (an operator could delete a part that another names again). Change: the targets of a group in one data centre are a part; a part above 2 KB gets a key of its own, whose text names the revision that wrote it. Every text is checked against its schema; a newer format is refused by name. Conclusion: encode and decode are inverse for drawn configurations. Five error kinds are added for operators' changes; callers never see them.

--- a/fuchsiahaven/core/errors.py
+++ b/fuchsiahaven/core/errors.py
@@ -32,6 +32,11 @@
     REQUEST_EXPIRED = 'request_expired'
     PLATFORM_UNAVAILABLE = 'platform_unavailable'
     OUTCOME_UNKNOWN = 'outcome_unknown'
+    INVALID_CHANGE = 'invalid_change'
+    CONFLICT = 'conflict'
+    INVALID_CONFIGURATION = 'invalid_configuration'
+    UNKNOWN_FORMAT = 'unknown_format'
+    OLDER_COPY = 'older_copy'
     INTERNAL = 'internal'
 
 
@@ -89,6 +94,17 @@
     Kind.OUTCOME_UNKNOWN: Row(
         504, 'the outcome of the request is unknown', Ran.UNKNOWN
     ),
+    Kind.INVALID_CHANGE: Row(422, 'the change is not valid', Ran.NO),
+    Kind.CONFLICT: Row(409, 'another change took hold first', Ran.NO),
+    Kind.INVALID_CONFIGURATION: Row(
+        502, 'the stored configuration cannot be read', Ran.NO
+    ),
+    Kind.UNKNOWN_FORMAT: Row(
+        502, 'the stored configuration has a newer format', Ran.NO
+    ),
+    Kind.OLDER_COPY: Row(
+        503, 'the platform holds an older configuration', Ran.NO
+    ),
     Kind.INTERNAL: Row(500, 'an internal error', Ran.UNKNOWN),
 }
 
--- /dev/null
+++ b/fuchsiahaven/core/trees.py
@@ -0,0 +1,172 @@
+"""Turn a configuration into a tree of fields, compare trees and edit them.
+
+A field is a path such as `('groups', 'catalogo', 'labels', 'tier')`. Audit
+entries, rebases, conflicts and undo all speak of fields, so that one rule
+serves every kind of change.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any, NamedTuple
+
+from fuchsiahaven.core import configurations
+
+Field = tuple[str, ...]
+Tree = Mapping[str, Any]
+
+
+class Edit(NamedTuple):
+    """Hold what one change did to one field; None stands for absent."""
+
+    field: Field
+    before: object
+    after: object
+
+
+def build_tree(configuration: configurations.Configuration) -> Tree:
+    """Write a configuration as nested mappings down to lists and scalars."""
+    return {
+        'groups': {g.name: _build_group(g) for g in configuration.groups},
+        'selectors': {
+            selector.name: _build_selector(selector)
+            for selector in configuration.selectors
+        },
+        'classes': {c.name: _build_class(c) for c in configuration.classes},
+    }
+
+
+def build_configuration(
+    tree: Tree,
+    revision: int,
+) -> configurations.Configuration:
+    """Read a configuration out of a tree of valid shape, in sorted order."""
+    return configurations.Configuration(
+        revision=revision,
+        groups=tuple(
+            read_group(name, row) for name, row in _sort(tree['groups'])
+        ),
+        selectors=tuple(
+            configurations.Selector(
+                name,
+                row['class'],
+                row['expression'],
+                tuple(row['data_centres']),
+            )
+            for name, row in _sort(tree['selectors'])
+        ),
+        classes=tuple(
+            read_class(name, row) for name, row in _sort(tree['classes'])
+        ),
+    )
+
+
+def read_group(name: str, row: Tree) -> configurations.Group:
+    """Read one group out of its tree."""
+    return configurations.Group(
+        name=name,
+        labels=tuple(_sort(row['labels'])),
+        targets=sort_targets(
+            configurations.Target(target, address, data_centre)
+            for target, (data_centre, address) in row['targets'].items()
+        ),
+        slots=row['slots'],
+        connections=row['connections'],
+        connect_ms=row['connect_ms'],
+        leaving=frozenset(row['leaving']),
+    )
+
+
+def read_class(name: str, row: Tree) -> configurations.RequestClass:
+    """Read one class of request out of its tree."""
+    words = {
+        'needs': configurations.Needs(row['needs']),
+        'repeat': configurations.Repeat(row['repeat']),
+        'fan_out': configurations.FanOut(row['fan_out']),
+    }
+    return configurations.RequestClass(name, **{**row, **words})
+
+
+def sort_targets(
+    targets: Iterable[configurations.Target],
+) -> tuple[configurations.Target, ...]:
+    """Put targets in the order in which every host holds them."""
+    return tuple(sorted(targets, key=_order_target))
+
+
+def find_edits(before: Tree, after: Tree, at: Field = ()) -> Iterator[Edit]:
+    """Yield the fewest edits that lead from one tree to another."""
+    for key in sorted(before.keys() | after.keys()):
+        old, new = before.get(key), after.get(key)
+        if old == new:
+            continue
+        if isinstance(old, Mapping) and isinstance(new, Mapping):
+            yield from find_edits(old, new, (*at, key))
+        else:
+            yield Edit((*at, key), old, new)
+
+
+def overlap(one: Field, other: Field) -> bool:
+    """Tell whether two fields are the same or one contains the other."""
+    shorter = min(len(one), len(other))
+    return one[:shorter] == other[:shorter]
+
+
+def read_field(tree: Tree, field: Field) -> object:
+    """Return the value of a field, or None where there is none."""
+    found: object = tree
+    for key in field:
+        if not isinstance(found, Mapping):
+            return None
+        found = found.get(key)
+    return found
+
+
+def write_field(tree: Tree, field: Field, value: object) -> Tree:
+    """Return a tree in which one field has another value, or is gone.
+
+    Raise KeyError where the field's parent does not exist.
+    """
+    key, rest = field[0], field[1:]
+    if rest:
+        value = write_field(tree[key], rest, value)
+    kept = {name: old for name, old in tree.items() if name != key}
+    return kept if value is None else {**kept, key: value}
+
+
+def _build_group(group: configurations.Group) -> Tree:
+    return {
+        'labels': dict(group.labels),
+        'targets': {
+            target.name: [target.data_centre, target.address]
+            for target in group.targets
+        },
+        'leaving': dict.fromkeys(sorted(group.leaving), True),
+        'slots': group.slots,
+        'connections': group.connections,
+        'connect_ms': group.connect_ms,
+    }
+
+
+def _build_selector(selector: configurations.Selector) -> Tree:
+    return {
+        'class': selector.request_class,
+        'expression': selector.expression,
+        'data_centres': list(selector.data_centres),
+    }
+
+
+def _build_class(request_class: configurations.RequestClass) -> Tree:
+    row = request_class._asdict()
+    row.pop('name')
+    # Plain texts in place of enumeration members: a tree is what JSON holds.
+    return {
+        key: str(value) if isinstance(value, str) else value
+        for key, value in row.items()
+    }
+
+
+def _sort(rows: Mapping[str, Any]) -> list[tuple[str, Any]]:
+    return sorted(rows.items())
+
+
+def _order_target(target: configurations.Target) -> tuple[str, str]:
+    return target.data_centre, target.name
--- /dev/null
+++ b/tests/core/test_manifests.py
@@ -0,0 +1,170 @@
+"""Test the codec of the manifest and its parts."""
+
+import json
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fuchsiahaven.core import (
+    audits,
+    configurations,
+    errors,
+    manifests,
+    trees,
+)
+
+NAMES = st.from_regex(r'[a-z][a-z0-9]{0,5}', fullmatch=True)
+
+
+@st.composite
+def draw_group(
+    draw: st.DrawFn, name: str, most: int = 90
+) -> configurations.Group:
+    """Draw a group whose parts stand inside and outside the manifest."""
+    counts = draw(
+        st.dictionaries(
+            st.sampled_from(['Quilicura', 'Maipú', 'Pudahuel']),
+            st.integers(1, most),
+        )
+    )
+    targets = trees.sort_targets(
+        configurations.Target(
+            f'{name}-{centre[0]}{k}', f'10.0.{k}.1:80', centre
+        )
+        for centre, count in counts.items()
+        for k in range(count)
+    )
+    labels = draw(st.dictionaries(NAMES, NAMES, max_size=3))
+    leaving = draw(st.sets(st.sampled_from(targets))) if targets else set()
+    return configurations.Group(
+        name,
+        tuple(sorted(labels.items())),
+        targets,
+        leaving=frozenset(target.name for target in leaving),
+    )
+
+
+@st.composite
+def draw_configuration(draw: st.DrawFn) -> configurations.Configuration:
+    """Draw a configuration in the order in which hosts hold it."""
+    names = sorted(draw(st.sets(NAMES, max_size=3)))
+    return configurations.Configuration(
+        revision=draw(st.integers(0, 1 << 40)),
+        groups=tuple(draw(draw_group(name)) for name in names),
+        selectors=tuple(
+            configurations.Selector(name, 'c', 'a=b,!x', ('Maipú',))
+            for name in names
+        ),
+        classes=tuple(
+            configurations.RequestClass(
+                name, needs=draw(st.sampled_from(configurations.Needs))
+            )
+            for name in names
+        ),
+    )
+
+
+ENTRY = audits.Entry(
+    'id-1',
+    7,
+    'ana',
+    1.5,
+    'label group',
+    (trees.Edit(('groups', 'g', 'labels', 'a'), None, 'b'),),
+    undoes='id-0',
+)
+
+
+@given(draw_configuration())
+def test_decoding_gives_back_what_was_encoded(
+    configuration: configurations.Configuration,
+) -> None:
+    encoded = manifests.encode(configuration, (ENTRY,))
+    assert isinstance(encoded, manifests.Encoded)
+    decoded = manifests.decode(encoded.text, encoded.texts)
+    assert decoded == encoded.manifest
+    assert decoded.configuration == configuration
+    assert decoded.changes == (ENTRY,)
+    whole = manifests.decode(manifests.encode_whole(decoded))
+    assert isinstance(whole, manifests.Manifest)
+    assert whole[:2] == decoded[:2]
+
+
+@given(draw_configuration())
+def test_only_changed_parts_are_written_again(
+    configuration: configurations.Configuration,
+) -> None:
+    """Rewrite what changed alone, under keys never used before.
+
+    Symptom: a manifest names a part that has been deleted. Sequence: one
+    operator replaces a part, another brings the same targets back, and the
+    first deletes the old key, which the second now names again. Cause: a key
+    made from the targets alone.
+    """
+    first = manifests.encode(configuration)
+    assert isinstance(first, manifests.Encoded)
+    later = configuration._replace(revision=configuration.revision + 1)
+    same = manifests.encode(later, (), first.manifest.parts)
+    assert isinstance(same, manifests.Encoded)
+    assert not same.texts
+    again = manifests.encode(later)
+    assert isinstance(again, manifests.Encoded)
+    assert not again.texts.keys() & first.texts.keys()
+
+
+def refusal(text: str, texts: dict[str, str] | None = None) -> errors.Kind:
+    decoded = manifests.decode(text, texts)
+    assert isinstance(decoded, errors.Failure)
+    return decoded.kind
+
+
+def test_a_newer_format_is_refused_by_name() -> None:
+    """Refuse what a newer program wrote, instead of guessing at it.
+
+    Symptom: an older program drops fields it does not know when it writes
+    the manifest. Sequence: a newer program writes a field, an older one makes
+    a change. Cause: the format was not compared first.
+    """
+    newer = json.dumps({'format': manifests.FORMAT + 1, 'surprise': True})
+    assert refusal(newer) is errors.Kind.UNKNOWN_FORMAT
+    encoded = manifests.encode(configurations.EMPTY)
+    assert isinstance(encoded, manifests.Encoded)
+    row = json.loads(encoded.text)
+    unknown = json.dumps({**row, 'surprise': True})
+    assert refusal(unknown) is errors.Kind.INVALID_CONFIGURATION
+
+
+def test_a_part_that_is_not_the_one_named_is_refused() -> None:
+    """Refuse to route by targets that no operator accepted.
+
+    Symptom: requests reach targets of an old list. Sequence: the platform's
+    keys come back from copies of different ages. Cause: parts are taken by
+    their key without comparing the digest.
+    """
+    targets = tuple(
+        configurations.Target(f't{k:03}', f'10.0.0.1:{k + 1}', 'Odori')
+        for k in range(200)
+    )
+    group = configurations.Group('g', (), targets)
+    encoded = manifests.encode(configurations.Configuration(1, (group,)))
+    assert isinstance(encoded, manifests.Encoded)
+    (key,) = encoded.texts
+    assert refusal(encoded.text) is errors.Kind.INVALID_CONFIGURATION
+    spoilt = {key: encoded.texts[key].replace('10.0.0.1:1"', '10.0.0.2:1"')}
+    assert refusal(encoded.text, spoilt) is errors.Kind.INVALID_CONFIGURATION
+
+
+@given(st.text() | st.binary().map(lambda raw: raw.decode('latin-1')))
+def test_any_text_decodes_or_is_refused(text: str) -> None:
+    assert refusal(text) is errors.Kind.INVALID_CONFIGURATION
+
+
+def test_a_value_above_the_limit_is_refused_before_it_is_sent() -> None:
+    targets = tuple(
+        configurations.Target(f't{k:06}', f'10.0.0.1:{k}', 'Odori')
+        for k in range(50_000)
+    )
+    group = configurations.Group('g', (), targets)
+    encoded = manifests.encode(configurations.Configuration(1, (group,)))
+    assert isinstance(encoded, errors.Failure)
+    assert encoded.kind is errors.Kind.TOO_LARGE
