Stand in for the platform and the targets

The platform is a plain object that answers one request as the protocol page says, so that a unit test uses it without sockets; a port is put before it for whole processes. All targets of a deployment run in one event loop, a port for each, and count their own runs, so that what the tier claims can be checked against what happened.

Ruled out: cheroot for the targets (threads per port, a listen queue of 5).

--- /dev/null
+++ b/standins/answers.py
@@ -0,0 +1,135 @@
+"""Build and disturb the answers of a target."""
+
+import asyncio
+import json
+import random
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import snapshots
+from standins import catalogue, wire
+
+OVERSIZE: Final = 4 << 20
+RETRY_MS: Final = 50
+
+
+class Behaviour(NamedTuple):
+    """Hold how one target behaves, its faults included.
+
+    `spoil` is one of cross, snapshot, shard, id, truncated, oversized and
+    garbage; `drop` is before or after running. `share` is the part of the
+    answers that `spoil` and `drop` hit. `load` overrides the reported load.
+    """
+
+    median_ms: float = 12.0
+    spread: float = 0.4
+    straggle: float = 1.0
+    slow_share: float = 0.0
+    slow_ms: float = 200.0
+    trickle_ms: float = 0.0
+    spoil: str = ''
+    drop: str = ''
+    share: float = 1.0
+    frozen: bool = False
+    refuse: str = ''
+    load: wire.Json | None = None
+
+
+JobKey = tuple[str, int, int]
+
+
+class Job(NamedTuple):
+    """Hold one sub-request and where its answer goes."""
+
+    channel: wire.Channel
+    order: wire.Json
+    deadline: float
+
+    @property
+    def key(self) -> JobKey:
+        """Identify the sub-request, as a cancellation does."""
+        return find_key(self.order)
+
+
+def find_key(order: wire.Json) -> JobKey:
+    """Find what identifies a sub-request or its cancellation."""
+    return order['request_id'], order['shard'], order['attempt']
+
+
+def hits(behaviour: Behaviour, numbers: random.Random) -> bool:
+    """Draw whether a fault hits this answer."""
+    return numbers.random() < behaviour.share
+
+
+def draw_service_s(behaviour: Behaviour, numbers: random.Random) -> float:
+    """Draw how long one run takes, in seconds."""
+    spread = numbers.lognormvariate(0, behaviour.spread)
+    took_ms = behaviour.median_ms * spread * behaviour.straggle
+    if numbers.random() < behaviour.slow_share:
+        took_ms += behaviour.slow_ms
+    return took_ms / 1000
+
+
+def refuse(job: Job, reason: str, state: str, ran: str = 'no') -> None:
+    """Refuse a sub-request and say whether it had started."""
+    body = {
+        'request_id': job.order['request_id'],
+        'attempt': job.order['attempt'],
+        'ran': ran,
+        'state': state,
+        'reason': reason,
+        'retry_after_ms': RETRY_MS,
+    }
+    job.channel.reply(503, json.dumps(body))
+
+
+def build(job: Job, holding: snapshots.Holding, state: str, load: str) -> str:
+    """Build the body of an answer, pasting the rows' kept text in."""
+    order = job.order
+    query = order['query']
+    if order.get('at_most_once'):
+        receipt = {'id': f'receipt-{order["request_id"]}', 'rank': 0}
+        rows = json.dumps([receipt])
+    else:
+        rows = catalogue.search(
+            order['group'],
+            holding.low,
+            holding.high,
+            holding.snapshot,
+            str(query.get('text', '')),
+            int(query.get('limit', 20)),
+        )
+    return (
+        f'{{"request_id": "{order["request_id"]}", '
+        f'"group": "{order["group"]}", "shard": {order["shard"]}, '
+        f'"snapshot": {order["snapshot"]}, "attempt": {order["attempt"]}, '
+        f'"rows": {rows}, "state": "{state}", "load": {load}}}'
+    )
+
+
+def spoil(how: str, job: Job, body: str, other: str) -> None:
+    """Deliver an answer that is wrong; `other` is another request's."""
+    answer = json.loads(body)
+    match how:
+        case 'cross':
+            body = other or body.replace(answer['request_id'], 'another')
+        case 'snapshot' | 'shard':
+            body = json.dumps({**answer, how: answer[how] + 1})
+        case 'id':
+            body = json.dumps({**answer, 'request_id': 'another'})
+        case 'oversized':
+            body = json.dumps({**answer, 'padding': 'x' * OVERSIZE})
+        case 'garbage':
+            body = '{"rows": [}'
+        case 'truncated':
+            job.channel.write(wire.frame(200, body)[: -len(body) // 2])
+            job.channel.transport.close()
+            return
+    job.channel.reply(200, body)
+
+
+def trickle(channel: wire.Channel, data: bytes, pause_s: float) -> None:
+    """Deliver one byte at a time."""
+    if data:
+        channel.write(data[:1])
+        loop = asyncio.get_running_loop()
+        loop.call_later(pause_s, trickle, channel, data[1:], pause_s)
--- /dev/null
+++ b/standins/catalogue.py
@@ -0,0 +1,83 @@
+"""Make the rows that searchers hold: a small seeded catalogue."""
+
+import functools
+import hashlib
+import itertools
+import json
+import random
+from typing import Final, NamedTuple
+
+ROWS: Final = 1000
+TITLES: Final = {
+    'listings': (
+        'combi oven',
+        'walk-in cooler',
+        'dishwasher',
+        'fryer',
+        'gas range',
+        'ice machine',
+        'dough mixer',
+        'steam kettle',
+    ),
+    'passes': (
+        'city pass adult',
+        'city pass child',
+        'ropeway pass adult',
+        'ropeway pass child',
+        'hot spring pass',
+        'tram pass',
+    ),
+}
+
+
+class Row(NamedTuple):
+    """Hold one row; its key's position decides which shard has it."""
+
+    id: str
+    rank: float
+    title: str
+    position: int
+
+
+def find_position(key: str) -> int:
+    """Compute where a key lies in 0..65535."""
+    return int.from_bytes(hashlib.sha256(key.encode()).digest()[:2], 'big')
+
+
+@functools.lru_cache(maxsize=20_000)
+def search(
+    service: str, low: int, high: int, snapshot: int, text: str, limit: int
+) -> str:
+    """Search one range and give the rows as JSON text.
+
+    Each row names the snapshot it was read from, so that an answer that
+    mixes two of them shows. The texts are kept: building them again would
+    cost the stand-in more than all else.
+    """
+    words = text.split()
+    found = (
+        row
+        for row in make_rows(service)
+        if low <= row.position < high
+        and all(word in row.title for word in words)
+    )
+    rows = [
+        {**row._asdict(), 'snapshot': snapshot}
+        for row in itertools.islice(found, limit)
+    ]
+    return json.dumps(rows)
+
+
+@functools.lru_cache
+def make_rows(service: str) -> list[Row]:
+    """Make every row of one service, ordered by rank, from a fixed seed."""
+    numbers = random.Random(service)
+    winter = service in {'turnstile', 'hotel-bundle', 'ropeway-tally'}
+    titles = TITLES['passes' if winter else 'listings']
+    rows = []
+    for number in range(ROWS):
+        key = f'{service}-{number}'
+        rank = round(numbers.uniform(0, 100), 3)
+        title = numbers.choice(titles)
+        rows.append(Row(key, rank, title, find_position(key)))
+    return sorted(rows, key=lambda row: (row.rank, row.id))
--- /dev/null
+++ b/standins/fleets.py
@@ -0,0 +1,100 @@
+"""Run the targets of a layout in one process, under control."""
+
+import asyncio
+import json
+from typing import Final
+
+from standins import layouts, searchers, wire
+
+ALL: Final = '*'
+
+
+class Fleet:
+    """Own the searchers that one process stands in for."""
+
+    def __init__(self, layout: layouts.Layout, share: int, shares: int) -> None:
+        """Take every `shares`-th instance of each group."""
+        self.stats = searchers.Stats()
+        self.searchers = [
+            searchers.Searcher(
+                target, service, layout.holdings[target.name], self.stats
+            )
+            for service, group in zip(
+                layout.services, layout.configuration.groups, strict=True
+            )
+            for index, target in enumerate(group.targets)
+            if index // service.searchers % shares == share
+        ]
+        self._layout = layout
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, control_port: int) -> None:
+        """Listen on every port."""
+        starts = (searcher.start() for searcher in self.searchers)
+        await asyncio.gather(*starts, wire.listen(self, control_port))
+
+    def opened(self, channel: wire.Channel) -> None:
+        """Accept every connection to the control port."""
+
+    def closed(self, channel: wire.Channel) -> None:
+        """Keep nothing of a connection."""
+
+    def received(self, channel: wire.Channel, request: wire.Request) -> None:
+        """Show the counts, or follow an order and say what it reached."""
+        if request.path == '/control/runs':
+            channel.reply(200, json.dumps(self.stats.show()))
+            return
+        task = asyncio.ensure_future(self._follow(channel, request.load()))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _follow(self, channel: wire.Channel, order: wire.Json) -> None:
+        names = _list_names(order.get('targets', ALL))
+        reached = [one for one in self.searchers if _is_named(one, names)]
+        await asyncio.gather(*(self._apply(one, order) for one in reached))
+        shown = [one.target.name for one in reached]
+        channel.reply(200, json.dumps({'targets': shown}))
+
+    async def _apply(
+        self, searcher: searchers.Searcher, order: wire.Json
+    ) -> None:
+        searcher.behave(order.get('behaviour', {}))
+        await searcher.enter(order.get('state', searcher.state))
+        self._add(searcher, order.get('add_snapshot'), order.get('shards'))
+        searcher.holdings = {
+            key: held
+            for key, held in searcher.holdings.items()
+            if held.snapshot != order.get('drop_snapshot')
+        }
+
+    def _add(
+        self,
+        searcher: searchers.Searcher,
+        snapshot: int | None,
+        shards: int | None,
+    ) -> None:
+        if snapshot is None:
+            return
+        # Another number of shards is how a group is repartitioned.
+        service = searcher.service
+        group = next(
+            group
+            for group in self._layout.configuration.groups
+            if group.name == service.name
+        )
+        count = service.instances * service.searchers
+        index = group.targets.index(searcher.target) % count
+        held = layouts.hold(service, shards or service.shards, snapshot)
+        for holding in held[index]:
+            searcher.holdings[snapshot, holding.shard] = holding
+
+
+def _list_names(wanted: str | list[str]) -> set[str]:
+    return {wanted} if isinstance(wanted, str) else set(wanted)
+
+
+def _is_named(searcher: searchers.Searcher, names: set[str]) -> bool:
+    # A target is named by itself, by its instance or by its group.
+    name = searcher.target.name
+    known = {ALL, name, name.rpartition('/')[0], searcher.service.name}
+    return bool(names & known)
--- /dev/null
+++ b/standins/layouts.py
@@ -0,0 +1,225 @@
+"""Lay out the two deployments of today as targets and a configuration.
+
+Every data centre that is asked for gets the whole layout: each has targets
+of its own, and has to go on serving when it is cut off.
+"""
+
+import itertools
+import json
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import configurations, snapshots
+
+POSITIONS: Final = 65_536
+# The first ports of a range control the processes that share the targets.
+CONTROL_PORTS: Final = 8
+FIRST_SNAPSHOT: Final = 12
+DATA_CENTRES: Final = {
+    'santiago': ('quilicura', 'maipu', 'pudahuel'),
+    'ishikari': ('odori', 'kotoni', 'shiroishi'),
+}
+
+RequestClass = configurations.RequestClass
+COMPLETE: Final = configurations.Needs.COMPLETE
+AT_MOST_ONCE: Final = configurations.Repeat.AT_MOST_ONCE
+KEYED: Final = configurations.FanOut.KEYED
+
+
+class Service(NamedTuple):
+    """Hold the sizes of one service in one data centre."""
+
+    name: str
+    kind: str
+    instances: int
+    shards: int
+    replicas: int
+    searchers: int = 1
+    slots: int = 2
+    connections: int = 25
+    connect_ms: float = 6.0
+
+
+class Layout(NamedTuple):
+    """Hold one deployment: its services, configuration and holdings."""
+
+    services: tuple[Service, ...]
+    configuration: configurations.Configuration
+    holdings: dict[str, tuple[snapshots.Holding, ...]]
+
+
+SERVICES: Final = {
+    'santiago': (
+        Service('socios-web', 'listings', 20, 20, 2, 2),
+        Service('lotes-remate', 'listings', 30, 30, 2, 2),
+        Service('catalogo', 'catalogue', 6, 3, 2, 1, 2, 110, 1.0),
+        Service('alertas', 'alerts', 3, 1, 3, 1, 2, 110, 1.0),
+    ),
+    'ishikari': (
+        Service('turnstile', 'passes', 20, 20, 2, 2),
+        Service('hotel-bundle', 'bundles', 30, 30, 2, 2),
+        Service('refund-desk', 'refunds', 3, 1, 3, 1, 6, 50, 1.0),
+        Service('ropeway-tally', 'counts', 3, 1, 3, 1, 6, 50, 1.0),
+    ),
+}
+CLASSES: Final = {
+    'santiago': (
+        ('kind=listings', RequestClass('price-check', 800)),
+        ('kind=catalogue', RequestClass('quick-lookup', 300, priority=0)),
+        (
+            'kind=alerts',
+            RequestClass('listing-inquiry', 800, COMPLETE, AT_MOST_ONCE, KEYED),
+        ),
+        (
+            'kind=catalogue',
+            RequestClass(
+                'reservation-lookup', 800, COMPLETE, AT_MOST_ONCE, KEYED
+            ),
+        ),
+    ),
+    'ishikari': (
+        ('kind=passes', RequestClass('gate-lookup', 500, COMPLETE, priority=0)),
+        (
+            'kind=passes',
+            RequestClass('kiosk-check', 300, COMPLETE, fan_out=KEYED),
+        ),
+        (
+            'kind=refunds',
+            RequestClass('refund', 800, COMPLETE, AT_MOST_ONCE, KEYED),
+        ),
+        (
+            'kind=bundles',
+            RequestClass('hotel-bundle-report', 5000, COMPLETE, priority=2),
+        ),
+        ('kind=counts', RequestClass('ropeway-count', 500, priority=2)),
+    ),
+}
+
+
+def build(
+    deployment: str, first_port: int, data_centres: int = 1, revision: int = 1
+) -> Layout:
+    """Lay out a deployment on consecutive ports of the loopback interface."""
+    services = SERVICES[deployment]
+    places = DATA_CENTRES[deployment][:data_centres]
+    port = first_port + CONTROL_PORTS
+    groups: list[configurations.Group] = []
+    holdings: dict[str, tuple[snapshots.Holding, ...]] = {}
+    for service in services:
+        targets = _make_targets(service, places, port)
+        port += len(targets)
+        groups.append(_make_group(service, targets, deployment))
+        held = hold(service, service.shards, FIRST_SNAPSHOT) * len(places)
+        names = (target.name for target in targets)
+        holdings.update(zip(names, held, strict=True))
+    configuration = _configure(deployment, tuple(groups), revision)
+    return Layout(services, configuration, holdings)
+
+
+def hold(
+    service: Service, shards: int, snapshot: int
+) -> list[tuple[snapshots.Holding, ...]]:
+    """Say what each searcher of a service holds of a snapshot, in order.
+
+    The replicas of a shard are on different instances, so that one lost
+    instance loses no shard.
+    """
+    count = service.instances * service.searchers
+    held: list[list[snapshots.Holding]] = [[] for _ in range(count)]
+    for copy in range(service.replicas):
+        for shard in range(shards):
+            turn, place = divmod(
+                (copy * shards + shard) % count, service.instances
+            )
+            instance = (place + turn) % service.instances
+            index = instance * service.searchers + turn
+            held[index].append(make_holding(snapshot, shard, shards))
+    return [tuple(each) for each in held]
+
+
+def make_holding(snapshot: int, shard: int, shards: int) -> snapshots.Holding:
+    """Build the holding of one shard out of equal ranges."""
+    low = shard * POSITIONS // shards
+    high = (shard + 1) * POSITIONS // shards
+    return snapshots.Holding(snapshot, shard, shards, low, high)
+
+
+def write_manifest(configuration: configurations.Configuration) -> str:
+    """Write a configuration as the text of its key in the platform."""
+    body = {
+        'revision': configuration.revision,
+        'configuration': _plain(configuration),
+    }
+    return json.dumps(body)
+
+
+def list_hosts(layout: Layout) -> list[dict[str, object]]:
+    """List the targets as the platform's host list does."""
+    return [
+        {
+            'name': target.name,
+            'kind': 'target',
+            'address': target.address,
+            'data_centre': target.data_centre,
+            'state': 'live',
+        }
+        for group in layout.configuration.groups
+        for target in group.targets
+    ]
+
+
+def _configure(
+    deployment: str, groups: tuple[configurations.Group, ...], revision: int
+) -> configurations.Configuration:
+    rules = CLASSES[deployment]
+    chosen = (
+        configurations.Selector(rule.name, rule.name, expression)
+        for expression, rule in rules
+    )
+    classes = tuple(rule for _, rule in rules)
+    return configurations.Configuration(
+        revision, groups, tuple(chosen), classes
+    )
+
+
+def _make_targets(
+    service: Service, places: tuple[str, ...], port: int
+) -> list[configurations.Target]:
+    names = (
+        f'{service.name}-{instance:02}/{searcher}'
+        for instance in range(service.instances)
+        for searcher in range(service.searchers)
+    )
+    sites = itertools.product(places, tuple(names))
+    return [
+        configurations.Target(f'{place}-{name}', f'127.0.0.1:{number}', place)
+        for number, (place, name) in enumerate(sites, port)
+    ]
+
+
+def _make_group(
+    service: Service, targets: list[configurations.Target], deployment: str
+) -> configurations.Group:
+    labels = (
+        ('kind', service.kind),
+        ('service', service.name),
+        ('system', deployment),
+    )
+    return configurations.Group(
+        service.name,
+        labels,
+        tuple(targets),
+        service.slots,
+        service.connections,
+        service.connect_ms,
+    )
+
+
+def _plain(value: object) -> object:
+    # Named tuples would turn into lists, which drop the names of fields.
+    if isinstance(value, tuple) and hasattr(value, '_asdict'):
+        return {name: _plain(each) for name, each in value._asdict().items()}
+    if isinstance(value, frozenset):
+        return sorted(value)
+    if isinstance(value, tuple):
+        return [_plain(each) for each in value]
+    return value
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,332 @@
+"""Stand in for the platform's key-value service and host list.
+
+`Platform.call` answers one request as `docs/PROTOCOL.md` says, without
+sockets, so that a test can use it directly; `serve` puts it on a port. An
+answer says itself how it is to be delivered: late, or not at all.
+"""
+
+import asyncio
+import collections
+import json
+import time
+from collections.abc import Callable, Mapping
+from typing import Final, NamedTuple
+from urllib import parse as urls
+
+from standins import wire
+
+VALUE_LIMIT: Final = 1 << 20
+WATCH_POLL_S: Final = 0.02
+NO_PARAMS: Final[Mapping[str, str]] = {}
+
+
+class Entry(NamedTuple):
+    """Hold one stored value; it goes when its lease ends."""
+
+    value: str
+    revision: int
+    lease: str | None = None
+
+
+class Lease(NamedTuple):
+    """Hold how long a lease lives and when it ends."""
+
+    ttl_s: float
+    ends: float
+
+
+class Reply(NamedTuple):
+    """Hold an answer, how late it comes, and whether it gets lost."""
+
+    status: int
+    body: wire.Json | None = None
+    delay_s: float = 0.0
+    lost: bool = False
+
+
+class Faults(NamedTuple):
+    """Hold the faults in force.
+
+    `lose_writes` answers are lost after the write took effect, and the
+    next `late_writes` come `late_s` late. A silent watch never answers.
+    """
+
+    down: bool = False
+    slow_s: float = 0.0
+    lose_writes: int = 0
+    late_writes: int = 0
+    late_s: float = 30.0
+    silent_watch: bool = False
+    hosts_lag_s: float = 0.0
+    cut_ports: tuple[int, ...] = ()
+
+
+class Rates(NamedTuple):
+    """Hold how many calls a second the service takes."""
+
+    writes: float = 400.0
+    reads: float = 2000.0
+
+
+RATES: Final = Rates()
+
+
+class Platform:
+    """Keep keys, leases, the host list, the faults and the call counts."""
+
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        rates: Rates = RATES,
+    ) -> None:
+        """Start empty, with a clock in seconds."""
+        self.faults = Faults()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self._clock = clock
+        self._rates = rates
+        self._revision = 0
+        self._entries: dict[str, Entry] = {}
+        self._leases: dict[str, Lease] = {}
+        self._hosts: list[tuple[float, list[wire.Json]]] = [(clock(), [])]
+        self._copy: tuple[int, dict[str, Entry]] = (0, {})
+        self._spent: dict[bool, tuple[float, float]] = {}
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        params: Mapping[str, str] = NO_PARAMS,
+        body: wire.Json | None = None,
+    ) -> Reply:
+        """Answer one request; a waiting watch answers 204 at once."""
+        kind = classify(method, path)
+        self.calls[kind] += 1
+        if self.faults.down:
+            return Reply(503, {'error': 'down'})
+        if not self._take(kind):
+            self.calls['limited'] += 1
+            return Reply(429, {'error': 'rate exceeded'})
+        self._end_leases()
+        reply = self.route(method, path, params, body or {})
+        reply = reply._replace(delay_s=self.faults.slow_s)
+        return self._disturb(reply) if kind == 'writes' else reply
+
+    def control(self, orders: wire.Json) -> wire.Json:
+        """Change faults; `hosts`, `save` and `restore` change contents."""
+        known = self.faults._asdict()
+        known.update(
+            {name: value for name, value in orders.items() if name in known}
+        )
+        self.faults = Faults(**known)
+        hosts = orders.get('hosts')
+        if hosts is not None:
+            self.list_hosts(hosts)
+        if orders.get('save'):
+            self._copy = (self._revision, dict(self._entries))
+        if orders.get('restore'):
+            self._revision = self._copy[0]
+            self._entries = dict(self._copy[1])
+        return {'calls': self.calls, 'faults': known}
+
+    def list_hosts(self, hosts: list[wire.Json]) -> None:
+        """Set the host list, which shows after the set lag."""
+        self._hosts.append((self._clock(), hosts))
+
+    def _take(self, kind: str) -> bool:
+        now = self._clock()
+        writes = kind == 'writes'
+        rate = self._rates.writes if writes else self._rates.reads
+        left, last = self._spent.get(writes, (rate, now))
+        left = min(rate, left + (now - last) * rate)
+        granted = left >= 1
+        self._spent[writes] = (left - granted, now)
+        return granted
+
+    def _end_leases(self) -> None:
+        now = self._clock()
+        ended = {
+            name for name, lease in self._leases.items() if lease.ends <= now
+        }
+        if not ended:
+            return
+        for name in ended:
+            self._leases.pop(name)
+        kept = {
+            key: entry
+            for key, entry in self._entries.items()
+            if entry.lease not in ended
+        }
+        self._revision += len(self._entries) - len(kept)
+        self._entries = kept
+
+    def _disturb(self, reply: Reply) -> Reply:
+        faults = self.faults
+        if faults.lose_writes:
+            self.faults = faults._replace(lose_writes=faults.lose_writes - 1)
+            return reply._replace(lost=True)
+        if faults.late_writes:
+            self.faults = faults._replace(late_writes=faults.late_writes - 1)
+            return reply._replace(delay_s=faults.late_s)
+        return reply
+
+    def route(
+        self, method: str, path: str, params: Mapping[str, str], body: wire.Json
+    ) -> Reply:
+        """Answer one request by its path, without faults or counts."""
+        match (method, *path.strip('/').split('/', 2)):
+            case ['GET', 'v1', 'keys']:
+                reply = self._list(params.get('prefix', ''))
+            case ['GET', 'v1', 'keys', key]:
+                reply = self._get(key)
+            case ['GET', 'v1', 'watch', key]:
+                reply = self._get(key, int(params.get('above', '0')))
+            case ['PUT', 'v1', 'keys', key]:
+                reply = self._put(key, body)
+            case ['DELETE', 'v1', 'keys', key]:
+                reply = self._delete(key, int(params['revision']))
+            case ['POST', 'v1', 'leases', *name]:
+                reply = self._lease(name[0] if name else '', body)
+            case ['GET', 'v1', 'hosts']:
+                reply = self._show_hosts()
+            case _:
+                reply = Reply(404, {'error': 'no such path'})
+        return reply
+
+    def _list(self, prefix: str) -> Reply:
+        keys = [
+            {'key': key, 'revision': entry.revision}
+            for key, entry in sorted(self._entries.items())
+            if key.startswith(prefix)
+        ]
+        return Reply(200, {'keys': keys})
+
+    def _get(self, key: str, above: int | None = None) -> Reply:
+        entry = self._entries.get(key)
+        if above is not None and (entry is None or entry.revision <= above):
+            return Reply(204)
+        if entry is None:
+            return Reply(404, {'error': 'no such key'})
+        body = {'key': key, 'value': entry.value, 'revision': entry.revision}
+        return Reply(200, body)
+
+    def _put(self, key: str, body: wire.Json) -> Reply:
+        lease = body.get('lease')
+        if len(body['value'].encode()) > VALUE_LIMIT:
+            return Reply(413, {'error': 'value too large'})
+        if lease is not None and lease not in self._leases:
+            return Reply(404, {'error': 'no such lease'})
+        conflict = self._find_conflict(key, body['revision'])
+        if conflict is not None:
+            return conflict
+        self._revision += 1
+        self._entries[key] = Entry(body['value'], self._revision, lease)
+        return Reply(200, {'revision': self._revision})
+
+    def _delete(self, key: str, revision: int) -> Reply:
+        if key not in self._entries:
+            return Reply(404, {'error': 'no such key'})
+        conflict = self._find_conflict(key, revision)
+        if conflict is not None:
+            return conflict
+        self._revision += 1
+        self._entries.pop(key)
+        return Reply(200, {'revision': self._revision})
+
+    def _find_conflict(self, key: str, revision: int) -> Reply | None:
+        entry = self._entries.get(key)
+        current = entry.revision if entry else 0
+        return (
+            None if current == revision else Reply(409, {'revision': current})
+        )
+
+    def _lease(self, name: str, body: wire.Json) -> Reply:
+        now = self._clock()
+        if not name:
+            self._revision += 1
+            made = f'lease-{self._revision}'
+            ttl_s = float(body['ttl_s'])
+            self._leases[made] = Lease(ttl_s, now + ttl_s)
+            return Reply(200, {'lease': made})
+        lease = self._leases.get(name)
+        if lease is None:
+            return Reply(404, {'error': 'no such lease'})
+        self._leases[name] = lease._replace(ends=now + lease.ttl_s)
+        return Reply(200, {'ttl_s': lease.ttl_s})
+
+    def _show_hosts(self) -> Reply:
+        seen_at = self._clock() - self.faults.hosts_lag_s
+        shown = [hosts for since, hosts in self._hosts if since <= seen_at]
+        hosts = shown[-1] if shown else []
+        return Reply(200, {'hosts': hosts, 'age_s': self.faults.hosts_lag_s})
+
+
+class Server:
+    """Put a platform on a port, acting out how its answers arrive."""
+
+    def __init__(self, platform: Platform, port: int) -> None:
+        """Answer for one port, which a fault can cut off."""
+        self._platform = platform
+        self._port = port
+
+    def opened(self, channel: wire.Channel) -> None:
+        """Accept every connection."""
+
+    def closed(self, channel: wire.Channel) -> None:
+        """Keep nothing of a connection."""
+
+    def received(self, channel: wire.Channel, request: wire.Request) -> None:
+        """Answer one request of the service, or of its control."""
+        url = urls.urlsplit(request.path)
+        path = urls.unquote(url.path)
+        if path == '/control':
+            shown = self._platform.control(request.load())
+            channel.reply(200, json.dumps(shown))
+        elif self._port not in self._platform.faults.cut_ports:
+            params = dict(urls.parse_qsl(url.query))
+            args = (request.method, path, params, request.load())
+            reply = self._platform.call(*args)
+            if classify(request.method, path) == 'watches':
+                wait_s = float(params.get('wait_s', '0'))
+                self._watch(channel, path, params, reply, wait_s)
+            else:
+                self._deliver(channel, reply)
+
+    def _watch(
+        self,
+        channel: wire.Channel,
+        path: str,
+        params: Mapping[str, str],
+        reply: Reply,
+        left_s: float,
+    ) -> None:
+        if self._platform.faults.silent_watch:
+            return
+        if reply.status != 204 or left_s <= 0:
+            self._deliver(channel, reply)
+            return
+        found = self._platform.route('GET', path, params, {})
+        rest = (channel, path, params, found, left_s - WATCH_POLL_S)
+        asyncio.get_running_loop().call_later(WATCH_POLL_S, self._watch, *rest)
+
+    def _deliver(self, channel: wire.Channel, reply: Reply) -> None:
+        if reply.lost:
+            channel.transport.abort()
+            return
+        body = '' if reply.body is None else json.dumps(reply.body)
+        if reply.delay_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(reply.delay_s, channel.reply, reply.status, body)
+        else:
+            channel.reply(reply.status, body)
+
+
+async def serve(platform: Platform, ports: list[int]) -> list[asyncio.Server]:
+    """Serve one platform on a port for each data centre."""
+    servers = (wire.listen(Server(platform, port), port) for port in ports)
+    return await asyncio.gather(*servers)
+
+
+def classify(method: str, path: str) -> str:
+    if path.startswith('/v1/watch/'):
+        return 'watches'
+    return 'reads' if method == 'GET' else 'writes'
--- /dev/null
+++ b/standins/slots.py
@@ -0,0 +1,87 @@
+"""Run jobs in the slots of one target, with a short queue before them."""
+
+import asyncio
+import collections
+import time
+from collections.abc import Callable
+from typing import Final, NamedTuple, Protocol
+
+from standins import answers
+
+QUEUE: Final = 4
+
+
+class Running(NamedTuple):
+    """Hold a job in a slot and the timer that ends it."""
+
+    job: answers.Job
+    timer: asyncio.TimerHandle
+
+
+class Refuse(Protocol):
+    """Describe how a job is refused, and whether it had started."""
+
+    def __call__(self, job: answers.Job, reason: str, ran: str = 'no') -> None:
+        """Refuse the job."""
+
+
+class Slots:
+    """Own the jobs that run or wait."""
+
+    def __init__(
+        self,
+        size: int,
+        start: Callable[[answers.Job], float],
+        finish: Callable[[answers.Job], None],
+        refuse: Refuse,
+    ) -> None:
+        """Start empty; `start` gives how long a job runs, in seconds."""
+        self.running: dict[answers.JobKey, Running] = {}
+        self.queue: collections.deque[answers.Job] = collections.deque()
+        self._size = size
+        self._start = start
+        self._finish = finish
+        self._refuse = refuse
+
+    def add(self, job: answers.Job) -> None:
+        """Run a job, queue it, or shed it."""
+        if len(self.queue) >= QUEUE:
+            self._refuse(job, 'shed')
+            return
+        self.queue.append(job)
+        self._fill()
+
+    def cancel(self, key: answers.JobKey) -> None:
+        """Refuse a job at once, whether it waits or runs."""
+        for queued in tuple(self.queue):
+            if queued.key == key:
+                self.queue.remove(queued)
+                self._refuse(queued, 'cancelled')
+        running = self.running.pop(key, None)
+        if running is not None:
+            running.timer.cancel()
+            self._refuse(running.job, 'cancelled', 'unknown')
+            self._fill()
+
+    def clear(self) -> None:
+        """Forget every job, as a lost target does."""
+        for running in self.running.values():
+            running.timer.cancel()
+        self.running.clear()
+        self.queue.clear()
+
+    def _fill(self) -> None:
+        while self.queue and len(self.running) < self._size:
+            job = self.queue.popleft()
+            if time.monotonic() > job.deadline:
+                self._refuse(job, 'deadline')
+                continue
+            took_s = self._start(job)
+            loop = asyncio.get_running_loop()
+            timer = loop.call_later(took_s, self._end, job)
+            self.running[job.key] = Running(job, timer)
+
+    def _end(self, job: answers.Job) -> None:
+        self.running.pop(job.key, None)
+        self._finish(job)
+        self._fill()
--- /dev/null
+++ b/standins/wire.py
@@ -0,0 +1,119 @@
+"""Serve HTTP/1.1 with JSON cheaply from one event loop.
+
+A stand-in shares the machine with what it measures, so a request costs it
+some ten microseconds here instead of the hundreds of a full HTTP server.
+"""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any, NamedTuple, Protocol
+
+LOOPBACK = '127.0.0.1'
+# Many hosts connect at once after a restart; a short listen queue would
+# show up as connects that hang for a second, as if a target were slow.
+BACKLOG = 1024
+REASONS = {200: 'OK', 204: 'No Content', 503: 'Unavailable'}
+
+Json = dict[str, Any]
+
+
+class Request(NamedTuple):
+    """Hold one parsed request."""
+
+    method: str
+    path: str
+    body: bytes
+
+    def load(self) -> Json:
+        """Parse the body as a JSON object; an empty body is an empty one."""
+        return dict(json.loads(self.body)) if self.body else {}
+
+
+class Application(Protocol):
+    """Describe what a server has to answer to."""
+
+    def opened(self, channel: 'Channel') -> None:
+        """Take note of a new connection."""
+
+    def received(self, channel: 'Channel', request: Request) -> None:
+        """Answer one request, now or later."""
+
+    def closed(self, channel: 'Channel') -> None:
+        """Take note of a connection that has ended."""
+
+
+class Channel(asyncio.Protocol):
+    """Own one connection of a caller."""
+
+    def __init__(self, application: Application) -> None:
+        """Tie the connection to what answers it."""
+        self._application = application
+        self._buffer = b''
+        self.transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start on a new connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self._application.opened(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End with the connection."""
+        self._application.closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Pass on every request that is whole."""
+        self._buffer += data
+        while not self.transport.is_closing():
+            request = self._next_request()
+            if request is None:
+                return
+            self._application.received(self, request)
+
+    def reply(self, status: int, body: str = '') -> None:
+        """Write one answer."""
+        self.write(frame(status, body))
+
+    def write(self, data: bytes) -> None:
+        """Write bytes, unless the connection has gone."""
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
+    def _next_request(self) -> Request | None:
+        head, found, rest = self._buffer.partition(b'\r\n\r\n')
+        if not found:
+            return None
+        length = _find_length(head.lower())
+        if len(rest) < length:
+            return None
+        self._buffer = rest[length:]
+        method, path, _ = head.split(b' ', 2)
+        return Request(method.decode(), path.decode(), rest[:length])
+
+
+def frame(status: int, body: str) -> bytes:
+    """Build the bytes of one answer."""
+    payload = body.encode()
+    reason = REASONS.get(status, 'Answer')
+    head = (
+        f'HTTP/1.1 {status} {reason}\r\n'
+        'Content-Type: application/json\r\n'
+        f'Content-Length: {len(payload)}\r\n\r\n'
+    )
+    return head.encode() + payload
+
+
+async def listen(application: Application, port: int) -> asyncio.Server:
+    """Serve an application on one port of the loopback interface."""
+    make: Callable[[], Channel] = lambda: Channel(application)
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(make, LOOPBACK, port, backlog=BACKLOG)
+
+
+def _find_length(head: bytes) -> int:
+    at = head.find(b'content-length:')
+    if at < 0:
+        return 0
+    line = head[at + 15 :].split(b'\r\n', 1)[0]
+    return int(line)
--- /dev/null
+++ b/tests/standins/test_searchers.py
@@ -0,0 +1,174 @@
+"""Test the targets' stand-in over loopback."""
+
+import asyncio
+import json
+import socket
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from fuchsiahaven.core import configurations
+from standins import layouts, searchers, wire
+
+SERVICE = layouts.Service(
+    'desk', 'refunds', 1, 1, 1, slots=1, connections=3, connect_ms=0
+)
+
+
+def make_order(request_id: str, **changes: object) -> wire.Json:
+    """Build a sub-request."""
+    order = {
+        'request_id': request_id,
+        'group': 'desk',
+        'shard': 0,
+        'snapshot': layouts.FIRST_SNAPSHOT,
+        'attempt': 1,
+        'deadline_ms': 30_000,
+        'at_most_once': True,
+        'query': {},
+    }
+    return {**order, **changes}
+
+
+class Caller:
+    """Own one connection to a target."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Take over the streams."""
+        self.reader = reader
+        self._writer = writer
+
+    def ask(self, path: str, body: wire.Json) -> None:
+        """Write one request."""
+        data = json.dumps(body).encode()
+        head = f'POST {path} HTTP/1.1\r\nContent-Length: {len(data)}\r\n\r\n'
+        self._writer.write(head.encode() + data)
+
+    async def hear(self) -> wire.Json:
+        """Read one answer."""
+        head = await self.reader.readuntil(b'\r\n\r\n')
+        length = int(head.rpartition(b'Content-Length: ')[2])
+        body = await self.reader.readexactly(length)
+        return dict(json.loads(body)) if body else {}
+
+
+class Desk:
+    """Own a target with one slot and the connections to it."""
+
+    def __init__(self) -> None:
+        """Take a free port."""
+        with socket.create_server(('127.0.0.1', 0)) as free:
+            self._port = free.getsockname()[1]
+        address = f'127.0.0.1:{self._port}'
+        target = configurations.Target('desk-00/0', address, 'odori')
+        held = layouts.hold(SERVICE, 1, layouts.FIRST_SNAPSHOT)[0]
+        self.stats = searchers.Stats()
+        self.searcher = searchers.Searcher(target, SERVICE, held, self.stats)
+
+    async def call(self, count: int) -> list[Caller]:
+        """Open connections, once the target listens."""
+        await self.searcher.start()
+        opens = (self._open() for _ in range(count))
+        return await asyncio.gather(*opens)
+
+    async def see(self, name: str, count: int) -> None:
+        """Wait until the target has counted so many."""
+        seen = asyncio.Event()
+        loop = asyncio.get_running_loop()
+
+        def look() -> None:
+            if self.stats.counts[name] >= count:
+                seen.set()
+            else:
+                loop.call_soon(look)
+
+        look()
+        await seen.wait()
+
+    async def _open(self) -> Caller:
+        streams = await asyncio.open_connection('127.0.0.1', self._port)
+        return Caller(*streams)
+
+
+def run(scenario: Coroutine[Any, Any, None]) -> None:
+    """Run a scenario, which must not hang."""
+    asyncio.run(asyncio.wait_for(scenario, 20))
+
+
+def test_cancelled_waiting_request_never_ran() -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        running, waiting, cancelling = await desk.call(3)
+        desk.searcher.behave({'median_ms': 1e6})
+        running.ask('/v1/search', make_order('a'))
+        await desk.see('received', 1)
+        waiting.ask('/v1/search', make_order('b'))
+        await desk.see('received', 2)
+        cancelling.ask('/v1/cancel', make_order('b'))
+        cancelling.ask('/v1/cancel', make_order('a'))
+        hears = (waiting.hear(), running.hear())
+        answers = await asyncio.gather(*hears)
+        assert [answer['ran'] for answer in answers] == ['no', 'unknown']
+        assert desk.stats.runs == {'a': 1}
+        desk.searcher.stop()
+
+    run(scenario())
+
+
+def test_connection_past_the_cap_is_closed_unread() -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        callers = await desk.call(4)
+        await desk.see('connections', 4)
+        callers[0].ask('/v1/search', make_order('a'))
+        assert (await callers[0].hear())['rows'][0]['id'] == 'receipt-a'
+        assert not await callers[-1].reader.read()
+        assert desk.stats.counts['connections_refused'] == 1
+        desk.searcher.stop()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('changes', 'reason'),
+    [
+        ({'snapshot': 1}, 'snapshot_gone'),
+        ({'deadline_ms': 0}, 'deadline'),
+        ({'not_after_epoch': 1.0}, 'deadline'),
+    ],
+)
+def test_refusal_does_not_run(changes: wire.Json, reason: str) -> None:
+    async def scenario() -> None:
+        desk = Desk()
+        caller = (await desk.call(1))[0]
+        caller.ask('/v1/search', make_order('a', **changes))
+        answer = await caller.hear()
+        assert (answer['ran'], answer['reason']) == ('no', reason)
+        assert not desk.stats.runs
+        desk.searcher.stop()
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('when', 'runs'), [('before', {}), ('after', {'a': 1})]
+)
+def test_dropped_connection_hides_whether_it_ran(
+    when: str, runs: dict[str, int]
+) -> None:
+    """A broken connection looks the same before and after running."""
+
+    async def scenario() -> None:
+        desk = Desk()
+        caller = (await desk.call(1))[0]
+        desk.searcher.behave({'drop': when})
+        caller.ask('/v1/search', make_order('a'))
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await caller.hear()
+        assert desk.stats.single_runs == runs
+        desk.searcher.stop()
+
+    run(scenario())
