--- /dev/null
+++ b/fuchsiahaven/operate/command_query.py
@@ -0,0 +1,136 @@
+"""Ask a running host a query and show the answer."""
+
+import argparse
+import json
+import secrets
+import time
+from collections.abc import Mapping
+from typing import Any, Final
+
+from fuchsiahaven.core import addresses, request_ids
+from fuchsiahaven.operate import exchanges, exits, tables
+
+EPILOG: Final = """examples:
+  fuchsiahaven query --at 10.0.0.1:8101 price-check 'text=combi oven' limit=5
+  fuchsiahaven query --at 10.0.0.1:8101 gate-lookup --key pass-17 --json
+
+exit codes: 0 complete; 1 partial or refused; 3 host not reached;
+5 it cannot be told whether the request ran
+"""
+FIRST_COLUMNS: Final = ('rank', 'id')
+HTTP_OK: Final = 200
+MILLISECONDS: Final = 1000
+#: Waited for beyond the deadline, for an answer that is on its way.
+GRACE_S: Final = 2.0
+DEFAULT_WAIT_S: Final = 60.0
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the arguments of the command."""
+    parser.epilog = EPILOG
+    parser.add_argument('request_class', metavar='CLASS')
+    parser.add_argument(
+        'terms',
+        nargs='*',
+        metavar='NAME=VALUE',
+        help='a term of the query; values that are JSON are taken as such',
+    )
+    parser.add_argument(
+        '--at',
+        required=True,
+        metavar='IP:PORT',
+        help="a host's caller port",
+    )
+    parser.add_argument('--key', help='the key, for keyed classes')
+    parser.add_argument('--deadline-ms', type=int, metavar='N')
+    parser.add_argument(
+        '--request-id',
+        help='ask again with an id used before; minted if not given',
+    )
+    parser.add_argument('--json', action='store_true', help='print JSON')
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Ask, print what came back, and tell it by the exit code."""
+    address = addresses.parse(arguments.at)
+    terms = dict(term.partition('=')[::2] for term in arguments.terms)
+    if address is None or '' in terms:
+        print('expected --at IP:PORT and terms as NAME=VALUE')
+        return exits.USAGE
+    body = _build_body(arguments, terms)
+    wait_s = DEFAULT_WAIT_S
+    if arguments.deadline_ms:
+        wait_s = arguments.deadline_ms / MILLISECONDS + GRACE_S
+    told = exchanges.ask(
+        address,
+        'POST',
+        '/v1/search',
+        body=body,
+        timeout_s=wait_s,
+    )
+    if isinstance(told, exchanges.Silent):
+        print(f'no answer to {body["request_id"]}: {told.reason}')
+        return exits.UNKNOWN if told.sent else exits.UNREACHABLE
+    if arguments.json:
+        print(json.dumps(told.body))
+    else:
+        print('\n'.join(describe(told)))
+    return _choose_exit(told)
+
+
+def describe(told: exchanges.Told) -> list[str]:
+    """Write an answer or a refusal as lines for a person."""
+    body: Mapping[str, Any] = told.body
+    if told.status != HTTP_OK:
+        error = body.get('error', {})
+        head = f'{error.get("kind")}: {error.get("text")}'
+        return [f'{head} ({error.get("detail")}); ran: {error.get("ran")}']
+    missing = body['coverage']['missing']
+    lines = tables.lay_out(body['rows'], FIRST_COLUMNS)
+    lines.append(_summarize(body))
+    if missing:
+        lines.append('missing:')
+        lines.extend(tables.lay_out(missing, ('group', 'shard', 'reason')))
+    return lines
+
+
+def _summarize(body: Mapping[str, Any]) -> str:
+    total = body['coverage']['shards']
+    covered = total - len(body['coverage']['missing'])
+    pins = ', '.join(f'{name} {it}' for name, it in body['snapshots'].items())
+    return (
+        f'{body["status"]}: {len(body["rows"])} rows, '
+        f'{covered} of {total} shards; snapshots: {pins}'
+    )
+
+
+def _build_body(
+    arguments: argparse.Namespace,
+    terms: Mapping[str, str],
+) -> dict[str, object]:
+    bits = secrets.randbits(request_ids.RANDOM_BITS)
+    minted = request_ids.mint(time.time(), bits)
+    body = {
+        'class': arguments.request_class,
+        'request_id': arguments.request_id or minted,
+        'deadline_ms': arguments.deadline_ms,
+        'key': arguments.key,
+        'query': {name: _read_term(text) for name, text in terms.items()},
+    }
+    return {name: it for name, it in body.items() if it is not None}
+
+
+def _read_term(text: str) -> object:
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
+
+
+def _choose_exit(told: exchanges.Told) -> int:
+    body: Mapping[str, Any] = told.body
+    if told.status == HTTP_OK:
+        complete = body.get('status') == 'complete'
+        return exits.DONE if complete else exits.FAILED
+    ran = body.get('error', {}).get('ran')
+    return exits.UNKNOWN if ran == 'unknown' else exits.FAILED
--- a/fuchsiahaven/operate/commands.py
+++ b/fuchsiahaven/operate/commands.py
@@ -33,6 +33,11 @@
 
 #: Add a command here: one line, sorted as an operator would look for it.
 COMMANDS: Final = (
+    Entry(
+        'query',
+        'fuchsiahaven.operate.command_query',
+        'ask a running host a query and show the answer',
+    ),
     Entry(
         'check',
         'fuchsiahaven.operate.command_check',
--- /dev/null
+++ b/tests/operate/test_command_query.py
@@ -0,0 +1,87 @@
+"""Test the command that asks a query."""
+
+import contextlib
+import json
+import socket
+import threading
+from collections.abc import Callable, Iterator
+
+import pytest
+from cheroot import wsgi
+
+from fuchsiahaven.operate import commands, exits, tables
+
+Start = Callable[[str, list[tuple[str, str]]], object]
+
+PARTIAL = {
+    'request_id': 'x',
+    'status': 'partial',
+    'rows': [{'id': 'L1', 'rank': 1.5, 'text': 'combi\x1b[2Joven'}],
+    'snapshots': {'catalogo': 4},
+    'coverage': {
+        'shards': 2,
+        'covered': [],
+        'missing': [{'group': 'catalogo', 'shard': 1, 'reason': 'timed_out'}],
+    },
+    'revision': 1,
+}
+UNKNOWN = {'request_id': 'x', 'error': {'kind': 'timed_out', 'ran': 'unknown'}}
+
+
+@contextlib.contextmanager
+def _serve(status: str, told: object) -> Iterator[str]:
+    """Answer every request with one status and body."""
+
+    def answer(_environ: object, start: Start) -> list[bytes]:
+        start(status, [('Content-Type', 'application/json')])
+        return [json.dumps(told).encode()]
+
+    server = wsgi.Server(('127.0.0.1', 0), answer, numthreads=1)
+    server.prepare()
+    thread = threading.Thread(target=server.serve)
+    thread.start()
+    try:
+        yield '{0}:{1}'.format(*server.bind_addr[:2])
+    finally:
+        server.stop()
+        thread.join()
+
+
+def test_partial_answer_is_told_as_partial(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Show what is missing, fail, and let no row drive the terminal."""
+    with _serve('200 OK', PARTIAL) as at:
+        code = commands.main(['query', '--at', at, 'price-check', 'text=oven'])
+    printed = capsys.readouterr().out
+    assert code == exits.FAILED
+    assert 'partial: 1 rows, 1 of 2 shards; snapshots: catalogo 4' in printed
+    assert 'timed_out' in printed
+    assert '\x1b' not in printed
+
+
+def test_unknown_outcome_has_its_own_code() -> None:
+    """Tell a script that asking again with a new id could act twice."""
+    with _serve('504 Gateway Timeout', UNKNOWN) as at:
+        assert commands.main(['query', '--at', at, 'refund']) == exits.UNKNOWN
+
+
+def test_host_that_is_not_there_is_unreachable() -> None:
+    """Tell that nothing was sent."""
+    with socket.socket() as taken:
+        # Bound and not listening: nobody else can answer on this port.
+        taken.bind(('127.0.0.1', 0))
+        at = '127.0.0.1:{0}'.format(taken.getsockname()[1])
+        assert commands.main(['query', '--at', at, 'x']) == exits.UNREACHABLE
+
+
+def test_table_lines_up_and_cuts() -> None:
+    """Keep columns under their names and cells on one line."""
+    rows: list[tables.Row] = [
+        {'id': 'a', 'text': 'x' * 99},
+        {'id': 'bcd', 'more': [1]},
+    ]
+    head, first, second = tables.lay_out(rows, ('id',))
+    assert head.split() == ['ID', 'TEXT', 'MORE']
+    assert first.endswith('…')
+    assert second.index('[1]') == head.index('MORE')
