--- a/fuchsiahaven/core/snapshots.py
+++ b/fuchsiahaven/core/snapshots.py
@@ -1,18 +1,243 @@
 """Hold which searcher holds which shard of which snapshot."""
 
-from typing import NamedTuple
+import bisect
+import hashlib
+import itertools
+from collections.abc import Mapping, Sequence, Set
+from typing import Final, NamedTuple
 
+from fuchsiahaven.core import shardmaps
 
-class Holding(NamedTuple):
-    """Say that a target holds one shard of one snapshot of its group.
+Holding = shardmaps.Holding
 
-    Keys hash into 0..65535; the shard covers `low <= position < high`. The
-    shard count and the ranges belong to the snapshot, so a repartition is a
-    new snapshot. Snapshot numbers of a group only grow.
+_KEY_BYTES: Final = 2
+
+
+class Known(NamedTuple):
+    """Hold what is known of one group's snapshots.
+
+    `holdings` is what each target reported last, `maps` the shard maps that
+    follow from it, newest first. `refusals` counts the reported holdings
+    that contradicted a map, over the life of this state.
+    """
+
+    group: str
+    holdings: Mapping[str, tuple[Holding, ...]] = {}
+    maps: tuple[shardmaps.ShardMap, ...] = ()
+    refusals: int = 0
+
+
+class PinnedShard(NamedTuple):
+    """Hold one shard of a pinned snapshot and its usable replicas.
+
+    Its keys lie in `low <= position < high`. Where no target ever told the
+    range, it is the gap between the neighbours that are known.
     """
 
-    snapshot: int
     shard: int
-    shards: int
     low: int
     high: int
+    replicas: tuple[str, ...]
+
+
+class Pin(NamedTuple):
+    """Hold one snapshot of one group as a query uses it.
+
+    `shards` has an entry for each shard, in the order of the ranges;
+    `held` counts those with a usable replica and `spare` is the number of
+    usable replicas of the shard that has fewest.
+    """
+
+    group: str
+    snapshot: int
+    shards: tuple[PinnedShard, ...]
+    held: int
+    spare: int
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether every shard has a usable replica."""
+        return self.held == len(self.shards)
+
+
+def learn(known: Known, target: str, holdings: Sequence[Holding]) -> Known:
+    """Replace what is known of a target; the same state if nothing changed."""
+    reported = tuple(sorted(set(holdings)))
+    before = known.holdings.get(target, ())
+    if reported == before:
+        return known
+    rest = {**known.holdings, target: reported}
+    if not reported:
+        rest.pop(target)
+    return _update_maps(known._replace(holdings=rest), target, before)
+
+
+def forget(known: Known, target: str) -> Known:
+    """Drop what is known of a target."""
+    return learn(known, target, ())
+
+
+def drop(known: Known, target: str, snapshot: int) -> Known:
+    """Drop one snapshot of a target which says that it no longer has it."""
+    kept = [
+        holding
+        for holding in known.holdings.get(target, ())
+        if holding.snapshot != snapshot
+    ]
+    return learn(known, target, kept)
+
+
+def list_pins(known: Known, usable: Set[str]) -> tuple[Pin, ...]:
+    """List every snapshot with its usable replicas, newest first.
+
+    This visits every replica. A caller keeps the result until the known
+    state or the usable targets change, and asks `choose` for each query.
+    """
+    return tuple(
+        _make_pin(known.group, made, usable)
+        for made in known.maps
+        if any(made.replicas)
+    )
+
+
+def choose(
+    pins: Sequence[Pin], newer_than: int = 0, position: int | None = None
+) -> Pin | None:
+    """Choose the newest complete snapshot, else the one with best coverage.
+
+    With a key's position, a snapshot that holds its shard does where none
+    is complete. None means that no snapshot is known at all.
+    """
+    newer = [pin for pin in pins if pin.snapshot > newer_than]
+    for pin in newer:
+        if pin.complete:
+            return pin
+    if position is not None:
+        for pin in newer:
+            if find_shard(pin, position).replicas:
+                return pin
+    return max(newer, key=_measure_coverage, default=None)
+
+
+def pin(known: Known, usable: Set[str], newer_than: int = 0) -> Pin | None:
+    """Pin a snapshot at once, where nothing is kept between queries."""
+    return choose(list_pins(known, usable), newer_than)
+
+
+def find_position(key: str) -> int:
+    """Return a key's position: two bytes of its SHA-256, in 0..65535."""
+    digest = hashlib.sha256(key.encode('utf-8', 'surrogatepass')).digest()
+    return int.from_bytes(digest[:_KEY_BYTES], 'big')
+
+
+def find_shard(pinned: Pin, position: int) -> PinnedShard:
+    """Return the shard that covers the position."""
+    # The ranges of a map are in order and cover every position.
+    after = bisect.bisect_right(
+        pinned.shards, position, key=lambda shard: shard.low
+    )
+    return pinned.shards[after - 1]
+
+
+def list_faults(known: Known) -> tuple[shardmaps.HoldingFault, ...]:
+    """List the reported holdings that are refused now, with the reasons."""
+    malformed = [
+        shardmaps.HoldingFault(shardmaps.FaultKind.MALFORMED, target, holding)
+        for target, holdings in known.holdings.items()
+        for holding in holdings
+        if not shardmaps.is_formed(holding)
+    ]
+    refused = [fault for made in known.maps for fault in made.refused]
+    return tuple(malformed + refused)
+
+
+def _update_maps(known: Known, target: str, before: Sequence[Holding]) -> Known:
+    reported = known.holdings.get(target, ())
+    maps = {made.snapshot: made for made in known.maps}
+    refusals = known.refusals + _count_malformed(reported, before)
+    for gone in _list_changes(before, reported):
+        _remove(known, maps, shardmaps.Claimed(target, gone))
+    refusals += sum(
+        _add(known, maps, shardmaps.Claimed(target, new))
+        for new in _list_changes(reported, before)
+    )
+    ordered = tuple(maps[number] for number in sorted(maps, reverse=True))
+    return known._replace(maps=ordered, refusals=refusals)
+
+
+def _list_changes(
+    present: Sequence[Holding], absent: Sequence[Holding]
+) -> list[Holding]:
+    changed = set(present) - set(absent)
+    return sorted(filter(shardmaps.is_formed, changed))
+
+
+def _count_malformed(
+    reported: Sequence[Holding], before: Sequence[Holding]
+) -> int:
+    new = set(reported) - set(before)
+    return len(list(itertools.filterfalse(shardmaps.is_formed, new)))
+
+
+def _remove(
+    known: Known,
+    maps: dict[int, shardmaps.ShardMap],
+    claimed: shardmaps.Claimed,
+) -> None:
+    number = claimed.holding.snapshot
+    before = maps.pop(number)
+    if before.refused:
+        after = _resolve(known, before, number)
+    else:
+        after = shardmaps.remove(before, claimed)
+    if after is not None:
+        maps[number] = after
+
+
+def _add(
+    known: Known,
+    maps: dict[int, shardmaps.ShardMap],
+    claimed: shardmaps.Claimed,
+) -> int:
+    number = claimed.holding.snapshot
+    before = maps.get(number)
+    added = shardmaps.add(before, claimed)
+    if isinstance(added, shardmaps.ShardMap):
+        maps[number] = added
+        return 0
+    resolved = _resolve(known, before, number)
+    assert resolved is not None
+    maps[number] = resolved
+    refused_before = before.refused if before else ()
+    return len(set(resolved.refused) - set(refused_before))
+
+
+def _resolve(
+    known: Known, before: shardmaps.ShardMap | None, number: int
+) -> shardmaps.ShardMap | None:
+    claims = [
+        shardmaps.Claimed(target, holding)
+        for target, holdings in known.holdings.items()
+        for holding in holdings
+        if holding.snapshot == number and shardmaps.is_formed(holding)
+    ]
+    return shardmaps.resolve(before, claims)
+
+
+def _make_pin(group: str, made: shardmaps.ShardMap, usable: Set[str]) -> Pin:
+    ranges = shardmaps.fill_ranges(made)
+    shards = tuple(
+        PinnedShard(
+            shard, *ranges[shard], tuple(filter(usable.__contains__, holders))
+        )
+        for shard, holders in enumerate(made.replicas)
+    )
+    counts = [len(shard.replicas) for shard in shards]
+    held = sum(count > 0 for count in counts)
+    return Pin(group, made.snapshot, shards, held, min(counts))
+
+
+def _measure_coverage(pinned: Pin) -> int:
+    return sum(
+        shard.high - shard.low for shard in pinned.shards if shard.replicas
+    )
--- /dev/null
+++ b/tests/core/test_selectors.py
@@ -0,0 +1,155 @@
+"""Test label expressions and the groups that a class reaches."""
+
+import re
+
+import pytest
+from hypothesis import given, strategies
+
+from fuchsiahaven.core import configurations, selectors
+
+LABELS = {'tier': 'gold', 'region': 'a', 'empty': ''}
+NAMES = strategies.from_regex(
+    '[A-Za-z0-9]([-A-Za-z0-9_.]{0,3}[a-z])?', fullmatch=True
+)
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        ('', True),
+        ('tier=gold,region in (a,b),!cold', True),
+        ('tier == gold , region notin ( c , d )', True),
+        ('tier', True),
+        ('cold', False),
+        ('!tier', False),
+        ('tier=silver', False),
+        ('tier!=silver,cold!=x,cold notin (x)', True),
+        ('tier!=gold', False),
+        ('region in (b,c)', False),
+        ('empty=,empty in (),cold!=', True),
+        ('cold=', False),
+        ('in,notin', False),
+        ('shop.example/tier=gold', False),
+    ],
+)
+def test_matches(text: str, expected: bool) -> None:
+    expression = selectors.parse(text)
+    assert isinstance(expression, selectors.Expression)
+    assert selectors.matches(expression, LABELS) is expected
+
+
+@pytest.mark.parametrize(
+    ('text', 'position'),
+    [
+        ('tier=gold,', 10),
+        (',', 0),
+        ('tier=gold region', 10),
+        ('tier in a', 8),
+        ('tier in (a', 10),
+        ('tier in (a b)', 11),
+        ('! =', 2),
+        ('a,-b', 2),
+        ('a=b_', 2),
+        ('Shop/tier', 0),
+        ('shop/', 5),
+        ('a/b/c', 0),
+        ('x' * 64, 0),
+        ('a,' * 3000, selectors.MAX_EXPRESSION),
+    ],
+)
+def test_fault_names_the_first_error(text: str, position: int) -> None:
+    fault = selectors.parse(text)
+    assert isinstance(fault, selectors.Fault)
+    assert fault.position == position
+
+
+@given(
+    strategies.lists(
+        strategies.sampled_from(
+            [
+                'a',
+                'in',
+                'notin',
+                '!',
+                '!=',
+                '=',
+                '==',
+                ',',
+                '(',
+                ')',
+                ' ',
+                '\n',
+                'ü',
+                '-',
+                'x/y',
+                '\0',
+            ]
+        )
+        | strategies.text(max_size=3),
+        max_size=12,
+    ).map(''.join)
+)
+def test_any_text_parses_or_is_a_fault_inside_it(text: str) -> None:
+    parsed = selectors.parse(text)
+    if isinstance(parsed, selectors.Fault):
+        assert 0 <= parsed.position <= len(text)
+    else:
+        # Matching never fails, and space round a symbol changes nothing.
+        selectors.matches(parsed, LABELS)
+        spaced = re.sub('([,()]|[!=]+)', r' \1 ', text)
+        assert selectors.parse(spaced) == parsed
+
+
+@given(
+    NAMES,
+    strategies.sets(NAMES, min_size=1),
+    strategies.dictionaries(NAMES, NAMES),
+)
+def test_an_operator_and_its_opposite_divide_all_labels(
+    key: str, values: set[str], labels: dict[str, str]
+) -> None:
+    listed = ','.join(values)
+    one_of = selectors.parse(f'{key} in ({listed})')
+    none_of = selectors.parse(f'{key} notin ({listed})')
+    assert isinstance(one_of, selectors.Expression)
+    assert isinstance(none_of, selectors.Expression)
+    found = selectors.matches(one_of, labels)
+    assert found is (labels.get(key) in values)
+    assert found is not selectors.matches(none_of, labels)
+
+
+def make_configuration(*expressions: str) -> configurations.Configuration:
+    groups = tuple(
+        configurations.Group(name, (('tier', tier),), ())
+        for name, tier in (('b', 'gold'), ('a', 'gold'), ('c', 'silver'))
+    )
+    chosen = tuple(
+        configurations.Selector(
+            f's{place}', 'gate-lookup', text, (f'dc{place}',)
+        )
+        for place, text in enumerate(expressions)
+    )
+    return configurations.Configuration(1, groups, chosen)
+
+
+def test_reach_joins_the_selectors_of_a_class() -> None:
+    configuration = make_configuration('tier=gold', 'tier')
+    reached = selectors.reach(configuration, 'gate-lookup')
+    assert [(entry.group.name, entry.data_centres) for entry in reached] == [
+        ('a', ('dc0', 'dc1')),
+        ('b', ('dc0', 'dc1')),
+        ('c', ('dc1',)),
+    ]
+    assert not selectors.reach_groups(configuration, 'refund')
+
+
+def test_a_selector_that_does_not_parse_reaches_nothing() -> None:
+    """Tell no short list as complete.
+
+    Symptom: a complete class answers without the groups of one selector.
+    Sequence: a newer release accepts an expression that this one cannot
+    read; this host skips that selector and reaches the groups of the others.
+    Cause: a fault taken for "matches no group".
+    """
+    configuration = make_configuration('tier=gold', 'tier > 3')
+    assert not selectors.reach_groups(configuration, 'gate-lookup')
--- /dev/null
+++ b/tests/core/test_snapshots.py
@@ -0,0 +1,151 @@
+"""Test what is known of snapshots and which one a query pins."""
+
+import hashlib
+
+from hypothesis import given, strategies
+
+from fuchsiahaven.core import shardmaps, snapshots
+
+USABLE = frozenset(('t0', 't1', 't2', 't3', 'late', 'wrong'))
+
+
+def hold(snapshot: int, shard: int, shards: int) -> snapshots.Holding:
+    low, high = (65536 * n // shards for n in (shard, shard + 1))
+    return snapshots.Holding(snapshot, shard, shards, low, high)
+
+
+def learn_all(
+    reports: dict[str, list[snapshots.Holding]],
+) -> snapshots.Known:
+    known = snapshots.Known('g')
+    for target, holdings in reports.items():
+        known = snapshots.learn(known, target, holdings)
+    return known
+
+
+def test_pins_the_newest_that_every_shard_has() -> None:
+    reports = {
+        't0': [hold(1, 0, 2), hold(2, 0, 2)],
+        't1': [hold(number, 1, 2) for number in (1, 2, 3)],
+        't2': [hold(1, 1, 2)],
+    }
+    known = learn_all(reports)
+    pinned = snapshots.pin(known, USABLE)
+    assert pinned is not None
+    assert (pinned.snapshot, pinned.complete) == (2, True)
+    assert pinned.shards[1] == (1, 32768, 65536, ('t1',))
+    older = snapshots.pin(known, USABLE - {'t1'})
+    assert older is not None
+    assert (older.snapshot, older.complete) == (1, True)
+
+
+def test_pins_the_best_coverage_where_none_is_complete() -> None:
+    known = learn_all(
+        {'t0': [hold(1, 0, 4), hold(1, 1, 4)], 't1': [hold(2, 0, 4)]}
+    )
+    pinned = snapshots.pin(known, USABLE)
+    assert pinned is not None
+    assert (pinned.snapshot, pinned.held, pinned.complete) == (1, 2, False)
+    assert [shard.low for shard in pinned.shards] == [0, 16384, 32768, 49152]
+    newer = snapshots.pin(known, USABLE, newer_than=1)
+    assert newer is not None
+    assert (newer.snapshot, newer.held) == (2, 1)
+    assert snapshots.pin(known, USABLE, newer_than=2) is None
+
+
+def test_a_key_needs_only_its_own_shard() -> None:
+    known = learn_all({'t0': [hold(1, 0, 2)], 't1': [hold(2, 1, 2)]})
+    pins = snapshots.list_pins(known, USABLE)
+    chosen = snapshots.choose(pins, position=0)
+    assert chosen is not None
+    assert chosen.snapshot == 1
+    assert snapshots.find_shard(chosen, 0).replicas == ('t0',)
+
+
+def test_one_wrong_target_does_not_take_a_snapshot_away() -> None:
+    """Let most holders decide on the shard map.
+
+    Symptom: after an index change no query of the group is complete.
+    Sequence: a target with a wrong index reports snapshot 1 in three shards
+    first; the others report it in two and are refused.
+    Cause: the first report fixed the map of the snapshot.
+    """
+    known = learn_all({'wrong': [hold(1, 0, 3)], 't0': [hold(1, 0, 2)]})
+    known = snapshots.learn(known, 't1', [hold(1, 1, 2)])
+    pinned = snapshots.pin(known, USABLE)
+    assert pinned is not None
+    assert (len(pinned.shards), pinned.complete) == (2, True)
+    fault = snapshots.list_faults(known)[0]
+    assert (fault.kind, fault.target) == (
+        shardmaps.FaultKind.SHARD_COUNT,
+        'wrong',
+    )
+    assert known.refusals == 2
+
+
+def test_ranges_that_overlap_or_leave_a_gap_are_refused() -> None:
+    """Cover each position once.
+
+    Symptom: rows are doubled, or an answer told as complete lacks some.
+    Sequence: of one snapshot a target reports a range that its neighbours
+    also hold, or one that leaves positions to nobody.
+    Cause: ranges taken without a look at the other shards.
+    """
+    good = {'t0': [hold(1, 0, 3)], 't2': [hold(1, 2, 3)]}
+    for low, high in ((21000, 43690), (22000, 43690), (21845, 43000)):
+        wrong = snapshots.Holding(1, 1, 3, low, high)
+        known = learn_all({**good, 'wrong': [wrong]})
+        pinned = snapshots.pin(known, USABLE)
+        assert pinned is not None
+        assert not pinned.complete
+        assert [fault.holding for fault in snapshots.list_faults(known)] == [
+            wrong
+        ]
+        assert snapshots.learn(known, 't1', [hold(1, 1, 3)]).maps[0].replicas[
+            1
+        ] == ('t1',)
+
+
+def test_malformed_holdings_are_refused_and_counted() -> None:
+    bad = [
+        snapshots.Holding(*fields)
+        for fields in (
+            (0, 0, 1, 0, 65536),
+            (1, 1, 1, 0, 65536),
+            (1, -1, 1, 0, 65536),
+            (1, 0, 1, 0, 65537),
+            (1, 0, 1, 9, 9),
+            (1, 0, 10**12, 0, 1),
+        )
+    ]
+    known = learn_all({'wrong': bad})
+    assert known.refusals == len(snapshots.list_faults(known)) == len(bad)
+    assert snapshots.pin(known, USABLE) is None
+
+
+def test_a_range_stays_known_when_its_last_holder_goes() -> None:
+    known = learn_all(
+        {
+            't0': [snapshots.Holding(1, 0, 2, 0, 100)],
+            't1': [snapshots.Holding(1, 1, 2, 100, 65536)],
+        }
+    )
+    pinned = snapshots.pin(snapshots.forget(known, 't0'), USABLE)
+    assert pinned is not None
+    assert pinned.shards[0] == (0, 0, 100, ())
+    gone = snapshots.drop(snapshots.forget(known, 't0'), 't1', 1)
+    assert not gone.maps
+    assert snapshots.learn(known, 't0', known.holdings['t0']) is known
+
+
+@given(strategies.text(strategies.characters()))
+def test_a_position_lies_in_one_shard(key: str) -> None:
+    position = snapshots.find_position(key)
+    encoded = key.encode('utf-8', 'surrogatepass')
+    assert position == int(hashlib.sha256(encoded).hexdigest()[:4], 16)
+    known = learn_all({'t0': [hold(1, shard, 7) for shard in (0, 3, 4)]})
+    pinned = snapshots.list_pins(known, USABLE)[0]
+    found = snapshots.find_shard(pinned, position)
+    assert [
+        shard for shard in pinned.shards if shard.low <= position < shard.high
+    ] == [found]
