--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -43,9 +43,9 @@
     store = platform.Platform()
     if options.deployment:
         layout = _build(options)
-        text = layouts.write_manifest(layout.configuration)
-        body = {'value': text, 'revision': 0}
-        store.call('PUT', '/v1/keys/configuration/manifest', body=body)
+        for key, text in layouts.write_keys(layout.configuration).items():
+            body = {'value': text, 'revision': 0}
+            store.call('PUT', f'/v1/keys/{key}', body=body)
         store.list_hosts(layouts.list_hosts(layout))
     await platform.serve(store, options.ports)
     print('ready platform', *options.ports, flush=True)
--- a/standins/layouts.py
+++ b/standins/layouts.py
@@ -4,19 +4,17 @@
 of its own, and has to go on serving when it is cut off.
 """
 
-import itertools
-import json
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import configurations, snapshots
+from fuchsiahaven.core import configurations, manifests, snapshots
 
 POSITIONS: Final = 65_536
 # The first ports of a range control the processes that share the targets.
 CONTROL_PORTS: Final = 8
 FIRST_SNAPSHOT: Final = 12
 DATA_CENTRES: Final = {
-    'santiago': ('quilicura', 'maipu', 'pudahuel'),
-    'ishikari': ('odori', 'kotoni', 'shiroishi'),
+    'santiago': ('Quilicura', 'Maipú', 'Pudahuel'),
+    'ishikari': ('Odori', 'Kotoni', 'Shiroishi'),
 }
 
 RequestClass = configurations.RequestClass
@@ -143,13 +141,13 @@
     return snapshots.Holding(snapshot, shard, shards, low, high)
 
 
-def write_manifest(configuration: configurations.Configuration) -> str:
-    """Write a configuration as the text of its key in the platform."""
-    body = {
-        'revision': configuration.revision,
-        'configuration': _plain(configuration),
-    }
-    return json.dumps(body)
+def write_keys(
+    configuration: configurations.Configuration,
+) -> dict[str, str]:
+    """Write a configuration as keys and values of the platform."""
+    encoded = manifests.encode(configuration)
+    assert isinstance(encoded, manifests.Encoded), encoded
+    return {**encoded.texts, manifests.MANIFEST_KEY: encoded.text}
 
 
 def list_hosts(layout: Layout) -> list[dict[str, object]]:
@@ -184,15 +182,18 @@
 def _make_targets(
     service: Service, places: tuple[str, ...], port: int
 ) -> list[configurations.Target]:
+    # Instances are numbered through, so that a name tells them apart.
+    numbers = range(service.instances * len(places))
     names = (
-        f'{service.name}-{instance:02}/{searcher}'
-        for instance in range(service.instances)
+        (places[number // service.instances], f'{number:02}/{searcher}')
+        for number in numbers
         for searcher in range(service.searchers)
     )
-    sites = itertools.product(places, tuple(names))
     return [
-        configurations.Target(f'{place}-{name}', f'127.0.0.1:{number}', place)
-        for number, (place, name) in enumerate(sites, port)
+        configurations.Target(
+            f'{service.name}-{name}', f'127.0.0.1:{at}', place
+        )
+        for at, (place, name) in enumerate(names, port)
     ]
 
 
@@ -212,14 +213,3 @@
         service.connections,
         service.connect_ms,
     )
-
-
-def _plain(value: object) -> object:
-    # Named tuples would turn into lists, which drop the names of fields.
-    if isinstance(value, tuple) and hasattr(value, '_asdict'):
-        return {name: _plain(each) for name, each in value._asdict().items()}
-    if isinstance(value, frozenset):
-        return sorted(value)
-    if isinstance(value, tuple):
-        return [_plain(each) for each in value]
-    return value
