--- a/tools/build_archive.py
+++ b/tools/build_archive.py
@@ -1,5 +1,6 @@
 """Build the one executable file: the package and its run-time libraries."""
 
+import py_compile
 import shutil
 import sys
 import zipapp
@@ -16,6 +17,7 @@
     'prometheus_client',
     'urllib3',
 )
+MODE: Final = 0o755
 STAGE: Final = Path('build/archive')
 COMPILED: Final = frozenset(('.so', '.pyd', '.dll', '.dylib'))
 #: Parts of the libraries that are their own tests or reach outside the stage.
@@ -31,6 +33,23 @@
             shutil.copyfile(str(found.locate()), target)
 
 
+def compile_modules(stage: Path) -> None:
+    """Put byte code beside each module, so that no start compiles it.
+
+    An archive cannot cache byte code. It is marked as not to be compared with
+    the source's time, which an archive holds in the zone of the machine that
+    built it; another version of Python passes it over and takes the source.
+    """
+    for module in stage.rglob('*.py'):
+        py_compile.compile(
+            str(module),
+            cfile=f'{module}c',
+            dfile=str(module.relative_to(stage)),
+            doraise=True,
+            invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+        )
+
+
 def find_compiled(stage: Path) -> list[Path]:
     """Find what an archive cannot run without unpacking it."""
     return [path for path in stage.rglob('*') if path.suffix in COMPILED]
@@ -52,6 +71,7 @@
         print(f'Compiled files cannot ship: {compiled}')
         return 1
     shutil.copyfile('fuchsiahaven/__main__.py', STAGE / '__main__.py')
+    compile_modules(STAGE)
     archive.parent.mkdir(parents=True, exist_ok=True)
     zipapp.create_archive(
         STAGE,
@@ -59,6 +79,7 @@
         interpreter='/usr/bin/env python3',
         compressed=True,
     )
+    archive.chmod(MODE)
     return 0
 
 
