Add the load tool

It starts the stand-ins and the hosts of the tier as processes, sends requests at a set rate whatever becomes of earlier ones, plays the faults of a scenario and checks each answer against the catalogue and each refusal against the targets' own count of runs. Two policies take turns, each turn in a fresh world, and are compared by medians and spreads.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,89 @@
+"""Measure the tier: `python -m bench run SCENARIO`, `python -m bench list`."""
+
+import argparse
+import json
+import sys
+from pathlib import Path
+
+from bench import records, runs, scenarios, worlds
+from standins import layouts
+
+EXAMPLES = """examples:
+  python -m bench list
+  python -m bench run steady --deployment santiago --seconds 20
+  python -m bench run straggler --policy standard --against baseline --rounds 3
+"""
+
+
+def main() -> int:
+    """Run one command."""
+    options = _parse()
+    if options.command == 'list':
+        for scenario in scenarios.SCENARIOS.values():
+            print(f'{scenario.name:18}{scenario.summary}')
+        return 0
+    turns = _run(options)
+    print('\n'.join(records.compare(turns)))
+    if options.json:
+        text = json.dumps([turn._asdict() for turn in turns], indent=1)
+        Path(options.json).write_text(text, encoding='utf-8')
+    return 0
+
+
+def _run(options: argparse.Namespace) -> list[records.Figures]:
+    policies = [options.policy]
+    if options.against:
+        policies.append(options.against)
+    turns = []
+    for number in range(options.rounds):
+        # The order alternates, so that a drift of the machine hits both.
+        policies.reverse()
+        for policy in policies:
+            turns.append(_run_turn(options, policy, number))
+            print(json.dumps(turns[-1]._asdict()), file=sys.stderr)
+    return turns
+
+
+def _run_turn(
+    options: argparse.Namespace, policy: str, number: int
+) -> records.Figures:
+    scenario = scenarios.SCENARIOS[options.scenario]
+    plan = worlds.Plan(
+        options.deployment,
+        policy,
+        options.hosts,
+        scenario.data_centres,
+        options.first_port,
+    )
+    seed = options.seed + number
+    order = runs.Order(scenario, plan, options.seconds, options.rate, seed)
+    return runs.run(order)
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        'bench',
+        description=__doc__,
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(dest='command', required=True)
+    commands.add_parser('list', help='list the scenarios')
+    run = commands.add_parser('run', help='run one scenario')
+    run.add_argument('scenario', choices=tuple(scenarios.SCENARIOS))
+    run.add_argument(
+        '--deployment', choices=tuple(layouts.SERVICES), default='santiago'
+    )
+    run.add_argument('--policy', default='standard')
+    run.add_argument('--against', help='another policy, run by turns')
+    run.add_argument('--seconds', type=float, default=20)
+    run.add_argument('--rate', type=float, default=40, help='requests a second')
+    run.add_argument('--rounds', type=int, default=1)
+    run.add_argument('--seed', type=int, default=1)
+    run.add_argument('--hosts', type=int, default=2, help='per data centre')
+    run.add_argument('--first-port', type=int, default=21_000)
+    run.add_argument('--json', help='a file for the figures of each turn')
+    return parser.parse_args()
+
+
+sys.exit(main())
--- /dev/null
+++ b/bench/checks.py
@@ -0,0 +1,67 @@
+"""Check one answer against what the searchers hold."""
+
+import functools
+import itertools
+import json
+from typing import Final
+
+from bench import mixes
+from fuchsiahaven.core import configurations
+from standins import catalogue, wire
+
+SINGLE: Final = configurations.Repeat.AT_MOST_ONCE
+
+
+def find_fault(request: mixes.Request, answer: wire.Json) -> str:
+    """Name what is untrue of an answer; empty where nothing is."""
+    request_id = request.body['request_id']
+    if answer['request_id'] != request_id:
+        return 'another_request'
+    if request.rule.repeat is SINGLE:
+        wanted = [f'receipt-{request_id}']
+        right = [row['id'] for row in answer['rows']] == wanted
+        return '' if right else 'another_request'
+    snapshots = answer['snapshots']
+    if any(
+        row['snapshot'] != snapshots.get(_find_service(row['id']))
+        for row in answer['rows']
+    ):
+        return 'mixed_snapshots'
+    complete = not answer['coverage']['missing']
+    if complete != (answer['status'] == 'complete'):
+        return 'untrue_status'
+    found = [row['id'] for row in answer['rows']]
+    held = _list_held(answer['coverage']['covered'], request.body['query'])
+    return '' if found == held else 'untrue_coverage'
+
+
+def measure_coverage(answer: wire.Json) -> float:
+    """Measure the share of shards that an answer covers."""
+    coverage = answer['coverage']
+    shards = coverage['shards']
+    return 1 - len(coverage['missing']) / shards if shards else 0.0
+
+
+def _list_held(covered: list[wire.Json], query: wire.Json) -> list[str]:
+    # What a true merge of the covered ranges gives, read from the catalogue.
+    rows: list[wire.Json] = []
+    for entry in covered:
+        held = _search(entry['group'], query['text'])
+        rows.extend(
+            row
+            for low, high in entry['ranges']
+            for row in held
+            if low <= row['position'] < high
+        )
+    rows.sort(key=lambda row: (row['rank'], row['id']))
+    return [row['id'] for row in itertools.islice(rows, query['limit'])]
+
+
+@functools.cache
+def _search(service: str, text: str) -> list[wire.Json]:
+    every = catalogue.search(service, 0, 1 << 16, 0, text, catalogue.ROWS)
+    return list(json.loads(every))
+
+
+def _find_service(row_id: str) -> str:
+    return row_id.rpartition('-')[0]
--- /dev/null
+++ b/bench/exchanges.py
@@ -0,0 +1,119 @@
+"""Ask over HTTP from one event loop, cheaply, and only on loopback."""
+
+import asyncio
+import collections
+import json
+from typing import Final, NamedTuple
+
+from standins import wire
+
+HEAD_END: Final = b'\r\n\r\n'
+
+
+class Outcome(NamedTuple):
+    """Hold an answer; status 0 where none came, with the reason."""
+
+    status: int
+    body: wire.Json
+
+
+class Exchange(asyncio.Protocol):
+    """Own one connection with one question at a time."""
+
+    def __init__(self) -> None:
+        """Start without a question."""
+        self._buffer = b''
+        self._asked: asyncio.Future[Outcome] | None = None
+        self.transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection over."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell who waits that no answer will come."""
+        self._settle(Outcome(0, {'why': 'cut'}))
+
+    def data_received(self, data: bytes) -> None:
+        """Settle the question once its answer is whole."""
+        self._buffer += data
+        head, found, rest = self._buffer.partition(HEAD_END)
+        if not found:
+            return
+        if len(rest) >= wire.find_length(head.lower()):
+            self._buffer = b''
+            status = int(head.split(b' ', 2)[1])
+            self._settle(Outcome(status, _load(rest)))
+
+    def ask(self, data: bytes) -> asyncio.Future[Outcome]:
+        """Write one question."""
+        self._asked = asyncio.get_running_loop().create_future()
+        self.transport.write(data)
+        return self._asked
+
+    def _settle(self, outcome: Outcome) -> None:
+        if self._asked is not None and not self._asked.done():
+            self._asked.set_result(outcome)
+
+
+class Client:
+    """Own the connections to every address that is asked."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self._idle: dict[int, list[Exchange]]
+        self._idle = collections.defaultdict(list)
+
+    async def send(
+        self,
+        port: int,
+        method: str,
+        path: str,
+        body: wire.Json | None = None,
+        timeout_s: float = 5.0,
+    ) -> Outcome:
+        """Send JSON to a loopback port, by a connection that is kept."""
+        payload = b'' if body is None else json.dumps(body).encode()
+        head = (
+            f'{method} {path} HTTP/1.1\r\nHost: {wire.LOOPBACK}:{port}\r\n'
+            'Content-Type: application/json\r\n'
+            f'Content-Length: {len(payload)}\r\n\r\n'
+        )
+        try:
+            exchange = await self._take(port)
+        except OSError:
+            return Outcome(0, {'why': 'refused'})
+        asked = exchange.ask(head.encode() + payload)
+        try:
+            outcome = await asyncio.wait_for(asked, timeout_s)
+        except TimeoutError:
+            exchange.transport.abort()
+            return Outcome(0, {'why': 'silent'})
+        if not exchange.transport.is_closing():
+            self._idle[port].append(exchange)
+        return outcome
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for exchanges in self._idle.values():
+            for exchange in exchanges:
+                exchange.transport.close()
+        self._idle.clear()
+
+    async def _take(self, port: int) -> Exchange:
+        while self._idle[port]:
+            exchange = self._idle[port].pop()
+            if not exchange.transport.is_closing():
+                return exchange
+        loop = asyncio.get_running_loop()
+        made = await loop.create_connection(Exchange, wire.LOOPBACK, port)
+        return made[1]
+
+
+def _load(body: bytes) -> wire.Json:
+    try:
+        found = json.loads(body)
+    except ValueError:
+        return {'text': body.decode(errors='replace')}
+    return found if isinstance(found, dict) else {'text': found}
--- /dev/null
+++ b/bench/records.py
@@ -0,0 +1,262 @@
+"""Turn what happened to each request into figures."""
+
+import collections
+import statistics
+from collections.abc import Iterable, Sequence
+from typing import Final, NamedTuple
+
+from hdrh import histogram
+
+from standins import wire
+
+HIGHEST_US: Final = 60_000_000
+DIGITS: Final = 3
+LATE_MS: Final = 5.0
+BUSY: Final = 0.8
+QUANTILES: Final = (50, 90, 99, 99.9)
+
+
+class Record(NamedTuple):
+    """Hold what became of one request; times in seconds of one clock.
+
+    `due` is when the request should have been sent, `sent` when it was. A
+    failure has its kind, and what it said of having run.
+    """
+
+    class_name: str
+    request_id: str
+    host: int
+    due: float
+    sent: float
+    done: float
+    deadline_s: float
+    shards: int
+    coverage: float = 0.0
+    kind: str = ''
+    ran: str = 'yes'
+    fault: str = ''
+    revision: int = 0
+
+    @property
+    def took(self) -> float:
+        """Measure from when it was due, so that no wait is left out."""
+        return self.done - self.due
+
+    @property
+    def good(self) -> bool:
+        """Tell whether a true answer came in time."""
+        in_time = self.took <= self.deadline_s
+        return in_time and not self.kind and not self.fault
+
+
+class Usage(NamedTuple):
+    """Hold what the processes used over the run, in seconds and MiB."""
+
+    seconds: float
+    tier_s: float
+    bench_s: float
+    standin_s: float
+    memory_mib: float
+
+
+def subtract(now: Usage, before: Usage) -> Usage:
+    """Work out what was used between two measurements."""
+    used = Usage(*(a - b for a, b in zip(now, before, strict=True)))
+    return used._replace(memory_mib=now.memory_mib)
+
+
+class Figures(NamedTuple):
+    """Hold the figures of one turn; these names are those of the JSON.
+
+    Latency is in ms over answers, from when a request was due. Goodput is
+    the share of offered requests with a true answer in time; `coverage` is
+    the mean covered share over all offered requests, `answer_coverage` over
+    answers. `extra_load` is sub-requests that searchers received beyond one
+    for each shard, as a share. `untrue_refusals` said `not run` although
+    the searchers had run the request. `limit` says where the bench itself
+    or a stand-in, and not the tier, limits the figures.
+    """
+
+    policy: str
+    offered: int
+    p50_ms: float
+    p90_ms: float
+    p99_ms: float
+    p999_ms: float
+    class_p99_ms: dict[str, float]
+    goodput: float
+    class_goodput: dict[str, float]
+    coverage: float
+    answer_coverage: float
+    extra_load: float
+    sub_requests: int
+    refusals: dict[str, int]
+    untrue_refusals: int
+    faults: dict[str, int]
+    late_answers: int
+    max_runs_per_id: int
+    searcher_counts: dict[str, int]
+    after_leaving_s: float
+    cpu_us_per_sub_request: float
+    tier_cores: float
+    memory_mib: float
+    reverts: int
+    in_force_s: float
+    sent_late_p99_ms: float
+    bench_cores: float
+    standin_cores: float
+    limit: str
+
+
+def summarise(
+    policy: str,
+    records: Sequence[Record],
+    targets: wire.Json,
+    usage: Usage,
+    changes: Sequence[tuple[float, int]] = (),
+) -> Figures:
+    """Work out the figures of one turn."""
+    answered = [record for record in records if not record.kind]
+    quantiles = _measure_ms(record.took for record in answered)
+    sub_requests = targets['counts'].get('received', 0)
+    tried = sum(record.shards for record in records if record.ran != 'no')
+    sent_late = _measure_ms(record.sent - record.due for record in records)
+    bench_cores = usage.bench_s / usage.seconds
+    standin_cores = usage.standin_s / usage.seconds
+    return Figures(
+        policy=policy,
+        offered=len(records),
+        p50_ms=quantiles[0],
+        p90_ms=quantiles[1],
+        p99_ms=quantiles[2],
+        p999_ms=quantiles[3],
+        class_p99_ms={
+            name: _measure_ms(record.took for record in group)[2]
+            for name, group in _group(answered).items()
+        },
+        goodput=_average(record.good for record in records),
+        class_goodput={
+            name: _average(record.good for record in group)
+            for name, group in _group(records).items()
+        },
+        coverage=_average(record.coverage for record in records),
+        answer_coverage=_average(record.coverage for record in answered),
+        extra_load=round(sub_requests / max(tried, 1) - 1, 4),
+        sub_requests=sub_requests,
+        refusals=_count(record.kind for record in records),
+        untrue_refusals=sum(
+            record.ran == 'no' and targets['runs'].get(record.request_id, 0) > 0
+            for record in records
+        ),
+        faults=_count(record.fault for record in records),
+        late_answers=sum(
+            record.took > record.deadline_s for record in answered
+        ),
+        max_runs_per_id=max(targets['single_runs'].values(), default=0),
+        searcher_counts=targets['counts'],
+        after_leaving_s=max(targets['after_leaving_s'].values(), default=0.0),
+        cpu_us_per_sub_request=round(
+            usage.tier_s * 1e6 / max(sub_requests, 1), 1
+        ),
+        tier_cores=round(usage.tier_s / usage.seconds, 3),
+        memory_mib=round(usage.memory_mib, 1),
+        reverts=count_reverts(records),
+        in_force_s=_measure_in_force(records, changes),
+        sent_late_p99_ms=sent_late[2],
+        bench_cores=round(bench_cores, 3),
+        standin_cores=round(standin_cores, 3),
+        limit=_find_limit(sent_late[2], bench_cores, standin_cores),
+    )
+
+
+def compare(turns: Sequence[Figures]) -> list[str]:
+    """Set the medians and spreads of each policy side by side, in lines."""
+    by_policy: dict[str, list[Figures]] = {}
+    for turn in turns:
+        by_policy.setdefault(turn.policy, []).append(turn)
+    numeric = (
+        name
+        for name, kind in Figures.__annotations__.items()
+        if kind in {int, float}
+    )
+    rows = [('', list(by_policy))]
+    rows.extend(
+        (name, [_show_spread(name, group) for group in by_policy.values()])
+        for name in numeric
+    )
+    return [
+        ''.join((f'{name:24}', *(f'{cell:>28}' for cell in cells)))
+        for name, cells in rows
+    ]
+
+
+def count_reverts(records: Iterable[Record]) -> int:
+    """Count answers with a lower revision than their host had shown before."""
+    highest: dict[int, int] = {}
+    events = sorted(
+        (moment, asked, record.host, record.revision)
+        for record in records
+        if record.revision
+        for moment, asked in ((record.sent, True), (record.done, False))
+    )
+    reverts = 0
+    for _, asked, host, revision in events:
+        if asked:
+            reverts += revision < highest.get(host, 0)
+        else:
+            highest[host] = max(highest.get(host, 0), revision)
+    return reverts
+
+
+def _measure_in_force(
+    records: Iterable[Record], changes: Sequence[tuple[float, int]]
+) -> float:
+    lags = [
+        record.sent - moment
+        for moment, revision in changes
+        for record in records
+        if record.sent > moment and 0 < record.revision < revision
+    ]
+    return round(max(lags, default=0.0), 3)
+
+
+def _measure_ms(seconds: Iterable[float]) -> list[float]:
+    found = histogram.HdrHistogram(1, HIGHEST_US, DIGITS)
+    for each in seconds:
+        found.record_value(max(1, int(each * 1e6)))
+    return [
+        round(found.get_value_at_percentile(quantile) / 1000, 2)
+        for quantile in QUANTILES
+    ]
+
+
+def _group(records: Iterable[Record]) -> dict[str, list[Record]]:
+    groups: dict[str, list[Record]] = {}
+    for record in records:
+        groups.setdefault(record.class_name, []).append(record)
+    return dict(sorted(groups.items()))
+
+
+def _average(numbers: Iterable[float]) -> float:
+    found = list(numbers)
+    return round(statistics.fmean(found), 4) if found else 0.0
+
+
+def _count(names: Iterable[str]) -> dict[str, int]:
+    return dict(collections.Counter(name for name in names if name))
+
+
+def _find_limit(late_ms: float, bench: float, standin: float) -> str:
+    if late_ms > LATE_MS:
+        return f'requests were sent late: p99 {late_ms} ms'
+    if bench > BUSY:
+        return f'the bench used {bench:.2f} of one core'
+    if standin > BUSY:
+        return f'a stand-in used {standin:.2f} of one core'
+    return ''
+
+
+def _show_spread(name: str, turns: Sequence[Figures]) -> str:
+    numbers = [float(getattr(turn, name)) for turn in turns]
+    middle = statistics.median(numbers)
+    return f'{middle:g} ({min(numbers):g}..{max(numbers):g})'
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -84,7 +84,7 @@
         head, found, rest = self._buffer.partition(b'\r\n\r\n')
         if not found:
             return None
-        length = _find_length(head.lower())
+        length = find_length(head.lower())
         if len(rest) < length:
             return None
         self._buffer = rest[length:]
@@ -111,7 +111,8 @@
     return await loop.create_server(make, LOOPBACK, port, backlog=BACKLOG)
 
 
-def _find_length(head: bytes) -> int:
+def find_length(head: bytes) -> int:
+    """Find how long a body is, from a head in lower case."""
     at = head.find(b'content-length:')
     if at < 0:
         return 0
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Test the bench."""
