Decide from a query to its one answer

A class that needs all is over with its first missing part.

Refused can say that a sub-request may have run (a cancelled one that had started), and Reply that it repeats a recorded outcome; both default to what they meant before.

--- a/fuchsiahaven/core/messages.py
+++ b/fuchsiahaven/core/messages.py
@@ -125,12 +125,13 @@
 
 
 class Refused(NamedTuple):
-    """Bring a refusal: the sub-request was not run."""
+    """Bring a refusal: not run, but for one given up after its start."""
 
     part: PartKey
     target: str
     reason: RefusalReason
     retry_after: float | None = None
+    may_have_run: bool = False
 
 
 class Fault(enum.StrEnum):
@@ -270,10 +271,14 @@
 
 
 class Reply(NamedTuple):
-    """Give a caller its one answer or failure."""
+    """Give a caller its one answer or failure.
+
+    `replayed` marks the recorded outcome of an earlier request of this id.
+    """
 
     token: int
     outcome: Answer | errors.Failure
+    replayed: bool = False
 
 
 Event = (
--- /dev/null
+++ b/fuchsiahaven/core/queries.py
@@ -0,0 +1,173 @@
+"""Follow one query from its pinned snapshots to its one outcome.
+
+A `Run` is one pass over the shards of the pinned snapshots. A restart on a
+newer snapshot is a new run with a new number, so that what still arrives for
+the old one finds nobody and two snapshots cannot meet in one answer. The
+tables of a run belong to it and are updated in place.
+"""
+
+import enum
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from fuchsiahaven.core import configurations, coverage, messages
+
+Rows = tuple[Mapping[str, object], ...]
+#: A part of a run is a shard of a group.
+PartId = coverage.ShardKey
+
+
+class Purpose(enum.StrEnum):
+    """Say why a sub-request was sent."""
+
+    FIRST = 'first'
+    HEDGE = 'hedge'
+    RETRY = 'retry'
+
+
+class Flight(NamedTuple):
+    """Describe one attempt that has not ended."""
+
+    attempt: int
+    target: str
+    sent: float
+    purpose: Purpose
+
+
+class Part(NamedTuple):
+    """Hold what is known of one shard.
+
+    `tried` are the targets asked so far, `attempt` the last number used.
+    `may_have_run` stays true once an attempt ended with unknown outcome.
+    """
+
+    low: int
+    high: int
+    replicas: tuple[str, ...]
+    flights: tuple[Flight, ...] = ()
+    tried: tuple[str, ...] = ()
+    attempt: int = 0
+    rows: Rows | None = None
+    reason: coverage.Reason | None = None
+    may_have_run: bool = False
+
+
+class Run(NamedTuple):
+    """Hold one pass of a query over its shards.
+
+    `open_parts` have neither rows nor a reason to be missing, `lost_parts`
+    have a reason.
+    """
+
+    number: int
+    token: int
+    query: messages.Query
+    policy: configurations.RequestClass
+    snapshots: Mapping[str, int]
+    revision: int
+    parts: dict[PartId, Part]
+    open_parts: set[PartId]
+    lost_parts: set[PartId]
+    not_after_epoch: float | None = None
+    restarts: int = 0
+
+    @property
+    def at_most_once(self) -> bool:
+        """Tell whether no searcher may run this twice."""
+        return self.policy.repeat is configurations.Repeat.AT_MOST_ONCE
+
+    @property
+    def needs_all(self) -> bool:
+        """Tell whether a short answer is no answer."""
+        return self.policy.needs is configurations.Needs.COMPLETE
+
+
+def note_sent(
+    run: Run, part_id: PartId, target: str, now: float, purpose: Purpose
+) -> messages.PartKey:
+    """Enter a new attempt and return its key."""
+    part = run.parts[part_id]
+    attempt = part.attempt + 1
+    flight = Flight(attempt, target, now, purpose)
+    run.parts[part_id] = part._replace(
+        flights=(*part.flights, flight),
+        tried=(*part.tried, target),
+        attempt=attempt,
+    )
+    return messages.PartKey(run.number, part_id.group, part_id.shard, attempt)
+
+
+def accept(
+    run: Run, key: messages.PartKey, rows: Rows
+) -> tuple[Flight, ...] | None:
+    """Take the first answer to a part; return the attempts it beat.
+
+    None where the part is settled already or never had that attempt: a late
+    answer must not replace one that may have been counted on.
+    """
+    part_id = PartId(key.group, key.shard)
+    part = run.parts.get(part_id)
+    if part is None or part_id not in run.open_parts:
+        return None
+    losers = tuple(f for f in part.flights if f.attempt != key.attempt)
+    if len(losers) == len(part.flights):
+        return None
+    run.parts[part_id] = part._replace(flights=(), rows=rows)
+    run.open_parts.discard(part_id)
+    return losers
+
+
+def end_flight(
+    run: Run, key: messages.PartKey, *, may_have_run: bool
+) -> Part | None:
+    """Take out an attempt that brought no rows; return the open part.
+
+    None where the part is settled already.
+    """
+    part_id = PartId(key.group, key.shard)
+    part = run.parts.get(part_id)
+    if part is None or part_id not in run.open_parts:
+        return None
+    part = part._replace(
+        flights=tuple(f for f in part.flights if f.attempt != key.attempt),
+        may_have_run=part.may_have_run or may_have_run,
+    )
+    run.parts[part_id] = part
+    return part
+
+
+def give_up(run: Run, part_id: PartId, reason: coverage.Reason) -> None:
+    """Settle a part as missing."""
+    run.parts[part_id] = run.parts[part_id]._replace(reason=reason)
+    run.open_parts.discard(part_id)
+    run.lost_parts.add(part_id)
+
+
+def is_over(run: Run) -> bool:
+    """Tell whether nothing that may still come can change the outcome.
+
+    A class that needs all is over with its first missing part: waiting for
+    the others would only hold the error back.
+    """
+    if not run.open_parts:
+        return True
+    return run.needs_all and bool(run.lost_parts)
+
+
+def list_flights(
+    run: Run, part_ids: Iterable[PartId]
+) -> list[tuple[PartId, Flight]]:
+    """List the attempts that have not ended."""
+    return [
+        (part_id, flight)
+        for part_id in part_ids
+        for flight in run.parts[part_id].flights
+    ]
+
+
+def may_have_run(run: Run) -> bool:
+    """Tell whether any searcher may have run any part of this."""
+    return any(
+        part.rows is not None or part.may_have_run or part.flights
+        for part in run.parts.values()
+    )
