Own all target connections in one loop

One thread owns the connections and the dispatch state. Connections are urllib3's, opened by four threads that may block; answers are framed as bytes arrive and parsed by the library. Heads repeat themselves, so the fixed part of a request is written once for each address and a known head of an answer is not parsed again.

--- /dev/null
+++ b/fuchsiahaven/edge/connectors.py
@@ -0,0 +1,93 @@
+"""Open connections to targets away from the dispatch loop.
+
+A new connection can cost 6 ms and a TLS handshake more; the loop that waits
+for it would hold up every other answer meanwhile.
+"""
+
+import queue
+import ssl
+import threading
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+import urllib3.connection
+import urllib3.exceptions
+
+THREADS: Final = 4
+
+
+class Opened(NamedTuple):
+    """Bring a connection that is open."""
+
+    address: str
+    connection: urllib3.connection.HTTPConnection
+
+
+class Unopened(NamedTuple):
+    """Say that a connection could not be opened."""
+
+    address: str
+    detail: str
+
+
+Outcome = Opened | Unopened
+
+
+class Connectors:
+    """Own the threads that open connections; ask from any thread."""
+
+    def __init__(
+        self,
+        report: Callable[[Outcome], None],
+        timeout_s: float,
+        context: ssl.SSLContext | None = None,
+    ) -> None:
+        """Start the threads; `report` is called in them."""
+        self._report = report
+        self._timeout_s = timeout_s
+        self._context = context
+        self._wanted: queue.SimpleQueue[str | None] = queue.SimpleQueue()
+        self._threads = [
+            threading.Thread(target=self._run, name=f'connector-{number}')
+            for number in range(THREADS)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def ask(self, address: str) -> None:
+        """Ask for one more connection to an address."""
+        self._wanted.put(address)
+
+    def close(self) -> None:
+        """End the threads once what they were asked for is done."""
+        for _ in self._threads:
+            self._wanted.put(None)
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self) -> None:
+        while (address := self._wanted.get()) is not None:
+            self._report(self._open(address))
+
+    def _open(self, address: str) -> Outcome:
+        connection = self._prepare(address)
+        try:
+            connection.connect()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            connection.close()
+            return Unopened(address, str(error))
+        connection.sock.setblocking(False)  # noqa: WPS425
+        return Opened(address, connection)
+
+    def _prepare(self, address: str) -> urllib3.connection.HTTPConnection:
+        host, _, port = address.rpartition(':')
+        if self._context is None:
+            return urllib3.connection.HTTPConnection(
+                host, int(port), timeout=self._timeout_s
+            )
+        return urllib3.connection.HTTPSConnection(
+            host,
+            int(port),
+            timeout=self._timeout_s,
+            ssl_context=self._context,
+        )
--- /dev/null
+++ b/fuchsiahaven/edge/exchanges.py
@@ -0,0 +1,78 @@
+"""Say how each exchange with a target is written, read and ended."""
+
+from typing import NamedTuple
+
+from fuchsiahaven.core import messages
+from fuchsiahaven.edge import frames, searchers
+
+
+class Exchange(NamedTuple):
+    """Hold one request to a target and when to stop waiting for its answer.
+
+    A cancellation also holds what it cancels.
+    """
+
+    action: messages.Send | messages.Probe | messages.Cancel
+    expires: float
+    cancelled: messages.Send | None = None
+
+
+def write_payload(exchange: Exchange, now: float) -> bytes:
+    """Write the request as bytes."""
+    match exchange.action:
+        case messages.Send() as send:
+            return searchers.write_search(send, now)
+        case messages.Probe() as probe:
+            return searchers.write_probe(probe)
+    assert exchange.cancelled is not None
+    return searchers.write_cancel(exchange.cancelled)
+
+
+def may_start(exchange: Exchange, now: float) -> bool:
+    """Tell whether the request is still in time to be sent."""
+    if isinstance(exchange.action, messages.Send):
+        return searchers.may_start(exchange.action.request, now)
+    return now < exchange.expires
+
+
+def read_frame(
+    exchange: Exchange, frame: frames.Frame
+) -> messages.Event | None:
+    """Read the answer; None where there is nothing to tell."""
+    match exchange.action:
+        case messages.Send() as send:
+            return searchers.read_search(send, frame)
+        case messages.Probe() as probe:
+            return searchers.read_probe(probe, frame)
+    return None
+
+
+def refuse(
+    exchange: Exchange, reason: messages.RefusalReason
+) -> messages.Event | None:
+    """End what was never sent."""
+    match exchange.action:
+        case messages.Send() as send:
+            return messages.Refused(send.part, send.target.name, reason)
+        case messages.Probe(target):
+            return messages.Probed(target.name, None)
+    return None
+
+
+def give_up(exchange: Exchange, fault: messages.Fault) -> messages.Event | None:
+    """End what was sent and brought no answer."""
+    match exchange.action:
+        case messages.Send() as send:
+            return messages.Broken(send.part, send.target.name, fault)
+        case messages.Probe(target):
+            return messages.Probed(target.name, None)
+    return None
+
+
+def names_part(exchange: Exchange | None, part: messages.PartKey) -> bool:
+    """Tell whether this is the sub-request of that key."""
+    return (
+        exchange is not None
+        and isinstance(exchange.action, messages.Send)
+        and exchange.action.part == part
+    )
--- /dev/null
+++ b/fuchsiahaven/edge/frames.py
@@ -0,0 +1,162 @@
+"""Write request heads and cut answers out of a connection's bytes.
+
+The libraries write and read every head. Heads repeat themselves, though: the
+fixed part of a request is written once for each address, and an answer's head
+that was parsed before is not parsed again.
+"""
+
+import functools
+import http.client
+import io
+import socket
+from typing import Final, NamedTuple, cast
+
+import urllib3.connection
+
+HEAD_LIMIT: Final = 16_384
+END_OF_HEAD: Final = b'\r\n\r\n'
+END_OF_CHUNKS: Final = b'0\r\n\r\n'
+_CACHED_HEADS: Final = 4096
+
+
+class Head(NamedTuple):
+    """Hold what the head of an answer says of its body.
+
+    `length` is None where the body comes in chunks.
+    """
+
+    status: int
+    length: int | None
+    closes: bool
+    size: int
+
+
+class Frame(NamedTuple):
+    """Hold one whole answer."""
+
+    status: int
+    body: bytes
+    closes: bool
+
+
+class FrameError(Exception):
+    """Report bytes that are no answer; `too_large` for one past its bound."""
+
+    def __init__(self, text: str, *, too_large: bool = False) -> None:
+        """Keep whether the bound was the reason."""
+        super().__init__(text)
+        self.too_large = too_large
+
+
+class _Recorder:
+    """Stand where a connection expects its socket, and keep what it sends."""
+
+    def __init__(self) -> None:
+        """Start with nothing sent."""
+        self.sent = b''
+
+    def sendall(self, data: bytes) -> None:
+        """Keep the bytes."""
+        self.sent += data
+
+    def close(self) -> None:
+        """Do nothing: there is nothing to close."""
+
+
+class _Source:
+    """Stand where an answer expects its socket, and give bytes at hand."""
+
+    def __init__(self, data: bytes) -> None:
+        """Keep the bytes."""
+        self._data = data
+
+    def makefile(self, mode: str) -> io.BytesIO:
+        """Return the bytes as a file."""
+        return io.BytesIO(self._data)
+
+
+@functools.lru_cache(maxsize=_CACHED_HEADS)
+def write_head(
+    address: str, method: str, path: str, fields: tuple[tuple[str, str], ...]
+) -> bytes:
+    """Write the fixed part of a request's head, up to its last field."""
+    host, _, port = address.rpartition(':')
+    connection = urllib3.connection.HTTPConnection(host, int(port))
+    recorder = _Recorder()
+    connection.sock = cast(socket.socket, recorder)
+    connection.putrequest(method, path, skip_accept_encoding=True)
+    for name, value in fields:
+        connection.putheader(name, value)
+    connection.endheaders()
+    return recorder.sent[: -len(b'\r\n')]
+
+
+def cut_frame(data: bytes | bytearray, limit: int) -> Frame | None:
+    """Cut one answer out of the bytes; None while it is not whole.
+
+    Raises FrameError for what is no answer, is too large, or is followed by
+    bytes that nobody asked for.
+    """
+    end = data.find(END_OF_HEAD)
+    if end < 0:
+        if len(data) > HEAD_LIMIT:
+            raise FrameError('the head is too long', too_large=True)
+        return None
+    start = end + len(END_OF_HEAD)
+    head = _parse_head(bytes(data[:start]))
+    if head.length is None:
+        return _join_chunks(data, start, head, limit)
+    if head.length > limit:
+        raise FrameError('the body is too long', too_large=True)
+    size = start + head.length
+    if len(data) < size:
+        return None
+    if len(data) > size:
+        # What follows would be taken for the answer to the next request.
+        raise FrameError('more bytes than the answer has')
+    return Frame(head.status, bytes(data[start:]), head.closes)
+
+
+@functools.lru_cache(maxsize=_CACHED_HEADS)
+def _parse_head(head: bytes) -> Head:
+    answer = _begin(head)
+    encoding = answer.headers.get('Content-Encoding', 'identity')
+    if encoding != 'identity':
+        # A few compressed bytes can unpack to any size.
+        raise FrameError('the body is compressed')
+    length = answer.length
+    if length is None and not answer.chunked:
+        raise FrameError('the body has no length')
+    if answer.chunked:
+        length = None
+    return Head(answer.status, length, answer.will_close, len(head))
+
+
+def _join_chunks(
+    data: bytes | bytearray, start: int, head: Head, limit: int
+) -> Frame | None:
+    if len(data) - start > 2 * limit:
+        raise FrameError('the body is too long', too_large=True)
+    if not data.endswith(END_OF_CHUNKS):
+        return None
+    answer = _begin(bytes(data))
+    try:
+        body = answer.read()
+    except http.client.IncompleteRead:
+        # The end of the chunks can also appear inside a chunk.
+        return None
+    except (http.client.HTTPException, ValueError) as error:
+        raise FrameError(str(error)) from error
+    if len(body) > limit:
+        raise FrameError('the body is too long', too_large=True)
+    return Frame(head.status, body, head.closes)
+
+
+def _begin(data: bytes) -> http.client.HTTPResponse:
+    source = cast(socket.socket, _Source(data))
+    answer = http.client.HTTPResponse(source, method='POST')
+    try:
+        answer.begin()
+    except (http.client.HTTPException, ValueError, OSError) as error:
+        raise FrameError(f'no head of an answer: {error}') from error
+    return answer
--- /dev/null
+++ b/fuchsiahaven/edge/loop.py
@@ -0,0 +1,178 @@
+"""Run the dispatch loop: one thread that owns all target connections.
+
+Other tasks hand messages in by `post`; nothing here blocks but the selector.
+"""
+
+import collections
+import contextlib
+import queue
+import selectors
+import socket
+import time
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import dispatch, messages, states
+from fuchsiahaven.edge import connectors, fleets, links, pools
+
+SWEEP_S: Final = 0.05
+WAKE_SIZE: Final = 4096
+
+ReplyQueue = queue.SimpleQueue[messages.Reply]
+ClaimAction = messages.Claim | messages.Record | messages.Release
+
+
+class Asked(NamedTuple):
+    """Bring one query and where its one reply goes."""
+
+    query: messages.Query
+    reply_to: ReplyQueue
+
+
+class Closed(NamedTuple):
+    """Ask the loop to end."""
+
+
+Message = Asked | Closed | connectors.Outcome | messages.Event
+
+
+class Settings(NamedTuple):
+    """Bound what the loop does with targets."""
+
+    answer_bytes: int
+    probe_s: float
+    connect_s: float
+
+
+class Loop:
+    """Own the dispatch state and the connections of one process."""
+
+    def __init__(
+        self,
+        state: states.State,
+        settings: Settings,
+        claim: Callable[[ClaimAction], None],
+    ) -> None:
+        """Prepare without starting; `run` is for a thread of its own."""
+        #: Why no new work should come here, for other threads to read.
+        self.obstacle = 'starting'
+        self._state = state
+        self._claim = claim
+        self._settings = settings
+        self._inbox: queue.SimpleQueue[Message] = queue.SimpleQueue()
+        self._events: collections.deque[messages.Event] = collections.deque()
+        self._replies: dict[int, ReplyQueue] = {}
+        self._last_token = 0
+        self._closing = False
+        self._awake = False
+        self._swept = 0.0
+        self._selector = selectors.DefaultSelector()
+        pair = socket.socketpair()
+        self._bell = pair[0]
+        self._ringer = pair[1]
+        for end in pair:
+            end.setblocking(False)  # noqa: WPS425
+        self._selector.register(self._bell, selectors.EVENT_READ, None)
+
+    def post(self, message: Message) -> None:
+        """Hand in a message; any thread may call this."""
+        self._inbox.put(message)
+        if not self._awake:
+            self._awake = True
+            # A full pipe wakes the loop as well as one more byte would.
+            with contextlib.suppress(BlockingIOError):
+                self._ringer.send(b'\0')
+
+    def run(self) -> None:
+        """Serve until `Closed` comes."""
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._bell.close)
+            stack.callback(self._ringer.close)
+            stack.callback(self._selector.close)
+            opener = connectors.Connectors(self.post, self._settings.connect_s)
+            stack.callback(opener.close)
+            shop = pools.Shop(
+                self._selector,
+                opener.ask,
+                self._report,
+                self._settings.answer_bytes,
+            )
+            fleet = fleets.Fleet(shop, self._settings.probe_s)
+            stack.callback(fleet.close)
+            while not self._closing:
+                self._turn(fleet)
+
+    def _report(self, event: messages.Event | None) -> None:
+        if event is not None:
+            self._events.append(event)
+
+    def _turn(self, fleet: fleets.Fleet) -> None:
+        ready = self._selector.select(self._wait())
+        now = time.monotonic()
+        for key, mask in ready:
+            self._serve(key.data, mask, now)
+        self._drain(fleet, now)
+        while not self._inbox.empty():
+            self._take(self._inbox.get(), fleet, now)
+            self._drain(fleet, now)
+        self._handle(messages.Ticked(), fleet, now)
+        if now - self._swept >= SWEEP_S:
+            self._swept = now
+            self.obstacle = dispatch.find_obstacle(self._state)
+            fleet.sweep(now)
+        self._drain(fleet, now)
+
+    def _wait(self) -> float:
+        wake = dispatch.next_wake(self._state)
+        if wake is None:
+            return SWEEP_S
+        return min(SWEEP_S, max(0.0, wake - time.monotonic()))
+
+    def _serve(
+        self, owner: tuple[pools.Pool, links.Link] | None, mask: int, now: float
+    ) -> None:
+        if owner is None:
+            # The flag falls before the inbox is emptied: a message that
+            # comes in between rings again, and none is left lying.
+            self._bell.recv(WAKE_SIZE)
+            self._awake = False
+            return
+        pool, link = owner
+        if not link.closed:
+            pool.serve(link, mask, now)
+
+    def _take(self, message: Message, fleet: fleets.Fleet, now: float) -> None:
+        match message:
+            case Asked(query, reply_to):
+                self._last_token += 1
+                token = self._last_token
+                self._replies[token] = reply_to
+                self._handle(messages.Submitted(token, query), fleet, now)
+            case connectors.Opened() | connectors.Unopened():
+                fleet.take(message, now)
+            case Closed():
+                self._closing = True
+            case _:
+                self._handle(message, fleet, now)
+
+    def _drain(self, fleet: fleets.Fleet, now: float) -> None:
+        while self._events:
+            self._handle(self._events.popleft(), fleet, now)
+
+    def _handle(
+        self, event: messages.Event, fleet: fleets.Fleet, now: float
+    ) -> None:
+        state, actions = dispatch.handle(self._state, event, now)
+        self._state = state
+        for action in actions:
+            match action:
+                case messages.Send():
+                    fleet.send(action, now)
+                case messages.Cancel():
+                    fleet.cancel(action, now)
+                case messages.Reply():
+                    self._replies.pop(action.token).put(action)
+                case messages.Probe():
+                    fleet.probe(action, now)
+                case _:
+                    self._claim(action)
--- /dev/null
+++ b/fuchsiahaven/edge/pools.py
@@ -0,0 +1,233 @@
+"""Own the connections to one target and the exchanges on them.
+
+Every exchange that is handed in ends in exactly one event, but for
+cancellations, which end in none: the decisions count what is in flight by it.
+"""
+
+import collections
+import selectors
+from collections.abc import Callable, Iterable
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import messages
+from fuchsiahaven.edge import connectors, exchanges, frames, links
+
+DEFAULT_SEATS: Final = 3
+BACK_OFF_S: Final = 0.1
+LONGEST_BACK_OFF_S: Final = 2.0
+BOTH: Final = selectors.EVENT_READ | selectors.EVENT_WRITE
+
+
+class Shop(NamedTuple):
+    """Hold what all pools share.
+
+    `report` takes an event, or None where there is nothing to tell.
+    """
+
+    selector: selectors.BaseSelector
+    ask: Callable[[str], None]
+    report: Callable[[messages.Event | None], None]
+    answer_bytes: int
+
+
+class Pool:
+    """Own the connections to one target."""
+
+    def __init__(self, address: str, shop: Shop) -> None:
+        """Start without a connection."""
+        self.address = address
+        self.seats = DEFAULT_SEATS
+        self.links: set[links.Link] = set()
+        self._shop = shop
+        self._opening = 0
+        self._idle: list[links.Link] = []
+        self._queue: collections.deque[exchanges.Exchange] = collections.deque()
+        self._failures = 0
+        self._closed_until = 0.0
+
+    def place(self, exchange: exchanges.Exchange, now: float) -> None:
+        """Send at once where a connection is idle, or else when one is."""
+        while self._idle:
+            if self._start(self._idle.pop(), exchange, now):
+                return
+        if not self.links and now < self._closed_until:
+            reason = messages.RefusalReason.NO_CONNECTION
+            self._shop.report(exchanges.refuse(exchange, reason))
+            return
+        self._queue.append(exchange)
+        self._open_more(now)
+
+    def cancel(self, cancel: exchanges.Exchange, now: float) -> None:
+        """Cancel a sub-request, or close its connection where none is idle."""
+        assert isinstance(cancel.action, messages.Cancel)
+        part = cancel.action.part
+        link = _find(self.links, part)
+        if link is None or link.exchange is None:
+            self._shop.report(_withdraw(self._queue, part))
+            return
+        exchange = link.exchange
+        # The cancelled one is answered at once, or its target is in trouble.
+        link.exchange = exchange._replace(expires=cancel.expires)
+        assert isinstance(exchange.action, messages.Send)
+        cancel = cancel._replace(cancelled=exchange.action)
+        while self._idle:
+            if self._start(self._idle.pop(), cancel, now):
+                return
+        self._drop(link, messages.Fault.TIMED_OUT, now)
+
+    def take(self, outcome: connectors.Outcome, now: float) -> None:
+        """Take a connection that was asked for, or the news of none."""
+        self._opening -= 1
+        match outcome:
+            case connectors.Opened(address, connection):
+                link = links.Link(address, connection)
+                self.links.add(link)
+                self._shop.selector.register(
+                    link.sock, selectors.EVENT_READ, (self, link)
+                )
+                self._release(link, now)
+            case connectors.Unopened():
+                self._back_off(now)
+
+    def serve(self, link: links.Link, mask: int, now: float) -> None:
+        """Send and receive what a connection is ready for."""
+        try:
+            frame = self._exchange_bytes(link, mask)
+        except frames.FrameError as error:
+            fault = messages.Fault.MALFORMED
+            if error.too_large:
+                fault = messages.Fault.TOO_LARGE
+            self._drop(link, fault, now)
+        except links.LinkError:
+            if not link.answered:
+                # A target past its cap closes what is new unread.
+                self._back_off(now)
+            self._drop(link, messages.Fault.CONNECTION_LOST, now)
+        else:
+            if frame is not None:
+                self._take_frame(link, frame, now)
+
+    def sweep(self, now: float) -> None:
+        """End the exchanges whose time is over."""
+        for link in tuple(self.links):
+            exchange = link.exchange
+            if exchange is not None and exchange.expires < now:
+                self._drop(link, messages.Fault.TIMED_OUT, now)
+        late = [queued for queued in self._queue if queued.expires < now]
+        for exchange in late:
+            self._queue.remove(exchange)
+            reason = messages.RefusalReason.DEADLINE
+            self._shop.report(exchanges.refuse(exchange, reason))
+        self._open_more(now)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for link in self.links:
+            link.close()
+
+    def _open_more(self, now: float) -> None:
+        if now < self._closed_until or len(self._queue) <= self._opening:
+            return
+        if len(self.links) + self._opening < self.seats:
+            self._opening += 1
+            self._shop.ask(self.address)
+
+    def _start(
+        self, link: links.Link, exchange: exchanges.Exchange, now: float
+    ) -> bool:
+        """Send on an idle connection; False where it turned out closed."""
+        if not exchanges.may_start(exchange, now):
+            self._idle.append(link)
+            reason = messages.RefusalReason.DEADLINE
+            self._shop.report(exchanges.refuse(exchange, reason))
+            return True
+        try:
+            link.start(exchange, exchanges.write_payload(exchange, now))
+        except links.LinkError:
+            # Not a byte has left, so it may go out on another connection.
+            self._discard(link)
+            return False
+        if link.rest:
+            self._shop.selector.modify(link.sock, BOTH, (self, link))
+        return True
+
+    def _exchange_bytes(
+        self, link: links.Link, mask: int
+    ) -> frames.Frame | None:
+        if mask & selectors.EVENT_WRITE:
+            link.push()
+            if not link.rest:
+                self._shop.selector.modify(
+                    link.sock, selectors.EVENT_READ, (self, link)
+                )
+        return link.pull(self._shop.answer_bytes)
+
+    def _take_frame(
+        self, link: links.Link, frame: frames.Frame, now: float
+    ) -> None:
+        exchange = link.exchange
+        assert exchange is not None
+        link.finish()
+        event = exchanges.read_frame(exchange, frame)
+        self._shop.report(event)
+        if frame.closes or isinstance(event, messages.Broken):
+            self._discard(link)
+            self._open_more(now)
+        else:
+            self._failures = 0
+            self._release(link, now)
+
+    def _release(self, link: links.Link, now: float) -> None:
+        self._idle.append(link)
+        while self._queue and self._idle:
+            self.place(self._queue.popleft(), now)
+
+    def _drop(
+        self, link: links.Link, fault: messages.Fault, now: float
+    ) -> None:
+        """Close a connection and report what was under way on it."""
+        exchange = link.exchange
+        self._discard(link)
+        if exchange is not None:
+            self._shop.report(exchanges.give_up(exchange, fault))
+        self._open_more(now)
+
+    def _discard(self, link: links.Link) -> None:
+        link.exchange = None
+        self._shop.selector.unregister(link.sock)
+        link.close()
+        self.links.discard(link)
+        if link in self._idle:
+            self._idle.remove(link)
+
+    def _back_off(self, now: float) -> None:
+        pause = min(LONGEST_BACK_OFF_S, BACK_OFF_S * 2**self._failures)
+        self._failures += 1
+        self._closed_until = now + pause
+        # With a connection left the queue moves on; without one, what is in
+        # it would wait for nothing.
+        while self._queue and not self.links and not self._opening:
+            reason = messages.RefusalReason.NO_CONNECTION
+            exchange = self._queue.popleft()
+            self._shop.report(exchanges.refuse(exchange, reason))
+
+
+def _find(
+    owned: Iterable[links.Link], part: messages.PartKey
+) -> links.Link | None:
+    for link in owned:
+        if exchanges.names_part(link.exchange, part):
+            return link
+    return None
+
+
+def _withdraw(
+    queue: collections.deque[exchanges.Exchange], part: messages.PartKey
+) -> messages.Event | None:
+    """Take back a sub-request that still waits for a connection."""
+    for exchange in queue:
+        if exchanges.names_part(exchange, part):
+            queue.remove(exchange)
+            reason = messages.RefusalReason.CANCELLED
+            return exchanges.refuse(exchange, reason)
+    return None
