--- /dev/null
+++ b/fuchsiahaven/edge/callers.py
@@ -0,0 +1,157 @@
+"""Speak with callers: the one adapter for their protocol."""
+
+import http
+import math
+import queue
+import random
+import time
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Final, NamedTuple, Protocol
+
+from cheroot import wsgi
+
+from fuchsiahaven.core import errors, messages, request_ids
+from fuchsiahaven.edge import answers, loop, requests
+
+SEARCH: Final = ('POST', '/v1/search')
+HEALTHZ: Final = ('GET', '/healthz')
+READYZ: Final = ('GET', '/readyz')
+METRICS: Final = ('GET', '/metrics')
+JSON: Final = 'application/json'
+TEXT: Final = 'text/plain; charset=utf-8'
+#: Past the longest deadline there is: a reply that is not there by then was
+#: lost by a fault of this program.
+LONGEST_WAIT_S: Final = 610.0
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+class Bounds(NamedTuple):
+    """Bound what callers may send and how long they may take."""
+
+    request: requests.Bounds
+    read_s: float
+
+
+class Host(Protocol):
+    """State what the port needs of the rest of the process."""
+
+    def ask(self, query: messages.Query, reply_to: loop.ReplyQueue) -> None:
+        """Hand a query over; its one reply goes to the queue."""
+
+    def find_obstacle(self) -> str:
+        """Say why no new work should come here; empty if it may."""
+
+    def write_metrics(self) -> bytes:
+        """Write the metrics."""
+
+    def note_reply(self, query: messages.Query, reply: messages.Reply) -> None:
+        """Count a reply."""
+
+
+class Application:
+    """Answer requests of callers, each with exactly one reply."""
+
+    def __init__(self, host: Host, bounds: Bounds) -> None:
+        """Answer on behalf of a host."""
+        self._host = host
+        self._bounds = bounds
+
+    def __call__(
+        self, environ: Mapping[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        written, kind = self._answer(environ)
+        headers = [
+            ('Content-Type', kind),
+            ('Content-Length', str(len(written.body))),
+        ]
+        if written.retry_after is not None:
+            headers.append(('Retry-After', str(written.retry_after)))
+        status = http.HTTPStatus(written.status)
+        start_response(f'{status.value} {status.phrase}', headers)
+        return [written.body]
+
+    def _answer(
+        self, environ: Mapping[str, Any]
+    ) -> tuple[answers.Written, str]:
+        route = (environ['REQUEST_METHOD'], environ['PATH_INFO'])
+        if route == SEARCH:
+            return self._search(environ), JSON
+        if route == HEALTHZ:
+            return answers.Written(http.HTTPStatus.OK, b'ok\n'), TEXT
+        if route == READYZ:
+            return self._tell_readiness(), TEXT
+        if route == METRICS:
+            body = self._host.write_metrics()
+            return answers.Written(http.HTTPStatus.OK, body), TEXT
+        failure = errors.make_failure(
+            errors.Kind.NOT_FOUND, requests.SOURCE, 'try POST /v1/search'
+        )
+        return answers.write_failure(None, failure), JSON
+
+    def _search(self, environ: Mapping[str, Any]) -> answers.Written:
+        arrived = time.monotonic()
+        bounds = self._bounds
+        try:
+            body = requests.read_body(
+                environ, bounds.request.body_bytes, arrived + bounds.read_s
+            )
+            query = requests.read_query(body, bounds.request, _mint, arrived)
+        except requests.Refusal as refusal:
+            return answers.write_failure(refusal.request_id, refusal.failure)
+        reply = self._wait(query)
+        self._host.note_reply(query, reply)
+        return answers.write_reply(query.request_id, reply)
+
+    def _wait(self, query: messages.Query) -> messages.Reply:
+        reply_to: loop.ReplyQueue = queue.SimpleQueue()
+        self._host.ask(query, reply_to)
+        try:
+            return reply_to.get(timeout=LONGEST_WAIT_S)
+        except queue.Empty:
+            failure = errors.make_failure(
+                errors.Kind.INTERNAL, requests.SOURCE, 'the reply was lost'
+            )
+            return messages.Reply(0, failure)
+
+    def _tell_readiness(self) -> answers.Written:
+        obstacle = self._host.find_obstacle()
+        if obstacle:
+            return answers.Written(
+                http.HTTPStatus.SERVICE_UNAVAILABLE, f'{obstacle}\n'.encode()
+            )
+        return answers.Written(http.HTTPStatus.OK, b'ready\n')
+
+
+class Port(NamedTuple):
+    """Say where callers connect and with how many threads they are served."""
+
+    address: str
+    threads: int
+    listen_queue: int
+    header_bytes: int
+    body_bytes: int
+    idle_s: float
+    shared: bool
+
+
+def make_server(application: Application, port: Port) -> wsgi.Server:
+    """Make the server of the caller port; `prepare` and `serve` start it."""
+    host, _, number = port.address.rpartition(':')
+    server = wsgi.Server(
+        (host, int(number)),
+        application,
+        numthreads=port.threads,
+        request_queue_size=port.listen_queue,
+        timeout=math.ceil(port.idle_s),
+        reuse_port=port.shared,
+        server_name='fuchsiahaven',
+    )
+    server.max_request_header_size = port.header_bytes
+    return server
+
+
+def _mint() -> str:
+    bits = random.SystemRandom().getrandbits(request_ids.RANDOM_BITS)
+    return request_ids.mint(time.time(), bits)
--- a/fuchsiahaven/operate/commands.py
+++ b/fuchsiahaven/operate/commands.py
@@ -33,6 +33,11 @@
 
 #: Add a command here: one line, sorted as an operator would look for it.
 COMMANDS: Final = (
+    Entry(
+        'serve',
+        'fuchsiahaven.operate.command_serve',
+        'serve callers until a signal asks for a planned stop',
+    ),
     Entry(
         'query',
         'fuchsiahaven.operate.command_query',
