Keep the highest revision in force, watched at the platform

Cause: the first path read the whole manifest from every host each second, took whatever the platform held, lower revisions too, and said nothing of it.

Ruled out: pushing whole configurations between members (megabytes at the sizes aimed for, at a change every two seconds); reading all parts of all data centres on each host, of which a host can reach a few.

Change: core/revisions decides what is in force, from the platform, from a parent in a tree over the members or on the word of two members, and only upwards; a platform that is older, or that passed our number on another history, is reported and not followed. core/patches tells configurations apart and carries differences; core/reaches leaves out unreachable data centres; edge/revisions runs it with a bounded watch and a check by number alone, and replaces edge/refresh. A watch waits 10 s instead of 30, which bounds how long one that has gone silent can mislead.

--- a/fuchsiahaven/core/manifests.py
+++ b/fuchsiahaven/core/manifests.py
@@ -122,7 +122,7 @@
     if isinstance(row, errors.Failure):
         return row
     keys = tuple(
-        _name_key(group, stored['digest'])
+        name_part(group, stored['digest'])
         for group, _, stored in _walk(row)
         if 'digest' in stored
     )
@@ -206,7 +206,7 @@
             text = _write_part(place, targets, configuration.revision)
             part = Part(targets)
             if inline_bytes is not None and len(text.encode()) > inline_bytes:
-                key = _name_key(place[0], _digest(text))
+                key = name_part(place[0], _digest(text))
                 part = Part(targets, configuration.revision, key)
                 texts[key] = text
         parts[place] = part
@@ -292,7 +292,7 @@
     group, centre = place
     if 'digest' not in stored:
         return Part(_read_targets(stored['targets'], centre))
-    key = _name_key(group, stored['digest'])
+    key = name_part(group, stored['digest'])
     text = texts.get(key)
     # A part can be gone because a later change replaced it, or be another
     # than the manifest names after a careless restore. Routing by it would
@@ -339,7 +339,8 @@
             yield group, centre, stored
 
 
-def _name_key(group: str, digest: str) -> str:
+def name_part(group: str, digest: str) -> str:
+    """Name the key of a part."""
     return f'{PARTS_PREFIX}{group}/{digest}'
 
 
--- /dev/null
+++ b/fuchsiahaven/core/revisions.py
@@ -0,0 +1,445 @@
+"""Decide which revision of the configuration is in force on this host.
+
+Only a higher revision is ever taken. Two hosts of a data centre, picked by
+rendezvous hash, watch the platform; what they find goes down a tree over the
+members. Three nets catch what that misses: gossip carries each host's stamp,
+every host asks the platform about once a minute, and a host whose parent in
+the tree cannot be reached is served by its grandparent.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import patches, rendezvous
+from fuchsiahaven.core import revision_messages as messages
+
+#: The key under which hosts are ranked; the first two watch.
+RANK_KEY: Final = 'configuration'
+WATCHERS: Final = 2
+#: A revision that the parent did not send needs the word of two members: one
+#: that runs wild cannot then bring a revision into force that nobody wrote.
+VOUCHERS: Final = 2
+#: Patches kept for members that fell a little behind.
+KEPT_PATCHES: Final = 32
+KEPT_CLAIMS: Final = 16
+
+
+class Rules(NamedTuple):
+    """Hold the times of this decision, in seconds.
+
+    `check_s` lies between checks of the platform on average. A host that
+    found a revision before the tree brought it waits `hold_s` for the tree,
+    so that one change is not sent twice. `retry_s` and `retry_limit_s` bound
+    the growing pause after calls of the platform that failed.
+    """
+
+    watch_s: float = 10.0
+    check_s: float = 60.0
+    hold_s: float = 0.25
+    start_s: float = 1.0
+    retry_s: float = 0.25
+    retry_limit_s: float = 8.0
+
+
+class Held(NamedTuple):
+    """Hold a patch back until a time, for the tree to bring it first."""
+
+    patch: patches.Patch
+    until: float
+
+
+class Pulling(NamedTuple):
+    """Hold whom a pull asks; what comes must be `wanted` unless None."""
+
+    member: str
+    wanted: patches.Stamp | None
+
+
+class State(NamedTuple):
+    """Hold what the decision knows.
+
+    `store_revision` is the platform's number of the manifest that was judged
+    last, taken or not. `asking` and `watching` tell which calls are open;
+    `ask_at` and `watch_at` are when the next may start.
+    """
+
+    name: str
+    rules: Rules
+    ask_at: float
+    watch_at: float
+    in_force: patches.Stamped = patches.NOTHING
+    change_id: str = ''
+    store_revision: int = 0
+    order: tuple[str, ...] = ()
+    kept: tuple[patches.Patch, ...] = ()
+    claims: tuple[messages.Heard, ...] = ()
+    held: Held | None = None
+    pulling: Pulling | None = None
+    asking: bool = False
+    watching: bool = False
+    failures: int = 0
+    faults: tuple[tuple[messages.Fault, str], ...] = ()
+
+
+Draws = Callable[[], float]
+Step = tuple[State, tuple[messages.Action, ...]]
+
+
+def start(name: str, now: float, rules: Rules, alone: bool = False) -> State:
+    """Begin with nothing in force.
+
+    A host with other members to ask gives them a moment: reading everything
+    from the platform costs it a call for each large part.
+    """
+    ask_at = now if alone else now + rules.start_s
+    return State(name, rules, ask_at, now, order=(name,))
+
+
+def is_watcher(state: State) -> bool:
+    """Tell whether this host is one of the two that watch."""
+    return state.name in state.order[:WATCHERS]
+
+
+def find_patches(
+    state: State, above: patches.Stamp
+) -> tuple[patches.Patch, ...]:
+    """List the patches that lead a member from a stamp to what is in force.
+
+    Empty where it is not behind; one whole configuration where the chain
+    does not reach back to it.
+    """
+    if above.revision >= state.in_force.stamp.revision:
+        return ()
+    bases = tuple(patch.base for patch in state.kept)
+    if above in bases:
+        return state.kept[bases.index(above) :]
+    return (patches.diff(patches.NOTHING, state.in_force, state.change_id),)
+
+
+def handle(
+    state: State, event: messages.Event, now: float, draws: Draws
+) -> Step:
+    """Take one event in and say what is to be done."""
+    match event:
+        case messages.Found():
+            return _judge_platform(state, event, now, draws)
+        case messages.Checked():
+            return _compare_numbers(state, event, now, draws)
+        case messages.Quiet():
+            return _reach(state._replace(watching=False, watch_at=now), now)
+        case messages.Failed():
+            return _back_off(state, event, now, draws)
+        case messages.Heard():
+            return _weigh_claim(state, event, now)
+        case messages.Pushed():
+            return _judge_push(state, event, now)
+        case messages.Pulled():
+            return _judge_pull(state, event)
+        case messages.Unreached():
+            return _go_around(state, event)
+        case messages.Listed():
+            order = rendezvous.rank(RANK_KEY, (*event.members, state.name))
+            return state._replace(order=order), ()
+        case messages.Ticked():
+            return _tick(state, now, draws)
+
+
+def _tick(state: State, now: float, draws: Draws) -> Step:
+    actions: list[messages.Action] = []
+    if state.held and now >= state.held.until:
+        actions.append(messages.Push(state.order[:1], state.held.patch))
+        state = state._replace(held=None)
+    if now >= state.ask_at and not state.asking:
+        # The number alone is asked for where it can tell: the manifest of a
+        # large system would otherwise be read by every host each minute.
+        actions.append(
+            messages.Check() if state.store_revision else messages.Read()
+        )
+        state = state._replace(asking=True)
+    if is_watcher(state) and now >= state.watch_at and not state.watching:
+        actions.append(
+            messages.Watch(state.store_revision, state.rules.watch_s)
+        )
+        state = state._replace(watching=True)
+    return state, tuple(actions)
+
+
+def _judge_platform(
+    state: State, found: messages.Found, now: float, draws: Draws
+) -> Step:
+    state = _close(state, found.watched, now, draws)
+    state, cleared = _reach(state, now)
+    state = state._replace(store_revision=found.store_revision)
+    return _join(cleared, _judge_found(state, found, now, draws))
+
+
+def _judge_found(
+    state: State, found: messages.Found, now: float, draws: Draws
+) -> Step:
+    ours = state.in_force
+    if found.configuration is None:
+        return _note_older(state, 0)
+    if found.configuration.revision < ours.stamp.revision:
+        return _note_older(state, found.configuration.revision)
+    changes = dict(found.changes)
+    if _is_forked(state, changes):
+        text = f'revision {ours.stamp.revision} is another change there'
+        return _note(state, messages.Fault.PLATFORM_FORKED, text)
+    offered = patches.stamp(found.configuration, ours)
+    if offered.stamp.revision == ours.stamp.revision:
+        return _note_unvouched(_compare(state, 'platform', offered.stamp))
+    change_id = changes.get(offered.stamp.revision, '')
+    patch = patches.diff(ours, offered, change_id)
+    state, cleared = _settle(state)
+    step = _spread(_take(state, patch, offered), patch, now, draws)
+    return _join(cleared, step)
+
+
+def _is_forked(state: State, changes: Mapping[int, str]) -> bool:
+    """Tell whether the platform's history leaves out what is in force.
+
+    A platform restored from an old copy takes new changes under numbers that
+    were used before. Once it has passed our number, following it would undo
+    accepted changes without a word.
+    """
+    there = changes.get(state.in_force.stamp.revision)
+    return None not in {there, state.change_id or None} and (
+        there != state.change_id
+    )
+
+
+def _compare_numbers(
+    state: State, checked: messages.Checked, now: float, draws: Draws
+) -> Step:
+    state, cleared = _reach(_close(state, False, now, draws), now)
+    if checked.store_revision == state.store_revision:
+        return _join(cleared, _note_unvouched((state, ())))
+    # Another number, higher or lower, may stand for another configuration.
+    return state._replace(asking=True), (*cleared, messages.Read())
+
+
+def _back_off(
+    state: State, failed: messages.Failed, now: float, draws: Draws
+) -> Step:
+    rules = state.rules
+    pause = min(
+        rules.retry_limit_s, rules.retry_s * 2 ** min(state.failures, 9)
+    )
+    again = now + pause * (0.5 + draws())
+    state = state._replace(failures=state.failures + 1)
+    if failed.watched:
+        state = state._replace(watching=False, watch_at=again)
+    else:
+        # With something in force there is no haste: a platform that comes
+        # back would be met by every host at once.
+        wait = (
+            again
+            if state.in_force is patches.NOTHING
+            else now + _spaced(rules.check_s, draws)
+        )
+        state = state._replace(asking=False, ask_at=wait)
+    fault = messages.Fault.PLATFORM_DOWN
+    if failed.reached:
+        fault = messages.Fault.UNREADABLE
+    return _note(state, fault, failed.detail)
+
+
+def _weigh_claim(state: State, heard: messages.Heard, now: float) -> Step:
+    ours = state.in_force.stamp
+    if heard.stamp.revision == ours.revision:
+        return _compare(state, heard.member, heard.stamp)
+    if heard.stamp.revision < ours.revision:
+        return state, ()
+    others = (it for it in state.claims if it.member != heard.member)
+    state = state._replace(claims=(*others, heard)[-KEPT_CLAIMS:])
+    if is_watcher(state) and not _has_fault(
+        state, messages.Fault.PLATFORM_DOWN
+    ):
+        # A watcher believes the platform, and asks it now, not in a minute.
+        state = state._replace(ask_at=min(state.ask_at, now))
+    return _start_pull(state, heard)
+
+
+def _start_pull(state: State, heard: messages.Heard) -> Step:
+    if state.pulling:
+        return state, ()
+    vouchers = sum(it.stamp == heard.stamp for it in state.claims)
+    needed = min(VOUCHERS, len(state.order) - 1)
+    if vouchers < needed:
+        return state, ()
+    pulling = Pulling(heard.member, heard.stamp)
+    above = state.in_force.stamp
+    pull = messages.Pull(heard.member, above)
+    return state._replace(pulling=pulling), (pull,)
+
+
+def _judge_push(state: State, pushed: messages.Pushed, now: float) -> Step:
+    patch, ours = pushed.patch, state.in_force.stamp
+    if state.held and state.held.patch.stamp == patch.stamp:
+        state = state._replace(held=None)
+    elders = rendezvous.find_ancestors(state.order, state.name)
+    if patch.stamp.revision <= ours.revision or pushed.member not in elders:
+        return _weigh_claim(
+            state, messages.Heard(pushed.member, patch.stamp), now
+        )
+    if patch.base in {ours, patches.NO_STAMP}:
+        return _apply(state, pushed.member, patch)
+    if state.pulling:
+        return state, ()
+    pulling = Pulling(pushed.member, None)
+    pull = messages.Pull(pushed.member, ours)
+    return state._replace(pulling=pulling), (pull,)
+
+
+def _judge_pull(state: State, pulled: messages.Pulled) -> Step:
+    asked, state = state.pulling, state._replace(pulling=None)
+    if asked is None or asked.member != pulled.member:
+        return state, ()
+    chain = pulled.patches
+    if asked.wanted and state.in_force is not patches.NOTHING:
+        # Vouched for is one stamp; what the member has above it is not.
+        stamps = tuple(patch.stamp for patch in chain)
+        if asked.wanted not in stamps:
+            return state, ()
+        chain = chain[: stamps.index(asked.wanted) + 1]
+    actions: tuple[messages.Action, ...] = ()
+    for patch in chain:
+        if patch.stamp.revision > state.in_force.stamp.revision:
+            state, more = _apply(state, pulled.member, patch)
+            actions = (*actions, *more)
+    return state, actions
+
+
+def _apply(state: State, member: str, patch: patches.Patch) -> Step:
+    whole = patch.base == patches.NO_STAMP
+    base = patches.NOTHING if whole else state.in_force
+    patched = patches.apply(patch, base)
+    if patched is None:
+        text = f'{member} sent revision {patch.stamp.revision} damaged'
+        return _note(state, messages.Fault.DAMAGED, text)
+    state, cleared = _settle(state)
+    step = _take(state, patch, patched)
+    children = rendezvous.find_children(state.order, state.name)
+    return _join(cleared, _send(step, children, patch))
+
+
+def _take(state: State, patch: patches.Patch, stamped: patches.Stamped) -> Step:
+    # Every way in has compared the numbers; this is the last line of defence
+    # of the promise that an accepted configuration never reverts.
+    assert stamped.stamp.revision > state.in_force.stamp.revision
+    kept = (*state.kept, patch)[-KEPT_PATCHES:]
+    if patch.base == patches.NO_STAMP:
+        kept = ()
+    claims = tuple(
+        heard
+        for heard in state.claims
+        if heard.stamp.revision > stamped.stamp.revision
+    )
+    taken = state._replace(
+        in_force=stamped, change_id=patch.change_id, kept=kept, claims=claims
+    )
+    return taken, (messages.Configure(stamped),)
+
+
+def _spread(step: Step, patch: patches.Patch, now: float, draws: Draws) -> Step:
+    state = step[0]
+    if state.order[0] == state.name:
+        children = rendezvous.find_children(state.order, state.name)
+        return _send(step, children, patch)
+    until = now + state.rules.hold_s * (1 + draws())
+    return state._replace(held=Held(patch, until)), step[1]
+
+
+def _send(step: Step, members: tuple[str, ...], patch: patches.Patch) -> Step:
+    if not members:
+        return step
+    return step[0], (*step[1], messages.Push(members, patch))
+
+
+def _go_around(state: State, lost: messages.Unreached) -> Step:
+    if lost.push is None:
+        return state._replace(pulling=None), ()
+    # Whoever stood below the lost member would wait for gossip otherwise.
+    below = rendezvous.find_children(state.order, lost.member)
+    others = tuple(name for name in below if name != state.name)
+    return _send((state, ()), others, lost.push)
+
+
+def _close(state: State, watched: bool, now: float, draws: Draws) -> State:
+    state = state._replace(failures=0)
+    if watched:
+        return state._replace(watching=False, watch_at=now)
+    ask_at = now + _spaced(state.rules.check_s, draws)
+    return state._replace(asking=False, ask_at=ask_at)
+
+
+def _spaced(mean: float, draws: Draws) -> float:
+    """Spread calls, so that hosts started together do not call together."""
+    return mean * (0.5 + draws())
+
+
+def _compare(state: State, source: str, stamp: patches.Stamp) -> Step:
+    if stamp == state.in_force.stamp:
+        return state, ()
+    text = f'{source} has another content for revision {stamp.revision}'
+    return _note(state, messages.Fault.CONTENT_DIFFERS, text)
+
+
+def _note_older(state: State, revision: int) -> Step:
+    ours = state.in_force.stamp.revision
+    if not ours:
+        return state, ()
+    text = f'platform has revision {revision}, in force stays {ours}'
+    return _note(state, messages.Fault.PLATFORM_OLDER, text)
+
+
+def _note(state: State, fault: messages.Fault, text: str) -> Step:
+    if (fault, text) in state.faults:
+        return state, ()
+    others = (it for it in state.faults if it[0] is not fault)
+    noted = state._replace(faults=(*others, (fault, text)))
+    return noted, (messages.Report(fault, text),)
+
+
+def _has_fault(state: State, fault: messages.Fault) -> bool:
+    return any(noted is fault for noted, _ in state.faults)
+
+
+def _note_unvouched(step: Step) -> Step:
+    """Report members that claim a revision which the platform lacks."""
+    state, actions = step
+    ours = state.in_force.stamp.revision
+    wild = tuple(it for it in state.claims if it.stamp.revision > ours)
+    if not wild:
+        return step
+    text = f'{wild[-1].member} claims revision {wild[-1].stamp.revision}'
+    return _join(actions, _note(state, messages.Fault.UNVOUCHED, text))
+
+
+def _reach(state: State, now: float) -> Step:
+    """Note that the platform answers.
+
+    After an outage a watcher asks at once: a platform that came back with an
+    old copy has a lower number, for which a watch would wait in silence.
+    """
+    if is_watcher(state) and _has_fault(state, messages.Fault.PLATFORM_DOWN):
+        state = state._replace(ask_at=now)
+    return _clear(state, (messages.Fault.PLATFORM_DOWN,))
+
+
+def _settle(state: State) -> Step:
+    """Note that a higher revision leaves the disputes of the last behind."""
+    return _clear(state, set(messages.Fault) - {messages.Fault.PLATFORM_DOWN})
+
+
+def _clear(state: State, ended: Iterable[messages.Fault]) -> Step:
+    gone = frozenset(ended)
+    kept = tuple(it for it in state.faults if it[0] not in gone)
+    reports = tuple(
+        messages.Report(fault, '') for fault, _ in state.faults if fault in gone
+    )
+    return state._replace(faults=kept), reports
+
+
+def _join(first: tuple[messages.Action, ...], step: Step) -> Step:
+    return step[0], (*first, *step[1])
--- /dev/null
+++ b/fuchsiahaven/edge/manifest_reader.py
@@ -0,0 +1,94 @@
+"""Read the manifest and its parts from the platform's service."""
+
+from fuchsiahaven.core import audits, errors, manifests, reaches
+from fuchsiahaven.core import revision_messages as messages
+from fuchsiahaven.edge import store
+
+
+class Reader:
+    """Read manifests for one data centre, each part of one only once."""
+
+    def __init__(self, data_centre: str) -> None:
+        """Start without any part."""
+        self._data_centre = data_centre
+        self._texts: dict[str, str] = {}
+
+    def read(self, platform: store.Store) -> messages.Event:
+        """Read what is there now."""
+        try:
+            entry = platform.read(manifests.MANIFEST_KEY)
+        except store.StoreError as error:
+            return messages.Failed(watched=False, detail=str(error))
+        if entry is None:
+            return messages.Found(0)
+        return self._load(platform, entry, watched=False)
+
+    def check(self, platform: store.Store) -> messages.Event:
+        """Read the platform's number of the manifest alone."""
+        try:
+            listed = platform.list_keys(manifests.MANIFEST_KEY)
+        except store.StoreError as error:
+            return messages.Failed(watched=False, detail=str(error))
+        numbers = {row.key: row.revision for row in listed}
+        return messages.Checked(numbers.get(manifests.MANIFEST_KEY, 0))
+
+    def watch(
+        self, platform: store.Store, asked: messages.Watch
+    ) -> messages.Event:
+        """Wait for a change and read it.
+
+        The wait ends within bounds even where a watch has gone silent: the
+        store gives up shortly after the time that the platform was given.
+        """
+        try:
+            entry = platform.watch(
+                manifests.MANIFEST_KEY, asked.above, asked.wait_s
+            )
+        except store.StoreError as error:
+            return messages.Failed(watched=True, detail=str(error))
+        if entry is None:
+            return messages.Quiet()
+        return self._load(platform, entry, watched=True)
+
+    def _load(
+        self, platform: store.Store, entry: store.Entry, *, watched: bool
+    ) -> messages.Event:
+        head = manifests.read_head(entry.value)
+        if isinstance(head, errors.Failure):
+            return _fail(head, watched)
+        head = reaches.narrow(head, self._data_centre)
+        try:
+            texts = self._read_parts(platform, head.keys)
+        except store.StoreError as error:
+            return messages.Failed(watched, str(error))
+        manifest = manifests.assemble(head, texts)
+        if isinstance(manifest, errors.Failure):
+            return _fail(manifest, watched)
+        return messages.Found(
+            entry.revision,
+            manifest.configuration,
+            _list_changes(manifest.changes),
+            watched,
+        )
+
+    def _read_parts(
+        self, platform: store.Store, keys: tuple[str, ...]
+    ) -> dict[str, str]:
+        texts = {key: self._texts[key] for key in keys if key in self._texts}
+        for key in keys:
+            entry = None if key in texts else platform.read(key)
+            if entry is not None:
+                texts[key] = entry.value
+        # Two threads read; each goes on with the texts it has seen itself.
+        self._texts = texts
+        return texts
+
+
+def _list_changes(
+    entries: tuple[audits.Entry, ...],
+) -> tuple[tuple[int, str], ...]:
+    return tuple((entry.revision, entry.change_id) for entry in entries)
+
+
+def _fail(failure: errors.Failure, watched: bool) -> messages.Failed:
+    return messages.Failed(watched, failure.detail, reached=True)
--- /dev/null
+++ b/fuchsiahaven/edge/revisions.py
@@ -0,0 +1,197 @@
+"""Run the configuration task: keep the highest revision in force here."""
+
+import contextlib
+import functools
+import queue
+import random
+import time
+from collections.abc import Callable
+from typing import Final, NamedTuple, Protocol
+
+from fuchsiahaven.core import messages, patches, revisions
+from fuchsiahaven.core import revision_messages as wording
+from fuchsiahaven.edge import manifest_reader, store, workers
+from fuchsiahaven.operate import logs
+
+PART: Final = 'configuration'
+TICK_S: Final = 0.1
+#: Pushes to children go out side by side, so that a dead one holds up none.
+PEER_THREADS: Final = 4
+
+
+class Exchange(Protocol):
+    """Carry patches to and from members; each call ends within bounds."""
+
+    def push(
+        self, member: str, patch: patches.Patch
+    ) -> wording.Unreached | wording.Heard:
+        """Send a patch; give back what the member has in force."""
+
+    def pull(
+        self, member: str, above: patches.Stamp
+    ) -> wording.Unreached | wording.Pulled:
+        """Fetch what a member has above a stamp."""
+
+
+class Stores(NamedTuple):
+    """Hold the connections to the platform, one for each thread."""
+
+    asking: store.Store
+    watching: store.Store
+
+
+class View(NamedTuple):
+    """Show the task to others: what is in force and what is wrong."""
+
+    stamp: patches.Stamp = patches.NO_STAMP
+    faults: tuple[tuple[wording.Fault, str], ...] = ()
+
+
+class Pools(NamedTuple):
+    """Hold the threads that block in calls, by what they call."""
+
+    asking: workers.Workers
+    watching: workers.Workers
+    peers: workers.Workers
+
+
+class Task:
+    """Own the choice of the revision in force on this host."""
+
+    def __init__(
+        self,
+        state: revisions.State,
+        stores: Stores,
+        data_centre: str,
+        sink: Callable[[messages.Configured], None],
+    ) -> None:
+        """Prepare without starting; `run` is for a thread of its own."""
+        self._state = state
+        self._stores = stores
+        self._reader = manifest_reader.Reader(data_centre)
+        self._sink = sink
+        self._inbox: queue.SimpleQueue[wording.Event | None]
+        self._inbox = queue.SimpleQueue()
+        self._draws = random.SystemRandom().random
+        self._view = View()
+        self.exchange: Exchange | None = None
+
+    def post(self, event: wording.Event) -> None:
+        """Hand in an event; any thread may call this."""
+        self._inbox.put(event)
+
+    def stop(self) -> None:
+        """Ask `run` to end."""
+        self._inbox.put(None)
+
+    def view(self) -> View:
+        """Show what is in force; any thread may call this."""
+        return self._view
+
+    def explain(self) -> str | None:
+        """Say why this host cannot serve yet; None where it can."""
+        view = self._view
+        if view.stamp.revision:
+            return None
+        told = '; '.join(f'{fault}: {text}' for fault, text in view.faults)
+        return f'no configuration yet; {told or "asking"}'
+
+    def run(self) -> None:
+        """Serve until stopped."""
+        with contextlib.ExitStack() as stack:
+            pools = Pools(
+                stack.enter_context(_open('ask', 1)),
+                stack.enter_context(_open('watch', 1)),
+                stack.enter_context(_open('peers', PEER_THREADS)),
+            )
+            running = True
+            while running:
+                running = self._turn(pools)
+
+    def _turn(self, pools: Pools) -> bool:
+        try:
+            event = self._inbox.get(timeout=TICK_S)
+        except queue.Empty:
+            event = wording.Ticked()
+        if event is None:
+            return False
+        now = time.monotonic()
+        for happened in (event, wording.Ticked()):
+            state, actions = revisions.handle(
+                self._state, happened, now, self._draws
+            )
+            self._state = state
+            for action in actions:
+                self._act(action, pools)
+        self._view = View(self._state.in_force.stamp, self._state.faults)
+        return True
+
+    def _act(self, action: wording.Action, pools: Pools) -> None:
+        reader, stores = self._reader, self._stores
+        match action:
+            case wording.Read():
+                ask = functools.partial(reader.read, stores.asking)
+                self._ask(pools.asking, ask, wording.Failed(False, 'read'))
+            case wording.Check():
+                ask = functools.partial(reader.check, stores.asking)
+                self._ask(pools.asking, ask, wording.Failed(False, 'check'))
+            case wording.Watch():
+                ask = functools.partial(reader.watch, stores.watching, action)
+                self._ask(pools.watching, ask, wording.Failed(True, 'watch'))
+            case wording.Push() | wording.Pull():
+                self._exchange(action, pools.peers)
+            case wording.Configure():
+                self._sink(messages.Configured(action.stamped.configuration))
+                stamp = action.stamped.stamp
+                logs.info(PART, 'in force', revision=stamp.revision)
+            case wording.Report():
+                _report(action)
+
+    def _exchange(
+        self, action: wording.Push | wording.Pull, peers: workers.Workers
+    ) -> None:
+        exchange = self.exchange
+        if exchange is None:
+            return
+        if isinstance(action, wording.Pull):
+            pull = functools.partial(exchange.pull, *action)
+            self._ask(peers, pull, wording.Unreached(action.member))
+            return
+        for member in action.members:
+            push = functools.partial(exchange.push, member, action.patch)
+            self._ask(peers, push, wording.Unreached(member, action.patch))
+
+    def _ask(
+        self,
+        pool: workers.Workers,
+        ask: Callable[[], wording.Event],
+        lost: wording.Event,
+    ) -> None:
+        """Run a call beside the task; its end is always an event.
+
+        A call that ended in an error of ours without one would stay open in
+        the state for ever, and with it the watch or the check it stands for.
+        """
+
+        def run() -> None:
+            try:
+                event = ask()
+            except Exception as error:
+                logs.error(PART, 'call failed', error=repr(error))
+                event = lost
+            self.post(event)
+
+        pool.ask(run)
+
+
+def _open(
+    name: str, count: int
+) -> contextlib.AbstractContextManager[workers.Workers]:
+    return contextlib.closing(workers.Workers(f'{PART}-{name}', count))
+
+
+def _report(report: wording.Report) -> None:
+    if report.text:
+        logs.error(PART, report.text, fault=report.fault)
+    else:
+        logs.info(PART, 'ended', fault=report.fault)
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -8,11 +8,10 @@
 from typing import Final
 
 from fuchsiahaven.core import addresses, messages, states
-from fuchsiahaven.edge import callers, loop, refresh, requests, store
+from fuchsiahaven.edge import callers, control, loop, requests
 from fuchsiahaven.operate import logs, metrics, settings
 
 PART: Final = 'server'
-REFRESH_S: Final = 1.0
 MILLISECONDS: Final = 1000
 
 
@@ -51,7 +50,7 @@
         signal.signal(number, ask_stop)
     with contextlib.ExitStack() as stack:
         dispatcher = _start_loop(chosen, stack)
-        _start_refresher(chosen, dispatcher, stack)
+        control.start(chosen, dispatcher.post, stack)
         _start_callers(chosen, dispatcher, stack)
         logs.info(PART, 'serving', host=chosen.host.name)
         stop.wait()
@@ -75,20 +74,6 @@
     return dispatcher
 
 
-def _start_refresher(
-    chosen: settings.Settings,
-    dispatcher: loop.Loop,
-    stack: contextlib.ExitStack,
-) -> None:
-    address = addresses.write(chosen.platform.addresses[0])
-    refresher = refresh.Refresher(
-        store.Store(f'http://{address}'),
-        REFRESH_S,
-        lambda found: dispatcher.post(messages.Configured(found)),
-    )
-    stack.callback(refresher.close)
-
-
 def _start_callers(
     chosen: settings.Settings,
     dispatcher: loop.Loop,
--- /dev/null
+++ b/fuchsiahaven/edge/workers.py
@@ -0,0 +1,37 @@
+"""Run blocking calls in threads of their own, beside the task that asks."""
+
+import queue
+import threading
+from collections.abc import Callable
+
+Job = Callable[[], None]
+
+
+class Workers:
+    """Own threads that run jobs in the order in which they are asked for.
+
+    The threads never keep a process alive: a call that waits for an answer
+    ends with the process, and nothing is lost by it.
+    """
+
+    def __init__(self, name: str, count: int) -> None:
+        """Start the threads."""
+        self._jobs: queue.SimpleQueue[Job | None] = queue.SimpleQueue()
+        self._count = count
+        for number in range(count):
+            threading.Thread(
+                target=self._run, name=f'{name}-{number}', daemon=True
+            ).start()
+
+    def ask(self, job: Job) -> None:
+        """Run a job as soon as a thread is free."""
+        self._jobs.put(job)
+
+    def close(self) -> None:
+        """Let each thread end after the job that it runs."""
+        for _ in range(self._count):
+            self._jobs.put(None)
+
+    def _run(self) -> None:
+        while (job := self._jobs.get()) is not None:
+            job()
--- a/fuchsiahaven/operate/settings.py
+++ b/fuchsiahaven/operate/settings.py
@@ -98,7 +98,7 @@
 
     addresses: Addresses
     timeout_ms: Milliseconds = 500
-    watch_s: Seconds = 30.0
+    watch_s: Seconds = 10.0
     host_list_interval_s: Seconds = 5.0
     tls_certificate: Path | None = None
     tls_key: Path | None = None
--- /dev/null
+++ b/tests/core/test_patches.py
@@ -0,0 +1,63 @@
+"""Check that patches lead exactly from one configuration to another."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fuchsiahaven.core import configurations, patches
+
+NAMES = st.sampled_from(('a', 'b', 'c'))
+TARGETS = st.builds(
+    configurations.Target, NAMES, st.sampled_from(('1:1', '2:2')), NAMES
+)
+GROUPS = st.builds(
+    configurations.Group,
+    NAMES,
+    st.just(()),
+    st.lists(TARGETS, unique_by=lambda target: target.name).map(tuple),
+    st.integers(1, 2),
+)
+SELECTORS = st.builds(configurations.Selector, NAMES, NAMES, st.just('x=y'))
+
+
+def unique(items: st.SearchStrategy[object]) -> st.SearchStrategy[object]:
+    """Draw items of which no two have one name."""
+    return st.lists(
+        items,
+        unique_by=lambda item: item.name,  # type: ignore[attr-defined]
+    ).map(tuple)
+
+
+CONFIGURATIONS = st.builds(
+    configurations.Configuration,
+    st.integers(1, 9),
+    unique(GROUPS),
+    unique(SELECTORS),
+    unique(st.builds(configurations.RequestClass, NAMES, st.just(9))),
+)
+
+
+@given(CONFIGURATIONS, CONFIGURATIONS)
+def test_a_patch_leads_from_one_to_the_other(
+    one: configurations.Configuration, other: configurations.Configuration
+) -> None:
+    """Give the other's stamp, and nothing for any other base."""
+    old, new = patches.stamp(one), patches.stamp(other)
+    patch = patches.diff(old, new)
+    patched = patches.apply(patch, old)
+    assert patched is not None
+    assert patched.stamp == patches.stamp(patched.configuration).stamp
+    assert patched.stamp == new.stamp
+    if old.stamp != new.stamp:
+        assert patches.apply(patch, new) is None
+
+
+@given(CONFIGURATIONS)
+def test_a_patch_whose_content_is_forged_is_refused(
+    one: configurations.Configuration,
+) -> None:
+    """Refuse a patch that does not give the content of its digest."""
+    patch = patches.diff(patches.NOTHING, patches.stamp(one))
+    extra = configurations.Group('forged', (), ())
+    changed = patch.changed._replace(groups=(*patch.changed.groups, extra))
+    forged = patch._replace(changed=changed)
+    assert patches.apply(forged, patches.NOTHING) is None
