Wait for an answer as long as the command says

Cause: the first argument of urllib3's Timeout is the total time, and it was given the limit on connecting, so every answer after 2 s was given up as "outcome unknown". Seen when the demo asked a host that did not answer. Ruled out: the host's own limits (the text of the error named 1.9996 s). Log lines of urllib3 below a warning are left out: at debug they buried the program's own.

--- a/fuchsiahaven/operate/exchanges.py
+++ b/fuchsiahaven/operate/exchanges.py
@@ -48,13 +48,19 @@
                 url,
                 body=None if body is None else json.dumps(body),
                 headers=JSON_TYPE,
-                timeout=urllib3.Timeout(CONNECT_TIMEOUT_S, timeout_s),
+                timeout=limit_time(timeout_s),
             )
         except urllib3.exceptions.HTTPError as error:
             return Silent(str(error), sent=not _is_unsent(error))
     return _read(response)
 
 
+def limit_time(timeout_s: float) -> urllib3.Timeout:
+    """Bound the whole exchange, and the connecting more tightly."""
+    connect_s = min(CONNECT_TIMEOUT_S, timeout_s)
+    return urllib3.Timeout(total=timeout_s, connect=connect_s)
+
+
 def _is_unsent(error: urllib3.exceptions.HTTPError) -> bool:
     return isinstance(
         error,
--- a/fuchsiahaven/operate/logs.py
+++ b/fuchsiahaven/operate/logs.py
@@ -74,6 +74,9 @@
     flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(LEVELS[chosen.verbosity])
+    # At debug urllib3 tells every call in several lines, which would bury
+    # what this program tells.
+    standard.getLogger('urllib3').setLevel(standard.WARNING)
     formatter = JsonFormatter() if chosen.json else TextFormatter()
     handler = logging.get_absl_handler()
     handler.setFormatter(formatter)
