--- a/bench/demo.py
+++ b/bench/demo.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
+import urllib3
+
 from fuchsiahaven.core import addresses
 from fuchsiahaven.operate import command_query, exchanges
 
@@ -24,6 +26,7 @@
 PLATFORM_PORT: Final = 290
 CALLER_PORT: Final = 291
 PEER_PORT: Final = 292
+HTTP_OK: Final = 200
 START_S: Final = 20.0
 PAUSE_S: Final = 0.1
 STOP_S: Final = 10.0
@@ -188,12 +191,19 @@
 def _wait_ready(host: Host) -> bool:
     until = time.monotonic() + START_S
     while time.monotonic() < until and host.process.poll() is None:
-        told = exchanges.ask(host.address, 'GET', '/readyz')
-        if isinstance(told, exchanges.Told) and told.status == 200:
+        if _is_ready(host):
             return True
         time.sleep(PAUSE_S)
     return False
 
 
+def _is_ready(host: Host) -> bool:
+    url = f'http://{addresses.write(host.address)}/readyz'
+    try:
+        return urllib3.request('GET', url, retries=False).status == HTTP_OK
+    except urllib3.exceptions.HTTPError:
+        return False
+
+
 if __name__ == '__main__':
     sys.exit(main())
