--- /dev/null
+++ b/tests/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Test what builds and checks the project."""
