Refuse one port for two listeners of a host

Cause: several processes of a host share its ports, so a second listener on a port does not fail at start; connections are dealt to both. Change: a fault that names the other section; the test is one case more.

--- a/fuchsiahaven/operate/settings_reader.py
+++ b/fuchsiahaven/operate/settings_reader.py
@@ -74,6 +74,7 @@
         return Reading(None, tuple(faults))
     complete = settings.Settings(**values)
     faults.extend(_find_tls_faults(complete))
+    faults.extend(_find_shared_ports(complete))
     return Reading(None if faults else complete, tuple(faults))
 
 
@@ -255,6 +256,24 @@
         yield Fault('peers', names, '', 'files, or allow_plain = yes')
 
 
+def _find_shared_ports(complete: settings.Settings) -> Iterator[Fault]:
+    """Find ports of one host that are the same.
+
+    With several processes on one port the second listener would not fail: the
+    system would deal it every other connection, and callers would now and
+    then reach the peer port.
+    """
+    taken: dict[addresses.Address, str] = {}
+    for name in ('callers', 'peers', 'metrics'):
+        address = getattr(complete, name).address
+        if address is None:
+            continue
+        other = taken.setdefault(address, name)
+        if other != name:
+            wanted = f'another address than that of [{other}]'
+            yield Fault(name, 'address', addresses.write(address), wanted)
+
+
 def _find_missing_files(complete: settings.Settings) -> Iterator[Fault]:
     for name, section in complete._asdict().items():
         for key in settings.FILE_KEYS:
--- a/tests/operate/test_settings_reader.py
+++ b/tests/operate/test_settings_reader.py
@@ -83,10 +83,11 @@
     [
         ('allow_plain = yes', '', 'tls_authority, tls_certificate, tls_key'),
         ('[limits]', '[targets]\ntls_key = k\n[limits]', 'tls_certificate'),
+        ('[limits]', '[metrics]\naddress = 10.0.0.2:8201\n[limits]', 'address'),
     ],
 )
-def test_half_an_identity_is_refused(old: str, new: str, key: str) -> None:
-    """Refuse peers without TLS that nobody allowed, and a key alone."""
+def test_settings_that_clash_are_refused(old: str, new: str, key: str) -> None:
+    """Refuse peers without TLS unasked, a key alone, one port for two."""
     faults = settings_reader.read_text(WHOLE.replace(old, new)).faults
     assert [fault.key for fault in faults] == [key]
 
