Let the list of known red tests exist

Cause: `make unit` failed with "unrecognized arguments" as soon as KNOWN-RED.txt existed. Given as a second word, an existing file is taken for the tests to run before tests/conftest.py declares the option. Ruled out: declaring the option in a plugin of its own (it needs the clone on the path before pytest sets that). Change: the option is one word.

--- a/Makefile
+++ b/Makefile
@@ -26,14 +26,17 @@
 type: setup
 	$(BIN)/mypy
 
+# One word, with the equals sign: before pytest has read tests/conftest.py it
+# would take a file named by a second word for the tests to run.
 unit: setup
-	$(BIN)/python -m pytest --known-red KNOWN-RED.txt
+	$(BIN)/python -m pytest --known-red=KNOWN-RED.txt
 
 test: format-check lint type unit
 
 build: setup
 	$(BIN)/python tools/build_archive.py dist/fuchsiahaven
-	$(PYTHON) dist/fuchsiahaven --version
+	$(PYTHON) -I -S tools/check_archive.py dist/fuchsiahaven
+	$(PYTHON) -I -S dist/fuchsiahaven --version
 
 demo: setup
 	$(BIN)/python -m bench.demo
