Let a watch at the platform wait its time

Cause: the limit on connecting was the first argument of urllib3's Timeout, which bounds the whole call, so each watch failed after 0.5 s ("Read timed out") and the host started it again. `make demo` showed it in its log. Ruled out: the stand-in (it holds a watch back as the protocol says) and the settings (the read limit was the wanted one). Change: both limits by name; a test, red before. No other call in the repository passes these limits by position.

--- a/fuchsiahaven/edge/store.py
+++ b/fuchsiahaven/edge/store.py
@@ -275,7 +275,10 @@
             headers=_headers(body),
             retries=False,
             redirect=False,
-            timeout=urllib3.Timeout(self._limits.connect_s, read_s),
+            # By name: the first argument would bound the whole call.
+            timeout=urllib3.Timeout(
+                connect=self._limits.connect_s, read=read_s
+            ),
             preload_content=False,
             decode_content=False,
         )
--- a/tests/edge/test_store.py
+++ b/tests/edge/test_store.py
@@ -4,8 +4,10 @@
 import socket
 import threading
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
+import urllib3
 
 from fuchsiahaven.core import messages, rates
 from fuchsiahaven.edge import hostlist, store
@@ -127,3 +129,31 @@
         leaving=frozenset(('t1',)), live=frozenset()
     )
     assert [host.name for host in listing.entries] == ['e1']
+
+
+def test_a_watch_may_wait_longer_than_a_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Give a waiting watch its time, and only connecting the short limit.
+
+    Symptom: each watch fails after half a second, and a host asks the
+    platform for the whole configuration again and again. Sequence: nothing
+    changes, so the platform rightly holds its answer back. Cause: the limit
+    on connecting was given as the limit on the whole call.
+    """
+    calls: list[urllib3.Timeout] = []
+    unwatched = urllib3.HTTPConnectionPool.urlopen
+
+    def note(
+        pool: urllib3.HTTPConnectionPool, *words: Any, **options: Any
+    ) -> urllib3.BaseHTTPResponse:
+        calls.append(options['timeout'])
+        return unwatched(pool, *words, **options)
+
+    monkeypatch.setattr(urllib3.HTTPConnectionPool, 'urlopen', note)
+    with open_store(b'HTTP/1.1 204 No Content\r\n\r\n') as platform:
+        assert platform.watch('k', 1, 30) is None
+    (limit,) = calls
+    assert limit.total is None
+    assert limit.connect_timeout == store.DEFAULT_LIMITS.connect_s
+    assert limit.read_timeout == store.DEFAULT_LIMITS.read_s + 30
