--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -74,7 +74,7 @@
     run.add_argument(
         '--deployment', choices=tuple(layouts.SERVICES), default='santiago'
     )
-    run.add_argument('--policy', default='standard')
+    run.add_argument('--policy', default='', help="or the program's own")
     run.add_argument('--against', help='another policy, run by turns')
     run.add_argument('--seconds', type=float, default=20)
     run.add_argument('--rate', type=float, default=40, help='requests a second')
--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -39,15 +39,19 @@
 [limits]
 balancer_lag_s = 1
 drain_s = 10
-[policy]
-name = {policy}
 [logs]
 verbosity = warning
 """
 
 
+POLICY: Final = """
+[policy]
+name = {}
+"""
+
+
 class Plan(NamedTuple):
-    """Hold what a world is made of."""
+    """Hold what a world is made of; no policy is the program's own."""
 
     deployment: str
     policy: str
@@ -165,8 +169,9 @@
             peer=peers + number,
             seeds=', '.join(f'127.0.0.1:{seed}' for seed in seeds),
             platform=self.platform_ports[index],
-            policy=plan.policy,
         )
+        if plan.policy:
+            text += POLICY.format(plan.policy)
         host.settings.write_text(text, encoding='utf-8')
         return host
 
