--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -50,10 +50,10 @@
     scenario = scenarios.SCENARIOS[options.scenario]
     plan = worlds.Plan(
         options.deployment,
+        options.first_port or next(worlds.find_free_ports()),
         policy,
         options.hosts,
         scenario.data_centres,
-        options.first_port,
     )
     seed = options.seed + number
     order = runs.Order(scenario, plan, options.seconds, options.rate, seed)
@@ -81,7 +81,7 @@
     run.add_argument('--rounds', type=int, default=1)
     run.add_argument('--seed', type=int, default=1)
     run.add_argument('--hosts', type=int, default=2, help='per data centre')
-    run.add_argument('--first-port', type=int, default=21_000)
+    run.add_argument('--first-port', type=int, help='or a free range')
     run.add_argument('--json', help='a file for the figures of each turn')
     return parser.parse_args()
 
--- a/bench/callers.py
+++ b/bench/callers.py
@@ -39,7 +39,7 @@
         """Wait until every host says it is ready."""
         limit = time.monotonic() + START_S
         while not await self._probe():
-            assert time.monotonic() < limit, 'the hosts did not get ready'
+            assert time.monotonic() < limit, self._world.read_logs()
             await asyncio.sleep(BALANCER_S / 5)
 
     async def _probe(self) -> bool:
--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -5,20 +5,25 @@
 
 import contextlib
 import os
+import socket
 import subprocess  # noqa: S404
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Final, NamedTuple, TextIO
 
 from bench import records
-from standins import layouts
-
-# Where each kind of port lies above the first one.
-PLATFORM: Final = 900
-CALLERS: Final = 920
-PEERS: Final = 940
+from standins import layouts, wire
+
+FIRST_RANGE: Final = 21_000
+LAST_RANGE: Final = 30_000
+RANGE: Final = 400
+# Where each kind of port lies in a range.
+PLATFORM: Final = 350
+CALLERS: Final = 360
+PEERS: Final = 380
 FLEETS: Final = 3
 END_S: Final = 15.0
 TICKS: Final = os.sysconf('SC_CLK_TCK')
@@ -54,10 +59,10 @@
     """Hold what a world is made of; no policy is the program's own."""
 
     deployment: str
-    policy: str
+    first_port: int
+    policy: str = ''
     hosts: int = 2
     data_centres: int = 1
-    first_port: int = 21_000
 
 
 class Host(NamedTuple):
@@ -105,6 +110,11 @@
         """Wait until a host's process has ended."""
         self._running[host.name].wait()
 
+    def read_logs(self) -> str:
+        """Read what the processes have logged."""
+        paths = sorted(self._folder.glob('*.log'))
+        return '\n'.join(path.read_text(encoding='utf-8') for path in paths)
+
     def measure(self) -> records.Usage:
         """Measure what the processes have used so far."""
         running = tuple(self._running.values())
@@ -191,6 +201,23 @@
         return process
 
 
+def find_free_ports() -> Iterator[int]:
+    """Find the first ports of ranges that nothing uses."""
+    return filter(_is_free, range(FIRST_RANGE, LAST_RANGE, RANGE))
+
+
+def _is_free(first: int) -> bool:
+    for port in range(first, first + RANGE):
+        with socket.socket() as probe:
+            # What closed a moment ago may be bound again, as servers do.
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((wire.LOOPBACK, port))
+            except OSError:
+                return False
+    return True
+
+
 def _end(process: subprocess.Popen[str]) -> None:
     process.terminate()
     try:
