Stop without cutting a request, count for the metrics, prove connections

A planned stop tells the balancer through readyz, answers on for its lag, then refuses new work as not run and gives what runs its time; replies ask callers to close their connections meanwhile. Settings choose the policy by name. A request that runs at most once goes out only on a connection that has answered before: a target past its cap closes a new one unread, which looks like a lost answer, and its outcome would have to be told as unknown.

--- a/fuchsiahaven/edge/callers.py
+++ b/fuchsiahaven/edge/callers.py
@@ -42,12 +42,18 @@
     def find_obstacle(self) -> str:
         """Say why no new work should come here; empty if it may."""
 
+    def is_leaving(self) -> bool:
+        """Tell whether the planned stop has begun."""
+
     def write_metrics(self) -> bytes:
         """Write the metrics."""
 
     def note_reply(self, query: messages.Query, reply: messages.Reply) -> None:
         """Count a reply."""
 
+    def note_refusal(self, kind: errors.Kind) -> None:
+        """Count a request that was refused before it became a query."""
+
 
 class Application:
     """Answer requests of callers, each with exactly one reply."""
@@ -66,6 +72,10 @@
             ('Content-Type', kind),
             ('Content-Length', str(len(written.body))),
         ]
+        if self._host.is_leaving():
+            # A caller that went on to use this connection would have its
+            # next request cut when the port closes.
+            headers.append(('Connection', 'close'))
         if written.retry_after is not None:
             headers.append(('Retry-After', str(written.retry_after)))
         status = http.HTTPStatus(written.status)
@@ -99,6 +109,7 @@
             )
             query = requests.read_query(body, bounds.request, _mint, arrived)
         except requests.Refusal as refusal:
+            self._host.note_refusal(refusal.failure.kind)
             return answers.write_failure(refusal.request_id, refusal.failure)
         reply = self._wait(query)
         self._host.note_reply(query, reply)
--- a/fuchsiahaven/edge/connectors.py
+++ b/fuchsiahaven/edge/connectors.py
@@ -76,7 +76,7 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             connection.close()
             return Unopened(address, str(error))
-        connection.sock.setblocking(False)  # noqa: WPS425
+        connection.sock.settimeout(0)
         return Opened(address, connection)
 
     def _prepare(self, address: str) -> urllib3.connection.HTTPConnection:
--- a/fuchsiahaven/edge/exchanges.py
+++ b/fuchsiahaven/edge/exchanges.py
@@ -35,6 +35,17 @@
     return now < exchange.expires
 
 
+def needs_proof(exchange: Exchange) -> bool:
+    """Tell whether this must not be the first request on its connection.
+
+    A target past its cap closes a new connection unread, which looks like
+    any other loss: a request that runs at most once would end with its
+    outcome unknown although it was never read.
+    """
+    action = exchange.action
+    return isinstance(action, messages.Send) and action.request.at_most_once
+
+
 def read_frame(
     exchange: Exchange, frame: frames.Frame
 ) -> messages.Event | None:
--- a/fuchsiahaven/edge/fleets.py
+++ b/fuchsiahaven/edge/fleets.py
@@ -12,10 +12,9 @@
 class Fleet:
     """Own all pools; the dispatch loop's thread alone may call this."""
 
-    def __init__(self, shop: pools.Shop, probe_s: float) -> None:
+    def __init__(self, shop: pools.Shop) -> None:
         """Start without a target."""
         self._shop = shop
-        self._probe_s = probe_s
         self._pools: dict[str, pools.Pool] = {}
         self._address_of: dict[str, str] = {}
 
@@ -27,8 +26,7 @@
 
     def probe(self, action: messages.Probe, now: float) -> None:
         """Ask a target for its health."""
-        exchange = exchanges.Exchange(action, now + self._probe_s)
-        self._find(action.target).place(exchange, now)
+        self._find(action.target).probe(None, now)
 
     def allot(self, action: messages.Allot) -> None:
         """Bound the connections to a target."""
@@ -38,7 +36,7 @@
         """Cancel a sub-request; its own end is still reported."""
         address = self._address_of.get(action.target)
         if address is not None:
-            exchange = exchanges.Exchange(action, now + self._probe_s)
+            exchange = exchanges.Exchange(action, now + self._shop.probe_s)
             self._pools[address].cancel(exchange, now)
 
     def take(self, outcome: connectors.Outcome, now: float) -> None:
@@ -50,6 +48,10 @@
         for pool in self._pools.values():
             pool.sweep(now)
 
+    def count_links(self) -> int:
+        """Count the open connections."""
+        return sum(len(pool.links) for pool in self._pools.values())
+
     def close(self) -> None:
         """Close every connection."""
         for pool in self._pools.values():
@@ -58,7 +60,7 @@
     def _find(self, target: configurations.Target) -> pools.Pool:
         pool = self._pools.get(target.address)
         if pool is None:
-            pool = pools.Pool(target.address, self._shop)
+            pool = pools.Pool(target, self._shop)
             self._pools[target.address] = pool
         self._address_of[target.name] = target.address
         return pool
--- a/fuchsiahaven/edge/frames.py
+++ b/fuchsiahaven/edge/frames.py
@@ -13,6 +13,8 @@
 
 import urllib3.connection
 
+from fuchsiahaven.core import messages
+
 HEAD_LIMIT: Final = 16_384
 END_OF_HEAD: Final = b'\r\n\r\n'
 END_OF_CHUNKS: Final = b'0\r\n\r\n'
@@ -40,12 +42,14 @@
 
 
 class FrameError(Exception):
-    """Report bytes that are no answer; `too_large` for one past its bound."""
+    """Report bytes that are no answer, and which fault that is."""
 
-    def __init__(self, text: str, *, too_large: bool = False) -> None:
-        """Keep whether the bound was the reason."""
+    def __init__(
+        self, text: str, fault: messages.Fault = messages.Fault.MALFORMED
+    ) -> None:
+        """Keep the fault."""
         super().__init__(text)
-        self.too_large = too_large
+        self.fault = fault
 
 
 class _Recorder:
@@ -100,14 +104,14 @@
     end = data.find(END_OF_HEAD)
     if end < 0:
         if len(data) > HEAD_LIMIT:
-            raise FrameError('the head is too long', too_large=True)
+            raise FrameError('the head is too long', messages.Fault.TOO_LARGE)
         return None
     start = end + len(END_OF_HEAD)
     head = _parse_head(bytes(data[:start]))
     if head.length is None:
         return _join_chunks(data, start, head, limit)
     if head.length > limit:
-        raise FrameError('the body is too long', too_large=True)
+        raise FrameError('the body is too long', messages.Fault.TOO_LARGE)
     size = start + head.length
     if len(data) < size:
         return None
@@ -136,7 +140,7 @@
     data: bytes | bytearray, start: int, head: Head, limit: int
 ) -> Frame | None:
     if len(data) - start > 2 * limit:
-        raise FrameError('the body is too long', too_large=True)
+        raise FrameError('the body is too long', messages.Fault.TOO_LARGE)
     if not data.endswith(END_OF_CHUNKS):
         return None
     answer = _begin(bytes(data))
@@ -148,7 +152,7 @@
     except (http.client.HTTPException, ValueError) as error:
         raise FrameError(str(error)) from error
     if len(body) > limit:
-        raise FrameError('the body is too long', too_large=True)
+        raise FrameError('the body is too long', messages.Fault.TOO_LARGE)
     return Frame(head.status, body, head.closes)
 
 
--- a/fuchsiahaven/edge/loop.py
+++ b/fuchsiahaven/edge/loop.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import dispatch, messages, states
+from fuchsiahaven.core import dispatch, messages, states, tables
 from fuchsiahaven.edge import connectors, fleets, links, pools
 
 SWEEP_S: Final = 0.05
@@ -36,6 +36,22 @@
 Message = Asked | Closed | connectors.Outcome | messages.Event
 
 
+class Sample(NamedTuple):
+    """Show the loop to other threads, as it was a moment ago.
+
+    `obstacle` says why no new work should come here; empty if it may.
+    `unanswered` counts the queries that have yet to get their reply.
+    """
+
+    obstacle: str
+    revision: int
+    unanswered: int
+    queued: int
+    in_flight: int
+    connections: int
+    counts: collections.Counter[tables.Count]
+
+
 class Settings(NamedTuple):
     """Bound what the loop does with targets."""
 
@@ -54,8 +70,7 @@
         claim: Callable[[ClaimAction], None],
     ) -> None:
         """Prepare without starting; `run` is for a thread of its own."""
-        #: Why no new work should come here, for other threads to read.
-        self.obstacle = 'starting'
+        self.sample = Sample('starting', 0, 0, 0, 0, 0, collections.Counter())
         self._state = state
         self._claim = claim
         self._settings = settings
@@ -71,7 +86,7 @@
         self._bell = pair[0]
         self._ringer = pair[1]
         for end in pair:
-            end.setblocking(False)  # noqa: WPS425
+            end.settimeout(0)
         self._selector.register(self._bell, selectors.EVENT_READ, None)
 
     def post(self, message: Message) -> None:
@@ -96,8 +111,9 @@
                 opener.ask,
                 self._report,
                 self._settings.answer_bytes,
+                self._settings.probe_s,
             )
-            fleet = fleets.Fleet(shop, self._settings.probe_s)
+            fleet = fleets.Fleet(shop)
             stack.callback(fleet.close)
             while not self._closing:
                 self._turn(fleet)
@@ -118,10 +134,22 @@
         self._handle(messages.Ticked(), fleet, now)
         if now - self._swept >= SWEEP_S:
             self._swept = now
-            self.obstacle = dispatch.find_obstacle(self._state)
             fleet.sweep(now)
+            self.sample = self._sample(fleet)
         self._drain(fleet, now)
 
+    def _sample(self, fleet: fleets.Fleet) -> Sample:
+        known = self._state.tables
+        return Sample(
+            dispatch.find_obstacle(self._state),
+            self._state.configuration.revision,
+            len(self._replies),
+            len(known.waiting),
+            len(known.flying),
+            fleet.count_links(),
+            collections.Counter(known.counts),
+        )
+
     def _wait(self) -> float:
         wake = dispatch.next_wake(self._state)
         if wake is None:
--- a/fuchsiahaven/edge/pools.py
+++ b/fuchsiahaven/edge/pools.py
@@ -6,10 +6,10 @@
 
 import collections
 import selectors
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core import configurations, messages
 from fuchsiahaven.edge import connectors, exchanges, frames, links
 
 DEFAULT_SEATS: Final = 3
@@ -28,14 +28,15 @@
     ask: Callable[[str], None]
     report: Callable[[messages.Event | None], None]
     answer_bytes: int
+    probe_s: float
 
 
 class Pool:
     """Own the connections to one target."""
 
-    def __init__(self, address: str, shop: Shop) -> None:
+    def __init__(self, target: configurations.Target, shop: Shop) -> None:
         """Start without a connection."""
-        self.address = address
+        self.target = target
         self.seats = DEFAULT_SEATS
         self.links: set[links.Link] = set()
         self._shop = shop
@@ -48,7 +49,13 @@
     def place(self, exchange: exchanges.Exchange, now: float) -> None:
         """Send at once where a connection is idle, or else when one is."""
         while self._idle:
-            if self._start(self._idle.pop(), exchange, now):
+            link = self._idle.pop()
+            if exchanges.needs_proof(exchange) and not link.answered:
+                # It goes out once the connection has answered a probe.
+                self._queue.append(exchange)
+                self.probe(link, now)
+                return
+            if self._start(link, exchange, now):
                 return
         if not self.links and now < self._closed_until:
             reason = messages.RefusalReason.NO_CONNECTION
@@ -57,6 +64,15 @@
         self._queue.append(exchange)
         self._open_more(now)
 
+    def probe(self, link: links.Link | None, now: float) -> None:
+        """Ask for a health report, over one connection or any."""
+        action = messages.Probe(self.target)
+        exchange = exchanges.Exchange(action, now + self._shop.probe_s)
+        if link is None:
+            self.place(exchange, now)
+        elif not self._start(link, exchange, now):
+            self._open_more(now)
+
     def cancel(self, cancel: exchanges.Exchange, now: float) -> None:
         """Cancel a sub-request, or close its connection where none is idle."""
         assert isinstance(cancel.action, messages.Cancel)
@@ -85,6 +101,7 @@
                 self._shop.selector.register(
                     link.sock, selectors.EVENT_READ, (self, link)
                 )
+                self._shop.report(_count(self.target.name, self.links))
                 self._release(link, now)
             case connectors.Unopened():
                 self._back_off(now)
@@ -92,12 +109,13 @@
     def serve(self, link: links.Link, mask: int, now: float) -> None:
         """Send and receive what a connection is ready for."""
         try:
-            frame = self._exchange_bytes(link, mask)
+            if mask & selectors.EVENT_WRITE:
+                link.push()
+                mask = BOTH if link.rest else selectors.EVENT_READ
+                self._shop.selector.modify(link.sock, mask, (self, link))
+            frame = link.pull(self._shop.answer_bytes)
         except frames.FrameError as error:
-            fault = messages.Fault.MALFORMED
-            if error.too_large:
-                fault = messages.Fault.TOO_LARGE
-            self._drop(link, fault, now)
+            self._drop(link, error.fault, now)
         except links.LinkError:
             if not link.answered:
                 # A target past its cap closes what is new unread.
@@ -130,7 +148,7 @@
             return
         if len(self.links) + self._opening < self.seats:
             self._opening += 1
-            self._shop.ask(self.address)
+            self._shop.ask(self.target.address)
 
     def _start(
         self, link: links.Link, exchange: exchanges.Exchange, now: float
@@ -141,6 +159,9 @@
             reason = messages.RefusalReason.DEADLINE
             self._shop.report(exchanges.refuse(exchange, reason))
             return True
+        if exchanges.needs_proof(exchange) and not link.is_open():
+            self._discard(link)
+            return False
         try:
             link.start(exchange, exchanges.write_payload(exchange, now))
         except links.LinkError:
@@ -151,17 +172,6 @@
             self._shop.selector.modify(link.sock, BOTH, (self, link))
         return True
 
-    def _exchange_bytes(
-        self, link: links.Link, mask: int
-    ) -> frames.Frame | None:
-        if mask & selectors.EVENT_WRITE:
-            link.push()
-            if not link.rest:
-                self._shop.selector.modify(
-                    link.sock, selectors.EVENT_READ, (self, link)
-                )
-        return link.pull(self._shop.answer_bytes)
-
     def _take_frame(
         self, link: links.Link, frame: frames.Frame, now: float
     ) -> None:
@@ -199,6 +209,7 @@
         self.links.discard(link)
         if link in self._idle:
             self._idle.remove(link)
+        self._shop.report(_count(self.target.name, self.links))
 
     def _back_off(self, now: float) -> None:
         pause = min(LONGEST_BACK_OFF_S, BACK_OFF_S * 2**self._failures)
@@ -231,3 +242,10 @@
             reason = messages.RefusalReason.CANCELLED
             return exchanges.refuse(exchange, reason)
     return None
+
+
+def _count(
+    name: str, owned: Collection[links.Link]
+) -> messages.ConnectionsChanged:
+    idle = sum(1 for link in owned if link.exchange is None)
+    return messages.ConnectionsChanged(name, len(owned), idle)
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -4,24 +4,29 @@
 import random
 import signal
 import threading
+import time
 import types
 from typing import Final
 
-from fuchsiahaven.core import addresses, messages, states
-from fuchsiahaven.edge import callers, control, loop, requests
-from fuchsiahaven.operate import logs, metrics, settings
+from fuchsiahaven.core import addresses, messages, policies, states
+from fuchsiahaven.edge import callers, control, loop, meters, requests
+from fuchsiahaven.operate import logs, settings
 
 PART: Final = 'server'
 MILLISECONDS: Final = 1000
+DRAIN_CHECK_S: Final = 0.05
 
 
 class Host:
-    """Join the caller port to the dispatch loop."""
+    """Join the caller port to the other tasks of this process."""
 
     def __init__(self, dispatcher: loop.Loop) -> None:
         """Hand queries to a loop."""
         self._loop = dispatcher
-        self._metrics = metrics.build_metrics()
+        self._leaving = threading.Event()
+        self._meters = meters.Meters()
+        self.note_reply = self._meters.note_reply
+        self.note_refusal = self._meters.note_refusal
 
     def ask(self, query: messages.Query, reply_to: loop.ReplyQueue) -> None:
         """Hand a query over; its one reply goes to the queue."""
@@ -29,32 +34,61 @@
 
     def find_obstacle(self) -> str:
         """Say why no new work should come here; empty if it may."""
-        return self._loop.obstacle
+        return 'stopping' if self.is_leaving() else self._loop.sample.obstacle
+
+    def is_leaving(self) -> bool:
+        """Tell whether the planned stop has begun."""
+        return self._leaving.is_set()
+
+    def leave(self) -> None:
+        """Begin the planned stop."""
+        self._leaving.set()
 
     def write_metrics(self) -> bytes:
         """Write the metrics."""
-        return metrics.write_metrics(self._metrics)
-
-    def note_reply(self, query: messages.Query, reply: messages.Reply) -> None:
-        """Count a reply."""
+        return self._meters.write(self._loop.sample)
 
 
 def serve(chosen: settings.Settings) -> None:
-    """Serve until a signal asks for the planned stop."""
-    stop = threading.Event()
+    """Serve until a signal asks for the planned stop, then make it."""
+    asked = threading.Event()
 
     def ask_stop(number: int, frame: types.FrameType | None) -> None:
-        stop.set()
+        asked.set()
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, ask_stop)
     with contextlib.ExitStack() as stack:
         dispatcher = _start_loop(chosen, stack)
         control.start(chosen, dispatcher.post, stack)
-        _start_callers(chosen, dispatcher, stack)
+        host = Host(dispatcher)
+        _start_callers(chosen, host, stack)
         logs.info(PART, 'serving', host=chosen.host.name)
-        stop.wait()
-        logs.info(PART, 'stopping', host=chosen.host.name)
+        asked.wait()
+        _stop(chosen.limits, host, dispatcher)
+
+
+def _stop(limits: settings.Limits, host: Host, dispatcher: loop.Loop) -> None:
+    """Stop without cutting a request.
+
+    The balancer goes on sending for its lag after it has been told; what it
+    sends in that time is answered as ever. Only then is new work refused,
+    as not run, and what runs is given time to end.
+    """
+    logs.info(PART, 'leaving', lag_s=limits.balancer_lag_s)
+    host.leave()
+    time.sleep(limits.balancer_lag_s)
+    dispatcher.post(messages.StopAsked())
+    give_up = time.monotonic() + limits.drain_s
+    while _count_unanswered(dispatcher) and time.monotonic() < give_up:
+        time.sleep(DRAIN_CHECK_S)
+    logs.info(PART, 'stopped', unanswered=_count_unanswered(dispatcher))
+
+
+def _count_unanswered(dispatcher: loop.Loop) -> int:
+    # Before the loop has taken note of the stop, its figure is of before.
+    sample = dispatcher.sample
+    return sample.unanswered or int(sample.obstacle != 'stopping')
 
 
 def _start_loop(
@@ -65,7 +99,11 @@
         chosen.targets.probe_timeout_ms / MILLISECONDS,
         chosen.targets.connect_timeout_ms / MILLISECONDS,
     )
-    state = states.start(chosen.host.data_centre, random.random)
+    state = states.start(
+        chosen.host.data_centre,
+        random.random,
+        policies.POLICIES[chosen.policy.name],
+    )
     dispatcher = loop.Loop(state, bounds, _ignore)
     thread = threading.Thread(target=dispatcher.run, name='loop')
     thread.start()
@@ -76,7 +114,7 @@
 
 def _start_callers(
     chosen: settings.Settings,
-    dispatcher: loop.Loop,
+    host: Host,
     stack: contextlib.ExitStack,
 ) -> None:
     limits = chosen.callers
@@ -95,7 +133,7 @@
         limits.idle_timeout_s,
         shared=chosen.host.processes > 1,
     )
-    application = callers.Application(Host(dispatcher), bounds)
+    application = callers.Application(host, bounds)
     server = callers.make_server(application, port)
     server.prepare()
     thread = threading.Thread(target=server.serve, name='callers')
--- a/fuchsiahaven/operate/settings.py
+++ b/fuchsiahaven/operate/settings.py
@@ -130,6 +130,19 @@
     drain_s: Seconds = 30.0
 
 
+class PolicyName(enum.StrEnum):
+    """List the bundles of decisions; all but the first are to compare with."""
+
+    STANDARD = 'standard'
+    BASELINE = 'baseline'
+
+
+class Policy(NamedTuple):
+    """Choose a bundle of decisions."""
+
+    name: PolicyName = PolicyName.STANDARD
+
+
 class Logs(NamedTuple):
     """Say what is logged, and whether as lines of JSON."""
 
@@ -147,6 +160,7 @@
     metrics: Metrics = Metrics()
     targets: Targets = Targets()
     limits: Limits = Limits()
+    policy: Policy = Policy()
     logs: Logs = Logs()
 
 
