Let a target's latency estimate fade with age

Cause: an estimate that halved each second sent work back to a straggler every few seconds, and one that was not corrected by age kept a recovered target out for minutes. The estimate now halves after three seconds of silence, and the next sample weighs by that silence.

Ruled out: fewest in flight first with latency only as a tie-break.

--- a/fuchsiahaven/core/routes.py
+++ b/fuchsiahaven/core/routes.py
@@ -13,9 +13,10 @@
 # One random slow answer must not condemn a target, so a sample counts at most
 # this many times the estimate; a real straggler still climbs by 60 % a sample.
 SAMPLE_CEILING: Final = 4.0
-# An estimate loses its weight when nothing is heard for this many seconds, so
-# that a target which was avoided is tried again.
-RELAX_S: Final = 1.0
+# An estimate fades by half when nothing is heard for so many seconds, and the
+# next sample weighs the more: a target that was avoided is tried again, and one
+# that recovered is believed after a sample or two.
+RELAX_S: Final = 3.0
 # What an unmeasured target is taken to need: little, so that it gets measured.
 UNMEASURED_S: Final = 0.001
 
@@ -97,7 +98,8 @@
     usable = [
         name
         for name in candidates
-        if _is_usable(stats.get(name, UNSEEN), now, trials=trials)
+        if (one := stats.get(name, UNSEEN)).record is CLEAN
+        or _is_usable(one, now, trials=trials)
     ]
     if not usable:
         usable = list(candidates)
@@ -105,11 +107,11 @@
     if count < 2:
         return usable[0] if usable else None
     first, second = _draw_two(count, draws)
-    one, other = usable[first], usable[second]
-    cost = estimate_cost(stats.get(one, UNSEEN), now, connect_s)
+    name, other = usable[first], usable[second]
+    cost = estimate_cost(stats.get(name, UNSEEN), now, connect_s)
     if estimate_cost(stats.get(other, UNSEEN), now, connect_s) < cost:
         return other
-    return one
+    return name
 
 
 def estimate_cost(one: TargetStats, now: float, connect_s: float) -> float:
@@ -167,7 +169,7 @@
         record = _forgive(record, now)
     return TargetStats(
         max(0, one.in_flight - 1),
-        _smooth(one.latency, elapsed),
+        _smooth(one, elapsed, now),
         now,
         one.idle + 1,
         one.opened,
@@ -202,7 +204,7 @@
     record = _blame(one.record, now, failures=weight)
     in_flight = max(0, one.in_flight - 1)
     if timed_out and elapsed > one.latency:
-        latency = _smooth(one.latency, elapsed)
+        latency = _smooth(one, elapsed, now)
         return one._replace(
             in_flight=in_flight, latency=latency, heard=now, record=record
         )
@@ -219,7 +221,7 @@
     in_flight = max(0, one.in_flight - 1)
     if elapsed <= one.latency:
         return one._replace(in_flight=in_flight)
-    latency = _smooth(one.latency, elapsed)
+    latency = _smooth(one, elapsed, now)
     return one._replace(in_flight=in_flight, latency=latency, heard=now)
 
 
@@ -292,11 +294,14 @@
     return one.record.ejected_until > 0
 
 
-def _smooth(latency: float, elapsed: float) -> float:
+def _smooth(one: TargetStats, elapsed: float, now: float) -> float:
+    latency = one.latency
     if not latency:
         return elapsed
     sample = min(elapsed, latency * SAMPLE_CEILING)
-    return latency + LATENCY_WEIGHT * (sample - latency)
+    age = now - one.heard
+    weight = max(LATENCY_WEIGHT, age / (age + RELAX_S))
+    return latency + weight * (sample - latency)
 
 
 def _decay(record: Record, now: float) -> float:
