--- a/fuchsiahaven/core/budgets.py
+++ b/fuchsiahaven/core/budgets.py
@@ -1,9 +1,15 @@
-"""Bound hedges and retries by a share of first tries."""
+"""Bound hedges and retries by a share of first tries.
+
+With F first tries in any stretch of time, at most `BURST + hedge_share * F`
+hedges and `BURST + (hedge_share + retry_share) * F` extra sub-requests leave
+for one class and group, however many of them fail: extra tries earn nothing.
+"""
 
 from typing import Final, NamedTuple
 
 # Tokens that may be saved up: what a class may add at once after a quiet time.
-BURST: Final = 10.0
+# With fewer, slow answers that come close together go unhedged.
+BURST: Final = 30.0
 
 
 class Budget(NamedTuple):
