--- /dev/null
+++ b/tests/core/test_hedges.py
@@ -0,0 +1,86 @@
+"""Test when a sub-request is worth a second try."""
+
+import math
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fuchsiahaven.core import hedges
+
+QUICK_S = 0.01
+SLOW_S = 0.2
+LATENCIES = st.lists(st.floats(0.0005, 5.0), min_size=200, max_size=400)
+
+
+def fill(latencies: list[float]) -> hedges.Window:
+    window = hedges.EMPTY
+    for latency in latencies:
+        window = hedges.note_latency(window, latency)
+    return window
+
+
+@given(LATENCIES)
+def test_the_quantile_is_within_one_bucket_of_the_true_one(
+    latencies: list[float],
+) -> None:
+    window = fill(latencies)
+    rank = math.ceil(0.95 * len(latencies))
+    true = sorted(latencies)[rank - 1]
+    found = hedges.find_quantile(window, 0.95)
+    assert true / 1.001 <= found <= true * hedges.RATIO * 1.001
+
+
+def test_too_few_samples_give_no_delay() -> None:
+    window = fill([QUICK_S] * (hedges.FEWEST - 1))
+    assert hedges.hedge_delay(window) is None
+
+
+def test_old_samples_fade() -> None:
+    window = fill([SLOW_S] * hedges.FULL + [QUICK_S] * hedges.FULL * 4)
+    delay = hedges.hedge_delay(window)
+    assert delay is not None
+    assert delay < 2 * QUICK_S
+
+
+def test_an_overload_turns_hedging_off() -> None:
+    """Hedges stop while a group sheds, and come back after.
+
+    Symptom: a group at its limit gets 5 % more load and sheds the more.
+    Sequence: one sub-request in five is shed; the answers that still come
+    are late, so that more of them pass the quantile.
+    Cause: a hedge helps against a slow replica, not against a full group.
+    """
+    window = fill([QUICK_S] * 200)
+    assert hedges.hedge_delay(window) is not None
+    for _ in range(40):
+        window = hedges.note_refusal(window)
+        for _ in range(4):
+            window = hedges.note_latency(window, QUICK_S)
+    assert hedges.hedge_delay(window) is None
+    for _ in range(200):
+        window = hedges.note_latency(window, QUICK_S)
+    assert hedges.hedge_delay(window) is not None
+
+
+def test_full_queues_turn_hedging_off_before_anything_is_shed() -> None:
+    window = fill([QUICK_S] * 200)
+    for _ in range(20):
+        window = hedges.note_latency(window, QUICK_S, queued=True)
+    assert hedges.hedge_delay(window) is None
+
+
+def test_hedging_comes_early_where_the_quantile_falls_among_slow_answers() -> (
+    None
+):
+    """A share of slow answers above 5 % does not push the delay up to them.
+
+    Symptom: with 6 % of answers slow, hedging stops just when it is needed.
+    Sequence: the slow answers fill the last 6 % of the window, the 95 %
+    quantile is one of them, and a hedge would leave after 0.2 s.
+    Cause: the quantile alone says nothing of how slow is too slow.
+    """
+    window = fill(([QUICK_S] * 47 + [SLOW_S] * 3) * 8)
+    assert hedges.find_quantile(window, 0.95) >= SLOW_S
+    delay = hedges.hedge_delay(window)
+    assert delay is not None
+    assert delay < SLOW_S / 4
