Put the deal of seats in force

The dispatch divided 80 % of a target's connections through the number of hosts, and the pools never closed what they had open beyond a lower figure.

Each host now deals with the members it sees: in slices of 4000 pairs of host and target, by components of targets that share shards, so that a deal of a large data centre does not hold up answers. Seats are given up at once and grow only when a deal has stood for 3 s; the first deal gives one seat at once out of the reserve. A target without a seat is asked once a minute, over one connection, what it holds. Pools close idle connections past their seats, and targets that left the configuration.

Where the reserve itself had to be given up for hosts left short, a target may refuse a connection while a host joins; the pool's back-off bears that. Ruled out: growing by view numbers that hosts confirm to each other, which would be one more protocol.

A limit on what is in flight that was never cut now follows the seats up. `MembersChanged` has the host's own name; without it all hosts would take the same row of the deal. `Allot` of 0 seats is new.

--- a/fuchsiahaven/core/dispatch.py
+++ b/fuchsiahaven/core/dispatch.py
@@ -5,6 +5,7 @@
 """
 
 from fuchsiahaven.core import (
+    deals,
     endings,
     gather,
     messages,
@@ -68,11 +69,11 @@
         case messages.Probed():
             targets.take_report(state, event, now)
         case messages.Configured(configuration):
-            state = targets.configure(state, configuration, now)
-            actions = targets.allot(state)
-        case messages.MembersChanged(hosts):
-            state = state._replace(hosts=max(1, len(hosts)))
-            actions = targets.allot(state)
+            state, actions = targets.configure(state, configuration, now)
+        case messages.MembersChanged(hosts, own):
+            state = state._replace(hosts=hosts, own=own)
+            deals.plan_all(state)
+            actions = deals.go_on(state, now)
         case messages.HostListed():
             targets.take_list(state, event, now)
         case messages.ConnectionsChanged():
@@ -102,5 +103,9 @@
             return repeats.hedge(state, due, now)
         case tables.RoomDue(name):
             return scatter.serve_queue(state, name, now)
+        case tables.SeatsDue(name):
+            return deals.settle(state, name, now)
+        case tables.DealDue():
+            return deals.go_on(state, now)
         case tables.ClaimDue(token):
             return submissions.give_up_claim(state, token, now)
--- a/fuchsiahaven/core/gather.py
+++ b/fuchsiahaven/core/gather.py
@@ -40,7 +40,8 @@
     flying = flights.land_answer(state, event, now)
     if flying is None:
         return []
-    targets.take_state(state, event.target, event.state, flying.sent)
+    told = event.state
+    targets.take_state(state, event.target, told, flying.sent, now)
     actions: list[messages.Action] = []
     run = state.tables.runs.get(event.part.query)
     losers = run and queries.accept(run, event.part, event.rows)
@@ -66,7 +67,7 @@
         return []
     if event.reason is messages.RefusalReason.LEAVING:
         leaving = messages.TargetState.LEAVING
-        targets.take_state(state, event.target, leaving, flying.sent)
+        targets.take_state(state, event.target, leaving, flying.sent, now)
     run = state.tables.runs.get(event.part.query)
     actions: list[messages.Action] = []
     if run is not None:
--- a/fuchsiahaven/core/limits.py
+++ b/fuchsiahaven/core/limits.py
@@ -37,10 +37,15 @@
 
 
 def change_seats(limit: Limit, seats: int) -> Limit:
-    """Take in a new deal of seats; the limit never exceeds them."""
+    """Take in a new deal of seats; the limit never exceeds them.
+
+    A limit that was never cut follows the seats upwards as well.
+    """
     if seats == limit.seats:
         return limit
-    value = min(limit.value, float(max(1, seats)))
+    value = float(max(1, seats))
+    if limit.value < limit.seats:
+        value = min(limit.value, value)
     return limit._replace(value=value, seats=seats)
 
 
--- a/fuchsiahaven/core/messages.py
+++ b/fuchsiahaven/core/messages.py
@@ -173,9 +173,14 @@
 
 
 class MembersChanged(NamedTuple):
-    """Bring the live hosts of the own data centre, this one included."""
+    """Bring the hosts of the own data centre, this one included.
+
+    A host that leaves is one of them until it has ended. `own` is the name
+    of this one.
+    """
 
     hosts: tuple[str, ...]
+    own: str = ''
 
 
 class ConnectionsChanged(NamedTuple):
--- a/fuchsiahaven/core/states.py
+++ b/fuchsiahaven/core/states.py
@@ -12,7 +12,11 @@
 
 
 class State(NamedTuple):
-    """Hold all that one host's dispatch knows."""
+    """Hold all that one host's dispatch knows.
+
+    `hosts` are the members of the data centre that share its targets, `own`
+    is this one's name among them.
+    """
 
     data_centre: str
     draw: Callable[[], float]
@@ -20,7 +24,8 @@
     tables: tables.Tables
     configuration: configurations.Configuration = configurations.EMPTY
     admitted: admission.Admission = admission.EMPTY
-    hosts: int = 1
+    hosts: tuple[str, ...] = ()
+    own: str = ''
     stopping: bool = False
 
 
--- a/fuchsiahaven/core/tables.py
+++ b/fuchsiahaven/core/tables.py
@@ -11,8 +11,10 @@
 
 from fuchsiahaven.core import (
     budgets,
+    cells,
     configurations,
     drains,
+    grants,
     hedges,
     limits,
     messages,
@@ -70,7 +72,17 @@
     target: str
 
 
-Due = RunDue | ClaimDue | HedgeDue | ProbeDue | RoomDue
+class SeatsDue(NamedTuple):
+    """Say that the seats at a target may grow to what was dealt."""
+
+    target: str
+
+
+class DealDue(NamedTuple):
+    """Say that it is time for the next slice of a deal of seats."""
+
+
+Due = RunDue | ClaimDue | HedgeDue | ProbeDue | RoomDue | SeatsDue | DealDue
 
 
 class Waiter(NamedTuple):
@@ -117,6 +129,13 @@
     strained: bool
 
 
+class Deal(NamedTuple):
+    """Name targets whose seats are to be dealt together, and their cap."""
+
+    cap: int
+    shards: cells.Component
+
+
 class View(NamedTuple):
     """Hold the snapshots of a group over the targets usable just now.
 
@@ -132,7 +151,8 @@
     """Hold everything that grows and shrinks.
 
     `waiting` and `claimed` queries are by token, runs by number; targets and
-    groups by name. `unheard` targets have yet to answer their first probe.
+    groups by name. `unheard` targets have yet to answer their first probe;
+    `probes` is when each is asked next.
     """
 
     numbers: 'itertools.count[int]'
@@ -149,10 +169,14 @@
     group_of: dict[str, configurations.Group]
     unheard: set[str]
     misses: 'collections.Counter[str]'
+    probes: dict[str, float]
     standings: dict[str, drains.Standing]
     leaving: set[str]
     stats: dict[str, routes.TargetStats]
     limits: dict[str, limits.Limit]
+    grants: dict[str, grants.Grant]
+    undealt: dict[str, configurations.Group]
+    deals: list[Deal]
     windows: dict[ClassGroup, hedges.Window]
     budgets: dict[ClassGroup, budgets.Budget]
     known: dict[str, snapshots.Known]
@@ -177,10 +201,14 @@
         group_of={},
         unheard=set(),
         misses=collections.Counter(),
+        probes={},
         standings={},
         leaving=set(),
         stats={},
         limits={},
+        grants={},
+        undealt={},
+        deals=[],
         windows={},
         budgets={},
         known={},
--- a/fuchsiahaven/core/targets.py
+++ b/fuchsiahaven/core/targets.py
@@ -4,6 +4,7 @@
 
 from fuchsiahaven.core import (
     configurations,
+    deals,
     drains,
     limits,
     messages,
@@ -17,22 +18,21 @@
 PROBE_JITTER: Final = 0.2
 #: A report can be late because this host is: one lost is no evidence.
 MAX_MISSES: Final = 3
-#: Connections of a target that no host counts on, so that two views of who
-#: shares it do not exceed its cap.
-SEAT_RESERVE: Final = 0.2
+#: How often a target without a seat for this host is asked what it holds.
+PEEK_EVERY_S: Final = 60.0
 
 
 def configure(
     state: states.State,
     configuration: configurations.Configuration,
     now: float,
-) -> states.State:
+) -> tuple[states.State, list[messages.Action]]:
     """Take a configuration in force; a lower revision changes nothing."""
     if configuration.revision <= state.configuration.revision:
-        return state
+        return state, []
     state = state._replace(configuration=configuration)
     known = state.tables
-    before = set(known.targets)
+    before = dict(known.targets)
     known.reached.clear()
     known.views.clear()
     known.targets.clear()
@@ -40,35 +40,29 @@
     for group, target in views.list_targets(state):
         known.targets[target.name] = target
         known.group_of[target.name] = group
-    for gone in before.difference(known.targets):
+    actions: list[messages.Action] = []
+    for gone in before.keys() - known.targets.keys():
         _forget(state, gone)
+        actions.append(messages.Allot(before[gone], 0))
     for name in known.targets:
         if name not in before:
             _begin(state, name, now)
         _mark(state, name, now)
-    return state
-
-
-def allot(state: states.State) -> list[messages.Action]:
-    """Work out the seats at each target and tell the edge."""
-    actions: list[messages.Action] = []
-    for name, target in state.tables.targets.items():
-        seats = _count_seats(state, name)
-        limit = state.tables.limits[name]
-        state.tables.limits[name] = limits.change_seats(limit, seats)
-        actions.append(messages.Allot(target, seats))
-    return actions
+    deals.plan_all(state)
+    return state, [*actions, *deals.go_on(state, now)]
 
 
 def probe(state: states.State, name: str, now: float) -> list[messages.Action]:
     """Ask for a health report and set the time of the next."""
     target = state.tables.targets.get(name)
-    if target is None:
+    if target is None or now < state.tables.probes[name]:
+        # The probe was moved; another timer runs for it.
         return []
     jitter = 1 - PROBE_JITTER * state.draw()
-    states.set_timer(
-        state, now + drains.PROBE_EVERY_S * jitter, tables.ProbeDue(name)
-    )
+    every = drains.PROBE_EVERY_S
+    if not state.tables.limits[name].seats:
+        every = PEEK_EVERY_S
+    _schedule(state, name, now + every * jitter)
     return [messages.Probe(target)]
 
 
@@ -81,15 +75,15 @@
         return
     state.tables.unheard.discard(name)
     if health is None:
-        _miss(state, name)
+        _miss(state, name, now)
         return
     state.tables.misses.pop(name, None)
     standing = state.tables.standings[name]
     if not drains.is_fresh(standing, health):
         return
     noted = drains.note_health(standing, health, now)
-    _judge(state, name, noted)
-    _learn(state, name, health.holdings)
+    _judge(state, name, noted, now)
+    _learn(state, name, health.holdings, now)
     _take_load(state, name, health, now)
     if noted.renewed > standing.renewed or _turned_cold(state, health, now):
         limit = state.tables.limits[name]
@@ -101,11 +95,12 @@
     name: str,
     told: messages.TargetState,
     asked: float,
+    now: float,
 ) -> None:
     """Take in what a target said of itself in an answer."""
     standing = state.tables.standings.get(name)
     if standing is not None and told is messages.TargetState.LEAVING:
-        _judge(state, name, drains.note_answer(standing, told, asked))
+        _judge(state, name, drains.note_answer(standing, told, asked), now)
 
 
 def take_list(
@@ -119,7 +114,7 @@
                 standing = drains.note_listed(
                     standing, leaving=leaving, now=now
                 )
-                _judge(state, name, standing)
+                _judge(state, name, standing, now)
 
 
 def take_connections(
@@ -147,24 +142,22 @@
 def _begin(state: states.State, name: str, now: float) -> None:
     state.tables.unheard.add(name)
     state.tables.standings[name] = drains.Standing()
-    seats = _count_seats(state, name)
-    state.tables.limits[name] = limits.start_limit(seats)
+    state.tables.limits[name] = limits.start_limit(0)
     # The first probes are spread, or every host would ask every target at
     # the moment at which a configuration arrives.
-    when = now + PROBE_JITTER * state.draw()
-    states.set_timer(state, when, tables.ProbeDue(name))
+    _schedule(state, name, now + PROBE_JITTER * state.draw())
 
 
-def _count_seats(state: states.State, name: str) -> int:
-    group = state.tables.group_of[name]
-    usable = group.connections * (1 - SEAT_RESERVE)
-    return max(1, int(usable / state.hosts))
+def _schedule(state: states.State, name: str, when: float) -> None:
+    state.tables.probes[name] = when
+    states.set_timer(state, when, tables.ProbeDue(name))
 
 
 def _mark(state: states.State, name: str, now: float) -> None:
     marked = name in state.tables.group_of[name].leaving
     standing = state.tables.standings[name]
-    _judge(state, name, drains.note_marked(standing, marked=marked, now=now))
+    standing = drains.note_marked(standing, marked=marked, now=now)
+    _judge(state, name, standing, now)
 
 
 def _forget(state: states.State, name: str) -> None:
@@ -174,12 +167,16 @@
     known.standings.pop(name, None)
     known.stats.pop(name, None)
     known.limits.pop(name, None)
+    known.grants.pop(name, None)
     known.misses.pop(name, None)
+    known.probes.pop(name, None)
     for group, held in known.known.items():
         known.known[group] = snapshots.forget(held, name)
 
 
-def _judge(state: states.State, name: str, standing: drains.Standing) -> None:
+def _judge(
+    state: states.State, name: str, standing: drains.Standing, now: float
+) -> None:
     state.tables.standings[name] = standing
     leaving = drains.is_leaving(standing)
     if leaving == (name in state.tables.leaving):
@@ -188,26 +185,30 @@
         state.tables.leaving.add(name)
     else:
         state.tables.leaving.discard(name)
-    views.forget(state, state.tables.group_of[name].name)
+    group = state.tables.group_of[name]
+    views.forget(state, group.name)
+    deals.plan(state, group, now)
 
 
-def _miss(state: states.State, name: str) -> None:
+def _miss(state: states.State, name: str, now: float) -> None:
     state.tables.misses[name] += 1
     if state.tables.misses[name] == MAX_MISSES:
-        _learn(state, name, ())
+        _learn(state, name, (), now)
 
 
 def _learn(
     state: states.State,
     name: str,
     holdings: tuple[snapshots.Holding, ...],
+    now: float,
 ) -> None:
-    group = state.tables.group_of[name].name
-    known = state.tables.known.get(group, snapshots.Known(group))
+    group = state.tables.group_of[name]
+    known = state.tables.known.get(group.name, snapshots.Known(group.name))
     learnt = snapshots.learn(known, name, holdings)
     if learnt is not known:
-        state.tables.known[group] = learnt
-        views.forget(state, group)
+        state.tables.known[group.name] = learnt
+        views.forget(state, group.name)
+        deals.plan(state, group, now)
 
 
 def _take_load(
--- a/fuchsiahaven/core/views.py
+++ b/fuchsiahaven/core/views.py
@@ -91,4 +91,5 @@
         for target in group.targets
         if target.data_centre in centres
         and target.name not in state.tables.leaving
+        and state.tables.limits[target.name].seats
     )
--- a/fuchsiahaven/edge/fleets.py
+++ b/fuchsiahaven/edge/fleets.py
@@ -28,9 +28,9 @@
         """Ask a target for its health."""
         self._find(action.target).probe(None, now)
 
-    def allot(self, action: messages.Allot) -> None:
+    def allot(self, action: messages.Allot, now: float) -> None:
         """Bound the connections to a target."""
-        self._find(action.target).seats = action.seats
+        self._find(action.target).allot(action.seats, now)
 
     def cancel(self, action: messages.Cancel, now: float) -> None:
         """Cancel a sub-request; its own end is still reported."""
@@ -55,7 +55,8 @@
     def close(self) -> None:
         """Close every connection."""
         for pool in self._pools.values():
-            pool.close()
+            for link in pool.links:
+                link.close()
 
     def _find(self, target: configurations.Target) -> pools.Pool:
         pool = self._pools.get(target.address)
--- a/fuchsiahaven/edge/loop.py
+++ b/fuchsiahaven/edge/loop.py
@@ -208,6 +208,6 @@
             case messages.Probe():
                 fleet.probe(action, now)
             case messages.Allot():
-                fleet.allot(action)
+                fleet.allot(action, now)
             case _:
                 self._claim(action)
--- a/fuchsiahaven/edge/pools.py
+++ b/fuchsiahaven/edge/pools.py
@@ -12,7 +12,6 @@
 from fuchsiahaven.core import configurations, messages
 from fuchsiahaven.edge import connectors, exchanges, frames, links
 
-DEFAULT_SEATS: Final = 3
 BACK_OFF_S: Final = 0.1
 LONGEST_BACK_OFF_S: Final = 2.0
 BOTH: Final = selectors.EVENT_READ | selectors.EVENT_WRITE
@@ -37,7 +36,7 @@
     def __init__(self, target: configurations.Target, shop: Shop) -> None:
         """Start without a connection."""
         self.target = target
-        self.seats = DEFAULT_SEATS
+        self.seats = 0
         self.links: set[links.Link] = set()
         self._shop = shop
         self._opening = 0
@@ -138,15 +137,19 @@
             self._shop.report(exchanges.refuse(exchange, reason))
         self._open_more(now)
 
-    def close(self) -> None:
-        """Close every connection."""
-        for link in self.links:
-            link.close()
+    def allot(self, seats: int, now: float) -> None:
+        """Bound the connections; what is idle beyond that is closed."""
+        self.seats = seats
+        while self._idle and len(self.links) > seats:
+            self._discard(self._idle[0])
+        self._open_more(now)
 
     def _open_more(self, now: float) -> None:
         if now < self._closed_until or len(self._queue) <= self._opening:
             return
-        if len(self.links) + self._opening < self.seats:
+        # Without a seat there is one connection for a while, out of the
+        # target's reserve, to ask what it holds.
+        if len(self.links) + self._opening < max(1, self.seats):
             self._opening += 1
             self._shop.ask(self.target.address)
 
@@ -191,6 +194,7 @@
         self._idle.append(link)
         while self._queue and self._idle:
             self.place(self._queue.popleft(), now)
+        self.allot(self.seats, now)
 
     def _drop(
         self, link: links.Link, fault: messages.Fault, now: float
--- /dev/null
+++ b/tests/edge/test_pools.py
@@ -0,0 +1,92 @@
+"""Test how a pool keeps to its seats."""
+
+import selectors
+import socket
+from collections.abc import Iterator
+
+import pytest
+import urllib3.connection
+
+from fuchsiahaven.core import configurations, messages
+from fuchsiahaven.edge import connectors, links, pools
+
+ANSWER = b'HTTP/1.1 503 -\r\nContent-Length: 2\r\n\r\n{}'
+TARGET = configurations.Target('web-0/1', '127.0.0.1:1', 'Quilicura')
+
+
+class Bench:
+    """Hold a pool, the target's ends of its connections, and its reports."""
+
+    def __init__(self, selector: selectors.BaseSelector) -> None:
+        self.asked = 0
+        self.ends: dict[socket.socket, socket.socket] = {}
+        self.events: list[messages.Event | None] = []
+        shop = pools.Shop(selector, self._ask, self.events.append, 1000, 1.0)
+        self.pool = pools.Pool(TARGET, shop)
+
+    def open_asked(self) -> None:
+        """Open the connections that the pool asked for."""
+        while len(self.ends) < self.asked:
+            near, far = socket.socketpair()
+            near.setblocking(False)
+            connection = urllib3.connection.HTTPConnection('127.0.0.1')
+            connection.sock = near
+            self.ends[near] = far
+            opened = connectors.Opened(TARGET.address, connection)
+            self.pool.take(opened, 0)
+
+    def answer(self, link: links.Link) -> None:
+        """Let the target answer what is under way on a connection."""
+        self.ends[link.sock].sendall(ANSWER)
+        self.pool.serve(link, selectors.EVENT_READ, 0)
+
+    def close(self) -> None:
+        """Close both ends of all connections."""
+        for near, far in self.ends.items():
+            near.close()
+            far.close()
+
+    def _ask(self, address: str) -> None:
+        self.asked += 1
+
+
+@pytest.fixture
+def bench() -> Iterator[Bench]:
+    """Give a pool without sockets of its own."""
+    with selectors.DefaultSelector() as selector:
+        made = Bench(selector)
+        yield made
+        made.close()
+
+
+def test_seats_given_up_are_closed_at_the_target(bench: Bench) -> None:
+    """Close idle connections past the seats.
+
+    Symptom: a target refuses connections of a host that has just joined.
+    Sequence: the others are dealt fewer seats, and open no more; what they
+    have open stays open.
+    Cause: a bound on opening alone.
+    """
+    bench.pool.allot(3, 0)
+    for _ in range(3):
+        bench.pool.probe(None, 0)
+    bench.open_asked()
+    assert len(bench.pool.links) == 3
+    for link in list(bench.pool.links)[:2]:
+        bench.answer(link)
+    bench.pool.allot(2, 0)
+    assert len(bench.pool.links) == 2
+    bench.pool.allot(0, 0)
+    # What is under way is not cut.
+    assert len(bench.pool.links) == 1
+
+
+def test_without_a_seat_one_probe_passes_and_closes(bench: Bench) -> None:
+    bench.pool.probe(None, 0)
+    bench.pool.probe(None, 0)
+    bench.open_asked()
+    link = next(iter(bench.pool.links))
+    bench.answer(link)
+    bench.answer(link)
+    assert bench.asked == 1
+    assert not bench.pool.links
