--- /dev/null
+++ b/fuchsiahaven/core/commits.py
@@ -0,0 +1,388 @@
+"""Commit steps of one claims key in groups: one call in flight, rest queued.
+
+`next_call` says which call the edge is to make and `note_result` takes what
+came of it. Between the two nothing else touches the state of that key.
+
+An attempt is granted only by a write that surely took effect or by a read
+that shows its nonce. After a write without an answer the key is read back:
+at a higher revision the write has either taken effect or never will; at the
+same revision it may still be on its way, so the same steps are written again
+at that revision, which either of the two writes can win without harm.
+"""
+
+import enum
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import claims, messages
+
+BATCH_LIMIT: Final = 2000
+
+
+class Doubt(enum.IntFlag):
+    """Say why an attempt may stand although nobody has told us so."""
+
+    NONE = 0
+    UNCLEAR_WRITE = 1
+    FORWARDED = 2
+
+
+class Pending(NamedTuple):
+    """Hold one step that waits until `give_up`, in monotonic seconds.
+
+    `own` tells a step of this host from one that a member asked us to write.
+    """
+
+    step: claims.Step
+    give_up: float
+    own: bool = True
+    doubt: Doubt = Doubt.NONE
+
+
+class Settled(NamedTuple):
+    """Hold what came of one step.
+
+    Steps other than attempts settle as GRANTED once noted.
+    """
+
+    pending: Pending
+    result: messages.ClaimResult
+    held: claims.Held | None = None
+    maybe_written: bool = False
+    detail: str = ''
+
+
+class Forward(NamedTuple):
+    """Ask that a member writes the steps; it saves writes, no more."""
+
+    key: str
+    steps: tuple[claims.Step, ...]
+
+
+class Read(NamedTuple):
+    """Ask for the value and revision of a key."""
+
+    key: str
+
+
+class Swap(NamedTuple):
+    """Ask for a write of a key at a revision."""
+
+    key: str
+    value: str
+    revision: int
+
+
+Call = Forward | Read | Swap
+
+
+class Forwarded(NamedTuple):
+    """Bring the member's verdicts on some of the steps."""
+
+    settled: tuple[Settled, ...]
+
+
+class ForwardLost(NamedTuple):
+    """Bring that the member may have the steps and said nothing."""
+
+
+class ForwardRefused(NamedTuple):
+    """Bring that the member certainly does not have the steps."""
+
+
+class Found(NamedTuple):
+    """Bring a key as read; revision 0 where it does not exist."""
+
+    value: str | None
+    revision: int
+
+
+class Written(NamedTuple):
+    """Bring the revision that a write gave."""
+
+    revision: int
+
+
+class Conflict(NamedTuple):
+    """Bring that the key had moved on; nothing was written."""
+
+
+class Failed(NamedTuple):
+    """Bring that a read gave nothing or a write had no effect."""
+
+    detail: str
+
+
+class Unclear(NamedTuple):
+    """Bring that the answer to a write was lost."""
+
+
+Result = (
+    Forwarded
+    | ForwardLost
+    | ForwardRefused
+    | Found
+    | Written
+    | Conflict
+    | Failed
+    | Unclear
+)
+
+
+class Known(NamedTuple):
+    """Hold a key as last read or written."""
+
+    ledger: claims.Ledger
+    revision: int
+
+
+class Commit(NamedTuple):
+    """Hold the state of one key on one host.
+
+    `fresh` tells that `known` was read after the steps in flight arrived;
+    `doubtful` is the revision at which a write without an answer was made.
+    """
+
+    key: str
+    queued: tuple[Pending, ...] = ()
+    flying: tuple[Pending, ...] = ()
+    known: Known | None = None
+    fresh: bool = False
+    forward: bool = False
+    doubtful: int | None = None
+    applied: claims.Applied | None = None
+
+
+Settlements = tuple[Settled, ...]
+
+
+def add_steps(commit: Commit, steps: tuple[Pending, ...]) -> Commit:
+    """Queue steps for the next write."""
+    return commit._replace(queued=commit.queued + steps)
+
+
+def next_call(
+    commit: Commit, now: float, *, forward: bool
+) -> tuple[Commit, Call | None, Settlements]:
+    """Choose the next call; None where nothing is left to be done.
+
+    `forward` says that a member should be asked first.
+    """
+    commit, late = _drop_late(commit, now)
+    if not commit.flying:
+        commit = commit._replace(
+            queued=commit.queued[BATCH_LIMIT:],
+            flying=commit.queued[:BATCH_LIMIT],
+            forward=forward,
+            fresh=False,
+        )
+    if not commit.flying:
+        return commit, None, late
+    steps = tuple(pending.step for pending in commit.flying)
+    if commit.forward:
+        return commit, Forward(commit.key, steps), late
+    known = commit.known
+    if known is None:
+        return commit, Read(commit.key), late
+    applied = claims.add_claims(known.ledger, steps)
+    if not commit.fresh and _is_stale(applied):
+        return commit, Read(commit.key), late
+    commit = commit._replace(applied=applied)
+    if applied.ledger.held == known.ledger.held:
+        commit, settled = _settle_all(commit, known)
+        return commit, None, late + settled
+    value = claims.encode_ledger(applied.ledger)
+    return commit, Swap(commit.key, value, known.revision), late
+
+
+def note_result(
+    commit: Commit, result: Result, now: float
+) -> tuple[Commit, Settlements]:
+    """Take what came of the last call."""
+    match result:
+        case Forwarded():
+            return _take_verdicts(commit, result)
+        case ForwardLost():
+            doubted = _doubt(commit, Doubt.FORWARDED)
+            return doubted._replace(forward=False), ()
+        case ForwardRefused():
+            return commit._replace(forward=False), ()
+        case Found():
+            return _take_value(commit, result, now)
+        case Written():
+            assert commit.applied is not None
+            known = Known(commit.applied.ledger, result.revision)
+            return _settle_all(commit, known)
+        case Conflict():
+            return commit._replace(known=None), ()
+        case Failed():
+            return _give_up(commit, result.detail, now)
+        case Unclear():
+            assert commit.known is not None
+            doubted = _doubt(commit, Doubt.UNCLEAR_WRITE)
+            return doubted._replace(
+                known=None, doubtful=commit.known.revision
+            ), ()
+
+
+def _is_stale(applied: claims.Applied) -> bool:
+    # A claim may have been given back or have got its outcome since it was
+    # last read; telling "unknown" from memory would then be untrue.
+    return any(
+        ruling.verdict is claims.Verdict.HELD
+        and ruling.held is not None
+        and ruling.held.outcome is None
+        for ruling in applied.rulings
+    )
+
+
+def _doubt(commit: Commit, doubt: Doubt) -> Commit:
+    return commit._replace(
+        flying=tuple(
+            pending._replace(doubt=pending.doubt | doubt)
+            for pending in commit.flying
+        )
+    )
+
+
+def _take_value(
+    commit: Commit, found: Found, now: float
+) -> tuple[Commit, Settlements]:
+    ledger = claims.EMPTY
+    if found.value is not None:
+        try:
+            ledger = claims.decode_ledger(found.value)
+        except claims.MalformedLedger as error:
+            return _give_up(commit, f'{commit.key}: {error}', now)
+    if commit.doubtful is not None and commit.doubtful != found.revision:
+        # The key moved on, so a write at the older revision is decided: what
+        # it would have added stands now or never will.
+        commit = commit._replace(
+            doubtful=None,
+            flying=tuple(_clear(one, ledger) for one in commit.flying),
+        )
+    known = Known(ledger, found.revision)
+    return commit._replace(known=known, fresh=True), ()
+
+
+def _clear(pending: Pending, ledger: claims.Ledger) -> Pending:
+    held = ledger.held.get(pending.step.request_id)
+    if held is not None and held.nonce == pending.step.nonce:
+        # Its deadline may still pass before it is settled as granted, and to
+        # call it "not written" then would be untrue.
+        return pending
+    return pending._replace(doubt=pending.doubt & Doubt.FORWARDED)
+
+
+def _settle_all(commit: Commit, known: Known) -> tuple[Commit, Settlements]:
+    assert commit.applied is not None
+    settled = tuple(
+        _settle(pending, ruling)
+        for pending, ruling in zip(
+            commit.flying, commit.applied.rulings, strict=True
+        )
+    )
+    return commit._replace(
+        flying=(), known=known, applied=None, doubtful=None
+    ), settled
+
+
+def _settle(pending: Pending, ruling: claims.Ruling) -> Settled:
+    match ruling.verdict:
+        case claims.Verdict.HELD:
+            return Settled(pending, messages.ClaimResult.HELD, ruling.held)
+        case claims.Verdict.FULL:
+            return Settled(
+                pending,
+                messages.ClaimResult.UNAVAILABLE,
+                maybe_written=bool(pending.doubt),
+                detail='too many claims in these seconds',
+            )
+    return Settled(pending, messages.ClaimResult.GRANTED, ruling.held)
+
+
+def _take_verdicts(
+    commit: Commit, answer: Forwarded
+) -> tuple[Commit, Settlements]:
+    by_step = {settled.pending.step: settled for settled in answer.settled}
+    done = []
+    left = []
+    for pending in commit.flying:
+        settled = by_step.get(pending.step)
+        if settled is None or settled.maybe_written:
+            doubt = pending.doubt | Doubt.FORWARDED
+            left.append(pending._replace(doubt=doubt))
+        elif settled.result is messages.ClaimResult.UNAVAILABLE:
+            left.append(pending)
+        else:
+            done.append(settled._replace(pending=pending))
+    return commit._replace(flying=tuple(left), forward=False), tuple(done)
+
+
+def _give_up(
+    commit: Commit, detail: str, now: float
+) -> tuple[Commit, Settlements]:
+    attempts = [
+        pending
+        for pending in commit.flying
+        if isinstance(pending.step, claims.Attempt)
+    ]
+    others = tuple(
+        pending for pending in commit.flying if pending not in attempts
+    )
+    commit = commit._replace(
+        # Outcomes and returns lose nothing by waiting for the platform.
+        queued=others + commit.queued,
+        flying=(),
+        known=None,
+        doubtful=None,
+    )
+    settled = tuple(_abandon(pending, detail) for pending in attempts)
+    return _return_claims(commit, settled, now), settled
+
+
+def _drop_late(commit: Commit, now: float) -> tuple[Commit, Settlements]:
+    late = [
+        pending
+        for pending in commit.flying + commit.queued
+        if pending.give_up <= now
+    ]
+    if not late:
+        return commit, ()
+    commit = commit._replace(
+        flying=tuple(step for step in commit.flying if step not in late),
+        queued=tuple(step for step in commit.queued if step not in late),
+    )
+    settled = tuple(
+        _abandon(pending, 'the deadline passed before the claim was written')
+        for pending in late
+        if isinstance(pending.step, claims.Attempt)
+    )
+    return _return_claims(commit, settled, now), settled
+
+
+def _abandon(pending: Pending, detail: str) -> Settled:
+    return Settled(
+        pending,
+        messages.ClaimResult.UNAVAILABLE,
+        maybe_written=bool(pending.doubt),
+        detail=detail,
+    )
+
+
+def _return_claims(commit: Commit, settled: Settlements, now: float) -> Commit:
+    # An attempt that is told as not run may stand in the platform, and its
+    # id would answer "unknown" for ever. Only the host of the attempt may
+    # give it back: a member that wrote it for another host can lose an answer
+    # although that host has found its claim and runs.
+    steps = [one.pending.step for one in settled if _returnable(one)]
+    returns = tuple(
+        Pending(
+            claims.Return(step.request_id, step.nonce), now + claims.WINDOW_S
+        )
+        for step in steps
+    )
+    return commit._replace(queued=returns + commit.queued)
+
+
+def _returnable(settled: Settled) -> bool:
+    return settled.maybe_written and settled.pending.own
