Admit by the groups that a class reaches; eject failing targets

Causes, found by reading the whole path: one window of running queries stood for all classes, so that a surge at one group refused the queries of another, and claims that wait for a slow platform took the places of searches. The window shrank for any lost part, whatever its reason, and not for shed parts that a retry had hidden. Failing targets were noted but never ejected.

A query remembers by which admission it runs, so that a change of selectors cannot leave a place taken for ever.

Both tests were seen red: with claims admitted together with searches, and with the call to eject taken out.

--- a/fuchsiahaven/core/admission.py
+++ b/fuchsiahaven/core/admission.py
@@ -101,6 +101,11 @@
     return sum(len(queue) for queue in admission.queues)
 
 
+def is_idle(admission: Admission) -> bool:
+    """Tell whether nothing runs or waits."""
+    return not admission.running and not count_waiting(admission)
+
+
 def is_strained(parts: int, shed: int) -> bool:
     """Tell whether so many shed parts of a query show an overload."""
     return shed > parts * STRAIN_SHARE
--- a/fuchsiahaven/core/dispatch.py
+++ b/fuchsiahaven/core/dispatch.py
@@ -24,8 +24,7 @@
     """Take one event; return the next state and what the edge must do."""
     state, actions = _route(state, event, now)
     if state.tables.finished:
-        state, more = submissions.go_on(state, now)
-        actions.extend(more)
+        actions.extend(submissions.go_on(state, now))
     return state, actions
 
 
@@ -38,9 +37,9 @@
         case messages.Broken():
             return state, gather.take_fault(state, event, now)
         case messages.Submitted():
-            return submissions.submit(state, event, now)
+            return state, submissions.submit(state, event, now)
         case messages.Ticked():
-            return _tick(state, now)
+            return state, _tick(state, now)
         case messages.ClaimSettled():
             return state, submissions.take_claim(state, event, now)
     return _learn(state, event, now)
@@ -70,6 +69,7 @@
             targets.take_report(state, event, now)
         case messages.Configured(configuration):
             state, actions = targets.configure(state, configuration, now)
+            submissions.forget_idle(state)
         case messages.MembersChanged(hosts, own):
             state = state._replace(hosts=hosts, own=own)
             deals.plan_all(state)
@@ -83,12 +83,12 @@
     return state, actions
 
 
-def _tick(state: states.State, now: float) -> Result:
+def _tick(state: states.State, now: float) -> list[messages.Action]:
     actions: list[messages.Action] = []
     while (due := states.pop_due(state, now)) is not None:
         actions.extend(_act(state, due, now))
-    state, refused = submissions.expire(state, now)
-    return state, [*actions, *refused]
+    actions.extend(submissions.start_due(state, now))
+    return actions
 
 
 def _act(
--- a/fuchsiahaven/core/endings.py
+++ b/fuchsiahaven/core/endings.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from fuchsiahaven.core import (
+    admission,
     coverage,
     flights,
     messages,
@@ -15,6 +16,10 @@
 )
 
 MAX_RESTARTS: Final = 3
+#: Why a part was refused or lost where there was too much to do.
+STRAINS: Final = frozenset(
+    (coverage.Reason.OVERLOADED, coverage.Reason.TIMED_OUT)
+)
 
 
 def take_deadline(
@@ -42,7 +47,7 @@
     actions = cancel_all(state, run, now)
     state.tables.runs.pop(run.number, None)
     outcome = outcomes.build_outcome(run)
-    strained = bool(run.lost_parts)
+    strained = _is_strained(run)
     replied = replies.reply(state, run.token, outcome, now, strained=strained)
     return [*actions, *replied]
 
@@ -74,6 +79,12 @@
     return actions
 
 
+def _is_strained(run: queries.Run) -> bool:
+    """Tell whether the run met an overload, even where retries hid it."""
+    strained = sum(1 for part in run.parts.values() if part.reason in STRAINS)
+    return admission.is_strained(len(run.parts), strained)
+
+
 def restart(
     state: states.State, run: queries.Run, now: float
 ) -> list[messages.Action]:
--- a/fuchsiahaven/core/flights.py
+++ b/fuchsiahaven/core/flights.py
@@ -75,6 +75,7 @@
         )
         if event.reason is messages.RefusalReason.SHED:
             _note_shed(state, flying, event.retry_after, now)
+        _eject(state, event.part, event.target, now)
     return flying
 
 
@@ -95,9 +96,25 @@
         state.tables.stats[event.target] = routes.note_broken(
             stats, now, event.fault, now - flying.sent
         )
+        _eject(state, event.part, event.target, now)
     return flying
 
 
+def _eject(
+    state: states.State, key: messages.PartKey, name: str, now: float
+) -> None:
+    """Eject a target that fails, unless too few would be left."""
+    known = state.tables
+    run = known.runs.get(key.query)
+    if run is None or not routes.is_failing(known.stats[name], now):
+        return
+    part = run.parts[queries.PartId(key.group, key.shard)]
+    members = [target.name for target in known.group_of[name].targets]
+    known.stats[name] = routes.eject(
+        known.stats, name, part.replicas, members, now
+    )
+
+
 def _land_cancelled(
     state: states.State, flying: tables.Flying, now: float
 ) -> None:
--- a/fuchsiahaven/core/replies.py
+++ b/fuchsiahaven/core/replies.py
@@ -33,7 +33,11 @@
     begun = state.tables.begun.pop(token, None)
     if begun is None:
         return []
-    state.tables.finished.append(tables.Finished(now - begun.began, strained))
+    state.tables.finished.append(
+        tables.Finished(
+            begun.admitted_by, begun.policy.name, now - begun.began, strained
+        )
+    )
     answer = messages.Reply(token, outcome, replayed)
     kept = None if replayed else keep(begun, outcome)
     return [answer] if kept is None else [answer, kept]
--- a/fuchsiahaven/core/states.py
+++ b/fuchsiahaven/core/states.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from fuchsiahaven.core import admission, configurations, policies, tables
+from fuchsiahaven.core import configurations, policies, tables
 
 
 class State(NamedTuple):
@@ -23,7 +23,6 @@
     policy: policies.Policy
     tables: tables.Tables
     configuration: configurations.Configuration = configurations.EMPTY
-    admitted: admission.Admission = admission.EMPTY
     hosts: tuple[str, ...] = ()
     own: str = ''
     stopping: bool = False
--- a/fuchsiahaven/core/submissions.py
+++ b/fuchsiahaven/core/submissions.py
@@ -14,6 +14,7 @@
     starts,
     states,
     tables,
+    views,
 )
 
 SOURCE: Final = 'submissions'
@@ -23,48 +24,67 @@
 STOPPING_RETRY_S: Final = 0.1
 OVERLOADED_RETRY_S: Final = 0.1
 
-Result = tuple[states.State, list[messages.Action]]
-
 
 def submit(
     state: states.State, event: messages.Submitted, now: float
-) -> Result:
+) -> list[messages.Action]:
     """Take one query in: start it, queue it or refuse it."""
     policy = states.find_class(state, event.query.class_name)
     obstacle = _find_obstacle(state, event.query, policy)
     if obstacle is not None or policy is None:
         assert obstacle is not None
-        return state, [messages.Reply(event.token, obstacle)]
+        return [messages.Reply(event.token, obstacle)]
     event = _cap_deadline(policy, event)
     state.tables.waiting[event.token] = event
     match state.policy.admitting:
         case policies.Bounded(queries):
-            return state, _admit_bounded(state, event, queries, now)
+            return _admit_bounded(state, event, policy, queries, now)
         case policies.ByDeadline():
             query = event.query
             entry = admission.Entry(
-                event.token, policy.priority, query.arrived, query.deadline
+                event.token,
+                policy.priority,
+                query.arrived,
+                query.deadline,
+                policy.name,
             )
-            step = admission.offer(state.admitted, entry, now)
-            return _take_step(state, step, now)
+            key = views.find_admission(state, policy)
+            step = admission.offer(_find_admission(state, key), entry, now)
+            return _take_step(state, key, step, now)
 
 
-def go_on(state: states.State, now: float) -> Result:
-    """Start what waits in the place of what has finished or expired."""
+def go_on(state: states.State, now: float) -> list[messages.Action]:
+    """Start what waits in the place of what has finished."""
     actions: list[messages.Action] = []
     while state.tables.finished:
-        run_s, strained = state.tables.finished.pop()
-        step = admission.finish(state.admitted, now, run_s, strained=strained)
-        state, more = _take_step(state, step, now)
-        actions.extend(more)
-    return state, actions
+        key, class_name, run_s, strained = state.tables.finished.pop()
+        step = admission.finish(
+            _find_admission(state, key),
+            now,
+            run_s,
+            strained=strained,
+            class_name=class_name,
+        )
+        actions.extend(_take_step(state, key, step, now))
+    return actions
 
 
-def expire(state: states.State, now: float) -> Result:
-    """Refuse the queries whose deadline has passed while they waited."""
-    if not state.tables.waiting:
-        return state, []
-    return _take_step(state, admission.expire(state.admitted, now), now)
+def start_due(state: states.State, now: float) -> list[messages.Action]:
+    """Refuse what can no longer be in time; start what was spaced out."""
+    actions: list[messages.Action] = []
+    if state.tables.waiting:
+        for key, admitted in tuple(state.tables.admitted.items()):
+            step = admission.start(admitted, now)
+            actions.extend(_take_step(state, key, step, now))
+    return actions
+
+
+def forget_idle(state: states.State) -> None:
+    """Drop the admissions that nothing uses, as a change may have ended."""
+    admitted = state.tables.admitted
+    idle = [key for key, one in admitted.items() if admission.is_idle(one)]
+    for key in idle:
+        admitted.pop(key)
 
 
 def take_claim(
@@ -138,10 +158,15 @@
 
 
 def _admit_bounded(
-    state: states.State, event: messages.Submitted, bound: int, now: float
+    state: states.State,
+    event: messages.Submitted,
+    policy: configurations.RequestClass,
+    bound: int,
+    now: float,
 ) -> list[messages.Action]:
     if len(state.tables.begun) < bound:
-        return _start(state, event.token, now)
+        key = views.find_admission(state, policy)
+        return _start(state, key, event.token, now)
     state.tables.waiting.pop(event.token)
     failure = errors.make_failure(
         errors.Kind.OVERLOADED, SOURCE, retry_after=OVERLOADED_RETRY_S
@@ -149,19 +174,30 @@
     return [messages.Reply(event.token, failure)]
 
 
-def _take_step(state: states.State, step: admission.Step, now: float) -> Result:
-    state = state._replace(admitted=step.admission)
+def _find_admission(
+    state: states.State, key: tables.AdmissionKey
+) -> admission.Admission:
+    return state.tables.admitted.get(key, admission.EMPTY)
+
+
+def _take_step(
+    state: states.State,
+    key: tables.AdmissionKey,
+    step: admission.Step,
+    now: float,
+) -> list[messages.Action]:
+    state.tables.admitted[key] = step.admission
     actions: list[messages.Action] = []
     for token, failure in step.refused:
         state.tables.waiting.pop(token)
         actions.append(messages.Reply(token, failure))
     for entry in step.started:
-        actions.extend(_start(state, entry.token, now))
-    return state, actions
+        actions.extend(_start(state, key, entry.token, now))
+    return actions
 
 
 def _start(
-    state: states.State, token: int, now: float
+    state: states.State, key: tables.AdmissionKey, token: int, now: float
 ) -> list[messages.Action]:
     submitted = state.tables.waiting.pop(token)
     query = submitted.query
@@ -171,9 +207,11 @@
         failure = errors.make_failure(
             errors.Kind.UNKNOWN_CLASS, SOURCE, query.class_name
         )
-        state.tables.finished.append(tables.Finished(0.0, strained=False))
+        state.tables.finished.append(
+            tables.Finished(key, query.class_name, 0.0, strained=False)
+        )
         return [messages.Reply(token, failure)]
-    state.tables.begun[token] = tables.Begun(submitted, policy, now)
+    state.tables.begun[token] = tables.Begun(submitted, policy, key, now)
     run = starts.open_run(state, submitted, policy, now)
     if policy.repeat is not configurations.Repeat.AT_MOST_ONCE:
         return endings.begin(state, run, now)
--- a/fuchsiahaven/core/tables.py
+++ b/fuchsiahaven/core/tables.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from fuchsiahaven.core import (
+    admission,
     budgets,
     cells,
     configurations,
@@ -113,11 +114,23 @@
     cancelled: float = 0.0
 
 
+class AdmissionKey(NamedTuple):
+    """Identify the queries that are admitted together.
+
+    Those that need a claim are apart: they wait for the platform, and while
+    it is slow they would take the places of queries that do not need it.
+    """
+
+    groups: tuple[str, ...]
+    claims: bool
+
+
 class Begun(NamedTuple):
     """Hold a query that was admitted and is not yet answered."""
 
     submitted: messages.Submitted
     policy: configurations.RequestClass
+    admitted_by: AdmissionKey
     began: float
     claimed: bool = False
 
@@ -125,6 +138,8 @@
 class Finished(NamedTuple):
     """Say that an admitted query was answered and how long it ran."""
 
+    admitted_by: AdmissionKey
+    class_name: str
     run_s: float
     strained: bool
 
@@ -158,6 +173,7 @@
     numbers: 'itertools.count[int]'
     timers: list[tuple[float, int, Due]]
     counts: 'collections.Counter[Count]'
+    admitted: dict[AdmissionKey, admission.Admission]
     waiting: dict[int, messages.Submitted]
     begun: dict[int, Begun]
     finished: list[Finished]
@@ -190,6 +206,7 @@
         numbers=itertools.count(1),
         timers=[],
         counts=collections.Counter(),
+        admitted={},
         waiting={},
         begun={},
         finished=[],
--- a/fuchsiahaven/core/views.py
+++ b/fuchsiahaven/core/views.py
@@ -22,6 +22,15 @@
     return reached
 
 
+def find_admission(
+    state: states.State, policy: configurations.RequestClass
+) -> tables.AdmissionKey:
+    """Say with which other queries those of a class are admitted."""
+    groups = (one.group.name for one in reach(state, policy.name))
+    claims = policy.repeat is configurations.Repeat.AT_MOST_ONCE
+    return tables.AdmissionKey(tuple(sorted(groups)), claims)
+
+
 def list_targets(
     state: states.State,
 ) -> Iterator[tuple[configurations.Group, configurations.Target]]:
--- a/tests/core/rig.py
+++ b/tests/core/rig.py
@@ -23,6 +23,7 @@
         shards: int = 3,
         replicas: int = 2,
         policy: policies.Policy = policies.STANDARD,
+        others: tuple[configurations.RequestClass, ...] = (),
     ) -> None:
         """Configure one group and let all its targets report snapshot 1."""
         self.now = 100.0
@@ -38,15 +39,18 @@
             for number, name in enumerate(self.names.values())
         )
         group = configurations.Group('web', (('kind', 'web'),), targets)
-        name = request_class.name
+        classes = (request_class, *others)
         self._state = states.start(CENTRE, float, policy)
         self.configuration = configurations.Configuration(
             1,
             (group,),
-            (configurations.Selector(name, name, 'kind=web'),),
-            (request_class,),
+            tuple(
+                configurations.Selector(one.name, one.name, 'kind=web')
+                for one in classes
+            ),
+            classes,
         )
-        self._class = name
+        self._class = request_class.name
         self.tell(messages.Configured(self.configuration))
         self.hold(1)
 
@@ -82,11 +86,20 @@
         self.tell(messages.Probed(name, health))
 
     def ask(
-        self, token: int = 1, key: str | None = None, deadline: float = 1.0
+        self,
+        token: int = 1,
+        key: str | None = None,
+        deadline: float = 1.0,
+        class_name: str = '',
     ) -> list[messages.Send]:
         """Ask a query; return the sub-requests that it made."""
         query = messages.Query(
-            f'id-{token}', self._class, {}, key, self.now, self.now + deadline
+            f'id-{token}',
+            class_name or self._class,
+            {},
+            key,
+            self.now,
+            self.now + deadline,
         )
         return find_sends(self.tell(messages.Submitted(token, query)))
 
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -278,3 +278,49 @@
     host.tell(messages.Configured(empty))
     host.tell(messages.Configured(empty._replace(revision=0)))
     assert host.ask()
+
+
+def test_claims_that_wait_do_not_hold_up_searches() -> None:
+    """Admit what needs a claim apart from what does not.
+
+    Symptom: while the platform is slow, searches are refused too.
+    Sequence: refunds wait for their claims until their deadline and take
+    every place there is to run; lookups of the same group queue behind.
+    Cause: one count of running queries for both.
+    """
+    host = rig.Rig(PARTIAL, others=(REFUND,))
+    for token in range(100, 120):
+        host.ask(token, key='pass-17', class_name=REFUND.name)
+    assert host.ask(1)
+
+
+def test_a_lost_target_is_left_out_until_it_has_answered() -> None:
+    """Eject a target whose sub-requests break, one after another.
+
+    Symptom: a share of all queries meets the lost replica and loses time.
+    Sequence: three connections to one target break, and fail at once; the
+    other replica is busy.
+    Cause: with nothing in flight the lost target looks like the best choice.
+    """
+    host = rig.Rig(PARTIAL, shards=1)
+    sends = ask_many(host, range(1, 8))
+    lost = sends[0].target.name
+    for send in sends:
+        if send.target.name == lost:
+            (other,) = rig.find_sends(host.lose(send))
+            host.answer(other)
+        else:
+            host.answer(send)
+    host.pass_time(0.5)
+    sends = ask_many(host, range(10, 18))
+    assert lost not in {send.target.name for send in sends}
+    host.pass_time(0.6)
+    for send in sends:
+        host.answer(send)
+    sends = ask_many(host, range(20, 24))
+    assert [send.target.name for send in sends].count(lost) == 1
+
+
+def ask_many(host: rig.Rig, tokens: range) -> list[messages.Send]:
+    """Ask queries that stay open; return their sub-requests."""
+    return [send for token in tokens for send in host.ask(token)]
