--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -303,6 +303,8 @@
     Cause: with nothing in flight the lost target looks like the best choice.
     """
     host = rig.Rig(PARTIAL, shards=1)
+    host.tell(messages.MembersChanged(('host-0',), 'host-0'))
+    host.pass_time(20.0)
     sends = ask_many(host, range(1, 8))
     lost = sends[0].target.name
     for send in sends:
