--- a/fuchsiahaven/core/snapshots.py
+++ b/fuchsiahaven/core/snapshots.py
@@ -10,6 +10,9 @@
 
 Holding = shardmaps.Holding
 
+#: A newer snapshot is taken with at least one part in this many of the
+#: replicas per shard that the best one has.
+SPARE_PART: Final = 2
 _KEY_BYTES: Final = 2
 
 
@@ -101,17 +104,22 @@
 
 
 def choose(
-    pins: Sequence[Pin], newer_than: int = 0, position: int | None = None
+    pins: Sequence[Pin],
+    newer_than: int = 0,
+    position: int | None = None,
+    in_use: int = 0,
 ) -> Pin | None:
     """Choose the newest complete snapshot, else the one with best coverage.
 
-    With a key's position, a snapshot that holds its shard does where none
-    is complete. None means that no snapshot is known at all.
+    `in_use` is the snapshot chosen last: while one from it on is complete,
+    answers do not go back to an older one. With a key's position, a snapshot
+    that holds its shard does where none is complete. None means that no
+    snapshot is known at all.
     """
     newer = [pin for pin in pins if pin.snapshot > newer_than]
-    for pin in newer:
-        if pin.complete:
-            return pin
+    complete = [pin for pin in newer if pin.complete]
+    if complete:
+        return _choose_complete(complete, in_use)
     if position is not None:
         for pin in newer:
             if find_shard(pin, position).replicas:
@@ -237,6 +245,19 @@
     return Pin(group, made.snapshot, shards, held, min(counts))
 
 
+def _choose_complete(complete: Sequence[Pin], in_use: int) -> Pin:
+    """Choose the newest that has replicas enough to carry the load.
+
+    While an index change rolls through the targets, the new snapshot is
+    complete with its first replica of each shard. All queries would go to
+    these few at once, which shows as a burst of refusals and a jump of the
+    tail latency while the other replicas idle.
+    """
+    current = [pin for pin in complete if pin.snapshot >= in_use] or complete
+    most = max(pin.spare for pin in current)
+    return next(pin for pin in current if pin.spare * SPARE_PART >= most)
+
+
 def _measure_coverage(pinned: Pin) -> int:
     return sum(
         shard.high - shard.low for shard in pinned.shards if shard.replicas
--- a/fuchsiahaven/core/tables.py
+++ b/fuchsiahaven/core/tables.py
@@ -167,7 +167,8 @@
 
     `waiting` and `claimed` queries are by token, runs by number; targets and
     groups by name. `unheard` targets have yet to answer their first probe;
-    `probes` is when each is asked next.
+    `probes` is when each is asked next. `in_use` is each group's snapshot
+    that was pinned last.
     """
 
     numbers: 'itertools.count[int]'
@@ -196,6 +197,7 @@
     windows: dict[ClassGroup, hedges.Window]
     budgets: dict[ClassGroup, budgets.Budget]
     known: dict[str, snapshots.Known]
+    in_use: 'collections.Counter[str]'
     reached: dict[str, tuple[selectors.Reached, ...]]
     views: dict[tuple[str, tuple[str, ...]], View]
 
@@ -229,6 +231,7 @@
         windows={},
         budgets={},
         known={},
+        in_use=collections.Counter(),
         reached={},
         views={},
     )
--- a/fuchsiahaven/core/views.py
+++ b/fuchsiahaven/core/views.py
@@ -50,14 +50,10 @@
     newer_than: int,
 ) -> snapshots.Pin | None:
     """Pin a snapshot of a group, in the own data centre if it is whole."""
-    view = _view(state, reached)
-    near = snapshots.choose(view.near, newer_than, position)
-    if near is not None and near.complete or view.wide is view.near:
-        return near
-    wide = snapshots.choose(view.wide, newer_than, position)
-    if near is None or wide is not None and wide.held > near.held:
-        return wide
-    return near
+    chosen = _choose(state, reached, position, newer_than)
+    if chosen is not None and chosen.complete:
+        state.tables.in_use[reached.group.name] = chosen.snapshot
+    return chosen
 
 
 def forget(state: states.State, group: str) -> None:
@@ -68,6 +64,23 @@
         views.pop(key)
 
 
+def _choose(
+    state: states.State,
+    reached: selectors.Reached,
+    position: int | None,
+    newer_than: int,
+) -> snapshots.Pin | None:
+    view = _view(state, reached)
+    in_use = state.tables.in_use[reached.group.name]
+    near = snapshots.choose(view.near, newer_than, position, in_use)
+    if near is not None and near.complete or view.wide is view.near:
+        return near
+    wide = snapshots.choose(view.wide, newer_than, position, in_use)
+    if near is None or wide is not None and wide.held > near.held:
+        return wide
+    return near
+
+
 def _view(state: states.State, reached: selectors.Reached) -> tables.View:
     key = (reached.group.name, reached.data_centres)
     found = state.tables.views.get(key)
--- a/tests/core/test_snapshots.py
+++ b/tests/core/test_snapshots.py
@@ -53,6 +53,47 @@
     assert snapshots.pin(known, USABLE, newer_than=2) is None
 
 
+def test_a_newer_snapshot_waits_for_replicas_enough() -> None:
+    """Do not send all queries to the first targets that have an index.
+
+    Symptom: refusals and a jump of the tail while an index change rolls on.
+    Sequence: of six replicas one has loaded snapshot 2; every query pins it.
+    Cause: the newest complete snapshot wins, however few can serve it.
+    """
+    known = learn_all({name: [hold(1, 0, 1)] for name in USABLE})
+    pinned = []
+    for name in sorted(USABLE):
+        both = [hold(1, 0, 1), hold(2, 0, 1)]
+        known = snapshots.learn(known, name, both)
+        found = snapshots.pin(known, USABLE)
+        assert found is not None
+        pinned.append(found.snapshot)
+    assert pinned == [1, 1, 2, 2, 2, 2]
+
+
+def test_answers_do_not_go_back_to_an_older_snapshot() -> None:
+    """Stay on a snapshot once it is in use.
+
+    Symptom: a price that a dealer has just seen is gone a moment later.
+    Sequence: two of four replicas have snapshot 2, which is taken into use;
+    one of them leaves, and the older one has more replicas again.
+    Cause: the choice looks at replicas alone.
+    """
+    known = learn_all({f't{n}': [hold(1, 0, 1)] for n in range(4)})
+    for name in ('t0', 't1'):
+        known = snapshots.learn(known, name, [hold(1, 0, 1), hold(2, 0, 1)])
+    pins = snapshots.list_pins(known, USABLE - {'t1'})
+    kept = snapshots.choose(pins, in_use=2)
+    older = snapshots.choose(pins, in_use=1)
+    assert kept is not None and older is not None
+    assert (kept.snapshot, older.snapshot) == (2, 1)
+    # Where it is complete no more, an older one is better than a short one.
+    lost = snapshots.list_pins(known, USABLE - {'t0', 't1'})
+    found = snapshots.choose(lost, in_use=2)
+    assert found is not None
+    assert found.snapshot == 1
+
+
 def test_a_key_needs_only_its_own_shard() -> None:
     known = learn_all({'t0': [hold(1, 0, 2)], 't1': [hold(2, 1, 2)]})
     pins = snapshots.list_pins(known, USABLE)
