Settle claims through the platform from tasks of their own

Cause: the dispatch loop asked for claims and nothing served them. A late grant is given back; a held claim is told as duplicate or, once its time is over, as of unknown outcome. server.py starts the task. Found on the way: the answer to the opening of a lease can be lost as well, and refused a claim that nothing was wrong with; it is opened once more. Ruled out: handing on what a member handed on (two hosts with different views would do so for ever). Red first, by mutation, each alone: falling revisions unnoticed; no pause after a failure; handing on again; keys taken on trust; a lost answer taken for a failure; claims in doubt not given back; outcomes dropped in an outage; a lost forward taken for a failure; no window; any nonce taken for ours.

--- a/fuchsiahaven/core/claims.py
+++ b/fuchsiahaven/core/claims.py
@@ -8,7 +8,6 @@
 import enum
 import hashlib
 import json
-import uuid
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
@@ -31,10 +30,13 @@
 OUTCOMES_LIMIT: Final = 600_000
 OUTCOME_LIMIT: Final = 8_000
 
+# What a caller is told whose attempt was not run though its claim may stand.
+MAY_STAND: Final = (
+    'not run, but the claim may stand: if this id now brings an unknown '
+    'outcome, and no other request had it, nothing ran; use a new id'
+)
+
 _VERSION: Final = 1
-_MS: Final = 1000
-_TIME_BITS: Final = 80
-_UUID7: Final = 7
 
 
 class Stage(enum.IntEnum):
@@ -146,18 +148,6 @@
 )
 
 
-def read_time(request_id: str) -> float | None:
-    """Read the epoch inside a UUIDv7, None where it is not one."""
-    try:
-        number = uuid.UUID(request_id)
-    except ValueError:
-        return None
-    if number.version != _UUID7 or str(number) != request_id:
-        # One id in two spellings would have two keys, and run twice.
-        return None
-    return (number.int >> _TIME_BITS) / _MS
-
-
 def in_window(time_epoch: float, now_epoch: float) -> bool:
     """Tell whether an id of that time may still be claimed."""
     return -AHEAD_S <= now_epoch - time_epoch <= WINDOW_S
--- a/fuchsiahaven/core/commits.py
+++ b/fuchsiahaven/core/commits.py
@@ -10,124 +10,13 @@
 at that revision, which either of the two writes can win without harm.
 """
 
-import enum
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import claims, messages
+from fuchsiahaven.core import claim_calls, claims, messages
 
 BATCH_LIMIT: Final = 2000
 
 
-class Doubt(enum.IntFlag):
-    """Say why an attempt may stand although nobody has told us so."""
-
-    NONE = 0
-    UNCLEAR_WRITE = 1
-    FORWARDED = 2
-
-
-class Pending(NamedTuple):
-    """Hold one step that waits until `give_up`, in monotonic seconds.
-
-    `own` tells a step of this host from one that a member asked us to write.
-    """
-
-    step: claims.Step
-    give_up: float
-    own: bool = True
-    doubt: Doubt = Doubt.NONE
-
-
-class Settled(NamedTuple):
-    """Hold what came of one step.
-
-    Steps other than attempts settle as GRANTED once noted.
-    """
-
-    pending: Pending
-    result: messages.ClaimResult
-    held: claims.Held | None = None
-    maybe_written: bool = False
-    detail: str = ''
-
-
-class Forward(NamedTuple):
-    """Ask that a member writes the steps; it saves writes, no more."""
-
-    key: str
-    steps: tuple[claims.Step, ...]
-
-
-class Read(NamedTuple):
-    """Ask for the value and revision of a key."""
-
-    key: str
-
-
-class Swap(NamedTuple):
-    """Ask for a write of a key at a revision."""
-
-    key: str
-    value: str
-    revision: int
-
-
-Call = Forward | Read | Swap
-
-
-class Forwarded(NamedTuple):
-    """Bring the member's verdicts on some of the steps."""
-
-    settled: tuple[Settled, ...]
-
-
-class ForwardLost(NamedTuple):
-    """Bring that the member may have the steps and said nothing."""
-
-
-class ForwardRefused(NamedTuple):
-    """Bring that the member certainly does not have the steps."""
-
-
-class Found(NamedTuple):
-    """Bring a key as read; revision 0 where it does not exist."""
-
-    value: str | None
-    revision: int
-
-
-class Written(NamedTuple):
-    """Bring the revision that a write gave."""
-
-    revision: int
-
-
-class Conflict(NamedTuple):
-    """Bring that the key had moved on; nothing was written."""
-
-
-class Failed(NamedTuple):
-    """Bring that a read gave nothing or a write had no effect."""
-
-    detail: str
-
-
-class Unclear(NamedTuple):
-    """Bring that the answer to a write was lost."""
-
-
-Result = (
-    Forwarded
-    | ForwardLost
-    | ForwardRefused
-    | Found
-    | Written
-    | Conflict
-    | Failed
-    | Unclear
-)
-
-
 class Known(NamedTuple):
     """Hold a key as last read or written."""
 
@@ -143,8 +32,8 @@
     """
 
     key: str
-    queued: tuple[Pending, ...] = ()
-    flying: tuple[Pending, ...] = ()
+    queued: tuple[claim_calls.Pending, ...] = ()
+    flying: tuple[claim_calls.Pending, ...] = ()
     known: Known | None = None
     fresh: bool = False
     forward: bool = False
@@ -152,17 +41,14 @@
     applied: claims.Applied | None = None
 
 
-Settlements = tuple[Settled, ...]
-
-
-def add_steps(commit: Commit, steps: tuple[Pending, ...]) -> Commit:
+def add_steps(commit: Commit, steps: tuple[claim_calls.Pending, ...]) -> Commit:
     """Queue steps for the next write."""
     return commit._replace(queued=commit.queued + steps)
 
 
 def next_call(
     commit: Commit, now: float, *, forward: bool
-) -> tuple[Commit, Call | None, Settlements]:
+) -> tuple[Commit, claim_calls.Call | None, claim_calls.Settlements]:
     """Choose the next call; None where nothing is left to be done.
 
     `forward` says that a member should be asked first.
@@ -172,58 +58,79 @@
         commit = commit._replace(
             queued=commit.queued[BATCH_LIMIT:],
             flying=commit.queued[:BATCH_LIMIT],
-            forward=forward,
             fresh=False,
         )
+        # What a member asked us to write is not handed on: two hosts that
+        # each take the other for the one that writes would hand it on for
+        # ever.
+        own = all(pending.own for pending in commit.flying)
+        commit = commit._replace(forward=forward and own)
     if not commit.flying:
         return commit, None, late
     steps = tuple(pending.step for pending in commit.flying)
     if commit.forward:
-        return commit, Forward(commit.key, steps), late
+        return commit, claim_calls.Forward(commit.key, steps), late
     known = commit.known
     if known is None:
-        return commit, Read(commit.key), late
+        return commit, claim_calls.Read(commit.key), late
     applied = claims.add_claims(known.ledger, steps)
     if not commit.fresh and _is_stale(applied):
-        return commit, Read(commit.key), late
+        return commit, claim_calls.Read(commit.key), late
     commit = commit._replace(applied=applied)
     if applied.ledger.held == known.ledger.held:
         commit, settled = _settle_all(commit, known)
         return commit, None, late + settled
     value = claims.encode_ledger(applied.ledger)
-    return commit, Swap(commit.key, value, known.revision), late
+    return commit, claim_calls.Swap(commit.key, value, known.revision), late
 
 
 def note_result(
-    commit: Commit, result: Result, now: float
-) -> tuple[Commit, Settlements]:
+    commit: Commit, result: claim_calls.Result, now: float
+) -> tuple[Commit, claim_calls.Settlements]:
     """Take what came of the last call."""
     match result:
-        case Forwarded():
+        case claim_calls.Forwarded():
             return _take_verdicts(commit, result)
-        case ForwardLost():
-            doubted = _doubt(commit, Doubt.FORWARDED)
+        case claim_calls.ForwardLost():
+            doubted = _doubt(commit, claim_calls.Doubt.FORWARDED)
             return doubted._replace(forward=False), ()
-        case ForwardRefused():
+        case claim_calls.ForwardRefused():
             return commit._replace(forward=False), ()
-        case Found():
+        case claim_calls.Found():
             return _take_value(commit, result, now)
-        case Written():
+        case claim_calls.Written():
             assert commit.applied is not None
             known = Known(commit.applied.ledger, result.revision)
             return _settle_all(commit, known)
-        case Conflict():
+        case claim_calls.Conflict():
             return commit._replace(known=None), ()
-        case Failed():
+        case claim_calls.Failed():
             return _give_up(commit, result.detail, now)
-        case Unclear():
+        case claim_calls.Distrusted():
+            doubted = _doubt(commit, claim_calls.Doubt.UNCLEAR_WRITE)
+            return _give_up(doubted, result.detail, now)
+        case claim_calls.Unclear():
             assert commit.known is not None
-            doubted = _doubt(commit, Doubt.UNCLEAR_WRITE)
+            doubted = _doubt(commit, claim_calls.Doubt.UNCLEAR_WRITE)
             return doubted._replace(
                 known=None, doubtful=commit.known.revision
             ), ()
 
 
+def has_attempts(commit: Commit) -> bool:
+    """Tell whether an attempt waits or is in flight."""
+    waiting = commit.flying + commit.queued
+    return any(isinstance(one.step, claims.Attempt) for one in waiting)
+
+
+def refuse_attempts(
+    commit: Commit, detail: str, now: float
+) -> tuple[Commit, claim_calls.Settlements]:
+    """Refuse all attempts of a key at once; other steps go on waiting."""
+    flying = commit.flying + commit.queued
+    return _give_up(commit._replace(flying=flying, queued=()), detail, now)
+
+
 def _is_stale(applied: claims.Applied) -> bool:
     # A claim may have been given back or have got its outcome since it was
     # last read; telling "unknown" from memory would then be untrue.
@@ -235,7 +142,7 @@
     )
 
 
-def _doubt(commit: Commit, doubt: Doubt) -> Commit:
+def _doubt(commit: Commit, doubt: claim_calls.Doubt) -> Commit:
     return commit._replace(
         flying=tuple(
             pending._replace(doubt=pending.doubt | doubt)
@@ -245,8 +152,8 @@
 
 
 def _take_value(
-    commit: Commit, found: Found, now: float
-) -> tuple[Commit, Settlements]:
+    commit: Commit, found: claim_calls.Found, now: float
+) -> tuple[Commit, claim_calls.Settlements]:
     ledger = claims.EMPTY
     if found.value is not None:
         try:
@@ -264,16 +171,20 @@
     return commit._replace(known=known, fresh=True), ()
 
 
-def _clear(pending: Pending, ledger: claims.Ledger) -> Pending:
+def _clear(
+    pending: claim_calls.Pending, ledger: claims.Ledger
+) -> claim_calls.Pending:
     held = ledger.held.get(pending.step.request_id)
     if held is not None and held.nonce == pending.step.nonce:
         # Its deadline may still pass before it is settled as granted, and to
         # call it "not written" then would be untrue.
         return pending
-    return pending._replace(doubt=pending.doubt & Doubt.FORWARDED)
+    return pending._replace(doubt=pending.doubt & claim_calls.Doubt.FORWARDED)
 
 
-def _settle_all(commit: Commit, known: Known) -> tuple[Commit, Settlements]:
+def _settle_all(
+    commit: Commit, known: Known
+) -> tuple[Commit, claim_calls.Settlements]:
     assert commit.applied is not None
     settled = tuple(
         _settle(pending, ruling)
@@ -286,30 +197,36 @@
     ), settled
 
 
-def _settle(pending: Pending, ruling: claims.Ruling) -> Settled:
+def _settle(
+    pending: claim_calls.Pending, ruling: claims.Ruling
+) -> claim_calls.Settled:
     match ruling.verdict:
         case claims.Verdict.HELD:
-            return Settled(pending, messages.ClaimResult.HELD, ruling.held)
+            return claim_calls.Settled(
+                pending, messages.ClaimResult.HELD, ruling.held
+            )
         case claims.Verdict.FULL:
-            return Settled(
+            return claim_calls.Settled(
                 pending,
                 messages.ClaimResult.UNAVAILABLE,
                 maybe_written=bool(pending.doubt),
                 detail='too many claims in these seconds',
             )
-    return Settled(pending, messages.ClaimResult.GRANTED, ruling.held)
+    return claim_calls.Settled(
+        pending, messages.ClaimResult.GRANTED, ruling.held
+    )
 
 
 def _take_verdicts(
-    commit: Commit, answer: Forwarded
-) -> tuple[Commit, Settlements]:
+    commit: Commit, answer: claim_calls.Forwarded
+) -> tuple[Commit, claim_calls.Settlements]:
     by_step = {settled.pending.step: settled for settled in answer.settled}
     done = []
     left = []
     for pending in commit.flying:
         settled = by_step.get(pending.step)
         if settled is None or settled.maybe_written:
-            doubt = pending.doubt | Doubt.FORWARDED
+            doubt = pending.doubt | claim_calls.Doubt.FORWARDED
             left.append(pending._replace(doubt=doubt))
         elif settled.result is messages.ClaimResult.UNAVAILABLE:
             left.append(pending)
@@ -320,7 +237,7 @@
 
 def _give_up(
     commit: Commit, detail: str, now: float
-) -> tuple[Commit, Settlements]:
+) -> tuple[Commit, claim_calls.Settlements]:
     attempts = [
         pending
         for pending in commit.flying
@@ -340,7 +257,9 @@
     return _return_claims(commit, settled, now), settled
 
 
-def _drop_late(commit: Commit, now: float) -> tuple[Commit, Settlements]:
+def _drop_late(
+    commit: Commit, now: float
+) -> tuple[Commit, claim_calls.Settlements]:
     late = [
         pending
         for pending in commit.flying + commit.queued
@@ -355,13 +274,12 @@
     settled = tuple(
         _abandon(pending, 'the deadline passed before the claim was written')
         for pending in late
-        if isinstance(pending.step, claims.Attempt)
     )
     return _return_claims(commit, settled, now), settled
 
 
-def _abandon(pending: Pending, detail: str) -> Settled:
-    return Settled(
+def _abandon(pending: claim_calls.Pending, detail: str) -> claim_calls.Settled:
+    return claim_calls.Settled(
         pending,
         messages.ClaimResult.UNAVAILABLE,
         maybe_written=bool(pending.doubt),
@@ -369,14 +287,16 @@
     )
 
 
-def _return_claims(commit: Commit, settled: Settlements, now: float) -> Commit:
+def _return_claims(
+    commit: Commit, settled: claim_calls.Settlements, now: float
+) -> Commit:
     # An attempt that is told as not run may stand in the platform, and its
     # id would answer "unknown" for ever. Only the host of the attempt may
     # give it back: a member that wrote it for another host can lose an answer
     # although that host has found its claim and runs.
     steps = [one.pending.step for one in settled if _returnable(one)]
     returns = tuple(
-        Pending(
+        claim_calls.Pending(
             claims.Return(step.request_id, step.nonce), now + claims.WINDOW_S
         )
         for step in steps
@@ -384,5 +304,6 @@
     return commit._replace(queued=returns + commit.queued)
 
 
-def _returnable(settled: Settled) -> bool:
-    return settled.maybe_written and settled.pending.own
+def _returnable(settled: claim_calls.Settled) -> bool:
+    attempted = isinstance(settled.pending.step, claims.Attempt)
+    return attempted and settled.maybe_written and settled.pending.own
--- a/fuchsiahaven/core/messages.py
+++ b/fuchsiahaven/core/messages.py
@@ -206,7 +206,8 @@
     GRANTED: this attempt alone may send until `not_after_epoch`. HELD: the
     id was claimed before, and that attempt may start until its own
     `not_after_epoch`; `outcome` is its recorded answer as JSON text, or None
-    where none is kept; `done` says that it ran to its end nevertheless.
+    where none is kept; `done` says that it ran to its end nevertheless, and
+    `over` that it can no longer start.
     UNAVAILABLE: this attempt was not run and must not be sent; where
     `maybe_written`, the claim may stand all the same, and asking again with
     this id may then find an unknown outcome. `detail` says why, for people.
@@ -217,8 +218,10 @@
     not_after_epoch: float = 0.0
     outcome: str | None = None
     done: bool = False
+    over: bool = False
     maybe_written: bool = False
     detail: str = ''
+    request_id: str = ''
 
 
 class Ticked(NamedTuple):
--- a/fuchsiahaven/core/replies.py
+++ b/fuchsiahaven/core/replies.py
@@ -69,6 +69,8 @@
     if recorded is not None:
         return reply(state, event.token, recorded, now, replayed=True)
     kind = CLAIM_KINDS[event.result]
+    if event.over and not event.done:
+        kind = errors.Kind.OUTCOME_UNKNOWN
     ran = errors.Ran.YES if event.done else None
     failure = errors.make_failure(
         kind,
--- a/fuchsiahaven/core/submissions.py
+++ b/fuchsiahaven/core/submissions.py
@@ -4,6 +4,7 @@
 
 from fuchsiahaven.core import (
     admission,
+    claims,
     configurations,
     endings,
     errors,
@@ -93,7 +94,10 @@
     """Run what was claimed for this attempt; tell the others why not."""
     begun = state.tables.begun.get(event.token)
     if begun is None:
-        # The caller was told that it was not run, so it must never be.
+        # The caller was told that it was not run, so it must never be; a
+        # claim that stays would answer "unknown" to whoever asks again.
+        if event.result is messages.ClaimResult.GRANTED:
+            return [messages.Release(event.request_id)]
         return []
     if event.result is messages.ClaimResult.GRANTED:
         begun = begun._replace(claimed=True)
@@ -114,7 +118,7 @@
     failure = errors.make_failure(
         errors.Kind.PLATFORM_UNAVAILABLE,
         SOURCE,
-        'the claim took too long',
+        f'the claim took too long; {claims.MAY_STAND}',
         retry_after=NOT_READY_RETRY_S,
     )
     return replies.reply(state, token, failure, now)
--- /dev/null
+++ b/fuchsiahaven/edge/claim_platform.py
@@ -0,0 +1,131 @@
+"""Make the platform calls of claims and say what came of them."""
+
+import contextlib
+import time
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import claim_calls, claims
+from fuchsiahaven.edge import store
+from fuchsiahaven.operate import logs
+
+PART: Final = 'claims'
+# A platform that has failed is asked again after this long, in seconds;
+# until then claims are refused without a call.
+REOPEN_S: Final = 0.5
+LEASE_S: Final = 2 * (claims.WINDOW_S + claims.SLOT_S + 2 * claims.SKEW_S)
+DOWN: Final = 'the platform did not answer'
+LOST: Final = 'the platform has lost claims of these seconds'
+
+
+class Clocks(NamedTuple):
+    """Hold the two clocks, for tests to replace."""
+
+    monotonic: Callable[[], float] = time.monotonic
+    epoch: Callable[[], float] = time.time
+
+
+CLOCKS: Final = Clocks()
+
+
+class Lease(NamedTuple):
+    """Hold a lease and the epoch before which it does not end."""
+
+    name: str
+    ends_epoch: float
+
+
+NO_LEASE: Final = Lease('', 0)
+
+
+class Platform:
+    """Own a store, the lease for its writes and what is known of both."""
+
+    def __init__(self, opened: store.Store, clocks: Clocks) -> None:
+        """Take a store over; `close` closes it."""
+        self.down_until = 0.0
+        self.close = opened.close
+        self._store = opened
+        self._clocks = clocks
+        self._lease = NO_LEASE
+        self._highest = 0
+        self._floor_epoch = 0.0
+
+    def make(
+        self, call: claim_calls.Read | claim_calls.Swap
+    ) -> claim_calls.Result:
+        """Make one call. Raises store.StoreOverBudget."""
+        if self._clocks.monotonic() < self.down_until:
+            return claim_calls.Failed(DOWN)
+        try:
+            return self._call(call)
+        except store.StoreOverBudget:
+            raise
+        except store.StoreError as error:
+            return self._explain(error)
+
+    def find_obstacle(self, key: str) -> str:
+        """Say why no claim of a key may ever be granted; empty if one may."""
+        # What was claimed before the loss may have run and be forgotten.
+        lost = float(key.rpartition('/')[2]) <= self._floor_epoch
+        return LOST if lost else ''
+
+    def _call(
+        self, call: claim_calls.Read | claim_calls.Swap
+    ) -> claim_calls.Result:
+        if isinstance(call, claim_calls.Swap):
+            lease = self._find_lease(call.key)
+            written = self._store.swap(*call, lease)
+            return self._check_growth(written.revision)
+        entry = self._store.read(call.key)
+        if entry is None:
+            return claim_calls.Found(None, 0)
+        self._highest = max(self._highest, entry.revision)
+        return claim_calls.Found(entry.value, entry.revision)
+
+    def _explain(self, error: store.StoreError) -> claim_calls.Result:
+        match error:
+            case store.StoreConflict():
+                return claim_calls.Conflict()
+            case store.StoreUnclear():
+                return claim_calls.Unclear()
+            case store.StoreLeaseEnded():
+                self._lease = NO_LEASE
+                return claim_calls.Conflict()
+        logs.warning(PART, 'the platform is unavailable', cause=error)
+        self.down_until = self._clocks.monotonic() + REOPEN_S
+        return claim_calls.Failed(DOWN)
+
+    def _check_growth(self, revision: int) -> claim_calls.Result:
+        """Refuse a grant where the platform has lost earlier writes.
+
+        A platform that was put back to an older copy has forgotten claims,
+        and their ids would run twice. Its revisions, which only grow, show
+        it: this write got one that was given before.
+        """
+        grown = revision > self._highest
+        self._highest = revision
+        if grown:
+            return claim_calls.Written(revision)
+        logs.error(PART, 'the platform has lost writes', revision=revision)
+        self._floor_epoch = self._clocks.epoch()
+        return claim_calls.Distrusted(LOST)
+
+    def _find_lease(self, key: str) -> str:
+        """Find a lease that outlives every use of a key's ids."""
+        until = claims.needed_until(float(key.rpartition('/')[2]))
+        if self._lease.ends_epoch < until:
+            # Counted from before the call, it never ends earlier than this.
+            ends = self._clocks.epoch() + LEASE_S
+            self._lease = Lease(self._open_lease(), ends)
+        return self._lease.name
+
+    def _open_lease(self) -> str:
+        # Where the answer is lost, a second lease does no harm: the first
+        # has no key and ends by itself.
+        with contextlib.suppress(store.StoreUnclear):
+            return self._store.open_lease(LEASE_S)
+        try:
+            return self._store.open_lease(LEASE_S)
+        except store.StoreUnclear as error:
+            raise store.StoreUnavailable(str(error)) from error
--- a/fuchsiahaven/edge/control.py
+++ b/fuchsiahaven/edge/control.py
@@ -21,7 +21,7 @@
 ) -> revision_tasks.Task:
     """Start the tasks; the stack ends them."""
     stores = revision_tasks.Stores(
-        _open_store(chosen, stack), _open_store(chosen, stack)
+        open_store(chosen, stack), open_store(chosen, stack)
     )
     rules = revisions.Rules(watch_s=chosen.platform.watch_s)
     state = revisions.start(
@@ -33,11 +33,14 @@
     return task
 
 
-def _open_store(
-    chosen: settings.Settings, stack: contextlib.ExitStack
+def open_store(
+    chosen: settings.Settings,
+    stack: contextlib.ExitStack,
+    limits: store.Limits = store.DEFAULT_LIMITS,
 ) -> store.Store:
+    """Open one connection to the platform; the stack closes it."""
     platform = chosen.platform
-    limits = store.Limits(read_s=platform.timeout_ms / MILLISECONDS)
+    limits = limits._replace(read_s=platform.timeout_ms / MILLISECONDS)
     opened = store.Store(
         f'http://{addresses.write(platform.addresses[0])}', limits
     )
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -6,10 +6,19 @@
 import threading
 import time
 import types
+from collections.abc import Callable
 from typing import Final
 
 from fuchsiahaven.core import addresses, messages, policies, states
-from fuchsiahaven.edge import callers, control, loop, meters, requests
+from fuchsiahaven.edge import (
+    callers,
+    claims,
+    control,
+    loop,
+    meters,
+    requests,
+    store,
+)
 from fuchsiahaven.operate import logs, settings
 
 PART: Final = 'server'
@@ -59,7 +68,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, ask_stop)
     with contextlib.ExitStack() as stack:
-        dispatcher = _start_loop(chosen, stack)
+        task = _prepare_claims(chosen, stack)
+        dispatcher = _start_loop(chosen, task.take, stack)
+        task.start(dispatcher.post, stack)
         control.start(chosen, dispatcher.post, stack)
         host = Host(dispatcher)
         _start_callers(chosen, host, stack)
@@ -91,8 +102,19 @@
     return sample.unanswered or int(sample.obstacle != 'stopping')
 
 
-def _start_loop(
+def _prepare_claims(
     chosen: settings.Settings, stack: contextlib.ExitStack
+) -> claims.Task:
+    def open_store() -> store.Store:
+        return control.open_store(chosen, stack, claims.LIMITS)
+
+    return claims.Task(open_store, _ask_nobody)
+
+
+def _start_loop(
+    chosen: settings.Settings,
+    claim: Callable[[loop.ClaimAction], None],
+    stack: contextlib.ExitStack,
 ) -> loop.Loop:
     bounds = loop.Settings(
         chosen.targets.answer_bytes,
@@ -104,7 +126,7 @@
         random.random,
         policies.POLICIES[chosen.policy.name],
     )
-    dispatcher = loop.Loop(state, bounds, _ignore)
+    dispatcher = loop.Loop(state, bounds, claim)
     thread = threading.Thread(target=dispatcher.run, name='loop')
     thread.start()
     stack.callback(thread.join)
@@ -142,5 +164,5 @@
     stack.callback(server.stop)
 
 
-def _ignore(action: messages.Action) -> None:
-    """Take a claim that nothing serves yet."""
+def _ask_nobody(address: str, body: bytes, timeout_s: float) -> None:
+    """Stand for members, which are not known yet."""
