Accept changes by compare-and-swap with their audit entry

Cause: operators race, and the platform's service loses answers after a write took effect, so neither the answer nor the last read says what became of a change. Ruled out: a lock or an owner (it can be paused), a log beside the manifest (one could exist without the other), undo by an old revision (it takes back what came after). Change: a change is applied by the fields that it names; fields changed since the operator's revision are a conflict that shows the other change, all else is rebased. The audit entry is in the same compare-and-swap; older entries are archived before the manifest drops them. A lost answer is settled by the change id; what cannot be settled is told as unknown, never as failed. An older copy of the manifest is refused, and recovered above the revision in force. The steps are generators without input or output, run by edge/editor.py.

--- a/fuchsiahaven/core/audits.py
+++ b/fuchsiahaven/core/audits.py
@@ -7,10 +7,12 @@
 
 
 class Entry(NamedTuple):
-    """Record one accepted change; it made `revision`.
+    """Record one accepted change; it made `revision` out of `follows`.
 
-    `epoch` is the operator's wall clock, for people alone: order comes from
-    the revision. `undoes` names the change that this one takes back.
+    Revisions leave a gap only where the platform had come back with an older
+    copy and its configuration was recovered from the hosts. `epoch` is the
+    operator's wall clock, for people alone: order comes from the revision.
+    `undoes` names the change that this one takes back.
     """
 
     change_id: str
@@ -19,6 +21,7 @@
     epoch: float
     what: str
     edits: tuple[trees.Edit, ...]
+    follows: int
     undoes: str | None = None
 
 
@@ -30,6 +33,7 @@
         'operator': entry.operator,
         'epoch': entry.epoch,
         'what': entry.what,
+        'follows': entry.follows,
         'edits': [
             [list(edit.field), edit.before, edit.after] for edit in entry.edits
         ],
@@ -51,6 +55,7 @@
             trees.Edit(tuple(field), before, after)
             for field, before, after in row['edits']
         ),
+        follows=row['follows'],
         undoes=row.get('undoes'),
     )
 
--- /dev/null
+++ b/fuchsiahaven/core/changes.py
@@ -0,0 +1,190 @@
+"""Define the changes that operators ask for, and put them into words."""
+
+from typing import Any, NamedTuple
+
+from fuchsiahaven.core import configurations, trees
+
+Pairs = tuple[tuple[str, Any], ...]
+
+
+class CreateGroup(NamedTuple):
+    """Create a group; it must not exist."""
+
+    group: configurations.Group
+
+
+class LabelGroup(NamedTuple):
+    """Set some labels of a group and take others away."""
+
+    group: str
+    labels: tuple[tuple[str, str], ...] = ()
+    removed: tuple[str, ...] = ()
+
+
+class SetCaps(NamedTuple):
+    """Set `slots`, `connections` or `connect_ms` of a group."""
+
+    group: str
+    caps: Pairs
+
+
+class DeleteGroup(NamedTuple):
+    """Delete a group with its targets."""
+
+    group: str
+
+
+class AddTargets(NamedTuple):
+    """Add targets to a group; none of them may be in it."""
+
+    group: str
+    targets: tuple[configurations.Target, ...]
+
+
+class RemoveTargets(NamedTuple):
+    """Remove targets from a group."""
+
+    group: str
+    targets: tuple[str, ...]
+
+
+class MarkLeaving(NamedTuple):
+    """Mark targets of a group as leaving, or as not leaving any more."""
+
+    group: str
+    targets: tuple[str, ...]
+    leaving: bool = True
+
+
+class SetSelector(NamedTuple):
+    """Create a selector, or set some of its fields.
+
+    The fields are `class`, `expression` and `data_centres`.
+    """
+
+    selector: str
+    fields: Pairs
+
+
+class DeleteSelector(NamedTuple):
+    """Delete a selector."""
+
+    selector: str
+
+
+class SetClass(NamedTuple):
+    """Create a class of request, or set some fields of its policy."""
+
+    request_class: str
+    fields: Pairs
+
+
+class DeleteClass(NamedTuple):
+    """Delete a class of request."""
+
+    request_class: str
+
+
+class Replace(NamedTuple):
+    """Put a whole description in place of everything.
+
+    Targets that stay keep their mark of leaving: a description says what
+    there is, not what is being taken out of service just now.
+    """
+
+    configuration: configurations.Configuration
+
+
+class Recover(NamedTuple):
+    """Put what hosts have in force in place of an older copy."""
+
+    configuration: configurations.Configuration
+
+
+class Restore(NamedTuple):
+    """Take back the edits of an accepted change, as a new change."""
+
+    change_id: str
+    edits: tuple[trees.Edit, ...]
+
+
+Change = (
+    CreateGroup
+    | LabelGroup
+    | SetCaps
+    | DeleteGroup
+    | AddTargets
+    | RemoveTargets
+    | MarkLeaving
+    | SetSelector
+    | DeleteSelector
+    | SetClass
+    | DeleteClass
+    | Replace
+    | Recover
+    | Restore
+)
+
+
+def find_subject(change: Change) -> trees.Field:
+    """Return the field that contains all that a change may touch."""
+    match change:
+        case CreateGroup(group):
+            return ('groups', group.name)
+        case SetSelector() | DeleteSelector():
+            return ('selectors', change.selector)
+        case SetClass() | DeleteClass():
+            return ('classes', change.request_class)
+        case Replace() | Recover() | Restore():
+            return ()
+    return ('groups', change.group)
+
+
+def describe(change: Change) -> str:
+    """Say in a few words what a change does, for the audit trail."""
+    match change:
+        case CreateGroup(group):
+            return f'create group {group.name}'
+        case LabelGroup(group, labels, removed):
+            words = [f'{key}={value}' for key, value in labels]
+            words += [f'{key}-' for key in removed]
+            return 'label group {0}: {1}'.format(group, ', '.join(words))
+        case SetCaps(group, caps):
+            return f'set group {group}: {_list_pairs(caps)}'
+        case DeleteGroup(group):
+            return f'delete group {group}'
+        case AddTargets(group, targets):
+            return f'add {len(targets)} targets to {group}'
+        case RemoveTargets(group, targets):
+            return f'remove {len(targets)} targets from {group}'
+        case MarkLeaving(group, targets, leaving):
+            state = 'leaving' if leaving else 'not leaving'
+            return f'mark {len(targets)} targets of {group} as {state}'
+    return _describe_rule(change)
+
+
+def name_subject(subject: trees.Field) -> str:
+    """Name a group, selector or class as an operator knows it."""
+    kinds = {'groups': 'group', 'selectors': 'selector', 'classes': 'class'}
+    return f'{kinds[subject[0]]} {subject[1]}'
+
+
+def _describe_rule(change: Change) -> str:
+    match change:
+        case SetSelector(name, fields):
+            return f'set selector {name}: {_list_pairs(fields)}'
+        case DeleteSelector(name):
+            return f'delete selector {name}'
+        case SetClass(name, fields):
+            return f'set class {name}: {_list_pairs(fields)}'
+        case DeleteClass(name):
+            return f'delete class {name}'
+        case Restore(change_id):
+            return f'undo {change_id}'
+        case Recover():
+            return 'recover what hosts have in force'
+    return 'apply a description'
+
+
+def _list_pairs(pairs: Pairs) -> str:
+    return ', '.join(f'{key}={value}' for key, value in pairs)
--- a/fuchsiahaven/core/manifest_schemas.py
+++ b/fuchsiahaven/core/manifest_schemas.py
@@ -116,6 +116,7 @@
     {
         'id': _TEXT,
         'revision': _REVISION,
+        'follows': _REVISION,
         'operator': _TEXT,
         'epoch': {'type': 'number'},
         'what': {'type': 'string'},
--- /dev/null
+++ b/fuchsiahaven/core/shapes.py
@@ -0,0 +1,66 @@
+"""Check names, labels, addresses and bounds of what a change wrote."""
+
+import re
+from collections.abc import Collection, Iterator, Mapping
+from typing import Any, Final
+
+from fuchsiahaven.core import addresses, manifest_schemas, selectors, trees
+
+_NAME: Final = re.compile(manifest_schemas.NAME)
+_TARGET: Final = re.compile(manifest_schemas.TARGET)
+_CENTRE: Final = re.compile(manifest_schemas.DATA_CENTRE)
+_NAME_HELP: Final = 'small letters, digits, "-" and "."; 63 at most'
+_TARGET_HELP: Final = 'letters, digits, "-", "_", "." and "/"; 127 at most'
+
+
+def find_fault(
+    tree: trees.Tree, touched: Collection[trees.Field]
+) -> str | None:
+    """Say what is wrong with the rows at the touched fields, or None.
+
+    A field names a group, selector or class; rows that a change did not
+    touch were checked when they were accepted.
+    """
+    rows: dict[str, dict[str, Any]] = {
+        'groups': {},
+        'selectors': {},
+        'classes': {},
+    }
+    for kind, name in touched:
+        row = tree[kind].get(name)
+        if row is not None:
+            rows[kind][name] = row
+    fault = next(_check_rows(rows), None)
+    # The schema is what every reader holds a manifest to, so nothing that it
+    # refuses may be written, whatever the checks above let through.
+    return fault or manifest_schemas.find_fault(manifest_schemas.TREE, rows)
+
+
+def _check_rows(rows: Mapping[str, trees.Tree]) -> Iterator[str]:
+    names = [name for kind in rows.values() for name in kind]
+    for name in names:
+        if not _NAME.match(name):
+            yield f'{name!r} is no name: {_NAME_HELP}'
+    for group, row in rows['groups'].items():
+        yield from _check_labels(group, row['labels'])
+        yield from _check_targets(row['targets'])
+        for target in row['leaving']:
+            if target not in row['targets']:
+                yield f'group {group} has no target {target} to be leaving'
+
+
+def _check_labels(group: str, labels: Mapping[str, str]) -> Iterator[str]:
+    for key, text in labels.items():
+        fault = selectors.check_key(key) or selectors.check_value(text)
+        if fault is not None:
+            yield f'group {group}, label {key}={text}: {fault.text}'
+
+
+def _check_targets(targets: Mapping[str, tuple[str, str]]) -> Iterator[str]:
+    for target, (centre, address) in targets.items():
+        if not _TARGET.match(target):
+            yield f'{target!r} is no name of a target: {_TARGET_HELP}'
+        if not _CENTRE.match(centre):
+            yield f'target {target}: {centre!r} is no name of a data centre'
+        if addresses.parse(address) is None:
+            yield f'target {target}: {address!r} is not IP:PORT'
--- /dev/null
+++ b/fuchsiahaven/core/store_calls.py
@@ -0,0 +1,82 @@
+"""Define the calls of the platform's service and the ways they end.
+
+A decision that takes several calls is a generator: it yields calls and gets
+results, so that a test can run several operators side by side, lose any
+answer, and replay what it found.
+"""
+
+from collections.abc import Generator
+from typing import NamedTuple, TypeVar
+
+
+class Read(NamedTuple):
+    """Ask for the value of a key; answered by `Found` or `Missing`."""
+
+    key: str
+
+
+class Swap(NamedTuple):
+    """Ask to write a key that is at `revision` (0: that does not exist).
+
+    Answered by `Written` or `Conflict`.
+    """
+
+    key: str
+    value: str
+    revision: int
+
+
+class List(NamedTuple):
+    """Ask for the keys that begin with a prefix; answered by `Listed`."""
+
+    prefix: str
+
+
+class Delete(NamedTuple):
+    """Ask to delete a key that is at `revision`; any answer will do."""
+
+    key: str
+    revision: int
+
+
+class Found(NamedTuple):
+    """Answer a read: the value and the key's revision in the store."""
+
+    value: str
+    revision: int
+
+
+class Missing(NamedTuple):
+    """Answer a read: there is no such key."""
+
+
+class Listed(NamedTuple):
+    """Answer a list: keys with their revisions in the store."""
+
+    keys: tuple[tuple[str, int], ...]
+
+
+class Written(NamedTuple):
+    """Answer a write: it took effect."""
+
+
+class Conflict(NamedTuple):
+    """Answer a write: the key is at another revision; nothing was written."""
+
+
+class Failed(NamedTuple):
+    """Answer any call: it gave nothing, and nothing was written."""
+
+    text: str
+
+
+class Unclear(NamedTuple):
+    """Answer a write: it may have taken effect, or may do so later."""
+
+    text: str
+
+
+Call = Read | Swap | List | Delete
+Result = Found | Missing | Listed | Written | Conflict | Failed | Unclear
+_Outcome = TypeVar('_Outcome')
+Steps = Generator[Call, Result, _Outcome]
--- a/fuchsiahaven/core/trees.py
+++ b/fuchsiahaven/core/trees.py
@@ -25,12 +25,12 @@
 def build_tree(configuration: configurations.Configuration) -> Tree:
     """Write a configuration as nested mappings down to lists and scalars."""
     return {
-        'groups': {g.name: _build_group(g) for g in configuration.groups},
+        'groups': {g.name: build_group(g) for g in configuration.groups},
         'selectors': {
             selector.name: _build_selector(selector)
             for selector in configuration.selectors
         },
-        'classes': {c.name: _build_class(c) for c in configuration.classes},
+        'classes': {c.name: build_class(c) for c in configuration.classes},
     }
 
 
@@ -132,7 +132,8 @@
     return kept if value is None else {**kept, key: value}
 
 
-def _build_group(group: configurations.Group) -> Tree:
+def build_group(group: configurations.Group) -> Tree:
+    """Write one group as its tree."""
     return {
         'labels': dict(group.labels),
         'targets': {
@@ -154,7 +155,8 @@
     }
 
 
-def _build_class(request_class: configurations.RequestClass) -> Tree:
+def build_class(request_class: configurations.RequestClass) -> Tree:
+    """Write the policy of a class of request as its tree."""
     row = request_class._asdict()
     row.pop('name')
     # Plain texts in place of enumeration members: a tree is what JSON holds.
--- /dev/null
+++ b/fuchsiahaven/edge/editor.py
@@ -0,0 +1,120 @@
+"""Carry out the steps of reading and changing the stored configuration.
+
+The decisions are generators in `core/readings` and `core/transactions`; here
+their calls go to the platform's service, and calls that certainly did nothing
+are tried again within a bounded time.
+"""
+
+import time
+from collections.abc import Callable
+from typing import Final, NamedTuple, TypeVar
+
+from fuchsiahaven.core import proposals, errors, readings, store_calls
+from fuchsiahaven.core import transactions
+from fuchsiahaven.edge import store
+
+#: The first wait before a call is made again, in seconds; it doubles.
+FIRST_WAIT_S: Final = 0.05
+LONGEST_WAIT_S: Final = 1.0
+
+_Outcome = TypeVar('_Outcome')
+
+
+class Patience(NamedTuple):
+    """Bound how long a call that gave nothing is tried again."""
+
+    seconds: float = 5.0
+    clock: Callable[[], float] = time.monotonic
+    sleep: Callable[[float], None] = time.sleep
+
+
+PATIENCE: Final = Patience()
+
+
+def read_configuration(
+    platform: store.Store,
+    patience: Patience = PATIENCE,
+) -> readings.Loaded | errors.Failure:
+    """Read the whole configuration with its last changes."""
+    return run_steps(readings.load(), platform, patience)
+
+
+def make_change(
+    platform: store.Store,
+    request: proposals.Request,
+    epoch: float,
+    patience: Patience = PATIENCE,
+) -> transactions.Outcome:
+    """Make one change and say truthfully what became of it."""
+    return run_steps(transactions.commit(request, epoch), platform, patience)
+
+
+def run_steps(
+    steps: store_calls.Steps[_Outcome],
+    platform: store.Store,
+    patience: Patience = PATIENCE,
+) -> _Outcome:
+    """Make the calls of a generator until it returns."""
+    end = patience.clock() + patience.seconds
+    result: store_calls.Result | None = None
+    while True:
+        try:
+            # One that has not started takes nothing; `Missing` is falsy too.
+            call = next(steps) if result is None else steps.send(result)
+        except StopIteration as stop:
+            outcome: _Outcome = stop.value
+            return outcome
+        result = _call_patiently(platform, call, patience, end)
+
+
+def _call_patiently(
+    platform: store.Store,
+    call: store_calls.Call,
+    patience: Patience,
+    end: float,
+) -> store_calls.Result:
+    wait_s = FIRST_WAIT_S
+    while True:
+        try:
+            return _call(platform, call)
+        except store.StoreOverBudget as error:
+            wait_s = max(wait_s, error.retry_after)
+            reason = str(error)
+        except store.StoreUnavailable as error:
+            reason = str(error)
+        if patience.clock() + wait_s > end:
+            return store_calls.Failed(reason)
+        patience.sleep(wait_s)
+        wait_s = min(2 * wait_s, LONGEST_WAIT_S)
+
+
+def _call(platform: store.Store, call: store_calls.Call) -> store_calls.Result:
+    match call:
+        case store_calls.Read(key):
+            found = platform.read(key)
+            if found is None:
+                return store_calls.Missing()
+            return store_calls.Found(found.value, found.revision)
+        case store_calls.List(prefix):
+            keys = platform.list_keys(prefix)
+            return store_calls.Listed(
+                tuple((each.key, each.revision) for each in keys)
+            )
+    return _write(platform, call)
+
+
+def _write(
+    platform: store.Store,
+    call: store_calls.Swap | store_calls.Delete,
+) -> store_calls.Result:
+    try:
+        match call:
+            case store_calls.Swap(key, value, revision):
+                platform.swap(key, value, revision)
+            case store_calls.Delete(key, revision):
+                platform.delete(key, revision)
+    except store.StoreConflict:
+        return store_calls.Conflict()
+    except store.StoreUnclear as error:
+        return store_calls.Unclear(str(error))
+    return store_calls.Written()
--- a/tests/core/test_manifests.py
+++ b/tests/core/test_manifests.py
@@ -71,6 +71,7 @@
     1.5,
     'label group',
     (trees.Edit(('groups', 'g', 'labels', 'a'), None, 'b'),),
+    follows=6,
     undoes='id-0',
 )
 
