Mend the shard maps where reports of one target disagree

The steps of one report were applied to a map that had been built anew from all of it. Now a report changes a map step by step, or the map is built anew once.

The model test was red before on both. Seen red by mutation as well: no building anew; steps on a map with refused reports; no room for shards in between; the standing shard count or range before the number of targets; ranges that do not fit; a holder that is not removed.

--- a/fuchsiahaven/core/shardmaps.py
+++ b/fuchsiahaven/core/shardmaps.py
@@ -56,6 +56,14 @@
     holding: Holding
 
 
+class Changes(NamedTuple):
+    """Hold what a target no longer holds of one snapshot, and holds anew."""
+
+    target: str
+    gone: tuple[Holding, ...]
+    new: tuple[Holding, ...]
+
+
 class Range(NamedTuple):
     """Hold a range of positions, `low <= position < high`."""
 
@@ -88,49 +96,73 @@
     )
 
 
-def add(
-    shard_map: ShardMap | None, claimed: Claimed
-) -> ShardMap | HoldingFault:
-    """Add a holder, or say why its report contradicts the map."""
-    holding = claimed.holding
-    if shard_map is None:
-        shard_map = _make_empty(holding.snapshot, holding.shards)
-    if holding.shards != len(shard_map.ranges):
-        return HoldingFault(FaultKind.SHARD_COUNT, *claimed)
-    if not _fits(shard_map.ranges, holding):
-        return HoldingFault(FaultKind.RANGE, *claimed)
-    holders = shard_map.replicas[holding.shard]
-    return shard_map._replace(
-        ranges=_put(
-            shard_map.ranges, holding.shard, Range(holding.low, holding.high)
-        ),
-        replicas=_put(
-            shard_map.replicas,
-            holding.shard,
-            tuple(sorted({*holders, claimed.target})),
-        ),
-    )
+def update(
+    before: ShardMap | None, changes: Changes, claims: Iterable[Claimed]
+) -> ShardMap | None:
+    """Follow a target's changes; None where nobody holds the snapshot.
 
+    `claims` are the reports of all targets after the changes. They are read
+    only where reports disagree: the map is then built anew from all of them,
+    for each change can make another side the larger one.
+    """
+    if before is not None and before.refused:
+        return _resolve(before, claims)
+    after = before
+    for gone in changes.gone:
+        assert after is not None
+        after = _remove(after, Claimed(changes.target, gone))
+    for new in changes.new:
+        added = _add(after, Claimed(changes.target, new))
+        if added is None:
+            return _resolve(before, claims)
+        after = added
+    return after
 
-def remove(shard_map: ShardMap, claimed: Claimed) -> ShardMap | None:
-    """Remove a holder; None where nobody holds the snapshot any more.
 
-    Only for a map without refused holdings: where some are refused, the
-    removal can change who is right, and `resolve` decides.
+def fill_ranges(shard_map: ShardMap) -> tuple[Range, ...]:
+    """Return a range for each shard; together they cover every position.
+
+    The shards of a gap that no holder ever told share it evenly. Only the
+    whole of the gap is certain then.
     """
+    filled: list[Range] = []
+    shard = 0
+    while shard < len(shard_map.ranges):
+        known = shard_map.ranges[shard]
+        if known is None:
+            end = _find_known(shard_map.ranges, shard)
+            filled.extend(_share_gap(shard_map.ranges, shard, end))
+            shard = end
+        else:
+            filled.append(known)
+            shard += 1
+    return tuple(filled)
+
+
+def _add(made: ShardMap | None, claimed: Claimed) -> ShardMap | None:
+    """Add a holder; None where its report contradicts the map."""
+    target, held = claimed
+    if made is None:
+        made = _make_empty(held.snapshot, held.shards)
+    if held.shards != len(made.ranges) or not _fits(made.ranges, held):
+        return None
+    holders = tuple(sorted({*made.replicas[held.shard], target}))
+    return made._replace(
+        ranges=_put(made.ranges, held.shard, Range(held.low, held.high)),
+        replicas=_put(made.replicas, held.shard, holders),
+    )
+
+
+def _remove(made: ShardMap, claimed: Claimed) -> ShardMap | None:
     shard = claimed.holding.shard
     kept = tuple(
-        target
-        for target in shard_map.replicas[shard]
-        if target != claimed.target
+        target for target in made.replicas[shard] if target != claimed.target
     )
-    replicas = _put(shard_map.replicas, shard, kept)
-    if not any(replicas):
-        return None
-    return shard_map._replace(replicas=replicas)
+    replicas = _put(made.replicas, shard, kept)
+    return made._replace(replicas=replicas) if any(replicas) else None
 
 
-def resolve(
+def _resolve(
     before: ShardMap | None, claims: Iterable[Claimed]
 ) -> ShardMap | None:
     """Build the map that most targets agree on, and refuse the rest.
@@ -143,8 +175,6 @@
         return None
     shards = _elect_count(before, ordered)
     ranges = _elect_ranges(before, shards, ordered)
-    shard_map = _make_empty(ordered[0].holding.snapshot, shards)
-    shard_map = shard_map._replace(ranges=ranges)
     refused: list[HoldingFault] = []
     holders: list[set[str]] = [set() for _ in range(shards)]
     for claimed in ordered:
@@ -153,32 +183,14 @@
             holders[claimed.holding.shard].add(claimed.target)
         else:
             refused.append(HoldingFault(kind, *claimed))
-    return shard_map._replace(
-        replicas=tuple(tuple(sorted(names)) for names in holders),
-        refused=tuple(refused),
+    return ShardMap(
+        ordered[0].holding.snapshot,
+        ranges,
+        tuple(tuple(sorted(names)) for names in holders),
+        tuple(refused),
     )
 
 
-def fill_ranges(shard_map: ShardMap) -> tuple[Range, ...]:
-    """Return a range for each shard; together they cover every position.
-
-    The shards of a gap that no holder ever told share it evenly. Only the
-    whole of the gap is certain then.
-    """
-    filled: list[Range] = []
-    shard = 0
-    while shard < len(shard_map.ranges):
-        known = shard_map.ranges[shard]
-        if known is None:
-            end = _find_known(shard_map.ranges, shard)
-            filled.extend(_share_gap(shard_map.ranges, shard, end))
-            shard = end
-        else:
-            filled.append(known)
-            shard += 1
-    return tuple(filled)
-
-
 def _make_empty(snapshot: int, shards: int) -> ShardMap:
     return ShardMap(snapshot, (None,) * shards, ((),) * shards)
 
