--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import os
+import signal
 import socket
 import subprocess  # noqa: S404
 import sys
@@ -104,7 +105,11 @@
 
     def ask_to_stop(self, host: Host) -> None:
         """Ask one host for a planned stop."""
-        self._running[host.name].terminate()
+        self.send_signal(host, signal.SIGTERM)
+
+    def send_signal(self, host: Host, number: signal.Signals) -> None:
+        """Send a signal to the process of one host."""
+        self._running[host.name].send_signal(number)
 
     def wait_end(self, host: Host) -> None:
         """Wait until a host's process has ended."""
