Know the members of a data centre, and hand changes on among them

Cause: every host had to watch the platform itself, and none knew of the others, whom the connection seats have to be shared with.

Ruled out: probing members at random, because each new partner costs a connection and with TLS a handshake of about four kilobytes, more than the five kilobytes a second that control may use; three fixed rings keep three connections. Carrying whole tables in gossip. Pushing a change to all from the watchers, which costs them a hundred requests a change; a tree of fan-out four costs each host four at most, and a member that cannot be reached is gone around by its parent.

A revision from a member other than the parent needs the word of two. Claims get their members and their peer calls. TLS contexts that follow their files, on the peer port and towards the platform; several platform addresses are tried in turn.

Seen red: the tests of a clock that falls back and of the pause failed before _wake knew of them; the end of a host hung on its peer port's thread, which test_path showed.

--- /dev/null
+++ b/fuchsiahaven/core/member_messages.py
@@ -0,0 +1,129 @@
+"""Define the messages between the membership and the edge."""
+
+from typing import NamedTuple
+
+from fuchsiahaven.core import members, patches
+
+
+class Gossip(NamedTuple):
+    """Hold what one host tells another, as a request or as its answer.
+
+    `digest` is the sum of all members that take part; `buckets` its parts,
+    where the sums differ. `news` are members that the sender heard of lately
+    or that stand in a bucket that differs. `relay` asks the receiver to try
+    that member; `reached` is the answer to it.
+    """
+
+    sender: members.Member
+    data_centre: str
+    stamp: patches.Stamp
+    digest: str
+    news: tuple[members.Member, ...] = ()
+    buckets: tuple[str, ...] = ()
+    relay: members.Member | None = None
+    reached: bool | None = None
+
+
+class Received(NamedTuple):
+    """Bring a request; `token` names who waits for the answer."""
+
+    token: int
+    gossip: Gossip
+
+
+class Answered(NamedTuple):
+    """Bring the answer to what was asked under `token`."""
+
+    token: int
+    gossip: Gossip
+
+
+class Lost(NamedTuple):
+    """Bring the end of what was asked under `token` without an answer."""
+
+    token: int
+
+
+class Seeded(NamedTuple):
+    """Bring addresses at which other hosts of the data centre may be."""
+
+    addresses: tuple[str, ...]
+
+
+class Enforced(NamedTuple):
+    """Bring the stamp of the configuration in force on this host."""
+
+    stamp: patches.Stamp
+
+
+class Noticed(NamedTuple):
+    """Bring a sign of life that came with other traffic of a member."""
+
+    name: str
+
+
+class LeaveAsked(NamedTuple):
+    """Announce a planned stop; the host goes on serving for now."""
+
+
+class EndAsked(NamedTuple):
+    """Announce that the host has stopped serving."""
+
+
+class Ticked(NamedTuple):
+    """Bring the passing of time."""
+
+
+class Ask(NamedTuple):
+    """Ask the edge to send gossip; `Answered` or `Lost` follows.
+
+    `timeout_s` bounds the whole exchange.
+    """
+
+    token: int
+    address: str
+    gossip: Gossip
+    timeout_s: float
+
+
+class Respond(NamedTuple):
+    """Give the answer to a request."""
+
+    token: int
+    gossip: Gossip
+
+
+class Listed(NamedTuple):
+    """Tell the other tasks who takes part; `staying` are not about to stop."""
+
+    live: tuple[str, ...]
+    staying: tuple[str, ...]
+
+
+class Heard(NamedTuple):
+    """Tell the configuration task what a member has in force."""
+
+    name: str
+    stamp: patches.Stamp
+
+
+class Report(NamedTuple):
+    """Tell the operator what happened to a member."""
+
+    text: str
+    name: str
+    urgent: bool = False
+
+
+Event = (
+    Received
+    | Answered
+    | Lost
+    | Seeded
+    | Enforced
+    | Noticed
+    | LeaveAsked
+    | EndAsked
+    | Ticked
+)
+Action = Ask | Respond | Listed | Heard | Report
--- a/fuchsiahaven/core/revisions.py
+++ b/fuchsiahaven/core/revisions.py
@@ -92,7 +92,7 @@
     from the platform costs it a call for each large part.
     """
     ask_at = now if alone else now + rules.start_s
-    return State(name, rules, ask_at, now, order=(name,))
+    return State(name, rules, ask_at, ask_at, order=(name,))
 
 
 def is_watcher(state: State) -> bool:
@@ -394,11 +394,11 @@
 
 
 def _note(state: State, fault: messages.Fault, text: str) -> Step:
-    if (fault, text) in state.faults:
-        return state, ()
+    known = _has_fault(state, fault)
     others = (it for it in state.faults if it[0] is not fault)
     noted = state._replace(faults=(*others, (fault, text)))
-    return noted, (messages.Report(fault, text),)
+    # A fault that goes on is told once; its status shows the latest text.
+    return noted, () if known else (messages.Report(fault, text),)
 
 
 def _has_fault(state: State, fault: messages.Fault) -> bool:
--- a/fuchsiahaven/edge/control.py
+++ b/fuchsiahaven/edge/control.py
@@ -1,56 +1,207 @@
 """Start the control tasks of one host and wire them together."""
 
 import contextlib
-import threading
+import functools
 import time
-from collections.abc import Callable
-from typing import Final
+from collections.abc import Callable, Mapping
+from typing import Final, NamedTuple
 
-from fuchsiahaven.core import addresses, messages, revisions
+from fuchsiahaven.core import (
+    addresses,
+    member_messages,
+    member_tables,
+    members,
+    membership,
+    messages,
+    patch_rows,
+    patches,
+    revision_messages,
+    revisions,
+)
+from fuchsiahaven.edge import (
+    claim_members,
+    gossip,
+    hostlist,
+    listings,
+    openings,
+    patch_calls,
+    peer_calls,
+    peers,
+)
 from fuchsiahaven.edge import revisions as revision_tasks
-from fuchsiahaven.edge import store
 from fuchsiahaven.operate import settings
 
-MILLISECONDS: Final = 1000
+#: Nothing else on the host is told more of the stop than its members.
+FAREWELL_S: Final = 0.5
 
-Post = Callable[[messages.Configured | messages.MembersChanged], None]
+Event = messages.Configured | messages.MembersChanged | messages.HostListed
+
+
+class Links(NamedTuple):
+    """Say whom the control tasks tell: the dispatch loop and the claims."""
+
+    post: Callable[[Event], None]
+    take_claims: Callable[[bytes], bytes | None]
+    note_members: Callable[[claim_members.Listed], None]
+
+
+class Control:
+    """Join the configuration, the membership and the peer port of a host."""
+
+    def __init__(
+        self,
+        own: members.Member,
+        chosen: settings.Settings,
+        links: Links,
+        caller: peer_calls.Caller,
+    ) -> None:
+        """Prepare the tasks without starting them."""
+        self.name = own.name
+        self.take_claims = links.take_claims
+        self._chosen = chosen
+        self._links = links
+        seeds = tuple(addresses.write(seed) for seed in chosen.peers.seeds)
+        rules = openings.read_rules(chosen)
+        now = time.monotonic()
+        state = membership.start(
+            own, chosen.host.data_centre, rules, seeds, now
+        )
+        self.gossip = gossip.Task(state, caller, self._take_members)
+        self.revisions = revision_tasks.Task(
+            revisions.start(
+                own.name,
+                now,
+                revisions.Rules(watch_s=chosen.platform.watch_s),
+                alone=not state.seeds,
+            ),
+            chosen.host.data_centre,
+            patch_calls.Exchange(own.name, caller, self._find_address),
+            self._take_configuration,
+        )
+
+    def start(self, stack: contextlib.ExitStack) -> None:
+        """Start the tasks; the stack ends them."""
+        chosen = self._chosen
+        self._lister = listings.Lister(
+            openings.open_store(chosen, stack),
+            chosen.platform.host_list_interval_s,
+            self._take_listing,
+        )
+        stores = openings.open_stores(chosen, stack)
+        openings.start_thread(self.gossip.run, gossip.PART, stack)
+        stack.callback(self.gossip.post, gossip.Stopped())
+        stack.callback(self._say_farewell)
+        openings.start_thread(
+            functools.partial(self.revisions.run, stores),
+            revision_tasks.PART,
+            stack,
+        )
+        stack.callback(self.revisions.stop)
+        openings.start_thread(self._lister.run, listings.PART, stack)
+        stack.callback(self._lister.stop)
+
+    def announce_stop(self) -> None:
+        """Tell the members that this host is about to stop."""
+        self.gossip.post(member_messages.LeaveAsked())
+
+    def explain(self) -> str:
+        """Say why this host cannot serve yet; empty where it can."""
+        return self.revisions.explain() or ''
+
+    def exchange(
+        self, told: member_messages.Gossip
+    ) -> member_messages.Gossip | None:
+        """Answer gossip; None where this host is too busy."""
+        return self.gossip.exchange(told)
+
+    def take_patches(self, parcel: patch_rows.Parcel) -> patches.Stamp:
+        """Take patches that were pushed; return what is in force."""
+        self.gossip.post(member_messages.Noticed(parcel.sender))
+        for patch in parcel.patches:
+            self.revisions.post(revision_messages.Pushed(parcel.sender, patch))
+        return self.revisions.state.in_force.stamp
+
+    def find_patches(self, above: patches.Stamp) -> tuple[patches.Patch, ...]:
+        """List what leads from a stamp to what is in force."""
+        return revisions.find_patches(self.revisions.state, above)
+
+    def describe(self) -> Mapping[str, object]:
+        """Describe this host for an operator."""
+        state = self.revisions.state
+        table = self.gossip.state.table
+        known = (entry.member for entry in table.entries.values())
+        return {
+            'host': self.name,
+            'data_centre': self._chosen.host.data_centre,
+            'state': member_tables.read_own(table).standing,
+            'revision': state.in_force.stamp.revision,
+            'digest': state.in_force.stamp.digest,
+            'watches': revisions.is_watcher(state),
+            'faults': dict(state.faults),
+            'obstacle': self.explain(),
+            'health': self.gossip.state.health,
+            'members': [member._asdict() for member in sorted(known)],
+        }
+
+    def _take_configuration(self, stamped: patches.Stamped) -> None:
+        self._links.post(messages.Configured(stamped.configuration))
+        self.gossip.post(member_messages.Enforced(stamped.stamp))
+
+    def _take_members(
+        self, told: member_messages.Listed | member_messages.Heard
+    ) -> None:
+        match told:
+            case member_messages.Listed(live, staying):
+                self._links.post(messages.MembersChanged(live, self.name))
+                self._links.note_members(self._list_staying(staying))
+                self.revisions.post(revision_messages.Listed(staying))
+                self._lister.members = len(live)
+            case member_messages.Heard():
+                self.revisions.post(revision_messages.Heard(*told))
+
+    def _take_listing(self, listing: hostlist.Listing) -> None:
+        self._links.post(listing.targets)
+        seeds = tuple(
+            entry.address
+            for entry in listing.entries
+            if entry.data_centre == self._chosen.host.data_centre
+            and not entry.leaving
+        )
+        self.gossip.post(member_messages.Seeded(seeds))
+
+    def _list_staying(self, staying: tuple[str, ...]) -> claim_members.Listed:
+        places = {name: self._find_address(name) for name in staying}
+        return claim_members.Listed(
+            self.name,
+            {name: place for name, place in places.items() if place},
+        )
+
+    def _find_address(self, name: str) -> str | None:
+        member = member_tables.find(self.gossip.state.table, name)
+        return member.address if member else None
+
+    def _say_farewell(self) -> None:
+        self.gossip.post(member_messages.EndAsked())
+        # Members that miss it find out by suspicion, some seconds later.
+        self.gossip.wait_told(FAREWELL_S)
 
 
 def start(
-    chosen: settings.Settings, post: Post, stack: contextlib.ExitStack
-) -> revision_tasks.Task:
-    """Start the tasks; the stack ends them."""
-    stores = revision_tasks.Stores(
-        open_store(chosen, stack), open_store(chosen, stack)
-    )
-    rules = revisions.Rules(watch_s=chosen.platform.watch_s)
-    state = revisions.start(
-        chosen.host.name, time.monotonic(), rules, alone=True
-    )
-    task = revision_tasks.Task(state, stores, chosen.host.data_centre, post)
-    _start_thread(task.run, revision_tasks.PART, stack)
-    stack.callback(task.stop)
-    return task
-
-
-def open_store(
     chosen: settings.Settings,
+    links: Links,
+    caller: peer_calls.Caller,
     stack: contextlib.ExitStack,
-    limits: store.Limits = store.DEFAULT_LIMITS,
-) -> store.Store:
-    """Open one connection to the platform; the stack closes it."""
-    platform = chosen.platform
-    limits = limits._replace(read_s=platform.timeout_ms / MILLISECONDS)
-    opened = store.Store(
-        f'http://{addresses.write(platform.addresses[0])}', limits
-    )
-    stack.callback(opened.close)
-    return opened
-
-
-def _start_thread(
-    run: Callable[[], None], name: str, stack: contextlib.ExitStack
-) -> None:
-    thread = threading.Thread(target=run, name=name)
-    thread.start()
-    stack.callback(thread.join)
+) -> Control:
+    """Bind the peer port and start all tasks; the stack ends them.
+
+    Raises OSError where the port is taken or a TLS file cannot be used.
+    """
+    application = peers.Application(chosen.peers.body_bytes)
+    place, server = openings.bind_peer_port(chosen, application)
+    own = members.Member(*place, 1, members.Standing.ALIVE)
+    control = Control(own, chosen, links, caller)
+    application.attach(own.name, control)
+    control.start(stack)
+    openings.start_thread(server.serve, 'peers', stack)
+    stack.callback(server.stop)
+    return control
--- /dev/null
+++ b/fuchsiahaven/edge/openings.py
@@ -0,0 +1,124 @@
+"""Open what the control tasks need, as the settings say."""
+
+import contextlib
+import errno
+import ssl
+import threading
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from cheroot import wsgi
+
+from fuchsiahaven.core import addresses, member_states
+from fuchsiahaven.edge import peer_calls, peers, revisions, store, tls
+from fuchsiahaven.operate import settings
+
+MILLISECONDS: Final = 1000
+
+
+class Place(NamedTuple):
+    """Name one process among the members, and say where it listens."""
+
+    name: str
+    address: str
+
+
+def read_rules(chosen: settings.Settings) -> member_states.Rules:
+    """Take the times of membership from the settings."""
+    own = chosen.peers
+    return member_states.Rules(
+        period_s=own.interval_ms / MILLISECONDS,
+        timeout_s=own.timeout_ms / MILLISECONDS,
+    )
+
+
+def open_caller(
+    chosen: settings.Settings, stack: contextlib.ExitStack
+) -> peer_calls.Caller:
+    """Open the calls to other hosts; the stack closes them."""
+    identity = _open_identity(chosen.peers, ssl.Purpose.SERVER_AUTH)
+    caller = peer_calls.Caller(identity, chosen.peers.body_bytes)
+    stack.callback(caller.close)
+    return caller
+
+
+def open_stores(
+    chosen: settings.Settings, stack: contextlib.ExitStack
+) -> revisions.Stores:
+    """Open the configuration task's connections to the platform."""
+    return revisions.Stores(
+        open_store(chosen, stack), open_store(chosen, stack)
+    )
+
+
+def open_store(
+    chosen: settings.Settings,
+    stack: contextlib.ExitStack,
+    limits: store.Limits = store.DEFAULT_LIMITS,
+) -> store.Store:
+    """Open one connection to the platform; the stack closes it."""
+    platform = chosen.platform
+    limits = limits._replace(read_s=platform.timeout_ms / MILLISECONDS)
+    identity = _open_identity(platform, ssl.Purpose.SERVER_AUTH)
+    scheme = 'https' if identity else 'http'
+    urls = tuple(
+        f'{scheme}://{addresses.write(address)}'
+        for address in platform.addresses
+    )
+    opened = store.Store(urls, limits, identity=identity)
+    stack.callback(opened.close)
+    return opened
+
+
+def bind_peer_port(
+    chosen: settings.Settings, application: peers.Application
+) -> tuple[Place, wsgi.Server]:
+    """Bind the peer port; processes of one host take the ports after it.
+
+    Each process is a member of its own, for it holds connections to targets
+    of its own. Raises OSError where no port is free.
+    """
+    host, port = chosen.peers.address
+    count = chosen.host.processes
+    identity = _open_identity(chosen.peers, ssl.Purpose.CLIENT_AUTH)
+    for number in range(count):
+        address = addresses.Address(host, port + number)
+        server = peers.make_server(
+            application,
+            peers.Port(address, chosen.peers.body_bytes, identity),
+        )
+        if _prepare(server, last=number + 1 == count):
+            name = chosen.host.name
+            name = f'{name}/{number}' if count > 1 else name
+            return Place(name, addresses.write(address)), server
+    raise AssertionError('the last port is bound or raises')
+
+
+def start_thread(
+    run: Callable[[], None], name: str, stack: contextlib.ExitStack
+) -> None:
+    """Start a thread; the stack waits for its end."""
+    thread = threading.Thread(target=run, name=name)
+    thread.start()
+    stack.callback(thread.join)
+
+
+def _prepare(server: wsgi.Server, *, last: bool) -> bool:
+    try:
+        server.prepare()
+    except OSError as error:
+        if last or error.errno not in {errno.EADDRINUSE, None}:
+            raise
+        return False
+    return True
+
+
+def _open_identity(
+    section: settings.Peers | settings.Platform, side: ssl.Purpose
+) -> tls.Identity | None:
+    if section.tls_authority is None:
+        return None
+    files = tls.Files(
+        section.tls_certificate, section.tls_key, section.tls_authority
+    )
+    return tls.Identity(files, side)
--- /dev/null
+++ b/fuchsiahaven/edge/patch_calls.py
@@ -0,0 +1,78 @@
+"""Carry patches to and from members over the peer port."""
+
+import json
+from collections.abc import Callable
+from typing import Any, Final
+
+from fuchsiahaven.core import patch_rows, patches
+from fuchsiahaven.core import revision_messages as messages
+from fuchsiahaven.edge import peer_calls
+
+PATH: Final = '/v1/configuration'
+PUSH_S: Final = 1.0
+#: A whole configuration may come.
+PULL_S: Final = 10.0
+
+
+class Exchange:
+    """Push to and pull from members; each call ends within bounds."""
+
+    def __init__(
+        self,
+        name: str,
+        caller: peer_calls.Caller,
+        find_address: Callable[[str], str | None],
+    ) -> None:
+        """Call on behalf of the member `name`."""
+        self._name = name
+        self._caller = caller
+        self._find_address = find_address
+
+    def push(
+        self, member: str, patch: patches.Patch
+    ) -> messages.Unreached | messages.Heard:
+        """Send a patch; give back what the member had in force."""
+        body = patch_rows.write(patch_rows.Parcel(self._name, (patch,)))
+        answer = self._call('POST', member, PATH, body, PUSH_S)
+        stamp = None if answer is None else _read_stamp(answer)
+        if stamp is None:
+            return messages.Unreached(member, patch)
+        return messages.Heard(member, stamp)
+
+    def pull(
+        self, member: str, above: patches.Stamp
+    ) -> messages.Unreached | messages.Pulled:
+        """Fetch what a member has above a stamp."""
+        path = f'{PATH}?above={above.revision}&digest={above.digest}'
+        answer = self._call('GET', member, path, b'', PULL_S)
+        if answer is None:
+            return messages.Unreached(member)
+        if not answer:
+            return messages.Pulled(member, ())
+        parcel = patch_rows.read(answer)
+        if parcel is None:
+            return messages.Unreached(member)
+        return messages.Pulled(member, parcel.patches)
+
+    def _call(
+        self,
+        method: str,
+        member: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+    ) -> bytes | None:
+        address = self._find_address(member)
+        if address is None:
+            return None
+        return self._caller.call(
+            peer_calls.Request(method, address, path, body, timeout_s)
+        )
+
+
+def _read_stamp(answer: bytes) -> patches.Stamp | None:
+    try:
+        row: Any = json.loads(answer)
+        return patches.Stamp(int(row['revision']), str(row['digest']))
+    except (ValueError, TypeError, KeyError):
+        return None
--- /dev/null
+++ b/fuchsiahaven/edge/peer_calls.py
@@ -0,0 +1,104 @@
+"""Call other hosts of the system at their peer ports."""
+
+import http
+import threading
+import time
+from typing import Final, NamedTuple
+
+import urllib3
+
+from fuchsiahaven.edge import tls
+
+JSON_HEADERS: Final = {'Content-Type': 'application/json'}
+#: Hosts to which connections are kept: partners, the tree and some others.
+KEPT_HOSTS: Final = 24
+#: One for gossip and one for configuration, which may call side by side.
+KEPT_CONNECTIONS: Final = 2
+_CHUNK: Final = 65_536
+_GOOD: Final = frozenset((http.HTTPStatus.OK, http.HTTPStatus.NO_CONTENT))
+
+
+class Request(NamedTuple):
+    """Hold one request; `timeout_s` bounds it as a whole."""
+
+    method: str
+    address: str
+    path: str
+    body: bytes = b''
+    timeout_s: float = 0.5
+
+
+class Caller:
+    """Call peers over kept connections; any thread may call."""
+
+    def __init__(self, identity: tls.Identity | None, body_bytes: int) -> None:
+        """Speak TLS with an identity, or plainly with none."""
+        self._identity = identity
+        self._scheme = 'https' if identity else 'http'
+        self._body_bytes = body_bytes
+        self._lock = threading.Lock()
+        self._pools = self._open()
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pools[1].clear()
+
+    def call(self, request: Request) -> bytes | None:
+        """Give the body of a good answer, None for anything else."""
+        give_up = time.monotonic() + request.timeout_s
+        try:
+            response = self._find_pools().request(
+                request.method,
+                f'{self._scheme}://{request.address}{request.path}',
+                body=request.body or None,
+                headers=JSON_HEADERS if request.body else None,
+                timeout=urllib3.Timeout(total=request.timeout_s),
+                retries=False,
+                redirect=False,
+                preload_content=False,
+                decode_content=False,
+            )
+            body = self._read(response, give_up)
+        except urllib3.exceptions.HTTPError:
+            return None
+        return body if response.status in _GOOD else None
+
+    def ask_claims(
+        self, address: str, body: bytes, timeout_s: float
+    ) -> bytes | None:
+        """Ask a member to write claims; None where it gives no answer."""
+        return self.call(
+            Request('POST', address, '/v1/claims', body, timeout_s)
+        )
+
+    def _read(
+        self, response: urllib3.BaseHTTPResponse, give_up: float
+    ) -> bytes | None:
+        """Read an answer within its bounds of bytes and seconds.
+
+        Each byte of an answer that trickles would restart the socket's
+        timeout, and the thread would be lost to it.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while chunk := response.read1(_CHUNK):
+            parts.append(chunk)
+            size += len(chunk)
+            if size > self._body_bytes or time.monotonic() > give_up:
+                response.close()
+                return None
+        response.release_conn()
+        return b''.join(parts)
+
+    def _find_pools(self) -> urllib3.PoolManager:
+        with self._lock:
+            context, pools = self._pools
+            if self._identity and self._identity.context() is not context:
+                # Calls under way keep the connections that they hold.
+                self._pools = self._open()
+            return self._pools[1]
+
+    def _open(self) -> tuple[object, urllib3.PoolManager]:
+        context = self._identity.context() if self._identity else None
+        pools = urllib3.PoolManager(KEPT_HOSTS, maxsize=1, ssl_context=context)
+        return context, pools
--- /dev/null
+++ b/fuchsiahaven/edge/peers.py
@@ -0,0 +1,156 @@
+"""Answer other hosts of the system on the peer port."""
+
+import http
+import json
+import math
+import time
+import urllib.parse
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, Final, NamedTuple, Protocol
+
+from cheroot import wsgi
+
+from fuchsiahaven.core import (
+    addresses,
+    errors,
+    gossip_rows,
+    member_messages,
+    patch_rows,
+    patches,
+)
+from fuchsiahaven.edge import requests, tls
+
+JSON: Final = 'application/json'
+MAX_HEADER_BYTES: Final = 8192
+LISTEN_QUEUE: Final = 256
+THREADS: Final = 8
+IDLE_S: Final = 60.0
+READ_S: Final = 5.0
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+Answer = tuple[http.HTTPStatus, bytes]
+
+
+class Host(Protocol):
+    """State what the port needs of the control tasks."""
+
+    def exchange(
+        self, gossip: member_messages.Gossip
+    ) -> member_messages.Gossip | None:
+        """Answer gossip; None where this host is too busy."""
+
+    def take_patches(self, parcel: patch_rows.Parcel) -> patches.Stamp:
+        """Take patches that were pushed; return what is in force."""
+
+    def find_patches(self, above: patches.Stamp) -> tuple[patches.Patch, ...]:
+        """List what leads from a stamp to what is in force."""
+
+    def take_claims(self, body: bytes) -> bytes | None:
+        """Answer a batch of claims; None where it is not well formed."""
+
+    def describe(self) -> Mapping[str, object]:
+        """Describe this host for an operator."""
+
+
+class Application:
+    """Answer requests of other hosts."""
+
+    def __init__(self, body_bytes: int) -> None:
+        """Bound bodies; `attach` comes before the first request."""
+        self._body_bytes = body_bytes
+
+    def attach(self, name: str, host: Host) -> None:
+        """Answer on behalf of a host, a member under `name`."""
+        self._name = name
+        self._host = host
+
+    def __call__(
+        self, environ: Mapping[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        status, body = self._answer(environ)
+        headers = [('Content-Length', str(len(body)))]
+        if body:
+            headers.append(('Content-Type', JSON))
+        start_response(f'{status.value} {status.phrase}', headers)
+        return [body]
+
+    def _answer(self, environ: Mapping[str, Any]) -> Answer:
+        match (environ['REQUEST_METHOD'], environ['PATH_INFO']):
+            case ('GET', '/v1/configuration'):
+                return self._give_patches(environ['QUERY_STRING'])
+            case ('GET', '/v1/status'):
+                told = json.dumps(self._host.describe())
+                return http.HTTPStatus.OK, told.encode()
+            case ('POST', path):
+                return self._take(path, environ)
+        return http.HTTPStatus.NOT_FOUND, b''
+
+    def _take(self, path: str, environ: Mapping[str, Any]) -> Answer:
+        give_up = time.monotonic() + READ_S
+        try:
+            body = requests.read_body(environ, self._body_bytes, give_up)
+        except requests.Refusal as refusal:
+            row = errors.TABLE[refusal.failure.kind]
+            return http.HTTPStatus(row.status), b''
+        match path:
+            case '/v1/gossip':
+                answer = self._exchange(body)
+            case '/v1/configuration':
+                answer = self._take_patches(body)
+            case '/v1/claims':
+                answer = self._host.take_claims(body)
+            case _:
+                return http.HTTPStatus.NOT_FOUND, b''
+        if answer is None:
+            return http.HTTPStatus.BAD_REQUEST, b''
+        return http.HTTPStatus.OK, answer
+
+    def _exchange(self, body: bytes) -> bytes | None:
+        gossip = gossip_rows.read(body)
+        answer = None if gossip is None else self._host.exchange(gossip)
+        return None if answer is None else gossip_rows.write(answer)
+
+    def _take_patches(self, body: bytes) -> bytes | None:
+        parcel = patch_rows.read(body)
+        if parcel is None:
+            return None
+        stamp = self._host.take_patches(parcel)
+        return json.dumps(stamp._asdict()).encode()
+
+    def _give_patches(self, query: str) -> Answer:
+        asked = dict(urllib.parse.parse_qsl(query))
+        above = asked.get('above', '')
+        if not (above.isascii() and above.isdigit()):
+            return http.HTTPStatus.BAD_REQUEST, b''
+        stamp = patches.Stamp(int(above), asked.get('digest', ''))
+        found = self._host.find_patches(stamp)
+        if not found:
+            return http.HTTPStatus.NO_CONTENT, b''
+        parcel = patch_rows.Parcel(self._name, found)
+        return http.HTTPStatus.OK, patch_rows.write(parcel)
+
+
+class Port(NamedTuple):
+    """Say where other hosts connect; plainly where there is no identity."""
+
+    address: addresses.Address
+    body_bytes: int
+    identity: tls.Identity | None
+
+
+def make_server(application: Application, port: Port) -> wsgi.Server:
+    """Make the server of the peer port; `prepare` and `serve` start it."""
+    server = wsgi.Server(
+        tuple(port.address),
+        application,
+        numthreads=THREADS,
+        request_queue_size=LISTEN_QUEUE,
+        timeout=math.ceil(IDLE_S),
+        server_name='fuchsiahaven',
+    )
+    server.max_request_header_size = MAX_HEADER_BYTES
+    server.max_request_body_size = port.body_bytes
+    if port.identity is not None:
+        server.ssl_adapter = tls.ServerAdapter(port.identity)
+    return server
--- a/fuchsiahaven/edge/revisions.py
+++ b/fuchsiahaven/edge/revisions.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
-from fuchsiahaven.core import messages, patches, revisions
+from fuchsiahaven.core import patches, revisions
 from fuchsiahaven.core import revision_messages as wording
 from fuchsiahaven.edge import manifest_reader, store, workers
 from fuchsiahaven.operate import logs
@@ -40,19 +40,13 @@
     watching: store.Store
 
 
-class View(NamedTuple):
-    """Show the task to others: what is in force and what is wrong."""
-
-    stamp: patches.Stamp = patches.NO_STAMP
-    faults: tuple[tuple[wording.Fault, str], ...] = ()
-
-
-class Pools(NamedTuple):
-    """Hold the threads that block in calls, by what they call."""
+class Means(NamedTuple):
+    """Hold what calls block in: threads, by whom they call, and stores."""
 
     asking: workers.Workers
     watching: workers.Workers
     peers: workers.Workers
+    stores: Stores
 
 
 class Task:
@@ -61,20 +55,18 @@
     def __init__(
         self,
         state: revisions.State,
-        stores: Stores,
         data_centre: str,
-        sink: Callable[[messages.Configured], None],
+        exchange: Exchange,
+        sink: Callable[[patches.Stamped], None],
     ) -> None:
         """Prepare without starting; `run` is for a thread of its own."""
-        self._state = state
-        self._stores = stores
+        self.state = state
         self._reader = manifest_reader.Reader(data_centre)
         self._sink = sink
         self._inbox: queue.SimpleQueue[wording.Event | None]
         self._inbox = queue.SimpleQueue()
         self._draws = random.SystemRandom().random
-        self._view = View()
-        self.exchange: Exchange | None = None
+        self._exchange = exchange
 
     def post(self, event: wording.Event) -> None:
         """Hand in an event; any thread may call this."""
@@ -84,31 +76,28 @@
         """Ask `run` to end."""
         self._inbox.put(None)
 
-    def view(self) -> View:
-        """Show what is in force; any thread may call this."""
-        return self._view
-
     def explain(self) -> str | None:
         """Say why this host cannot serve yet; None where it can."""
-        view = self._view
-        if view.stamp.revision:
+        state = self.state
+        if state.in_force.stamp.revision:
             return None
-        told = '; '.join(f'{fault}: {text}' for fault, text in view.faults)
+        told = '; '.join(f'{fault}: {text}' for fault, text in state.faults)
         return f'no configuration yet; {told or "asking"}'
 
-    def run(self) -> None:
+    def run(self, stores: Stores) -> None:
         """Serve until stopped."""
         with contextlib.ExitStack() as stack:
-            pools = Pools(
+            means = Means(
                 stack.enter_context(_open('ask', 1)),
                 stack.enter_context(_open('watch', 1)),
                 stack.enter_context(_open('peers', PEER_THREADS)),
+                stores,
             )
             running = True
             while running:
-                running = self._turn(pools)
+                running = self._turn(means)
 
-    def _turn(self, pools: Pools) -> bool:
+    def _turn(self, means: Means) -> bool:
         try:
             event = self._inbox.get(timeout=TICK_S)
         except queue.Empty:
@@ -118,41 +107,38 @@
         now = time.monotonic()
         for happened in (event, wording.Ticked()):
             state, actions = revisions.handle(
-                self._state, happened, now, self._draws
+                self.state, happened, now, self._draws
             )
-            self._state = state
+            self.state = state
             for action in actions:
-                self._act(action, pools)
-        self._view = View(self._state.in_force.stamp, self._state.faults)
+                self._act(action, means)
         return True
 
-    def _act(self, action: wording.Action, pools: Pools) -> None:
-        reader, stores = self._reader, self._stores
+    def _act(self, action: wording.Action, means: Means) -> None:
+        reader, stores = self._reader, means.stores
         match action:
             case wording.Read():
                 ask = functools.partial(reader.read, stores.asking)
-                self._ask(pools.asking, ask, wording.Failed(False, 'read'))
+                self._ask(means.asking, ask, wording.Failed(False, 'read'))
             case wording.Check():
                 ask = functools.partial(reader.check, stores.asking)
-                self._ask(pools.asking, ask, wording.Failed(False, 'check'))
+                self._ask(means.asking, ask, wording.Failed(False, 'check'))
             case wording.Watch():
                 ask = functools.partial(reader.watch, stores.watching, action)
-                self._ask(pools.watching, ask, wording.Failed(True, 'watch'))
+                self._ask(means.watching, ask, wording.Failed(True, 'watch'))
             case wording.Push() | wording.Pull():
-                self._exchange(action, pools.peers)
+                self._trade(action, means.peers)
             case wording.Configure():
-                self._sink(messages.Configured(action.stamped.configuration))
+                self._sink(action.stamped)
                 stamp = action.stamped.stamp
                 logs.info(PART, 'in force', revision=stamp.revision)
             case wording.Report():
                 _report(action)
 
-    def _exchange(
+    def _trade(
         self, action: wording.Push | wording.Pull, peers: workers.Workers
     ) -> None:
-        exchange = self.exchange
-        if exchange is None:
-            return
+        exchange = self._exchange
         if isinstance(action, wording.Pull):
             pull = functools.partial(exchange.pull, *action)
             self._ask(peers, pull, wording.Unreached(action.member))
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -16,6 +16,8 @@
     control,
     loop,
     meters,
+    openings,
+    peer_calls,
     requests,
     store,
 )
@@ -29,9 +31,12 @@
 class Host:
     """Join the caller port to the other tasks of this process."""
 
-    def __init__(self, dispatcher: loop.Loop) -> None:
+    def __init__(
+        self, dispatcher: loop.Loop, controller: control.Control
+    ) -> None:
         """Hand queries to a loop."""
         self._loop = dispatcher
+        self._controller = controller
         self._leaving = threading.Event()
         self._meters = meters.Meters()
         self.note_reply = self._meters.note_reply
@@ -43,15 +48,18 @@
 
     def find_obstacle(self) -> str:
         """Say why no new work should come here; empty if it may."""
-        return 'stopping' if self.is_leaving() else self._loop.sample.obstacle
+        if self.is_leaving():
+            return 'stopping'
+        return self._controller.explain() or self._loop.sample.obstacle
 
     def is_leaving(self) -> bool:
         """Tell whether the planned stop has begun."""
         return self._leaving.is_set()
 
     def leave(self) -> None:
-        """Begin the planned stop."""
+        """Begin the planned stop; balancer and members are told."""
         self._leaving.set()
+        self._controller.announce_stop()
 
     def write_metrics(self) -> bytes:
         """Write the metrics."""
@@ -68,11 +76,15 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, ask_stop)
     with contextlib.ExitStack() as stack:
-        task = _prepare_claims(chosen, stack)
+        caller = openings.open_caller(chosen, stack)
+        task = _prepare_claims(chosen, caller, stack)
         dispatcher = _start_loop(chosen, task.take, stack)
         task.start(dispatcher.post, stack)
-        control.start(chosen, dispatcher.post, stack)
-        host = Host(dispatcher)
+        links = control.Links(
+            dispatcher.post, task.take_claims, task.note_members
+        )
+        controller = control.start(chosen, links, caller, stack)
+        host = Host(dispatcher, controller)
         _start_callers(chosen, host, stack)
         logs.info(PART, 'serving', host=chosen.host.name)
         asked.wait()
@@ -103,12 +115,14 @@
 
 
 def _prepare_claims(
-    chosen: settings.Settings, stack: contextlib.ExitStack
+    chosen: settings.Settings,
+    caller: peer_calls.Caller,
+    stack: contextlib.ExitStack,
 ) -> claims.Task:
     def open_store() -> store.Store:
-        return control.open_store(chosen, stack, claims.LIMITS)
+        return openings.open_store(chosen, stack, claims.LIMITS)
 
-    return claims.Task(open_store, _ask_nobody)
+    return claims.Task(open_store, caller.ask_claims)
 
 
 def _start_loop(
@@ -162,7 +176,3 @@
     thread.start()
     stack.callback(thread.join)
     stack.callback(server.stop)
-
-
-def _ask_nobody(address: str, body: bytes, timeout_s: float) -> None:
-    """Stand for members, which are not known yet."""
--- a/fuchsiahaven/edge/store.py
+++ b/fuchsiahaven/edge/store.py
@@ -17,7 +17,7 @@
 import urllib3
 
 from fuchsiahaven.core import rates
-from fuchsiahaven.edge import store_answers
+from fuchsiahaven.edge import places, store_answers, tls
 
 Entry = store_answers.Entry
 
@@ -135,25 +135,30 @@
 
 
 class Store:
-    """Call the platform's key-value service at `base_url`."""
+    """Call the platform's key-value service."""
 
     def __init__(
         self,
-        base_url: str,
+        base_urls: str | tuple[str, ...],
         limits: Limits = DEFAULT_LIMITS,
         clock: Callable[[], float] = time.monotonic,
+        identity: tls.Identity | None = None,
     ) -> None:
-        """Prepare the connection without opening it."""
+        """Prepare the connection without opening it.
+
+        The URLs are alike; the next one is taken when a call gave nothing.
+        """
         self.calls: collections.Counter[str] = collections.Counter()
         self._limits = limits
         self._clock = clock
         self._reads = rates.fill_bucket(limits.reads, clock())
         self._writes = rates.fill_bucket(limits.writes, clock())
-        self._pool = urllib3.connection_from_url(base_url, maxsize=1)
+        urls = (base_urls,) if isinstance(base_urls, str) else base_urls
+        self._places = places.Places(urls, identity)
 
     def close(self) -> None:
         """Close the connection."""
-        self._pool.close()
+        self._places.close()
 
     def read(self, key: str) -> Entry | None:
         """Read a key, None where it does not exist.
@@ -268,7 +273,16 @@
     ) -> _Reply:
         self.calls[kind] += 1
         read_s = self._limits.read_s + wait_s
-        response = self._pool.urlopen(
+        try:
+            return self._exchange(method, path, body, read_s)
+        except (urllib3.exceptions.HTTPError, _TooLong):
+            self._places.leave()
+            raise
+
+    def _exchange(
+        self, method: str, path: str, body: bytes | None, read_s: float
+    ) -> _Reply:
+        response = self._places.find().urlopen(
             method,
             path,
             body=body,
--- a/fuchsiahaven/operate/logs.py
+++ b/fuchsiahaven/operate/logs.py
@@ -81,6 +81,8 @@
     handler = logging.get_absl_handler()
     handler.setFormatter(formatter)
     handler.python_handler.setStream(sys.stderr)
+    # Its warnings are of lost connections, which the parts tell themselves.
+    standard.getLogger('urllib3').setLevel(standard.ERROR)
 
 
 def debug(part: str, text: str, **fields: object) -> None:
--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,245 @@
+"""Check which hosts a data centre takes for live, over a cut network."""
+
+import pytest
+from hypothesis import settings, stateful
+from hypothesis import strategies as st
+
+from fuchsiahaven.core import member_messages as messages
+from fuchsiahaven.core import member_tables as tables
+from fuchsiahaven.core import members, membership
+from tests.core import networks
+
+SETTLE_S = 90.0
+
+
+def settle(network: networks.Network) -> None:
+    """Let time pass until all agree; fail where they do not."""
+    end = network.now + SETTLE_S
+    while not network.agree() and network.now < end:
+        network.run(1)
+    seen = {name: state.live for name, state in network.hosts.items()}
+    assert network.agree(), seen
+
+
+def list_accused(network: networks.Network) -> set[str]:
+    """Name the members that anybody held for suspect or dead."""
+    return {
+        report.name
+        for _, _, report in network.reports
+        if report.text.endswith(('suspect', 'dead'))
+    }
+
+
+def join(count: int) -> networks.Network:
+    """Start hosts and let them find each other."""
+    network = networks.Network(count)
+    settle(network)
+    network.run(5)
+    network.reports.clear()
+    return network
+
+
+@pytest.mark.parametrize('count', [2, 8, 30])
+def test_a_third_killed_at_once_is_found_dead(count: int) -> None:
+    """Take hosts for dead that were killed together.
+
+    Symptom: seats at the targets stay dealt to hosts that are gone.
+    Sequence: a rack goes, a third of the members with it, helpers among
+    them. Cause: helpers that are dead themselves confirm nothing.
+    """
+    network = join(count)
+    for number in range(max(1, count // 3)):
+        network.kill(f'h{count - 1 - number}')
+    settle(network)
+
+
+def test_half_open_cut_accuses_nobody() -> None:
+    """Go around a cut in one direction between two hosts.
+
+    Symptom: a healthy host is held for dead. Sequence: h1 cannot open
+    connections to h2, while h2 reaches h1. Cause: one host's failed probe
+    taken for proof.
+    """
+    network = join(8)
+    network.cut = lambda one, other: (one, other) == ('h1', 'h2')
+    network.run(60)
+    assert not list_accused(network)
+
+
+@pytest.mark.parametrize('pause_s', [3, 60, 1000])
+def test_paused_host_accuses_nobody_when_it_wakes(pause_s: float) -> None:
+    """Let a host that stood still find its own fault.
+
+    Symptom: one paused host has healthy ones declared dead. Sequence: h3
+    stands still with probes under way, wakes, and finds them all overdue.
+    Cause: what went unanswered meanwhile says nothing of the others.
+    """
+    network = join(8)
+    network.frozen.add('h3')
+    network.run(pause_s)
+    network.frozen.clear()
+    settle(network)
+    network.run(20)
+    assert list_accused(network) <= {'h3'}
+
+
+def test_cut_data_centre_heals() -> None:
+    """Find each other again after both halves buried the other.
+
+    Symptom: after a cut each half goes on alone for ever. Sequence: two
+    halves are cut off for five minutes, then healed. Cause: dead members
+    are probed no more, so nobody would ever hear of them again.
+    """
+    network = join(8)
+    half = {'h0', 'h1', 'h2', 'h3'}
+    network.cut = lambda one, other: (one in half) != (other in half)
+    network.run(300)
+    assert network.hosts['h0'].live == tuple(sorted(half))
+    network.cut = lambda one, other: False
+    settle(network)
+
+
+def test_member_that_left_does_not_come_back_by_old_news() -> None:
+    """Keep a member gone that a host woken from a pause still holds.
+
+    Symptom: seats are dealt to a host that left. Sequence: h3 is paused;
+    h5 leaves; h3 wakes and tells that h5 lives. Cause: news without order.
+    """
+    network = join(8)
+    network.frozen.add('h3')
+    network.send('h5', messages.LeaveAsked())
+    network.run(1)
+    assert 'h5' not in network.hosts['h0'].staying
+    network.send('h5', messages.EndAsked())
+    network.run(0.5)
+    network.kill('h5')
+    network.run(4)
+    assert 'h5' not in network.hosts['h0'].live
+    network.frozen.clear()
+    for _ in range(40):
+        network.run(0.25)
+        assert 'h5' not in network.hosts['h0'].live
+    settle(network)
+
+
+@pytest.mark.parametrize('at_once', [True, False])
+def test_all_hosts_replaced(at_once: bool) -> None:
+    """Agree on the new hosts when all are replaced under their names.
+
+    Symptom: new hosts are taken for their dead predecessors. Sequence: all
+    are killed, one after another or at once, and started anew with the
+    first incarnation. Cause: others remember a higher incarnation as dead.
+    """
+    network = join(8)
+    for number in range(8):
+        network.kill(f'h{number}')
+        if not at_once:
+            network.run(15)
+            network.add(f'h{number}')
+            settle(network)
+    if at_once:
+        for number in range(8):
+            network.add(f'h{number}')
+    settle(network)
+
+
+def test_forged_reports_change_nothing_lasting() -> None:
+    """Survive a member that calls all others dead under high incarnations.
+
+    Symptom: a member that runs wild takes every other out for good.
+    Sequence: reports of death with incarnations near and far above the
+    known ones, and hundreds of members that do not exist. Cause: whoever
+    names the highest number would be believed for ever.
+    """
+    network = join(4)
+    state = network.hosts['h0']
+    dead = members.Standing.DEAD
+    sender = tables.read_own(network.hosts['h1'].table)
+    for name in ('h0', 'h1', 'h2', 'h3'):
+        for incarnation in (5, members.MAX_JUMP, members.MAX_INCARNATION):
+            forged = members.Member(name, name, incarnation, dead)
+            gossip = messages.Gossip(
+                sender, networks.CENTRE, state.stamp, '', (forged,)
+            )
+            network.send('h0', messages.Received(0, gossip))
+    settle(network)
+    strangers = tuple(
+        members.Member(f'x{place}', '1', 1, members.Standing.ALIVE)
+        for place in range(tables.MAX_MEMBERS)
+    )
+    table, _ = tables.merge(state.table, strangers, network.now)
+    assert len(table.entries) == tables.MAX_MEMBERS
+
+
+def test_clock_that_jumps_back_is_borne() -> None:
+    """Go on probing after a monotonic clock of a moved host fell back."""
+    network = join(3)
+    state = network.hosts['h0']
+    early = network.now - 500
+    asked = 0
+    for tick in range(40):
+        state, actions = membership.handle(
+            state,
+            messages.Ticked(),
+            early + tick * networks.TICK_S,
+            lambda: 0.5,
+        )
+        asked += sum(isinstance(it, messages.Ask) for it in actions)
+    assert asked >= 9
+
+
+class Membership(stateful.RuleBasedStateMachine):
+    """Kill, add, freeze and cut hosts; in the end all agree."""
+
+    def __init__(self) -> None:
+        """Start five hosts."""
+        super().__init__()
+        self.network = join(5)
+        self.names = [f'h{number}' for number in range(5)]
+
+    @stateful.rule(name=st.integers(2, 4), seconds=st.integers(0, 20))
+    def kill(self, name: int, seconds: int) -> None:
+        """Kill a host that is no seed."""
+        self.network.hosts.pop(f'h{name}', None)
+        self.network.frozen.discard(f'h{name}')
+        self.network.run(seconds)
+
+    @stateful.rule(name=st.integers(2, 4))
+    def restart(self, name: int) -> None:
+        """Start a host anew."""
+        if f'h{name}' not in self.network.hosts:
+            self.network.add(f'h{name}')
+
+    @stateful.rule(name=st.integers(0, 4), seconds=st.integers(0, 30))
+    def freeze(self, name: int, seconds: int) -> None:
+        """Pause a host."""
+        self.network.frozen.add(f'h{name}')
+        self.network.run(seconds)
+        self.network.frozen.discard(f'h{name}')
+
+    @stateful.rule(
+        one=st.integers(0, 4),
+        other=st.integers(0, 4),
+        loss=st.floats(0, 0.4),
+        seconds=st.integers(0, 60),
+    )
+    def cut(self, one: int, other: int, loss: float, seconds: int) -> None:
+        """Cut one direction, or one host off if both ends are the same."""
+        self.network.loss = loss
+        ends = (f'h{one}', f'h{other}')
+        self.network.cut = lambda a, b: (
+            ends[0] in {a, b} if one == other else (a, b) == ends
+        )
+        self.network.run(seconds)
+
+    def teardown(self) -> None:
+        """Heal the network and demand that all agree."""
+        self.network.loss = 0
+        self.network.cut = lambda one, other: False
+        settle(self.network)
+
+
+Membership.TestCase.settings = settings(
+    max_examples=30, stateful_step_count=12, deadline=None
+)
+TestMembership = Membership.TestCase
