Give operators their commands

Cause: operators drive the system by labels and selectors alone and had no way to change them. A change asks one host of each data centre for the revision in force first, so that a platform restored from an old copy is not built upon. Ruled out: counting a silent host as done, and ending a wait without a list of hosts: both told operators more than was known.

--- a/fuchsiahaven/core/readings.py
+++ b/fuchsiahaven/core/readings.py
@@ -36,12 +36,11 @@
 
 
 def read_archived(
-    manifest: manifests.Manifest,
+    kept: tuple[audits.Entry, ...],
     base: int,
 ) -> store_calls.Steps[tuple[audits.Entry, ...] | errors.Failure]:
-    """Read the entries above a revision that the manifest no longer has."""
+    """Read the entries above a revision that came before those kept."""
     entries: list[audits.Entry] = []
-    kept = manifest.changes
     revision = kept[0].follows if kept else 0
     while revision > base:
         if len(entries) == MAX_ARCHIVED:
--- a/fuchsiahaven/core/transactions.py
+++ b/fuchsiahaven/core/transactions.py
@@ -69,19 +69,19 @@
     busy = errors.make_failure(
         errors.Kind.CONFLICT, SOURCE, f'others came first {TRIES} times'
     )
-    return _doubt(busy, run.pending)
+    return _doubt(busy, run)
 
 
 def _try_once(run: _Run, epoch: float) -> store_calls.Steps[_Run | Outcome]:
     view = yield from _look(run)
     if isinstance(view, errors.Failure):
-        return _doubt(view, run.pending)
+        return _doubt(view, run)
     if isinstance(view, proposals.Accepted):
         return view
     run, manifest, older = view.run, view.loaded.manifest, view.older
     prepared = proposals.prepare(manifest, run.request, epoch, older)
     if isinstance(prepared, errors.Failure):
-        return _doubt(prepared, run.pending)
+        return _doubt(prepared, run)
     if isinstance(prepared, proposals.Unchanged):
         return prepared
     stored = yield from _store(prepared, view.loaded.revision)
@@ -89,7 +89,7 @@
         case proposals.Accepted():
             yield from _sweep(manifest, prepared.encoded.manifest)
         case errors.Failure():
-            return _doubt(stored, run.pending)
+            return _doubt(stored, run)
         case _Pending():
             return run._replace(pending=stored)
         case _Lost():
@@ -112,7 +112,9 @@
     fault = _check_age(here, request, run.highest)
     if fault is not None:
         return fault
-    older = yield from readings.read_archived(manifest, request.base or 0)
+    older = yield from readings.read_archived(
+        manifest.changes, request.base or 0
+    )
     if isinstance(older, errors.Failure):
         return older
     own = audits.find_change((*older, *manifest.changes), request.change_id)
@@ -257,15 +259,14 @@
     return isinstance(since, int) and since <= revision
 
 
-def _doubt(
-    failure: errors.Failure,
-    pending: _Pending | None,
-) -> errors.Failure:
+def _doubt(failure: errors.Failure, run: _Run) -> errors.Failure:
     """Own up that a change may still take effect after an unclear write."""
-    if pending is None:
+    if run.pending is None:
         return failure
+    request = run.request
     return errors.make_failure(
         errors.Kind.OUTCOME_UNKNOWN,
         SOURCE,
-        f'{pending.text}; then {failure.kind}: {failure.detail}',
+        f'{run.pending.text}; then {failure.kind}: {failure.detail}; '
+        f'settle it by --change-id {request.change_id} --from {request.base}',
     )
--- /dev/null
+++ b/fuchsiahaven/operate/command_plan.py
@@ -0,0 +1,96 @@
+"""Show what a whole description would change, without changing anything."""
+
+import argparse
+import contextlib
+import json
+import sys
+import time
+from pathlib import Path
+from typing import Final
+
+from fuchsiahaven.core import changes, errors, manifests, proposals
+from fuchsiahaven.edge import editor
+from fuchsiahaven.operate import connections, descriptions, exits, submissions
+
+EPILOG: Final = """examples:
+  fuchsiahaven plan santiago.ini
+  fuchsiahaven apply santiago.ini --from 31
+
+A description is INI:
+  [group NAME]                  labels, slots, connections, connect_ms
+  [targets GROUP DATA_CENTRE]   NAME = IP:PORT, with ranges such as {01..20}
+  [selector NAME]               class, expression, data_centres
+  [class NAME]                  deadline_ms, needs, repeat, fan_out, priority,
+                                hedge_share, retry_share
+What it leaves out is deleted; marks of leaving targets are kept.
+
+exit codes: 0 nothing would change; 1 something would, or it is refused;
+2 the file has faults; 3 the platform was not reached
+"""
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the arguments of the command."""
+    parser.epilog = EPILOG
+    parser.add_argument('file', type=Path, help='the description (INI)')
+    submissions.add_arguments(parser)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Print the difference, then every problem."""
+    change = read_change(arguments.file)
+    if change is None:
+        return exits.USAGE
+    return show_plan(arguments, change)
+
+
+def read_change(path: Path) -> changes.Replace | None:
+    """Read a description; print every fault and return None if it has any."""
+    reading = descriptions.read_file(path)
+    for fault in reading.faults:
+        print(descriptions.describe(fault), file=sys.stderr)
+    return None if reading.faults else changes.Replace(reading.configuration)
+
+
+def show_plan(arguments: argparse.Namespace, change: changes.Change) -> int:
+    """Print what a change would do to what the platform has now."""
+    with contextlib.ExitStack() as stack:
+        place = connections.find_place(arguments)
+        if place is None:
+            return exits.USAGE
+        platform = connections.open_store(place, stack)
+        loaded = editor.read_configuration(platform, place.patience)
+    if isinstance(loaded, errors.Failure):
+        submissions.show_failure(loaded, as_json=arguments.json)
+        return submissions.choose_exit(loaded)
+    return _print(arguments, loaded.manifest, change)
+
+
+def _print(
+    arguments: argparse.Namespace,
+    manifest: manifests.Manifest,
+    change: changes.Change,
+) -> int:
+    request = submissions.build_request(arguments, change)
+    # What has problems is shown too: they are easier to see in the difference.
+    told = proposals.prepare(
+        manifest, request._replace(force=True), time.time()
+    )
+    refused = proposals.prepare(manifest, request, time.time())
+    revision = manifest.configuration.revision
+    if isinstance(told, errors.Failure):
+        submissions.show_failure(told, as_json=arguments.json)
+        return submissions.choose_exit(told)
+    edits = () if isinstance(told, proposals.Unchanged) else told.entry.edits
+    problem = refused.detail if isinstance(refused, errors.Failure) else ''
+    if arguments.json:
+        rows = [[list(it.field), it.before, it.after] for it in edits]
+        row = {'from': revision, 'edits': rows, 'problem': problem}
+        print(json.dumps(row, ensure_ascii=False))
+    else:
+        for edit in edits:
+            print(submissions.write_edit(edit))
+        print(f'{len(edits)} changes to revision {revision}')
+        if problem:
+            print(f'refused: {problem}')
+    return exits.FAILED if edits else exits.DONE
--- a/fuchsiahaven/operate/commands.py
+++ b/fuchsiahaven/operate/commands.py
@@ -48,6 +48,56 @@
         'fuchsiahaven.operate.command_check',
         'check a settings file and tell every fault in it',
     ),
+    Entry(
+        'group',
+        'fuchsiahaven.operate.command_group',
+        'list, show, create, label, set and delete groups',
+    ),
+    Entry(
+        'target',
+        'fuchsiahaven.operate.command_target',
+        'add, remove, drain and return targets',
+    ),
+    Entry(
+        'selector',
+        'fuchsiahaven.operate.command_selector',
+        'list, show, set and delete selectors',
+    ),
+    Entry(
+        'class',
+        'fuchsiahaven.operate.command_class',
+        'list, show, set and delete classes of request',
+    ),
+    Entry(
+        'plan',
+        'fuchsiahaven.operate.command_plan',
+        'show what a description would change',
+    ),
+    Entry(
+        'apply',
+        'fuchsiahaven.operate.command_apply',
+        'put a whole description in force as one change',
+    ),
+    Entry(
+        'history',
+        'fuchsiahaven.operate.command_history',
+        'show the audit trail',
+    ),
+    Entry(
+        'undo',
+        'fuchsiahaven.operate.command_undo',
+        'take back an accepted change by a new one',
+    ),
+    Entry(
+        'status',
+        'fuchsiahaven.operate.command_status',
+        'say which revision is in force where',
+    ),
+    Entry(
+        'watch',
+        'fuchsiahaven.operate.command_watch',
+        'print each change as it is accepted',
+    ),
 )
 
 
--- a/fuchsiahaven/operate/settings_reader.py
+++ b/fuchsiahaven/operate/settings_reader.py
@@ -62,7 +62,7 @@
 
 def read_text(text: str) -> Reading:
     """Read the text of a settings file."""
-    sections, faults = _split(text)
+    sections, faults = split(text)
     hints = typing.get_type_hints(settings.Settings)
     faults.extend(_find_unknown(sections, hints))
     values: dict[str, typing.Any] = {}
@@ -86,7 +86,7 @@
     return '{0}: expected {1}'.format(' '.join(words), fault.expected)
 
 
-def _split(text: str) -> tuple[Sections, list[Fault]]:
+def split(text: str) -> tuple[Sections, list[Fault]]:
     """Split the text into sections, blanking each line that cannot be read.
 
     configparser stops at the first such line; going on shows the rest of the
--- /dev/null
+++ b/fuchsiahaven/operate/statuses.py
@@ -0,0 +1,143 @@
+"""Ask hosts which revision they have in force, and say whom none reached."""
+
+import collections
+import concurrent.futures
+from collections.abc import Iterable, Mapping
+from typing import Any, Final, NamedTuple
+
+from fuchsiahaven.core import addresses
+from fuchsiahaven.edge import hostlist, store
+from fuchsiahaven.operate import connections, exchanges
+
+#: Hosts asked at a time; each waits for one answer.
+ASKED_AT_ONCE: Final = 32
+TIMEOUT_S: Final = 2.0
+HTTP_OK: Final = 200
+#: Members that are known to be gone are not expected to have a revision.
+GONE: Final = frozenset(('dead', 'left'))
+
+
+class Seen(NamedTuple):
+    """Hold what one host says of itself, or why it says nothing.
+
+    `revision` is None where the host did not answer; it may have any.
+    """
+
+    address: str
+    name: str = ''
+    data_centre: str = ''
+    state: str = ''
+    revision: int | None = None
+    digest: str = ''
+    remark: str = ''
+
+
+class Survey(NamedTuple):
+    """Hold what was found out; `list_fault` says why there is no list."""
+
+    hosts: tuple[Seen, ...]
+    list_fault: str = ''
+
+
+def survey(
+    place: connections.Place,
+    platform: store.Store,
+    timeout_s: float = TIMEOUT_S,
+) -> Survey:
+    """Ask every host that the platform, the operator or a member names.
+
+    Members are asked for too, because the platform's list lags: a host that
+    just started would otherwise count as not being there.
+    """
+    expected, fault = _list_hosts(platform)
+    for address in place.hosts:
+        text = addresses.write(address)
+        expected.setdefault(text, Seen(text))
+    found: dict[str, Seen] = {}
+    while expected.keys() > found.keys():
+        waiting = [expected[key] for key in expected.keys() - found.keys()]
+        for seen, members in _ask_all(waiting, timeout_s):
+            found[seen.address] = seen
+            expected = {**members, **expected}
+    hosts = sorted(found.values(), key=_order)
+    return Survey(tuple(hosts), fault)
+
+
+def find_highest(place: connections.Place, platform: store.Store) -> int:
+    """Return the highest revision that a few hosts have in force.
+
+    One that has it is enough to tell that the platform's copy is older, so
+    one host of each data centre is asked, and silence costs little time.
+    """
+    expected, _ = _list_hosts(platform)
+    by_centre = {seen.data_centre: seen for seen in expected.values()}
+    few = list(by_centre.values())
+    few += [Seen(addresses.write(address)) for address in place.hosts[:1]]
+    told = _ask_all(few, TIMEOUT_S / 4)
+    return max((seen.revision or 0 for seen, _ in told), default=0)
+
+
+def count_revisions(hosts: Iterable[Seen]) -> Mapping[str, Mapping[str, int]]:
+    """Count hosts by data centre and revision; `unknown` where silent."""
+    counts: dict[str, collections.Counter[str]] = {}
+    for seen in hosts:
+        known = 'unknown' if seen.revision is None else str(seen.revision)
+        centre = counts.setdefault(
+            seen.data_centre or '?', collections.Counter()
+        )
+        centre[known] += 1
+    return counts
+
+
+def _list_hosts(platform: store.Store) -> tuple[dict[str, Seen], str]:
+    try:
+        listing = hostlist.read_hosts(platform)
+    except store.StoreError as error:
+        return {}, f'the platform gave no list of hosts: {error}'
+    listed = {
+        entry.address: Seen(entry.address, entry.name, entry.data_centre)
+        for entry in listing.entries
+        if not entry.leaving
+    }
+    return listed, ''
+
+
+def _ask_all(
+    hosts: list[Seen], timeout_s: float
+) -> list[tuple[Seen, Mapping[str, Seen]]]:
+    with concurrent.futures.ThreadPoolExecutor(ASKED_AT_ONCE) as pool:
+        return list(pool.map(lambda seen: _ask(seen, timeout_s), hosts))
+
+
+def _ask(known: Seen, timeout_s: float) -> tuple[Seen, Mapping[str, Seen]]:
+    address = addresses.parse(known.address)
+    if address is None:
+        return known._replace(remark='no address'), {}
+    told = exchanges.ask(address, 'GET', '/v1/status', timeout_s=timeout_s)
+    if isinstance(told, exchanges.Silent):
+        return known._replace(remark=told.reason), {}
+    body: Mapping[str, Any] = told.body
+    if told.status != HTTP_OK or not isinstance(body.get('revision'), int):
+        return known._replace(remark=f'status {told.status}'), {}
+    seen = Seen(
+        known.address,
+        str(body.get('host', known.name)),
+        str(body.get('data_centre', known.data_centre)),
+        str(body.get('state', '')),
+        body['revision'],
+        str(body.get('digest', '')),
+        str(body.get('obstacle') or ''),
+    )
+    members = _read_members(seen, body.get('members', []))
+    return seen, {member.address: member for member in members}
+
+
+def _read_members(seen: Seen, rows: object) -> Iterable[Seen]:
+    for row in rows if isinstance(rows, list) else []:
+        if isinstance(row, dict) and row.get('standing') not in GONE:
+            address, name = str(row.get('address')), str(row.get('name'))
+            yield Seen(address, name, seen.data_centre)
+
+
+def _order(seen: Seen) -> tuple[str, str, str]:
+    return seen.data_centre, seen.name, seen.address
--- /dev/null
+++ b/fuchsiahaven/operate/submissions.py
@@ -0,0 +1,186 @@
+"""Submit one change for an operator and tell what became of it."""
+
+import argparse
+import contextlib
+import getpass
+import json
+import os
+import secrets
+import sys
+import time
+from collections.abc import Mapping
+from typing import Any, Final
+
+from fuchsiahaven.core import (
+    audits,
+    changes,
+    errors,
+    proposals,
+    request_ids,
+    transactions,
+    trees,
+)
+from fuchsiahaven.edge import editor, store
+from fuchsiahaven.operate import connections, exits, statuses, waits
+
+OPERATOR_VARIABLE: Final = 'FUCHSIAHAVEN_OPERATOR'
+#: Edits shown to a person; `--json` has all.
+SHOWN_EDITS: Final = 20
+#: A wait that is asked for without a time ends after this, in seconds.
+WAIT_S: Final = 30.0
+EXIT_CODES: Final = """exit codes: 0 done, or nothing to change; 1 refused, or
+--wait ended before all hosts that answer had it in force; 3 the platform was
+not reached, or with --wait some host does not answer; 4 another change took
+hold first; 5 it cannot be told whether the change took effect
+"""
+_CODES: Final[Mapping[errors.Kind, int]] = {
+    errors.Kind.CONFLICT: exits.CONFLICT,
+    errors.Kind.OUTCOME_UNKNOWN: exits.UNKNOWN,
+    errors.Kind.PLATFORM_UNAVAILABLE: exits.UNREACHABLE,
+}
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the arguments that every change takes."""
+    connections.add_arguments(parser)
+    parser.add_argument(
+        '--operator',
+        default=os.environ.get(OPERATOR_VARIABLE, ''),
+        help=f'name for the audit trail ({OPERATOR_VARIABLE}, or the user)',
+    )
+    parser.add_argument(
+        '--from',
+        dest='base',
+        type=int,
+        metavar='REVISION',
+        help='the revision you have looked at; conflicts count from it',
+    )
+    parser.add_argument(
+        '--change-id',
+        metavar='ID',
+        help='settle an earlier change of unknown outcome; needs --from',
+    )
+    parser.add_argument(
+        '--force',
+        action='store_true',
+        help='accept problems that may be meant',
+    )
+    parser.add_argument(
+        '--wait',
+        nargs='?',
+        type=float,
+        const=WAIT_S,
+        metavar='SECONDS',
+        help='wait until it is in force on every host',
+    )
+
+
+def submit(arguments: argparse.Namespace, change: changes.Change) -> int:
+    """Make a change, wait for it where asked, print, return the exit code."""
+    with contextlib.ExitStack() as stack:
+        place = connections.find_place(arguments)
+        if place is None:
+            return exits.USAGE
+        platform = connections.open_store(place, stack)
+        return submit_at(arguments, change, place, platform)
+
+
+def submit_at(
+    arguments: argparse.Namespace,
+    change: changes.Change,
+    place: connections.Place,
+    platform: store.Store,
+) -> int:
+    """Make a change through a store that is open already."""
+    if arguments.change_id and arguments.base is None:
+        print('--change-id needs --from REVISION', file=sys.stderr)
+        return exits.USAGE
+    request = build_request(arguments, change)
+    highest = statuses.find_highest(place, platform)
+    request = request._replace(floor=highest)
+    outcome = editor.make_change(platform, request, time.time(), place.patience)
+    show(outcome, as_json=arguments.json)
+    if not isinstance(outcome, proposals.Accepted):
+        return choose_exit(outcome)
+    if arguments.wait is None:
+        return exits.DONE
+    revision = outcome.entry.revision
+    return waits.wait_for(revision, place, platform, arguments.wait)
+
+
+def build_request(
+    arguments: argparse.Namespace, change: changes.Change
+) -> proposals.Request:
+    """Build the request for a change, with a new id unless one is given."""
+    bits = secrets.randbits(request_ids.RANDOM_BITS)
+    return proposals.Request(
+        arguments.change_id or request_ids.mint(time.time(), bits),
+        arguments.operator or getpass.getuser(),
+        change,
+        arguments.base,
+        arguments.force,
+    )
+
+
+def show(outcome: transactions.Outcome, *, as_json: bool) -> None:
+    """Print what became of a change."""
+    match outcome:
+        case proposals.Accepted(entry):
+            row: dict[str, Any] = {
+                'status': 'accepted',
+                'change': audits.write_row(entry),
+            }
+            head = f'revision {entry.revision} accepted: {entry.what}'
+            lines = [head, f'change {entry.change_id}', *write_edits(entry)]
+        case proposals.Unchanged(revision):
+            row = {'status': 'unchanged', 'revision': revision}
+            lines = [f'nothing to change; revision {revision} stands']
+        case errors.Failure():
+            show_failure(outcome, as_json=as_json)
+            return
+    print(json.dumps(row, ensure_ascii=False) if as_json else '\n'.join(lines))
+
+
+def show_failure(failure: errors.Failure, *, as_json: bool) -> None:
+    """Print a failure: for a program on the output, else as an error."""
+    text = errors.TABLE[failure.kind].text
+    if as_json:
+        row = {
+            'kind': failure.kind,
+            'text': text,
+            'detail': failure.detail,
+            'ran': failure.ran,
+        }
+        print(json.dumps({'error': row}, ensure_ascii=False))
+    else:
+        print(f'{failure.kind}: {text}: {failure.detail}', file=sys.stderr)
+
+
+def choose_exit(outcome: transactions.Outcome) -> int:
+    """Choose the exit code for what became of a change."""
+    if isinstance(outcome, errors.Failure):
+        return _CODES.get(outcome.kind, exits.FAILED)
+    return exits.DONE
+
+
+def write_edits(entry: audits.Entry) -> list[str]:
+    """Write what a change did as lines for a person."""
+    lines = [write_edit(edit) for edit in entry.edits[:SHOWN_EDITS]]
+    more = len(entry.edits) - len(lines)
+    return [*lines, f'  and {more} more'] if more else lines
+
+
+def write_edit(edit: trees.Edit) -> str:
+    """Write one edit as a line: + new, - gone, ~ changed."""
+    field = ' '.join(edit.field)
+    if edit.before is None:
+        return f'  + {field}: {_shorten(edit.after)}'
+    if edit.after is None:
+        return f'  - {field}: {_shorten(edit.before)}'
+    return f'  ~ {field}: {_shorten(edit.before)} -> {_shorten(edit.after)}'
+
+
+def _shorten(told: object) -> str:
+    text = json.dumps(told, ensure_ascii=False)
+    length = proposals.SHOWN_LENGTH
+    return text if len(text) <= length else f'{text[:length]}...'
--- a/tests/core/test_change_races.py
+++ b/tests/core/test_change_races.py
@@ -290,6 +290,6 @@
         ]
         store.finish(label('b', 'tier', 'y'))
     manifest = read(store)
-    older = store.finish(readings.read_archived(manifest, 0))
+    older = store.finish(readings.read_archived(manifest.changes, 0))
     entries: tuple[audits.Entry, ...] = (*older, *manifest.changes)
     assert [entry.change_id for entry in entries] == ['made', 'a', 'b']
--- a/tests/core/test_transactions.py
+++ b/tests/core/test_transactions.py
@@ -207,7 +207,7 @@
 
     def read_entries(self) -> list[audits.Entry]:
         manifest = self.load().manifest
-        older = self.store.finish(readings.read_archived(manifest, 0))
+        older = self.store.finish(readings.read_archived(manifest.changes, 0))
         assert isinstance(older, tuple)
         return [*older, *manifest.changes]
 
