--- a/fuchsiahaven/core/snapshots.py
+++ b/fuchsiahaven/core/snapshots.py
@@ -11,8 +11,8 @@
 Holding = shardmaps.Holding
 
 #: A newer snapshot is taken with at least one part in this many of the
-#: replicas per shard that the best one has.
-SPARE_PART: Final = 2
+#: strength of the best one.
+STRENGTH_PART: Final = 2
 _KEY_BYTES: Final = 2
 
 
@@ -47,15 +47,16 @@
     """Hold one snapshot of one group as a query uses it.
 
     `shards` has an entry for each shard, in the order of the ranges;
-    `held` counts those with a usable replica and `spare` is the number of
-    usable replicas of the shard that has fewest.
+    `held` counts those with a usable replica. `strength` is the least, over
+    the shards, of usable replicas for the shard's part of all positions: it
+    compares what snapshots with different shard maps can carry.
     """
 
     group: str
     snapshot: int
     shards: tuple[PinnedShard, ...]
     held: int
-    spare: int
+    strength: float
 
     @property
     def complete(self) -> bool:
@@ -220,9 +221,14 @@
         )
         for shard, holders in enumerate(made.replicas)
     )
-    counts = [len(shard.replicas) for shard in shards]
-    held = sum(count > 0 for count in counts)
-    return Pin(group, made.snapshot, shards, held, min(counts))
+    held = len([shard for shard in shards if shard.replicas])
+    strength = min(map(_measure_strength, shards))
+    return Pin(group, made.snapshot, shards, held, strength)
+
+
+def _measure_strength(shard: PinnedShard) -> float:
+    part = (shard.high - shard.low) / shardmaps.POSITIONS
+    return len(shard.replicas) / part
 
 
 def _choose_complete(complete: Sequence[Pin], in_use: int) -> Pin:
@@ -234,8 +240,8 @@
     tail latency while the other replicas idle.
     """
     current = [pin for pin in complete if pin.snapshot >= in_use] or complete
-    most = max(pin.spare for pin in current)
-    return next(pin for pin in current if pin.spare * SPARE_PART >= most)
+    most = max(pin.strength for pin in current)
+    return next(pin for pin in current if pin.strength * STRENGTH_PART >= most)
 
 
 def _measure_coverage(pinned: Pin) -> int:
--- a/tests/core/test_snapshots.py
+++ b/tests/core/test_snapshots.py
@@ -72,6 +72,28 @@
     assert pinned == [1, 1, 2, 2, 2, 2]
 
 
+def test_larger_shards_need_more_replicas() -> None:
+    """Compare snapshots by what they can carry, not by replicas alone.
+
+    Symptom: refusals while data is partitioned anew into fewer shards.
+    Sequence: eight targets hold four shards twice; two of them load snapshot
+    2 in two shards, one replica each, and get all queries.
+    Cause: one replica of two for a shard taken for half of the strength.
+    """
+    names = [f't{number}' for number in range(8)]
+    known = learn_all(
+        {name: [hold(1, place % 4, 4)] for place, name in enumerate(names)}
+    )
+    pinned = []
+    for place, name in enumerate(names[:4]):
+        both = [*known.holdings[name], hold(2, place % 2, 2)]
+        known = snapshots.learn(known, name, both)
+        found = snapshots.pin(known, frozenset(names))
+        assert found is not None
+        pinned.append(found.snapshot)
+    assert pinned == [1, 1, 1, 2]
+
+
 def test_answers_do_not_go_back_to_an_older_snapshot() -> None:
     """Stay on a snapshot once it is in use.
 
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -115,6 +115,15 @@
     return stage.targets[f'{group}-{number:02}']
 
 
+def list_targets(stage: world.World, group: str) -> list[fakes.Target]:
+    """List the targets of a group."""
+    return [
+        target
+        for name, target in stage.targets.items()
+        if name.startswith(f'{group}-')
+    ]
+
+
 @given(step('a group {name} of {count:d} targets in {place}'))
 def add_group(stage: world.World, name: str, count: int, place: str) -> None:
     stage.add_group(name, count, count // 2, place)
@@ -195,6 +204,45 @@
             target.drop(snapshot)
 
 
+@when(
+    step(
+        'the targets of {group} restart in turn, each after a drain of '
+        '{seconds:g} s, under {rate:d} {name} queries a second'
+    )
+)
+def restart_in_turn(
+    stage: world.World, group: str, seconds: float, rate: int, name: str
+) -> None:
+    for target in list_targets(stage, group):
+        leave(stage, target)
+        ask_over_time(stage, int(rate * seconds), name, seconds)
+        target.back_at = stage.clock.now
+        lose(stage, target)
+        bring_back(stage, target)
+
+
+@when(
+    step(
+        'the targets of {group} change in turn to snapshot {snapshot:d} in '
+        '{shards:d} shards, each {seconds:g} s, under {rate:d} {name} '
+        'queries a second'
+    )
+)
+def change_in_turn(
+    stage: world.World,
+    group: str,
+    snapshot: int,
+    shards: int,
+    seconds: float,
+    rate: int,
+    name: str,
+) -> None:
+    for place, target in enumerate(list_targets(stage, group)):
+        target.drop(snapshot - 1)
+        target.hold(snapshot, place % shards, shards)
+        ask_over_time(stage, int(rate * seconds), name, seconds)
+
+
 @when(step('{one} is cut off from {other}'))
 def cut(stage: world.World, one: str, other: str) -> None:
     stage.cuts.add(frozenset((one, other)))
--- a/tests/scenarios/fakes.py
+++ b/tests/scenarios/fakes.py
@@ -61,6 +61,7 @@
         self.shows_load = True
         self.report_lag_s = 0.0
         self.left_at = math.inf
+        self.back_at = math.inf
         self.runs: list[Run] = []
         self.received: list[float] = []
         self.repeats = 0
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -171,6 +171,19 @@
     assert target.received and not late
 
 
+@then(
+    conftest.step(
+        'no searcher of {group} gets new work after {seconds:g} s of its drain'
+    )
+)
+def check_all_left(stage: world.World, group: str, seconds: float) -> None:
+    for target in conftest.list_targets(stage, group):
+        after = target.left_at + seconds
+        drain = [at for at in target.received if at < target.back_at]
+        assert drain
+        assert max(drain) <= after
+
+
 @then(conftest.step('the tier adds at most {percent:g} percent of load'))
 def check_load(stage: world.World, percent: float) -> None:
     repeats = sum(one.repeats for one in stage.targets.values())
