Bound how long a request takes to arrive, and count its wait

Both ports are served by one module. A request, head and body, has one time to arrive in: the timeout of a socket starts again with each byte, so that a sender of a byte a second held a thread for hours. What the library refuses by itself is told in the words of the table of errors. A body past its bound is not read: the library used to read the rest of a refused body, whatever its length, to keep the connection. The time that a request waits for a thread counts against its deadline. There are more threads (256), because each waiting query holds one and admission alone may let 64 wait.

Callers and targets speak TLS where the settings name files.

The tests of trickled requests were seen red with a give-up time that starts again with each read.

--- a/fuchsiahaven/edge/callers.py
+++ b/fuchsiahaven/edge/callers.py
@@ -1,17 +1,14 @@
 """Speak with callers: the one adapter for their protocol."""
 
 import http
-import math
 import queue
 import random
 import time
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any, Final, NamedTuple, Protocol
-
-from cheroot import wsgi
+from typing import Any, Final, Protocol
 
 from fuchsiahaven.core import errors, messages, request_ids
-from fuchsiahaven.edge import answers, loop, requests
+from fuchsiahaven.edge import answers, loop, ports, requests
 
 SEARCH: Final = ('POST', '/v1/search')
 HEALTHZ: Final = ('GET', '/healthz')
@@ -26,13 +23,6 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
 
-class Bounds(NamedTuple):
-    """Bound what callers may send and how long they may take."""
-
-    request: requests.Bounds
-    read_s: float
-
-
 class Host(Protocol):
     """State what the port needs of the rest of the process."""
 
@@ -58,7 +48,7 @@
 class Application:
     """Answer requests of callers, each with exactly one reply."""
 
-    def __init__(self, host: Host, bounds: Bounds) -> None:
+    def __init__(self, host: Host, bounds: requests.Bounds) -> None:
         """Answer on behalf of a host."""
         self._host = host
         self._bounds = bounds
@@ -101,13 +91,13 @@
         return answers.write_failure(None, failure), JSON
 
     def _search(self, environ: Mapping[str, Any]) -> answers.Written:
-        arrived = time.monotonic()
-        bounds = self._bounds
         try:
-            body = requests.read_body(
-                environ, bounds.request.body_bytes, arrived + bounds.read_s
+            query = requests.read_query(
+                requests.read_body(environ),
+                self._bounds,
+                _mint,
+                environ[ports.ARRIVED],
             )
-            query = requests.read_query(body, bounds.request, _mint, arrived)
         except requests.Refusal as refusal:
             self._host.note_refusal(refusal.failure.kind)
             return answers.write_failure(refusal.request_id, refusal.failure)
@@ -135,34 +125,6 @@
         return answers.Written(http.HTTPStatus.OK, b'ready\n')
 
 
-class Port(NamedTuple):
-    """Say where callers connect and with how many threads they are served."""
-
-    address: str
-    threads: int
-    listen_queue: int
-    header_bytes: int
-    body_bytes: int
-    idle_s: float
-    shared: bool
-
-
-def make_server(application: Application, port: Port) -> wsgi.Server:
-    """Make the server of the caller port; `prepare` and `serve` start it."""
-    host, _, number = port.address.rpartition(':')
-    server = wsgi.Server(
-        (host, int(number)),
-        application,
-        numthreads=port.threads,
-        request_queue_size=port.listen_queue,
-        timeout=math.ceil(port.idle_s),
-        reuse_port=port.shared,
-        server_name='fuchsiahaven',
-    )
-    server.max_request_header_size = port.header_bytes
-    return server
-
-
 def _mint() -> str:
     bits = random.SystemRandom().getrandbits(request_ids.RANDOM_BITS)
     return request_ids.mint(time.time(), bits)
--- a/fuchsiahaven/edge/connectors.py
+++ b/fuchsiahaven/edge/connectors.py
@@ -5,7 +5,6 @@
 """
 
 import queue
-import ssl
 import threading
 from collections.abc import Callable
 from typing import Final, NamedTuple
@@ -13,7 +12,10 @@
 import urllib3.connection
 import urllib3.exceptions
 
-THREADS: Final = 4
+from fuchsiahaven.edge import tls
+
+#: A target that swallows connects holds a thread up to the timeout.
+THREADS: Final = 8
 
 
 class Opened(NamedTuple):
@@ -40,12 +42,12 @@
         self,
         report: Callable[[Outcome], None],
         timeout_s: float,
-        context: ssl.SSLContext | None = None,
+        identity: tls.Identity | None = None,
     ) -> None:
         """Start the threads; `report` is called in them."""
         self._report = report
         self._timeout_s = timeout_s
-        self._context = context
+        self._identity = identity
         self._wanted: queue.SimpleQueue[str | None] = queue.SimpleQueue()
         self._threads = [
             threading.Thread(target=self._run, name=f'connector-{number}')
@@ -81,7 +83,7 @@
 
     def _prepare(self, address: str) -> urllib3.connection.HTTPConnection:
         host, _, port = address.rpartition(':')
-        if self._context is None:
+        if self._identity is None:
             return urllib3.connection.HTTPConnection(
                 host, int(port), timeout=self._timeout_s
             )
@@ -89,5 +91,5 @@
             host,
             int(port),
             timeout=self._timeout_s,
-            ssl_context=self._context,
+            ssl_context=self._identity.context(),
         )
--- a/fuchsiahaven/edge/control.py
+++ b/fuchsiahaven/edge/control.py
@@ -196,7 +196,7 @@
 
     Raises OSError where the port is taken or a TLS file cannot be used.
     """
-    application = peers.Application(chosen.peers.body_bytes)
+    application = peers.Application()
     place, server = openings.bind_peer_port(chosen, application)
     own = members.Member(*place, 1, members.Standing.ALIVE)
     control = Control(own, chosen, links, caller)
--- a/fuchsiahaven/edge/loop.py
+++ b/fuchsiahaven/edge/loop.py
@@ -13,7 +13,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import dispatch, messages, states, tables
-from fuchsiahaven.edge import connectors, fleets, links, pools
+from fuchsiahaven.edge import connectors, fleets, links, pools, tls
 
 SWEEP_S: Final = 0.05
 WAKE_SIZE: Final = 4096
@@ -58,6 +58,7 @@
     answer_bytes: int
     probe_s: float
     connect_s: float
+    identity: tls.Identity | None = None
 
 
 class Loop:
@@ -104,7 +105,9 @@
             stack.callback(self._bell.close)
             stack.callback(self._ringer.close)
             stack.callback(self._selector.close)
-            opener = connectors.Connectors(self.post, self._settings.connect_s)
+            opener = connectors.Connectors(
+                self.post, self._settings.connect_s, self._settings.identity
+            )
             stack.callback(opener.close)
             shop = pools.Shop(
                 self._selector,
--- a/fuchsiahaven/edge/openings.py
+++ b/fuchsiahaven/edge/openings.py
@@ -15,6 +15,10 @@
 
 MILLISECONDS: Final = 1000
 
+Section = (
+    settings.Callers | settings.Peers | settings.Platform | settings.Targets
+)
+
 
 class Place(NamedTuple):
     """Name one process among the members, and say where it listens."""
@@ -36,7 +40,7 @@
     chosen: settings.Settings, stack: contextlib.ExitStack
 ) -> peer_calls.Caller:
     """Open the calls to other hosts; the stack closes them."""
-    identity = _open_identity(chosen.peers, ssl.Purpose.SERVER_AUTH)
+    identity = open_identity(chosen.peers, ssl.Purpose.SERVER_AUTH)
     caller = peer_calls.Caller(identity, chosen.peers.body_bytes)
     stack.callback(caller.close)
     return caller
@@ -59,7 +63,7 @@
     """Open one connection to the platform; the stack closes it."""
     platform = chosen.platform
     limits = limits._replace(read_s=platform.timeout_ms / MILLISECONDS)
-    identity = _open_identity(platform, ssl.Purpose.SERVER_AUTH)
+    identity = open_identity(platform, ssl.Purpose.SERVER_AUTH)
     scheme = 'https' if identity else 'http'
     urls = tuple(
         f'{scheme}://{addresses.write(address)}'
@@ -80,12 +84,11 @@
     """
     host, port = chosen.peers.address
     count = chosen.host.processes
-    identity = _open_identity(chosen.peers, ssl.Purpose.CLIENT_AUTH)
+    identity = open_identity(chosen.peers, ssl.Purpose.CLIENT_AUTH)
     for number in range(count):
         address = addresses.Address(host, port + number)
         server = peers.make_server(
-            application,
-            peers.Port(address, chosen.peers.body_bytes, identity),
+            application, address, chosen.peers.body_bytes, identity
         )
         if _prepare(server, last=number + 1 == count):
             name = chosen.host.name
@@ -113,12 +116,14 @@
     return True
 
 
-def _open_identity(
-    section: settings.Peers | settings.Platform, side: ssl.Purpose
-) -> tls.Identity | None:
-    if section.tls_authority is None:
+def open_identity(section: Section, side: ssl.Purpose) -> tls.Identity | None:
+    """Open the identity that a section names; None where it speaks plainly.
+
+    Raises OSError where a file cannot be used.
+    """
+    files = tls.Files(section.tls_certificate, section.tls_key)
+    if not isinstance(section, settings.Callers):
+        files = files._replace(authority=section.tls_authority)
+    if not any(files):
         return None
-    files = tls.Files(
-        section.tls_certificate, section.tls_key, section.tls_authority
-    )
     return tls.Identity(files, side)
--- a/fuchsiahaven/edge/peers.py
+++ b/fuchsiahaven/edge/peers.py
@@ -2,11 +2,9 @@
 
 import http
 import json
-import math
-import time
 import urllib.parse
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any, Final, NamedTuple, Protocol
+from typing import Any, Final, Protocol
 
 from cheroot import wsgi
 
@@ -18,7 +16,7 @@
     patch_rows,
     patches,
 )
-from fuchsiahaven.edge import requests, tls
+from fuchsiahaven.edge import ports, requests, tls
 
 JSON: Final = 'application/json'
 MAX_HEADER_BYTES: Final = 8192
@@ -55,12 +53,11 @@
 class Application:
     """Answer requests of other hosts."""
 
-    def __init__(self, body_bytes: int) -> None:
-        """Bound bodies; `attach` comes before the first request."""
-        self._body_bytes = body_bytes
-
     def attach(self, name: str, host: Host) -> None:
-        """Answer on behalf of a host, a member under `name`."""
+        """Answer on behalf of a host, a member under `name`.
+
+        This comes before the first request.
+        """
         self._name = name
         self._host = host
 
@@ -87,9 +84,8 @@
         return http.HTTPStatus.NOT_FOUND, b''
 
     def _take(self, path: str, environ: Mapping[str, Any]) -> Answer:
-        give_up = time.monotonic() + READ_S
         try:
-            body = requests.read_body(environ, self._body_bytes, give_up)
+            body = requests.read_body(environ)
         except requests.Refusal as refusal:
             row = errors.TABLE[refusal.failure.kind]
             return http.HTTPStatus(row.status), b''
@@ -131,26 +127,21 @@
         return http.HTTPStatus.OK, patch_rows.write(parcel)
 
 
-class Port(NamedTuple):
-    """Say where other hosts connect; plainly where there is no identity."""
-
-    address: addresses.Address
-    body_bytes: int
-    identity: tls.Identity | None
-
-
-def make_server(application: Application, port: Port) -> wsgi.Server:
+def make_server(
+    application: Application,
+    address: addresses.Address,
+    body_bytes: int,
+    identity: tls.Identity | None,
+) -> wsgi.Server:
     """Make the server of the peer port; `prepare` and `serve` start it."""
-    server = wsgi.Server(
-        tuple(port.address),
-        application,
-        numthreads=THREADS,
-        request_queue_size=LISTEN_QUEUE,
-        timeout=math.ceil(IDLE_S),
-        server_name='fuchsiahaven',
+    port = ports.Port(
+        address,
+        THREADS,
+        LISTEN_QUEUE,
+        MAX_HEADER_BYTES,
+        body_bytes,
+        READ_S,
+        IDLE_S,
+        identity=identity,
     )
-    server.max_request_header_size = MAX_HEADER_BYTES
-    server.max_request_body_size = port.body_bytes
-    if port.identity is not None:
-        server.ssl_adapter = tls.ServerAdapter(port.identity)
-    return server
+    return ports.make_server(application, port)
--- a/fuchsiahaven/edge/requests.py
+++ b/fuchsiahaven/edge/requests.py
@@ -1,10 +1,8 @@
 """Read and check what callers send, within bounds of size, depth and time."""
 
-import io
 import json
 import math
 import re
-import time
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple, NoReturn
 
@@ -51,9 +49,8 @@
 
 
 class Bounds(NamedTuple):
-    """Bound what one request may be."""
+    """Bound what a body may hold once it is parsed."""
 
-    body_bytes: int
     depth: int
     items: int
 
@@ -94,50 +91,23 @@
     )
 
 
-def read_body(environ: Mapping[str, Any], limit: int, give_up: float) -> bytes:
-    """Read a body of at most `limit` bytes until the time `give_up`.
+def read_body(environ: Mapping[str, Any]) -> bytes:
+    """Read a body, whose size and time the port bounds.
 
-    Raises Refusal.
+    Raises Refusal; raises TimeoutError, which the port answers.
     """
-    stream = environ['wsgi.input']
-    # What the server hands over reads until all is there, each byte with a
-    # timeout of its own. A sender of a byte a second would hold a thread for
-    # hours; so only what has come is taken, and the clock asked each time.
-    source = getattr(stream, 'rfile', stream)
-    wanted = _read_length(environ, limit)
-    pieces: list[bytes] = []
-    while wanted:
-        ready = _wait_for_more(source, give_up)
-        piece = stream.read(min(ready, wanted))
-        wanted -= len(piece)
-        pieces.append(piece)
-    return b''.join(pieces)
-
-
-def _wait_for_more(source: io.BufferedReader, give_up: float) -> int:
-    try:
-        ready = len(source.peek(1))
-    except OSError as error:
-        raise _too_slow() from error
-    if time.monotonic() > give_up:
-        raise _too_slow()
-    if not ready:
+    length = _read_length(environ)
+    body: bytes = environ['wsgi.input'].read(length)
+    if len(body) < length:
         raise Refusal(errors.Kind.BAD_REQUEST, 'the body is too short')
-    return ready
-
-
-def _too_slow() -> Refusal:
-    return Refusal(errors.Kind.SLOW_REQUEST, 'the body did not come in time')
+    return body
 
 
-def _read_length(environ: Mapping[str, Any], limit: int) -> int:
+def _read_length(environ: Mapping[str, Any]) -> int:
     text = environ.get('CONTENT_LENGTH') or ''
     if not (text.isascii() and text.isdigit()):
         raise Refusal(errors.Kind.BAD_REQUEST, 'a Content-Length is required')
-    length = int(text)
-    if length > limit:
-        raise Refusal(errors.Kind.TOO_LARGE, f'the body may have {limit} bytes')
-    return length
+    return int(text)
 
 
 def _refuse_constant(name: str) -> NoReturn:
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -3,13 +3,14 @@
 import contextlib
 import random
 import signal
+import ssl
 import threading
 import time
 import types
 from collections.abc import Callable
 from typing import Final
 
-from fuchsiahaven.core import addresses, messages, policies, states
+from fuchsiahaven.core import messages, policies, states
 from fuchsiahaven.edge import (
     callers,
     claims,
@@ -18,6 +19,7 @@
     meters,
     openings,
     peer_calls,
+    ports,
     requests,
     store,
 )
@@ -134,6 +136,7 @@
         chosen.targets.answer_bytes,
         chosen.targets.probe_timeout_ms / MILLISECONDS,
         chosen.targets.connect_timeout_ms / MILLISECONDS,
+        openings.open_identity(chosen.targets, ssl.Purpose.SERVER_AUTH),
     )
     state = states.start(
         chosen.host.data_centre,
@@ -153,24 +156,20 @@
     host: Host,
     stack: contextlib.ExitStack,
 ) -> None:
-    limits = chosen.callers
-    bounds = callers.Bounds(
-        requests.Bounds(
-            limits.body_bytes, limits.body_depth, limits.body_items
-        ),
-        limits.read_timeout_ms / MILLISECONDS,
-    )
-    port = callers.Port(
-        addresses.write(limits.address),
-        limits.threads,
-        limits.listen_queue,
-        limits.header_bytes,
-        limits.body_bytes,
-        limits.idle_timeout_s,
+    own = chosen.callers
+    bounds = requests.Bounds(own.body_depth, own.body_items)
+    port = ports.Port(
+        own.address,
+        own.threads,
+        own.listen_queue,
+        own.header_bytes,
+        own.body_bytes,
+        own.read_timeout_ms / MILLISECONDS,
+        own.idle_timeout_s,
         shared=chosen.host.processes > 1,
+        identity=openings.open_identity(own, ssl.Purpose.CLIENT_AUTH),
     )
-    application = callers.Application(host, bounds)
-    server = callers.make_server(application, port)
+    server = ports.make_server(callers.Application(host, bounds), port)
     server.prepare()
     thread = threading.Thread(target=server.serve, name='callers')
     thread.start()
--- a/fuchsiahaven/operate/settings.py
+++ b/fuchsiahaven/operate/settings.py
@@ -58,7 +58,7 @@
     """Bound what callers may send, and say where they send it."""
 
     address: addresses.Address
-    threads: Annotated[int, Bounds(1, 1024)] = 64
+    threads: Annotated[int, Bounds(1, 1024)] = 256
     listen_queue: Count = 1024
     body_bytes: Bytes = 64 * 1024
     header_bytes: Bytes = 8 * 1024
