Let answers that confirm a health report stand for probes

Cause: a host asked each target for its health every second, whatever its answers said. At the size the users aim at a host has seats at some 540 targets, so probes alone would exceed what control may cost.

Ruled out: probing less often for all, because then a target that says it leaves by its health endpoint alone would get new work for longer than 3 s.

Change: a target may name in each answer the version of the report it would give. While that is the version already known the next probe waits for a second after the last answer; after 30 s one is sent all the same. A target that names no version is asked every second as before.

--- a/fuchsiahaven/core/gather.py
+++ b/fuchsiahaven/core/gather.py
@@ -42,6 +42,7 @@
         return []
     told = event.state
     targets.take_state(state, event.target, told, flying.sent, now)
+    targets.note_version(state, event.target, event.health_version, now)
     actions: list[messages.Action] = []
     run = state.tables.runs.get(event.part.query)
     losers = run and queries.accept(run, event.part, event.rows)
--- a/fuchsiahaven/core/messages.py
+++ b/fuchsiahaven/core/messages.py
@@ -84,7 +84,8 @@
     """Hold one health report; `sequence` grows over a target's life.
 
     `started_epoch` tells a restarted target from its predecessor, so that
-    newer evidence can end a state that older reports cannot.
+    newer evidence can end a state that older reports cannot. `version`, where
+    a target tells one, changes whenever its state or its holdings do.
     """
 
     name: str
@@ -93,6 +94,7 @@
     sequence: int
     load: Load
     holdings: tuple[snapshots.Holding, ...]
+    version: int | None = None
 
 
 class Submitted(NamedTuple):
@@ -103,13 +105,17 @@
 
 
 class Answered(NamedTuple):
-    """Bring a checked answer of one searcher."""
+    """Bring a checked answer of one searcher.
+
+    `health_version` is that of the health report it would give just now.
+    """
 
     part: PartKey
     target: str
     rows: tuple[Mapping[str, object], ...]
     state: TargetState
     load: Load | None
+    health_version: int | None = None
 
 
 class RefusalReason(enum.StrEnum):
--- a/fuchsiahaven/core/tables.py
+++ b/fuchsiahaven/core/tables.py
@@ -167,7 +167,9 @@
 
     `waiting` and `claimed` queries are by token, runs by number; targets and
     groups by name. `unheard` targets have yet to answer their first probe;
-    `probes` is when each is asked next. `in_use` is each group's snapshot
+    `probes` is when each is asked next, `reported` when it last told its
+    health, and `versions` what version of it; `confirmed` is when an answer
+    last said that this version still stands. `in_use` is each group's snapshot
     that was pinned last.
     """
 
@@ -187,6 +189,9 @@
     unheard: set[str]
     misses: 'collections.Counter[str]'
     probes: dict[str, float]
+    reported: dict[str, float]
+    versions: dict[str, int]
+    confirmed: dict[str, float]
     standings: dict[str, drains.Standing]
     leaving: set[str]
     stats: dict[str, routes.TargetStats]
@@ -221,6 +226,9 @@
         unheard=set(),
         misses=collections.Counter(),
         probes={},
+        reported={},
+        versions={},
+        confirmed={},
         standings={},
         leaving=set(),
         stats={},
--- a/fuchsiahaven/core/targets.py
+++ b/fuchsiahaven/core/targets.py
@@ -1,5 +1,6 @@
 """Follow the targets: which there are, how they are and what they hold."""
 
+import math
 from typing import Final
 
 from fuchsiahaven.core import (
@@ -20,6 +21,8 @@
 MAX_MISSES: Final = 3
 #: How often a target without a seat for this host is asked what it holds.
 PEEK_EVERY_S: Final = 60.0
+#: How often a target is asked whose answers say that nothing has changed.
+ASK_ANYWAY_S: Final = 30.0
 
 
 def configure(
@@ -62,10 +65,30 @@
     every = drains.PROBE_EVERY_S
     if not state.tables.limits[name].seats:
         every = PEEK_EVERY_S
+    confirmed = _find_confirmed(state, name, now)
+    if confirmed + every * jitter > now:
+        _schedule(state, name, confirmed + every * jitter)
+        return []
     _schedule(state, name, now + every * jitter)
     return [messages.Probe(target)]
 
 
+def note_version(
+    state: states.State, name: str, version: int | None, now: float
+) -> None:
+    """Note that an answer confirms the last health report, or does not.
+
+    A host asks each target every second, and at hundreds of targets that
+    alone would cost more than all other control traffic. An answer that
+    names the version of the report already known says the same for nothing.
+    """
+    known = state.tables
+    if version is not None and known.versions.get(name) == version:
+        known.confirmed[name] = now
+    else:
+        known.confirmed.pop(name, None)
+
+
 def take_report(
     state: states.State, event: messages.Probed, now: float
 ) -> None:
@@ -85,6 +108,7 @@
     _judge(state, name, noted, now)
     _learn(state, name, health.holdings, now)
     _take_load(state, name, health, now)
+    _take_version(state, health, now)
     if noted.renewed > standing.renewed or _turned_cold(state, health, now):
         limit = state.tables.limits[name]
         state.tables.limits[name] = limits.note_cold(limit, now)
@@ -170,6 +194,9 @@
     known.grants.pop(name, None)
     known.misses.pop(name, None)
     known.probes.pop(name, None)
+    known.reported.pop(name, None)
+    known.versions.pop(name, None)
+    known.confirmed.pop(name, None)
     for group, held in known.known.items():
         known.known[group] = snapshots.forget(held, name)
 
@@ -218,6 +245,28 @@
     state.tables.stats[name] = routes.note_load(stats, health.load, now)
 
 
+def _take_version(
+    state: states.State, health: messages.Health, now: float
+) -> None:
+    known = state.tables
+    known.reported[health.name] = now
+    known.confirmed.pop(health.name, None)
+    if health.version is None:
+        known.versions.pop(health.name, None)
+    else:
+        known.versions[health.name] = health.version
+
+
+def _find_confirmed(state: states.State, name: str, now: float) -> float:
+    known = state.tables
+    # What an answer says wrongly would be believed for ever if nothing else
+    # were asked; a target that cannot be heard has nothing confirmed either.
+    reported = known.reported.get(name, -math.inf)
+    if now - reported >= ASK_ANYWAY_S or known.misses[name]:
+        return -math.inf
+    return known.confirmed.get(name, -math.inf)
+
+
 def _turned_cold(
     state: states.State, health: messages.Health, now: float
 ) -> bool:
--- a/fuchsiahaven/edge/searchers.py
+++ b/fuchsiahaven/edge/searchers.py
@@ -157,6 +157,7 @@
         _read_rows(body.get('rows')),
         _read_state(body),
         _read_load(body.get('load')),
+        _read_version(body),
     )
 
 
@@ -218,6 +219,12 @@
     return messages.Load(*figures)
 
 
+def _read_version(body: Mapping[str, Any]) -> int | None:
+    if body.get('health_version') is None:
+        return None
+    return _read_count(body, 'health_version')
+
+
 def _read_health(body: Mapping[str, Any]) -> messages.Health:
     started, holdings = body['started_epoch'], body['holdings']
     if not math.isfinite(started) or not isinstance(holdings, list):
@@ -231,6 +238,7 @@
         _read_count(body, 'sequence'),
         _read_load(body.get('load')) or messages.Load(0, 0, 0),
         tuple(_read_holding(holding) for holding in holdings),
+        _read_version(body),
     )
 
 
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -37,6 +37,14 @@
 JobKey = tuple[str, int, int]
 
 
+class Report(NamedTuple):
+    """Hold what an answer says of its target; the load is JSON text."""
+
+    state: str
+    health_version: int
+    load: str
+
+
 class Job(NamedTuple):
     """Hold one sub-request and where its answer goes."""
 
@@ -82,7 +90,7 @@
     job.channel.reply(503, json.dumps(body))
 
 
-def build(job: Job, holding: snapshots.Holding, state: str, load: str) -> str:
+def build(job: Job, holding: snapshots.Holding, report: Report) -> str:
     """Build the body of an answer, pasting the rows' kept text in."""
     order = job.order
     query = order['query']
@@ -102,7 +110,9 @@
         f'{{"request_id": "{order["request_id"]}", '
         f'"group": "{order["group"]}", "shard": {order["shard"]}, '
         f'"snapshot": {order["snapshot"]}, "attempt": {order["attempt"]}, '
-        f'"rows": {rows}, "state": "{state}", "load": {load}}}'
+        f'"rows": {rows}, "state": "{report.state}", '
+        f'"health_version": {report.health_version}, '
+        f'"load": {report.load}}}'
     )
 
 
--- a/standins/searchers.py
+++ b/standins/searchers.py
@@ -11,6 +11,7 @@
 import math
 import random
 import time
+import zlib
 from typing import Final
 
 from fuchsiahaven.core import configurations, snapshots
@@ -84,16 +85,22 @@
         """Give the health report as JSON."""
         self._sequence += 1
         late = time.monotonic() - self._changed < REPORT_LAG_S
+        shown = self._old_state if late else state
         body = {
             'name': name,
-            'state': self._old_state if late else state,
+            'state': shown,
             'started_epoch': self._started,
             'sequence': self._sequence,
             'load': json.loads(load),
             'holdings': [holding._asdict() for holding in held],
+            'health_version': self.find_version(shown, held),
         }
         return json.dumps(body)
 
+    def find_version(self, state: str, held: list[snapshots.Holding]) -> int:
+        """Number what a report says, but for the load."""
+        return zlib.crc32(repr((self._started, state, held)).encode())
+
 
 class Searcher:
     """Own one target: its port, connections, slots and holdings."""
@@ -188,6 +195,7 @@
                 self._slots.cancel(answers.find_key(request.load()))
                 channel.reply(204)
             case '/v1/health':
+                self.stats.counts['health'] += 1
                 held = list(self.holdings.values())
                 load = self._show_load()
                 text = self._reports.show_health(
@@ -246,8 +254,10 @@
         ):
             job.channel.transport.abort()
         else:
-            load = self._show_load()
-            self._deliver(job, answers.build(job, holding, self.state, load))
+            held = list(self.holdings.values())
+            version = self._reports.find_version(self.state, held)
+            report = answers.Report(self.state, version, self._show_load())
+            self._deliver(job, answers.build(job, holding, report))
 
     def _deliver(self, job: answers.Job, body: str) -> None:
         if self.behaviour.spoil and answers.hits(self.behaviour, self._numbers):
--- a/tests/core/rig.py
+++ b/tests/core/rig.py
@@ -72,7 +72,12 @@
             self.report(shard, copy, *numbers, sequence=sequence)
 
     def report(
-        self, shard: int, copy: int, *numbers: int, sequence: int = 1
+        self,
+        shard: int,
+        copy: int,
+        *numbers: int,
+        sequence: int = 1,
+        version: int | None = None,
     ) -> None:
         """Let one target report what it holds."""
         size = 65536 // self.shards
@@ -82,7 +87,9 @@
             for number in numbers
         )
         name = self.names[shard, copy]
-        health = messages.Health(name, LIVE, 1.0, sequence, LOAD, holdings)
+        health = messages.Health(
+            name, LIVE, 1.0, sequence, LOAD, holdings, version
+        )
         self.tell(messages.Probed(name, health))
 
     def ask(
