Prove by scenarios that a refund runs at most once

Cause: claims, their settling and the dispatch were tested apart; nothing asked two hosts for one id while the platform, a host or a target failed.

Change: the driver runs the real claims task, its threads' turns made by the clock, and the real editor for changes; a host and the world round it are now two modules.

Red first, by one mutation each on a scratch copy: - two hosts at once, asked again, killed host, data centres apart: `claims._rule` grants whatever stands; - asked again: `replies.refuse_claim` leaves the recorded answer out; - lost answer of the claim: `commits.note_result` gives up an unclear write; - lost answer of the target: `gather._try_again` asks another replica; - paused host: `searchers.may_start` says yes and the request names no end (with the first alone the target still refuses); - platform down: `submissions.take_claim` runs what is unavailable; - platform too slow: `replies.reply` keeps the request after its reply; - older copy: `claim_platform._check_growth` trusts every write; - much later: `claims.in_window` takes any time.

Found: a platform that is put back to an older copy within the window of an id lets the id run twice where it is asked again at a host that never saw a revision above the copy's. Such a host cannot know.

--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -1,13 +1,13 @@
 """Say what the steps of the scenarios do."""
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 import pytest
 from pytest_bdd import given, parsers, when
 
-from fuchsiahaven.core import configurations, messages
+from fuchsiahaven.core import changes, configurations, messages, proposals
 from fuchsiahaven.edge import searchers
 from tests.scenarios import fakes, world
 
@@ -21,6 +21,7 @@
         needs=configurations.Needs.COMPLETE,
         repeat=configurations.Repeat.AT_MOST_ONCE,
         fan_out=configurations.FanOut.KEYED,
+        hedge_share=0.0,
     ),
 }
 START_S: Final = 3.0
@@ -65,28 +66,38 @@
 
 def mark_as_leaving(stage: world.World, target: fakes.Target) -> None:
     target.left_at = stage.clock.now
-    name = target.config.name
-    groups = tuple(
-        group._replace(leaving=frozenset((name,)))
-        if target.config in group.targets
-        else group
-        for group in stage.configuration.groups
-    )
-    stage.accept(stage.configuration._replace(groups=groups))
+    group = target.config.name.rpartition('-')[0]
+    stage.change('ana', changes.MarkLeaving(group, (target.config.name,)))
+
+
+def drop_answers(stage: world.World, target: fakes.Target) -> None:
+    target.drops = True
 
 
-EVENTS: Final[dict[str, Callable[[world.World, fakes.Target], None]]] = {
+EVENTS: Final[Mapping[str, Callable[[world.World, fakes.Target], None]]] = {
     'is lost': lose,
     'is back': bring_back,
     'freezes': freeze,
     'goes on': thaw,
     'gives each caller the answer before': cross,
+    'breaks off once it has run': drop_answers,
     'reports no load': mislead,
     'begins to leave': leave,
     'is listed as leaving': list_as_leaving,
     'is marked as leaving': mark_as_leaving,
 }
 
+#: What the platform does, as orders to its stand-in.
+ORDERS: Final[Mapping[str, dict[str, object]]] = {
+    'goes down': {'down': True},
+    'is up again': {'down': False},
+    'is too slow to answer': {'slow_s': 30.0},
+    'is quick again': {'slow_s': 0.0},
+    'loses the answer to the next write': {'lose_writes': 1},
+    'is copied': {'save': True},
+    'is put back to the copy': {'restore': True},
+}
+
 
 @pytest.fixture(name='stage')
 def make_stage(monkeypatch: pytest.MonkeyPatch) -> world.World:
@@ -144,7 +155,8 @@
 
 @given('all of it runs')
 def start(stage: world.World) -> None:
-    stage.accept(stage.configuration)
+    done = stage.change('setup', changes.Replace(stage.configuration))
+    assert isinstance(done, proposals.Accepted), done
     stage.clock.run(START_S)
 
 
@@ -251,3 +263,40 @@
 @when(step('{one} reaches {other} again'))
 def join(stage: world.World, one: str, other: str) -> None:
     stage.cuts.discard(frozenset((one, other)))
+
+
+@when(parsers.re('the platform (?P<event>.+)$'))
+def order(stage: world.World, event: str) -> None:
+    stage.platform.control(ORDERS[event])
+
+
+@when(step('host {name} is paused'))
+def pause(stage: world.World, name: str) -> None:
+    stage.hosts[name].paused = True
+
+
+@when(step('host {name} goes on'))
+def wake(stage: world.World, name: str) -> None:
+    stage.hosts[name].wake()
+
+
+@when(step('host {name} is killed'))
+def kill(stage: world.World, name: str) -> None:
+    stage.hosts[name].alive = False
+
+
+@when(step('host {name} starts anew'))
+def start_anew(stage: world.World, name: str) -> None:
+    stage.add_host(name, stage.hosts[name].data_centre)
+
+
+@when(step('refund {name} is asked at {host}'))
+def refund(stage: world.World, name: str, host: str) -> None:
+    request_id = stage.ids.setdefault(name, stage.mint())
+    stage.ask(host, 'refund', request_id, key=name)
+
+
+@when(step('the claim of refund {name} is written'))
+def await_claim(stage: world.World, name: str) -> None:
+    while stage.ids[name] not in stage.read_claims():
+        stage.clock.run(0.001)
--- a/tests/scenarios/fakes.py
+++ b/tests/scenarios/fakes.py
@@ -15,9 +15,10 @@
 from fuchsiahaven.edge import frames
 from tests.scenarios import clocks
 
-LISTINGS: Final = range(512, 65_536, 1024)
+LISTINGS: Final = range(2048, 65_536, 4096)
 SERVICE_S: Final = 0.005
 QUEUE: Final = 4
+CUT: Final = frames.Frame(200, b'{', closes=True)
 
 Answer = Callable[[frames.Frame], None]
 
@@ -58,6 +59,7 @@
         self.factor = 1.0
         self.frozen = False
         self.crossed = False
+        self.drops = False
         self.shows_load = True
         self.report_lag_s = 0.0
         self.left_at = math.inf
@@ -198,7 +200,8 @@
             body = self._write_answer(job.order, held)
             told = self._last_body if self.crossed else body
             self._last_body = body
-            job.answer(_frame(told or body))
+            # A connection that breaks in the middle leaves no whole answer.
+            job.answer(CUT if self.drops else _frame(told or body))
         self._fill()
 
     def _write_answer(
--- /dev/null
+++ b/tests/scenarios/hosts.py
@@ -0,0 +1,231 @@
+"""Drive the decisions of one host by hand, without threads or sockets."""
+
+import functools
+import random
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from fuchsiahaven.core import dispatch, messages, revisions, states
+from fuchsiahaven.core import revision_messages as wording
+from fuchsiahaven.edge import claim_platform, claims, frames, hostlist
+from fuchsiahaven.edge import manifest_reader, searchers, store
+from tests.scenarios import clocks, fakes, lines
+
+DELAY_S: Final = 0.001
+GRACE_S: Final = 0.25
+PROBE_S: Final = 1.0
+POLL_S: Final = 0.1
+
+Act = Callable[[], None]
+
+
+class Surroundings(Protocol):
+    """State what a host needs of the world round it."""
+
+    clock: clocks.Clock
+    targets: dict[str, fakes.Target]
+    lost: set[str]
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether two places cannot reach each other now."""
+
+    def note_reply(self, host: str, reply: messages.Reply) -> None:
+        """Hand a reply to its caller."""
+
+
+class Host:
+    """Hold one host: its state machines and what they wait for."""
+
+    def __init__(
+        self, name: str, data_centre: str, line: lines.Line, world: Surroundings
+    ) -> None:
+        """Start with nothing known."""
+        self.name = name
+        self.data_centre = data_centre
+        self.alive = True
+        self.paused = False
+        self.in_force: list[int] = []
+        self.faults: set[wording.Fault] = set()
+        self._world = world
+        self._clock = world.clock
+        self._line = line
+        self._backlog: list[Act] = []
+        self._flying: dict[messages.PartKey, messages.Send] = {}
+        self._reader = manifest_reader.Reader(data_centre)
+        self._store = lines.open_store(line, self._clock)
+        self._draws = random.Random(name).random
+        self._dispatch = states.start(data_centre, self._draws)
+        self._revisions = revisions.start(
+            name, self._clock.now, revisions.Rules(), alone=True
+        )
+        self._claims = self._open_claims()
+
+    def tell(self, event: messages.Event) -> None:
+        """Hand an event to the dispatch and do what it asks for."""
+        if self._must_wait(functools.partial(self.tell, event)):
+            return
+        state, actions = dispatch.handle(self._dispatch, event, self._clock.now)
+        self._dispatch = state
+        for action in actions:
+            self._act(action)
+
+    def steer(self, event: wording.Event) -> None:
+        """Hand an event to the choice of the revision in force."""
+        if self._must_wait(functools.partial(self.steer, event)):
+            return
+        state, actions = revisions.handle(
+            self._revisions, event, self._clock.now, self._draws
+        )
+        self._revisions = state
+        for action in actions:
+            self._control(action)
+
+    def tick(self) -> None:
+        """Let each task have its turn."""
+        if self.alive and not self.paused:
+            self.tell(messages.Ticked())
+            self.steer(wording.Ticked())
+            for worker in self._claims._workers:
+                worker._take_all(0)
+                worker._turn()
+
+    def wake(self) -> None:
+        """Go on after a pause, with all that has come meanwhile."""
+        self.paused = False
+        waiting = tuple(self._backlog)
+        self._backlog.clear()
+        for act in waiting:
+            act()
+
+    def read_list(self) -> None:
+        """Read the platform's host list, which may fail."""
+        try:
+            listing = hostlist.read_hosts(self._store)
+        except store.StoreError:
+            return
+        self.tell(listing.targets)
+
+    def break_links(self, target: str) -> None:
+        """Break every connection to a target."""
+        for send in tuple(self._flying.values()):
+            if send.target.name == target:
+                fault = messages.Fault.CONNECTION_LOST
+                self._end(send, messages.Broken(send.part, target, fault))
+
+    def _must_wait(self, act: Act) -> bool:
+        if self.paused:
+            self._backlog.append(act)
+        return self.paused or not self.alive
+
+    def _open_claims(self) -> claims.Task:
+        # The task's own threads are left out: `tick` makes their turns.
+        task = claims.Task(
+            lambda: lines.open_store(self._line, self._clock),
+            lambda address, body, timeout_s: None,
+            claim_platform.Clocks(
+                lambda: self._clock.now, lambda: self._clock.now
+            ),
+        )
+        task._post = self._settle
+        return task
+
+    def _settle(self, settled: messages.ClaimSettled) -> None:
+        self._clock.after(self._line.took, lambda: self.tell(settled))
+
+    def _act(self, action: messages.Action) -> None:
+        match action:
+            case messages.Send():
+                self._send(action)
+            case messages.Cancel():
+                self._cancel(action)
+            case messages.Reply():
+                self._world.note_reply(self.name, action)
+            case messages.Probe():
+                self._probe(action)
+            case messages.Claim() | messages.Record() | messages.Release():
+                self._claims.take(action)
+
+    def _send(self, send: messages.Send) -> None:
+        name, now = send.target.name, self._clock.now
+        end = functools.partial(self._end, send)
+        self._flying[send.part] = send
+        reason = None
+        if not searchers.may_start(send.request, now):
+            reason = messages.RefusalReason.DEADLINE
+        elif name in self._world.lost:
+            reason = messages.RefusalReason.NO_CONNECTION
+        if reason is not None:
+            refusal = messages.Refused(send.part, name, reason)
+            self._clock.after(DELAY_S, lambda: end(refusal))
+            return
+        left = send.request.deadline + GRACE_S - now
+        late = messages.Broken(send.part, name, messages.Fault.TIMED_OUT)
+        self._clock.after(left, lambda: end(late))
+        payload = searchers.write_search(send, now)
+
+        def answer(frame: frames.Frame) -> None:
+            event = searchers.read_search(send, frame)
+            self._carry(name, lambda: end(event))
+
+        target = self._world.targets[name]
+        self._carry(name, lambda: target.take(payload, answer))
+
+    def _end(self, send: messages.Send, event: messages.Event) -> None:
+        # Each exchange ends in exactly one event.
+        if self._flying.pop(send.part, None) is not None:
+            self.tell(event)
+
+    def _cancel(self, cancel: messages.Cancel) -> None:
+        send = self._flying.get(cancel.part)
+        if send is not None:
+            request = send.request
+            name = request.request_id, request.shard, request.attempt
+            target = self._world.targets[cancel.target]
+            self._carry(cancel.target, lambda: target.cancel(name))
+
+    def _probe(self, probe: messages.Probe) -> None:
+        name = probe.target.name
+        target = self._world.targets[name]
+        if target.frozen or not self._reaches(name):
+            missed = messages.Probed(name, None)
+            self._clock.after(PROBE_S, lambda: self.tell(missed))
+            return
+        event = searchers.read_probe(probe, target.report())
+        self._clock.after(2 * DELAY_S, lambda: self.tell(event))
+
+    def _carry(self, target: str, act: Act) -> None:
+        """Let a message arrive, unless the target is cut off or lost then."""
+
+        def arrive() -> None:
+            if self._reaches(target):
+                act()
+
+        self._clock.after(DELAY_S, arrive)
+
+    def _reaches(self, target: str) -> bool:
+        cut = self._world.is_cut(self.name, target)
+        return not cut and target not in self._world.lost
+
+    def _control(self, action: wording.Action) -> None:
+        match action:
+            case wording.Read():
+                self._bring(self._reader.read(self._store))
+            case wording.Check():
+                self._bring(self._reader.check(self._store))
+            case wording.Watch(_, wait_s):
+                self._watch(action, self._clock.now + wait_s)
+            case wording.Configure(stamped):
+                self.in_force.append(stamped.stamp.revision)
+                self.tell(messages.Configured(stamped.configuration))
+            case wording.Report(fault):
+                self.faults.add(fault)
+
+    def _bring(self, event: wording.Event) -> None:
+        self._clock.after(self._line.took, lambda: self.steer(event))
+
+    def _watch(self, watch: wording.Watch, until: float) -> None:
+        event = self._reader.watch(self._store, watch)
+        if isinstance(event, wording.Quiet) and self._clock.now < until:
+            self._clock.after(POLL_S, lambda: self._watch(watch, until))
+        else:
+            self._bring(event)
--- a/tests/scenarios/lines.py
+++ b/tests/scenarios/lines.py
@@ -1,4 +1,4 @@
-"""Join a real platform adapter to the platform's stand-in, without sockets."""
+"""Join real platform adapters to the platform's stand-in, without sockets."""
 
 import io
 import json
@@ -14,14 +14,16 @@
 from tests.scenarios import clocks
 
 CALL_S: Final = 0.003
+CONNECT_S: Final = store.DEFAULT_LIMITS.connect_s
 READ_S: Final = store.DEFAULT_LIMITS.read_s
 
 
 class Line:
-    """Stand where the adapter expects its connections.
+    """Stand where an adapter expects its connections.
 
     `took` is how long the last call has taken, in seconds: calls are made at
-    once, and what follows from one has to wait for so long.
+    once, and what follows from one has to wait for so long. `interrupt` is
+    what happens just before the next write.
     """
 
     def __init__(
@@ -29,6 +31,7 @@
     ) -> None:
         """Reach a platform unless the line is cut."""
         self.took = 0.0
+        self.interrupt: Callable[[], object] | None = None
         self._service = service
         self._is_cut = is_cut
 
@@ -36,8 +39,12 @@
         self, method: str, path: str, body: bytes | None, **options: Any
     ) -> urllib3.HTTPResponse:
         """Make one call."""
+        act = self.interrupt
+        if act is not None and method == 'PUT':
+            self.interrupt = None
+            act()
         if self._is_cut():
-            self.took = store.DEFAULT_LIMITS.connect_s
+            self.took = CONNECT_S
             raise urllib3.exceptions.ConnectTimeoutError(self, path, 'cut')
         url = urls.urlsplit(path)
         params: Mapping[str, str] = dict(urls.parse_qsl(url.query))
@@ -45,9 +52,8 @@
         reply = self._service.call(
             method, urls.unquote(url.path), params, content
         )
-        self.took = CALL_S + reply.delay_s
-        if reply.lost or self.took > READ_S:
-            self.took = min(self.took, READ_S)
+        self.took = min(READ_S, CALL_S + reply.delay_s)
+        if reply.lost or self.took == READ_S:
             raise urllib3.exceptions.ProtocolError('the answer is lost')
         text = '' if reply.body is None else json.dumps(reply.body)
         return urllib3.HTTPResponse(
@@ -60,13 +66,7 @@
         """Do nothing: there is nothing to close."""
 
 
-class Wired:
-    """Hold an adapter and the line it uses."""
-
-    def __init__(self, line: Line, clock: clocks.Clock) -> None:
-        """Make the adapter on this line."""
-        self.line = line
-        with mock.patch.object(
-            urllib3, 'connection_from_url', return_value=line
-        ):
-            self.store = store.Store('http://platform', clock=lambda: clock.now)
+def open_store(line: Line, clock: clocks.Clock) -> store.Store:
+    """Make an adapter on a line."""
+    with mock.patch.object(urllib3, 'connection_from_url', return_value=line):
+        return store.Store('http://platform', clock=lambda: clock.now)
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -141,11 +141,14 @@
 
 @then('nothing that ran is told as not run')
 def check_not_run(stage: world.World) -> None:
-    refused = {
-        request_id
-        for request_id, failure in list_failures(stage).items()
-        if failure.ran is errors.Ran.NO
-    }
+    told_of: dict[str, set[errors.Ran]] = {}
+    for asked, told in list_told(stage):
+        ran = errors.Ran.YES
+        if isinstance(told.reply.outcome, errors.Failure):
+            ran = told.reply.outcome.ran
+        told_of.setdefault(asked.query.request_id, set()).add(ran)
+    never = {errors.Ran.NO}
+    refused = {name for name, rans in told_of.items() if rans == never}
     assert not refused & count_runs(stage).keys()
 
 
@@ -189,3 +192,25 @@
     repeats = sum(one.repeats for one in stage.targets.values())
     received = sum(len(one.received) for one in stage.targets.values())
     assert repeats <= (received - repeats) * percent / 100
+
+
+@then(conftest.step('refund {name} ran {times}'))
+def check_refund(stage: world.World, name: str, times: str) -> None:
+    allowed = {'once': {1}, 'at most once': {0, 1}, 'never': {0}}
+    stage.settle()
+    assert count_runs(stage)[stage.ids[name]] in allowed[times]
+
+
+@then(conftest.step('the caller of refund {name} is told {kind}'))
+def check_told(stage: world.World, name: str, kind: str) -> None:
+    told = [
+        reply
+        for asked, reply in list_told(stage)
+        if asked.query.request_id == stage.ids[name]
+    ]
+    outcome = told[-1].reply.outcome
+    if isinstance(outcome, errors.Failure):
+        assert outcome.kind == kind, outcome
+        return
+    assert outcome.request_id == stage.ids[name]
+    assert told[-1].reply.replayed == (kind == 'the answer again')
