Serve those below a host that found a change before the tree

Cause: a watcher that had a change from the platform before its parent sent it took the later push for old news and never handed it on, so its part of the tree waited for gossip; and a push of the second watcher, which goes around the first while that is dead unnoticed, was taken for a stranger's.

Change: what a host found itself is held until the tree has brought it, and then sent below; a lost parent frees it at once; watchers may push to all.

--- a/fuchsiahaven/core/revisions.py
+++ b/fuchsiahaven/core/revisions.py
@@ -42,10 +42,16 @@
 
 
 class Held(NamedTuple):
-    """Hold a patch back until a time, for the tree to bring it first."""
+    """Hold a patch that was found before the tree brought it.
+
+    The tree has until a time; then the first of the order is handed the
+    patch, if it was not before. Until the tree has brought it, those below
+    this host do not have it.
+    """
 
     patch: patches.Patch
     until: float
+    handed: bool = False
 
 
 class Pulling(NamedTuple):
@@ -146,9 +152,10 @@
 
 def _tick(state: State, now: float, draws: Draws) -> Step:
     actions: list[messages.Action] = []
-    if state.held and now >= state.held.until:
-        actions.append(messages.Push(state.order[:1], state.held.patch))
-        state = state._replace(held=None)
+    held = state.held
+    if held and not held.handed and now >= held.until:
+        actions.append(messages.Push(state.order[:1], held.patch))
+        state = state._replace(held=held._replace(handed=True))
     if now >= state.ask_at and not state.asking:
         # The number alone is asked for where it can tell: the manifest of a
         # large system would otherwise be read by every host each minute.
@@ -275,9 +282,13 @@
 
 def _judge_push(state: State, pushed: messages.Pushed, now: float) -> Step:
     patch, ours = pushed.patch, state.in_force.stamp
-    if state.held and state.held.patch.stamp == patch.stamp:
-        state = state._replace(held=None)
-    elders = rendezvous.find_ancestors(state.order, state.name)
+    # A watcher goes around the other one while that is dead unnoticed.
+    elders = {
+        *state.order[:WATCHERS],
+        *rendezvous.find_ancestors(state.order, state.name),
+    }
+    if state.held and pushed.member in elders and patch.stamp == ours:
+        return _send_below(state, state.held.patch)
     if patch.stamp.revision <= ours.revision or pushed.member not in elders:
         return _weigh_claim(
             state, messages.Heard(pushed.member, patch.stamp), now
@@ -318,9 +329,8 @@
         text = f'{member} sent revision {patch.stamp.revision} damaged'
         return _note(state, messages.Fault.DAMAGED, text)
     state, cleared = _settle(state)
-    step = _take(state, patch, patched)
-    children = rendezvous.find_children(state.order, state.name)
-    return _join(cleared, _send(step, children, patch))
+    state, taken = _take(state, patch, patched)
+    return _join((*cleared, *taken), _send_below(state, patch))
 
 
 def _take(state: State, patch: patches.Patch, stamped: patches.Stamped) -> Step:
@@ -342,27 +352,30 @@
 
 
 def _spread(step: Step, patch: patches.Patch, now: float, draws: Draws) -> Step:
-    state = step[0]
+    state, actions = step
     if state.order[0] == state.name:
-        children = rendezvous.find_children(state.order, state.name)
-        return _send(step, children, patch)
+        return _join(actions, _send_below(state, patch))
     until = now + state.rules.hold_s * (1 + draws())
-    return state._replace(held=Held(patch, until)), step[1]
+    return state._replace(held=Held(patch, until)), actions
 
 
-def _send(step: Step, members: tuple[str, ...], patch: patches.Patch) -> Step:
-    if not members:
-        return step
-    return step[0], (*step[1], messages.Push(members, patch))
+def _send_below(state: State, patch: patches.Patch) -> Step:
+    children = rendezvous.find_children(state.order, state.name)
+    pushes = (messages.Push(children, patch),) if children else ()
+    return state._replace(held=None), pushes
 
 
 def _go_around(state: State, lost: messages.Unreached) -> Step:
     if lost.push is None:
         return state._replace(pulling=None), ()
-    # Whoever stood below the lost member would wait for gossip otherwise.
+    # Whoever stands below the lost member would wait for gossip otherwise.
     below = rendezvous.find_children(state.order, lost.member)
     others = tuple(name for name in below if name != state.name)
-    return _send((state, ()), others, lost.push)
+    pushes = (messages.Push(others, lost.push),) if others else ()
+    if state.held and state.held.patch.stamp == lost.push.stamp:
+        # No push will come from above, so those below are ours to serve.
+        return _join(pushes, _send_below(state, state.held.patch))
+    return state, pushes
 
 
 def _close(state: State, watched: bool, now: float, draws: Draws) -> State:
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -66,6 +66,59 @@
     assert not list_accused(network)
 
 
+def test_lossy_network_buries_nobody() -> None:
+    """Give suspects time to refute.
+
+    Symptom: seats are dealt anew all the time on a bad network. Sequence: a
+    third of the messages is lost, so that probes and helpers fail together
+    now and then. Cause: death without a time to answer the suspicion.
+    """
+    network = join(12)
+    network.loss = 0.3
+    network.run(60)
+    texts = {report.text for _, _, report in network.reports}
+    assert 'member is suspect' in texts
+    assert 'member is dead' not in texts
+
+
+def test_host_cut_off_from_all_accuses_nobody_soon() -> None:
+    """Let a host doubt itself while no helper answers either.
+
+    Symptom: a host whose own network blinks tells, once back, that all
+    others are suspect. Cause: silence of everybody taken for their fault.
+    """
+    network = join(8)
+    network.cut = lambda one, other: 'h3' in {one, other}
+    network.run(8)
+    tellers = {name for _, name, _ in network.reports}
+    assert 'h3' not in tellers
+
+
+def test_member_hears_what_is_held_against_it_among_much_news() -> None:
+    """Tell a member that it is held for dead however much else is new.
+
+    Symptom: a healthy host stays dead while a rack is being replaced.
+    Sequence: more members change than one message carries, and the one that
+    asks is dead here. Cause: only what it hears can it refute.
+    """
+    state = join(20).hosts['h0']
+    asker = state.table.entries['h7'].member
+    table = tables.put(
+        state.table, asker._replace(standing=members.Standing.DEAD), 0
+    )
+    for number in range(10, 20):
+        other = table.entries[f'h{number}'].member
+        table = tables.put(table, other._replace(incarnation=9), 0)
+    gossip = messages.Gossip(asker, networks.CENTRE, state.stamp, '')
+    # Its own entry has been told often enough to be out of the news.
+    table = table._replace(news={**table.news, 'h7': 1})
+    _, actions = membership.handle(
+        state._replace(table=table), messages.Received(1, gossip), 0, float
+    )
+    told = [it for it in actions if isinstance(it, messages.Respond)]
+    assert members.Standing.DEAD in {it.standing for it in told[0].gossip.news}
+
+
 @pytest.mark.parametrize('pause_s', [3, 60, 1000])
 def test_paused_host_accuses_nobody_when_it_wakes(pause_s: float) -> None:
     """Let a host that stood still find its own fault.
@@ -116,6 +169,14 @@
     network.run(4)
     assert 'h5' not in network.hosts['h0'].live
     network.frozen.clear()
+    stale = messages.Gossip(
+        tables.read_own(network.hosts['h3'].table),
+        networks.CENTRE,
+        network.hosts['h0'].stamp,
+        '',
+        (members.Member('h5', 'h5', 1, members.Standing.ALIVE),),
+    )
+    network.send('h0', messages.Received(0, stale))
     for _ in range(40):
         network.run(0.25)
         assert 'h5' not in network.hosts['h0'].live
