Let few buckets and short slots carry many claims in a write

Change: 4 buckets, slots of 2 s, one worker and 25 writes a second for each bucket; an outcome waits 0.2 s for a claim whose write it can share; turns of keys in edge/claim_turns.py; batches of members hold at most half of the peer port's threads; connections to members are kept for every bucket.

--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,154 @@
+"""Measure group commit of claims: `python -m bench.claims --rate 500`.
+
+Hosts are claims tasks in this process; the platform's stand-in is a process
+of its own, which keeps to its rates. Claims arrive at their times whatever
+becomes of earlier ones, and each granted one records an outcome.
+"""
+
+import argparse
+import collections
+import contextlib
+import json
+import queue
+import random
+import statistics
+import subprocess
+import sys
+import time
+from typing import Final, NamedTuple
+
+import urllib3
+
+from bench import worlds
+from fuchsiahaven.core import messages, request_ids
+from fuchsiahaven.edge import claim_members, claims, store
+
+DEADLINE_S: Final = 0.8
+PAUSE_S: Final = 0.01
+# A call of the peer port costs about a millisecond.
+HOP_S: Final = 0.001
+OUTCOME: Final = json.dumps({'rows': [{'id': 'x' * 300}]})
+
+
+class Host(NamedTuple):
+    """Hold one host's claims task and the events that it posts."""
+
+    task: claims.Task
+    told: queue.SimpleQueue[messages.ClaimSettled]
+
+
+def main() -> None:
+    """Run one measurement and print its figures."""
+    parser = argparse.ArgumentParser('bench.claims', description=__doc__)
+    parser.add_argument('--rate', type=float, default=200)
+    parser.add_argument('--seconds', type=float, default=10)
+    parser.add_argument('--hosts', type=int, default=6)
+    parser.add_argument('--slow-ms', type=float, default=2)
+    parser.add_argument('--alone', action='store_true', help='no members')
+    options = parser.parse_args()
+    with contextlib.ExitStack() as stack:
+        url = _start_platform(stack)
+        _control(url, slow_s=options.slow_ms / 1000)
+        crowd = Crowd(_start_hosts(url, options, stack))
+        before = _control(url)['calls']
+        crowd.arrive(options.rate, options.seconds)
+        after = _control(url)['calls']
+    calls = {name: after[name] - before.get(name, 0) for name in after}
+    print(json.dumps({**vars(options), **crowd.summarise(), 'calls': calls}))
+
+
+def _start_platform(stack: contextlib.ExitStack) -> str:
+    port = next(worlds.find_free_ports())
+    words = ('-m', 'standins', 'platform', '--port', str(port))
+    child = subprocess.Popen(
+        (sys.executable, *words), stdout=subprocess.PIPE, text=True
+    )
+    stack.enter_context(child)
+    stack.callback(child.terminate)
+    assert child.stdout and child.stdout.readline()
+    return f'http://127.0.0.1:{port}'
+
+
+def _control(url: str, **orders: object) -> dict[str, dict[str, int]]:
+    reply = urllib3.request('POST', f'{url}/control', json=orders)
+    return dict(reply.json())
+
+
+def _start_hosts(
+    url: str, options: argparse.Namespace, stack: contextlib.ExitStack
+) -> list[Host]:
+    hosts: list[Host] = []
+
+    def ask(address: str, body: bytes, timeout_s: float) -> bytes | None:
+        time.sleep(HOP_S)
+        return hosts[int(address)].task.take_claims(body)
+
+    def open_store() -> store.Store:
+        return store.Store(url, claims.LIMITS._replace(read_s=0.5))
+
+    names = [str(number) for number in range(options.hosts)]
+    for name in names:
+        host = Host(claims.Task(open_store, ask), queue.SimpleQueue())
+        host.task.start(host.told.put, stack)
+        hosts.append(host)
+        if not options.alone:
+            listed = claim_members.Listed(name, dict(zip(names, names)))
+            host.task.note_members(listed)
+    return hosts
+
+
+class Crowd:
+    """Own the claims of one run."""
+
+    def __init__(self, hosts: list[Host]) -> None:
+        """Start with nothing asked."""
+        self._hosts = hosts
+        self._asked: list[float] = []
+        self._took: list[float] = []
+        self._results: collections.Counter[str] = collections.Counter()
+        self._draws = random.Random(1)
+
+    def arrive(self, rate: float, seconds: float) -> None:
+        """Ask `rate` claims a second and wait for all answers."""
+        due = time.monotonic()
+        end = due + seconds
+        while due < end:
+            due += self._draws.expovariate(rate)
+            time.sleep(max(0, due - time.monotonic()))
+            self._ask(due)
+            self._collect()
+        while self._results.total() < len(self._asked):
+            time.sleep(PAUSE_S)
+            self._collect()
+
+    def summarise(self) -> dict[str, float]:
+        """Count the results and take the quantiles of the granted."""
+        cuts = statistics.quantiles(self._took, n=100)
+        return {
+            **self._results,
+            'p50_ms': round(cuts[49] * 1000, 1),
+            'p99_ms': round(cuts[98] * 1000, 1),
+        }
+
+    def _ask(self, due: float) -> None:
+        number = self._draws.getrandbits(request_ids.RANDOM_BITS)
+        request_id = request_ids.mint(time.time(), number)
+        token = len(self._asked)
+        self._asked.append(due)
+        claim = messages.Claim(token, request_id, due + DEADLINE_S)
+        self._hosts[token % len(self._hosts)].task.take(claim)
+
+    def _collect(self) -> None:
+        for host in self._hosts:
+            while not host.told.empty():
+                self._take(host, host.told.get())
+
+    def _take(self, host: Host, event: messages.ClaimSettled) -> None:
+        self._results[event.result] += 1
+        if event.result is messages.ClaimResult.GRANTED:
+            self._took.append(time.monotonic() - self._asked[event.token])
+            host.task.take(messages.Record(event.request_id, OUTCOME))
+
+
+if __name__ == '__main__':
+    main()
--- a/fuchsiahaven/core/claim_calls.py
+++ b/fuchsiahaven/core/claim_calls.py
@@ -18,12 +18,15 @@
     """Hold one step that waits until `give_up`, in monotonic seconds.
 
     `own` tells a step of this host from one that a member asked us to write.
+    Nobody waits for an outcome, so until `hurry` it starts no write of its
+    own but goes along with a claim's.
     """
 
     step: claims.Step
     give_up: float
     own: bool = True
     doubt: Doubt = Doubt.NONE
+    hurry: float = 0.0
 
 
 class Settled(NamedTuple):
--- a/fuchsiahaven/core/claims.py
+++ b/fuchsiahaven/core/claims.py
@@ -15,8 +15,8 @@
 
 # Hosts that disagree on these two would claim one id under two keys, and it
 # would run twice. A change needs a new key prefix and one window's pause.
-BUCKETS: Final = 16
-SLOT_S: Final = 10
+BUCKETS: Final = 4
+SLOT_S: Final = 2
 
 # An id is refused once it is this old, in seconds, or this far ahead.
 WINDOW_S: Final = 300.0
--- a/fuchsiahaven/core/commits.py
+++ b/fuchsiahaven/core/commits.py
@@ -10,6 +10,7 @@
 at that revision, which either of the two writes can win without harm.
 """
 
+import math
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import claim_calls, claims, messages
@@ -54,6 +55,8 @@
     `forward` says that a member should be asked first.
     """
     commit, late = _drop_late(commit, now)
+    if not commit.flying and next_hurry(commit) > now:
+        return commit, None, late
     if not commit.flying:
         commit = commit._replace(
             queued=commit.queued[BATCH_LIMIT:],
@@ -65,8 +68,6 @@
         # ever.
         own = all(pending.own for pending in commit.flying)
         commit = commit._replace(forward=forward and own)
-    if not commit.flying:
-        return commit, None, late
     steps = tuple(pending.step for pending in commit.flying)
     if commit.forward:
         return commit, claim_calls.Forward(commit.key, steps), late
@@ -84,6 +85,13 @@
     return commit, claim_calls.Swap(commit.key, value, known.revision), late
 
 
+def next_hurry(commit: Commit) -> float:
+    """Say when the next write is due; infinity where nothing waits."""
+    if commit.flying:
+        return 0.0
+    return min((one.hurry for one in commit.queued), default=math.inf)
+
+
 def note_result(
     commit: Commit, result: claim_calls.Result, now: float
 ) -> tuple[Commit, claim_calls.Settlements]:
--- a/fuchsiahaven/edge/claim_workers.py
+++ b/fuchsiahaven/edge/claim_workers.py
@@ -1,15 +1,20 @@
 """Write claims of some keys through the platform, one call at a time."""
 
-import collections
+import math
 import queue
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import claim_calls, claims, commits, messages
-from fuchsiahaven.edge import claim_members, claim_platform, store
-
-# A key is forgotten once nothing has happened to it for this long.
-KEEP_KEY_S: Final = 30.0
+from fuchsiahaven.edge import (
+    claim_members,
+    claim_platform,
+    claim_turns,
+    store,
+)
+
+# An outcome waits this long for a claim whose write it can share.
+OUTCOME_WAIT_S: Final = 0.2
 # A host that stops gives the platform this long to take its outcomes.
 FLUSH_S: Final = 1.0
 
@@ -65,9 +70,7 @@
         self._clock = clock
         self._inbox: queue.SimpleQueue[Message] = queue.SimpleQueue()
         self._commits: dict[str, commits.Commit] = {}
-        self._used: dict[str, float] = {}
-        self._asleep: dict[str, float] = {}
-        self._ready: collections.deque[str] = collections.deque()
+        self._turns = claim_turns.Turns()
         self._answers: dict[claims.Step, Answer] = {}
         self._granted: dict[str, Granted] = {}
         self._hold_until = 0.0
@@ -81,29 +84,19 @@
         while self._take_all(self._wait()):
             self._turn()
         give_up = self._clock() + FLUSH_S
-        while self._ready and self._clock() < give_up:
+        while self._turns and self._clock() < give_up:
             self._take_all(self._wait())
             self._turn()
 
     def _turn(self) -> None:
         now = self._clock()
-        self._wake(now)
-        if self._ready and now >= self._hold_until:
-            self._advance(self._ready.popleft(), now)
-
-    def _wait(self) -> float:
-        if self._ready:
-            return max(0.0, self._hold_until - self._clock())
-        return claim_platform.REOPEN_S if self._asleep else KEEP_KEY_S
-
-    def _wake(self, now: float) -> None:
-        for key, until in tuple(self._asleep.items()):
-            if until <= now:
-                self._asleep.pop(key)
-                self._make_ready(key)
-        # What was used last stands last, so the oldest come first.
-        while self._used and now - next(iter(self._used.values())) > KEEP_KEY_S:
-            self._forget(next(iter(self._used)))
+        if now < self._hold_until:
+            return
+        key = self._turns.take(now)
+        if key is not None:
+            self._advance(key, now)
+        for idle in self._turns.forget(now):
+            self._commits.pop(idle)
         while self._granted:
             request_id, granted = next(iter(self._granted.items()))
             if granted.forget > now:
@@ -111,14 +104,13 @@
             # The request never told how it ended; nobody may ask any more.
             self._granted.pop(request_id)
 
-    def _forget(self, key: str) -> None:
-        self._used.pop(key)
-        if key not in self._ready and key not in self._asleep:
-            self._commits.pop(key)
+    def _wait(self) -> float:
+        now = self._clock()
+        return max(self._turns.wait_s(now), self._hold_until - now)
 
     def _take_all(self, wait_s: float) -> bool:
         try:
-            message = self._inbox.get(wait_s > 0, wait_s or None)
+            message = self._inbox.get(wait_s > 0, max(0.0, wait_s))
             while self._take(message):
                 message = self._inbox.get_nowait()
         except queue.Empty:
@@ -145,7 +137,7 @@
         if not known:
             commit = self._commits.get(step.key, commits.Commit(step.key))
             self._commits[step.key] = commits.add_steps(commit, (step.pending,))
-            self._make_ready(step.key)
+            self._turns.add(step.key, 0, self._clock())
 
     def _end(self, ending: Ending) -> None:
         granted = self._granted.pop(ending.request_id, None)
@@ -153,19 +145,15 @@
             return
         whose = (ending.request_id, granted.nonce)
         step: claims.Step = claims.Return(*whose)
+        hurry = 0.0
         if ending.outcome is not None:
             step = claims.Outcome(*whose, ending.outcome)
-        pending = claim_calls.Pending(step, ending.give_up)
+            hurry = self._clock() + OUTCOME_WAIT_S
+        pending = claim_calls.Pending(step, ending.give_up, hurry=hurry)
         self._add(Step(ending.key, pending, _ignore))
 
-    def _make_ready(self, key: str) -> None:
-        if key not in self._ready:
-            self._ready.append(key)
-
     def _advance(self, key: str, now: float) -> None:
         """Make one call for a key; keys take turns."""
-        self._used.pop(key, None)
-        self._used[key] = now
         commit = self._commits[key]
         owner = self._members.choose_owner(key)
         obstacle = self._platform.find_obstacle(key)
@@ -200,13 +188,10 @@
             answer = self._answers.pop(one.pending.step, None)
             if answer is not None:
                 answer(one)
-        now = self._clock()
-        if not commit.flying and not commit.queued:
-            return
-        if now < self._platform.down_until:
-            self._asleep[key] = self._platform.down_until
-        else:
-            self._make_ready(key)
+        due = commits.next_hurry(commit)
+        if due < math.inf:
+            due = max(due, self._platform.down_until)
+            self._turns.add(key, due, self._clock())
 
     def _note_grant(self, one: claim_calls.Settled) -> None:
         step = one.pending.step
--- a/fuchsiahaven/edge/claims.py
+++ b/fuchsiahaven/edge/claims.py
@@ -22,19 +22,22 @@
     store,
 )
 
-WORKERS: Final = 4
-# Four workers of eight hosts keep within what the platform takes, 480 writes
-# a second; members that write for others hold it far below that.
-_READS_PER_S: Final = 40.0
-_WRITES_PER_S: Final = 15.0
-_BURST_S: Final = 2.0
+# One worker for each bucket. As one member of a data centre writes a bucket
+# for all, the rates bound what a data centre costs the platform, whatever its
+# number of hosts; past them more claims go in each write.
+WORKERS: Final = claims.BUCKETS
+_READS_PER_S: Final = 50.0
+_WRITES_PER_S: Final = 25.0
 LIMITS: Final = store.Limits(
-    reads=rates.Rate(_READS_PER_S, _BURST_S * _READS_PER_S),
-    writes=rates.Rate(_WRITES_PER_S, _BURST_S * _WRITES_PER_S),
+    reads=rates.Rate(_READS_PER_S, _READS_PER_S),
+    writes=rates.Rate(_WRITES_PER_S, _WRITES_PER_S),
 )
 NONCE_BYTES: Final = 9
 # A member that asks us waits this long at most for what came of its steps.
 MEMBER_WAIT_S: Final = 0.3
+# Were all threads of the peer port to wait with claims, gossip would time out
+# and this host would be taken for dead.
+MEMBERS_AT_ONCE: Final = 16
 # A holder whose time is over by this much, in seconds, starts no more.
 OVER_S: Final = 2.0
 Action = messages.Claim | messages.Record | messages.Release
@@ -52,6 +55,7 @@
     ) -> None:
         """Prepare without starting."""
         self._clocks = clocks
+        self._places = threading.BoundedSemaphore(MEMBERS_AT_ONCE)
         self._platforms = [
             claim_platform.Platform(open_platform(), clocks)
             for _ in range(WORKERS)
@@ -104,6 +108,14 @@
             _belongs(step.request_id, batch.key) for step in batch.steps
         ):
             return None
+        if not self._places.acquire(blocking=False):
+            return claim_rows.write_verdicts(())
+        try:
+            return self._write(batch)
+        finally:
+            self._places.release()
+
+    def _write(self, batch: claim_rows.Batch) -> bytes:
         answers: queue.SimpleQueue[claim_calls.Settled] = queue.SimpleQueue()
         give_up = self._clocks.monotonic() + MEMBER_WAIT_S
         worker = self._find_worker(batch.key)
--- a/fuchsiahaven/edge/peer_calls.py
+++ b/fuchsiahaven/edge/peer_calls.py
@@ -7,13 +7,15 @@
 
 import urllib3
 
+from fuchsiahaven.core import claims
 from fuchsiahaven.edge import tls
 
 JSON_HEADERS: Final = {'Content-Type': 'application/json'}
 #: Hosts to which connections are kept: partners, the tree and some others.
 KEPT_HOSTS: Final = 24
-#: One for gossip and one for configuration, which may call side by side.
-KEPT_CONNECTIONS: Final = 2
+#: One each for gossip, for configuration and for the buckets of claims, all of
+#: which may call side by side; opening one anew costs a handshake.
+KEPT_CONNECTIONS: Final = 2 + claims.BUCKETS
 _CHUNK: Final = 65_536
 _GOOD: Final = frozenset((http.HTTPStatus.OK, http.HTTPStatus.NO_CONTENT))
 
@@ -100,5 +102,7 @@
 
     def _open(self) -> tuple[object, urllib3.PoolManager]:
         context = self._identity.context() if self._identity else None
-        pools = urllib3.PoolManager(KEPT_HOSTS, maxsize=1, ssl_context=context)
+        pools = urllib3.PoolManager(
+            KEPT_HOSTS, maxsize=KEPT_CONNECTIONS, ssl_context=context
+        )
         return context, pools
--- a/fuchsiahaven/edge/peers.py
+++ b/fuchsiahaven/edge/peers.py
@@ -21,7 +21,8 @@
 JSON: Final = 'application/json'
 MAX_HEADER_BYTES: Final = 8192
 LISTEN_QUEUE: Final = 256
-THREADS: Final = 8
+#: Batches of claims wait for the platform and hold half of them at most.
+THREADS: Final = 32
 IDLE_S: Final = 60.0
 READ_S: Final = 5.0
 
