Notice frozen targets; keep at-most-once requests out of trials

Causes: a target that accepts everything and answers nothing broke nothing, so it was never ejected, and the time that a cancelled sub-request had used was noted only when the attempt ended. And the trial that ends an ejection could be a refund, whose failure has an unknown outcome.

A request that runs at most once is a trial only where the target has answered a probe since its ejection ended: without that, a group of nothing but such requests would never get an ejected target back.

Tests seen red: without counting what is overdue, with trials by any request, and without the word of a probe.

--- a/fuchsiahaven/core/endings.py
+++ b/fuchsiahaven/core/endings.py
@@ -58,8 +58,11 @@
     """Cancel every attempt of a run that has not ended."""
     actions: list[messages.Action] = []
     for part_id in run.open_parts | run.lost_parts:
-        left = run.parts[part_id].flights
-        actions.extend(cancel(state, run, part_id, left, now))
+        part = run.parts[part_id]
+        overdue = part.reason is coverage.Reason.TIMED_OUT
+        actions.extend(
+            cancel(state, run, part_id, part.flights, now, overdue=overdue)
+        )
     return actions
 
 
@@ -69,12 +72,14 @@
     part_id: queries.PartId,
     losers: tuple[queries.Flight, ...],
     now: float,
+    *,
+    overdue: bool = False,
 ) -> list[messages.Action]:
     """Cancel attempts whose rows are not needed."""
     actions: list[messages.Action] = []
     for flight in losers:
         key = messages.PartKey(run.number, *part_id, flight.attempt)
-        flights.cancel(state, key, now)
+        flights.cancel(state, key, now, overdue=overdue)
         actions.append(messages.Cancel(key, flight.target))
     return actions
 
--- a/fuchsiahaven/core/flights.py
+++ b/fuchsiahaven/core/flights.py
@@ -22,13 +22,32 @@
     known.stats[flying.target] = routes.note_sent(stats)
 
 
-def cancel(state: states.State, key: messages.PartKey, now: float) -> None:
-    """Note that the rows of an attempt are not wanted any more."""
-    flying = state.tables.flying.get(key)
-    if flying is not None:
-        state.tables.flying[key] = flying._replace(cancelled=now)
-        state.tables.counts[tables.Count.CANCELLED] += 1
-        _note_latency(state, flying, now - flying.sent)
+def cancel(
+    state: states.State,
+    key: messages.PartKey,
+    now: float,
+    *,
+    overdue: bool = False,
+) -> None:
+    """Note that the rows of an attempt are not wanted any more.
+
+    `overdue` tells that the deadline has passed without them.
+    """
+    known = state.tables
+    flying = known.flying.get(key)
+    if flying is None:
+        return
+    known.flying[key] = flying._replace(cancelled=now)
+    known.counts[tables.Count.CANCELLED] += 1
+    elapsed = now - flying.sent
+    _note_latency(state, flying, elapsed)
+    stats = known.stats.get(flying.target)
+    if stats is None:
+        return
+    note = routes.note_overdue if overdue else routes.note_cancelled
+    known.stats[flying.target] = note(stats, now, elapsed)
+    if overdue:
+        _eject(state, key, flying.target, now)
 
 
 def land_answer(
@@ -67,7 +86,7 @@
         return None
     state.tables.counts[tables.Count.REFUSED] += 1
     if flying.cancelled:
-        _land_cancelled(state, flying, now)
+        _land_cancelled(state, flying)
     elif event.target in state.tables.limits:
         stats = state.tables.stats[event.target]
         state.tables.stats[event.target] = routes.note_refused(
@@ -90,12 +109,10 @@
     if event.fault is messages.Fault.MISMATCHED:
         state.tables.counts[tables.Count.MISMATCHED] += 1
     if flying.cancelled:
-        _land_cancelled(state, flying, now)
+        _land_cancelled(state, flying)
     elif event.target in state.tables.limits:
         stats = state.tables.stats[event.target]
-        state.tables.stats[event.target] = routes.note_broken(
-            stats, now, event.fault, now - flying.sent
-        )
+        state.tables.stats[event.target] = routes.note_broken(stats, now)
         _eject(state, event.part, event.target, now)
     return flying
 
@@ -115,17 +132,11 @@
     )
 
 
-def _land_cancelled(
-    state: states.State, flying: tables.Flying, now: float
-) -> None:
-    # What ends after its cancellation says nothing of the target, but for
-    # the time that it had taken until then.
-    if flying.target in state.tables.limits:
-        stats = state.tables.stats[flying.target]
-        elapsed = flying.cancelled - flying.sent
-        state.tables.stats[flying.target] = routes.note_cancelled(
-            stats, now, elapsed
-        )
+def _land_cancelled(state: states.State, flying: tables.Flying) -> None:
+    # How an attempt ends after its cancellation says nothing of the target.
+    stats = state.tables.stats.get(flying.target)
+    if stats is not None:
+        state.tables.stats[flying.target] = routes.note_ended(stats)
 
 
 def _note_latency(
--- a/fuchsiahaven/core/routes.py
+++ b/fuchsiahaven/core/routes.py
@@ -34,14 +34,18 @@
 HINT_FADES_S: Final = 2.0
 
 SHED_WEIGHT: Final = 1.0
-TIMED_OUT_WEIGHT: Final = 0.5
+OVERDUE_WEIGHT: Final = 1.0
+# Each answer leaves this part of the failures: a target that fails once in a
+# while, or is late under an overload, still answers most of the time.
+ANSWER_LEAVES: Final = 0.7
 
 
 class Record(NamedTuple):
     """Hold the decayed misdeeds of one target, and its ejection.
 
     `ejected_until` is 0 while the target is in use; once that time has passed
-    the target is on trial until it answers.
+    the target is on trial until it answers. It is vouched for once it has
+    answered a probe on trial.
     """
 
     failures: float = 0.0
@@ -49,6 +53,7 @@
     noted: float = 0.0
     ejections: int = 0
     ejected_until: float = 0.0
+    vouched: bool = False
 
 
 class Hint(NamedTuple):
@@ -92,8 +97,8 @@
     """Pick the better of two drawn replicas, or None where there is none.
 
     An ejected replica is picked only where no other is left, because the last
-    replica of a shard is better than none. Without `trials`, one that has yet
-    to prove itself again counts as ejected.
+    replica of a shard is better than none. Without `trials`, one on trial
+    has to be vouched for as well.
     """
     usable = [
         name
@@ -195,34 +200,49 @@
     return one._replace(in_flight=in_flight, record=record)
 
 
-def note_broken(
-    one: TargetStats, now: float, fault: messages.Fault, elapsed: float
-) -> TargetStats:
-    """Take in a fault; a timeout also says that an answer takes longer."""
-    timed_out = fault is messages.Fault.TIMED_OUT
-    weight = TIMED_OUT_WEIGHT if timed_out else 1.0
-    record = _blame(one.record, now, failures=weight)
-    in_flight = max(0, one.in_flight - 1)
-    if timed_out and elapsed > one.latency:
-        latency = _smooth(one, elapsed, now)
-        return one._replace(
-            in_flight=in_flight, latency=latency, heard=now, record=record
-        )
-    return one._replace(in_flight=in_flight, record=record)
+def note_broken(one: TargetStats, now: float) -> TargetStats:
+    """Take in a fault that left the outcome unknown."""
+    record = _blame(one.record, now, failures=1.0)
+    return one._replace(in_flight=max(0, one.in_flight - 1), record=record)
 
 
 def note_cancelled(one: TargetStats, now: float, elapsed: float) -> TargetStats:
-    """Take in the cancellation of a sub-request after `elapsed` seconds.
+    """Take in that a sub-request was cancelled after `elapsed` seconds.
 
     A straggler that is always hedged and cancelled would never be measured
     and would look as fast as before; so the time it has used up counts as a
-    sample where it exceeds the estimate.
+    sample where it exceeds the estimate. It is in flight until it ends.
     """
-    in_flight = max(0, one.in_flight - 1)
     if elapsed <= one.latency:
-        return one._replace(in_flight=in_flight)
-    latency = _smooth(one, elapsed, now)
-    return one._replace(in_flight=in_flight, latency=latency, heard=now)
+        return one
+    return one._replace(latency=_smooth(one, elapsed, now), heard=now)
+
+
+def note_overdue(one: TargetStats, now: float, elapsed: float) -> TargetStats:
+    """Take in that a sub-request was not answered by its deadline.
+
+    A frozen target accepts everything and answers nothing: nothing breaks,
+    and only the time that passes tells.
+    """
+    record = _blame(one.record, now, failures=OVERDUE_WEIGHT)
+    return note_cancelled(one, now, elapsed)._replace(record=record)
+
+
+def note_ended(one: TargetStats) -> TargetStats:
+    """Count a cancelled sub-request out."""
+    return one._replace(in_flight=max(0, one.in_flight - 1))
+
+
+def note_probed(one: TargetStats, now: float) -> TargetStats:
+    """Take in that the target answered a probe.
+
+    A group that runs each request at most once has no others for a trial:
+    without a probe its ejected targets would never return.
+    """
+    until = one.record.ejected_until
+    if not until or now < until:
+        return one
+    return one._replace(record=one.record._replace(vouched=True))
 
 
 def note_connections(one: TargetStats, opened: int, idle: int) -> TargetStats:
@@ -272,7 +292,9 @@
         return one
     ejections = one.record.ejections + 1
     pause = min(EJECT_LONGEST_S, EJECT_S * 2 ** (ejections - 1))
-    record = one.record._replace(ejections=ejections, ejected_until=now + pause)
+    record = one.record._replace(
+        ejections=ejections, ejected_until=now + pause, vouched=False
+    )
     return one._replace(record=record)
 
 
@@ -287,7 +309,8 @@
     if not until:
         return True
     # A trial is one sub-request at a time.
-    return trials and now >= until and not one.in_flight
+    may_try = trials or one.record.vouched
+    return may_try and now >= until and not one.in_flight
 
 
 def _is_out(one: TargetStats) -> bool:
@@ -330,7 +353,7 @@
 
 
 def _forgive(record: Record, now: float) -> Record:
-    """End a trial by its answer, and a record that has faded away."""
+    """End a trial, forget a record that has faded away, forgive a part."""
     until = record.ejected_until
     if until:
         if now < until:
@@ -339,4 +362,9 @@
         return Record(noted=now, ejections=record.ejections)
     if now - record.noted > EJECT_LONGEST_S:
         return CLEAN
-    return record
+    return Record(
+        record.failures * ANSWER_LEAVES,
+        record.refusals,
+        record.noted,
+        record.ejections,
+    )
--- a/fuchsiahaven/core/scatter.py
+++ b/fuchsiahaven/core/scatter.py
@@ -61,7 +61,7 @@
         return None
     free = [name for name in candidates if has_room(state, name, now)]
     if free:
-        chosen = _choose(state, part_id, free, now)
+        chosen = _choose(state, part_id, free, now, once=run.at_most_once)
         return [send(state, run, part_id, chosen, now, purpose)]
     if purpose is not queries.Purpose.HEDGE:
         waiter = tables.Waiter(run.number, part_id, purpose)
@@ -141,6 +141,8 @@
     part_id: queries.PartId,
     free: Sequence[str],
     now: float,
+    *,
+    once: bool,
 ) -> str:
     known = state.tables
     match state.policy.routing:
@@ -150,8 +152,14 @@
         case policies.Measured():
             draws = (state.draw(), state.draw())
             connect_ms = known.group_of[free[0]].connect_ms
+            # What must not run twice is no trial for a target that failed.
             chosen = routes.pick_replica(
-                free, known.stats, now, draws, connect_ms / MILLISECONDS
+                free,
+                known.stats,
+                now,
+                draws,
+                connect_ms / MILLISECONDS,
+                trials=not once,
             )
             return chosen or free[0]
 
--- a/fuchsiahaven/core/targets.py
+++ b/fuchsiahaven/core/targets.py
@@ -242,6 +242,7 @@
     state: states.State, name: str, health: messages.Health, now: float
 ) -> None:
     stats = state.tables.stats.get(name, routes.UNSEEN)
+    stats = routes.note_probed(stats, now)
     state.tables.stats[name] = routes.note_load(stats, health.load, now)
 
 
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -342,8 +342,7 @@
     Cause: with nothing in flight the lost target looks like the best choice.
     """
     host = rig.Rig(PARTIAL, shards=1)
-    host.tell(messages.MembersChanged(('host-0',), 'host-0'))
-    host.pass_time(20.0)
+    take_seats(host)
     sends = ask_many(host, range(1, 8))
     lost = sends[0].target.name
     for send in sends:
@@ -376,8 +375,7 @@
     Cause: a hedge went only to replicas that had not been asked.
     """
     host = rig.Rig(PARTIAL, shards=2)
-    host.tell(messages.MembersChanged(('host-0',), 'host-0'))
-    host.pass_time(20.0)
+    take_seats(host)
     learn_latency(host)
     sends = host.ask()
     attempts = [
@@ -390,3 +388,73 @@
     done = host.answer(sends[0])
     cancels = [one for one in done if isinstance(one, messages.Cancel)]
     assert [cancel.part.attempt for cancel in cancels] == [2, 3]
+
+
+def test_a_frozen_target_is_left_out() -> None:
+    """Leave out a target that accepts everything and answers nothing.
+
+    Symptom: refunds time out with unknown outcome, one in two, for hours.
+    Sequence: one of two replicas freezes; nothing breaks; each request
+    that it gets is given up at its deadline, which is not much longer than
+    an answer takes.
+    Cause: only broken connections counted as failures.
+    """
+    host = rig.Rig(REFUND, shards=1)
+    take_seats(host)
+    for token in range(100, 150):
+        (send,) = ask_refunds(host, range(token, token + 1))
+        host.pass_time(0.4)
+        host.answer(send)
+    sends = ask_refunds(host, range(1, 13))
+    frozen = sends[0].target.name
+    host.pass_time(0.4)
+    for send in sends:
+        if send.target.name != frozen:
+            host.answer(send)
+    host.pass_time(0.6)
+    for send in sends:
+        if send.target.name == frozen:
+            host.lose(send)
+    sends = ask_refunds(host, range(20, 28))
+    assert sends
+    assert frozen not in {send.target.name for send in sends}
+
+
+def test_at_most_once_request_is_no_trial() -> None:
+    """Let a request that may run twice find out whether a target is back.
+
+    Symptom: each second one refund ends with unknown outcome.
+    Sequence: a target was ejected, its time is over, it still fails.
+    Cause: the trial that may end the ejection is a refund.
+    """
+    host = rig.Rig(REFUND, shards=1, others=(PARTIAL,))
+    take_seats(host)
+    (first,) = ask_refunds(host, range(1, 2))
+    lost = first.target.name
+    host.answer(first)
+    for token in range(2, 20):
+        for send in host.ask(token, class_name=PARTIAL.name):
+            if send.target.name == lost:
+                host.lose(send)
+            else:
+                host.pass_time(0.01)
+                host.answer(send)
+    host.pass_time(1.2)
+    assert lost not in {
+        send.target.name for send in ask_refunds(host, range(20, 23))
+    }
+
+
+def ask_refunds(host: rig.Rig, tokens: range) -> list[messages.Send]:
+    """Ask requests that run at most once, each granted its claim."""
+    sends: list[messages.Send] = []
+    for token in tokens:
+        host.ask(token, key='pass-17', class_name=REFUND.name)
+        sends.extend(grant(host, token))
+    return sends
+
+
+def take_seats(host: rig.Rig) -> None:
+    """Let the host use every seat at its targets."""
+    host.tell(messages.MembersChanged(('host-0',), 'host-0'))
+    host.pass_time(20.0)
--- a/tests/core/test_routes.py
+++ b/tests/core/test_routes.py
@@ -41,9 +41,7 @@
     """
     stats = {'a': make_stats(0.001), 'b': make_stats(0.1)}
     for _ in range(3):
-        stats['a'] = routes.note_broken(
-            stats['a'], NOW, messages.Fault.CONNECTION_LOST, 0.0
-        )
+        stats['a'] = routes.note_broken(stats['a'], NOW)
     stats['a'] = routes.eject(stats, 'a', PAIR, PAIR, NOW)
     assert routes.is_ejected(stats['a'], NOW)
     assert routes.pick_replica(PAIR, stats, NOW, DRAWS) == 'b'
@@ -59,9 +57,7 @@
     stats = {'a': make_stats(0.01), 'b': make_stats(0.01)}
     for name in PAIR:
         for _ in range(3):
-            stats[name] = routes.note_broken(
-                stats[name], NOW, messages.Fault.CONNECTION_LOST, 0.0
-            )
+            stats[name] = routes.note_broken(stats[name], NOW)
         stats[name] = routes.eject(stats, name, PAIR, PAIR, NOW)
     assert routes.is_ejected(stats['a'], NOW)
     assert not routes.is_ejected(stats['b'], NOW)
@@ -85,9 +81,7 @@
         shard = members[number // 2 * 2 : number // 2 * 2 + 2]
         name = members[number]
         for _ in range(3):
-            stats[name] = routes.note_broken(
-                stats[name], now, messages.Fault.CONNECTION_LOST, 0.0
-            )
+            stats[name] = routes.note_broken(stats[name], now)
         stats[name] = routes.eject(stats, name, shard, members, now)
         out = {one for one in members if routes.is_ejected(stats[one], now)}
         assert len(out) <= routes.EJECT_SHARE * len(members)
@@ -106,8 +100,8 @@
     """
     slow = make_stats(0.005)
     for _ in range(10):
-        slow = routes.note_sent(slow)
-        slow = routes.note_cancelled(slow, NOW, 0.02)
+        slow = routes.note_cancelled(routes.note_sent(slow), NOW, 0.02)
+        slow = routes.note_ended(slow)
     stats = {'a': slow, 'b': make_stats(0.005)}
     assert slow.latency > 0.015
     assert routes.pick_replica(PAIR, stats, NOW, DRAWS) == 'b'
@@ -152,3 +146,23 @@
     homes = {'a': 'Odori', 'b': 'Kotoni', 'c': 'Odori', 'd': 'Shiroishi'}
     tiers = routes.order_near_first(homes, 'Kotoni', ('Odori', 'Kotoni'))
     assert tiers == (('b',), ('a', 'c'))
+
+
+def test_a_group_without_trials_gets_its_targets_back_by_probes() -> None:
+    """An ejected target of a group of refunds comes back.
+
+    Symptom: one refund target after the other falls out of use for good.
+    Sequence: a target is ejected; refunds are no trials; nothing else comes.
+    Cause: only an answered trial ended an ejection.
+    """
+    record = routes.Record(failures=3.0, noted=NOW, ejected_until=NOW + 1)
+    stats = {
+        'a': make_stats(0.001)._replace(record=record),
+        'b': make_stats(0.1),
+    }
+    later = NOW + 2
+    for name, vouch in (('b', False), ('a', True)):
+        if vouch:
+            stats['a'] = routes.note_probed(stats['a'], later)
+        picked = routes.pick_replica(PAIR, stats, later, DRAWS, trials=False)
+        assert picked == name
