End the process when its dispatch loop fails, and keep the loop fair

An error of the program in the loop left its callers waiting for minutes while healthz said that the process lives.

The time is taken for each event anew: a turn of many events counted the loop's own time as that of the targets, in latencies and hedge windows. A turn takes at most four new messages before it looks at answers again.

--- a/fuchsiahaven/edge/loop.py
+++ b/fuchsiahaven/edge/loop.py
@@ -12,11 +12,15 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import dispatch, messages, states, tables
+from fuchsiahaven.core import dispatch, errors, messages, states, tables
 from fuchsiahaven.edge import connectors, fleets, links, pools, tls
 
 SWEEP_S: Final = 0.05
 WAKE_SIZE: Final = 4096
+MESSAGES_A_TURN: Final = 4
+ENDED: Final = errors.make_failure(
+    errors.Kind.INTERNAL, 'loop', 'the dispatch loop has ended'
+)
 
 ReplyQueue = queue.SimpleQueue[messages.Reply]
 ClaimAction = messages.Claim | messages.Record | messages.Release
@@ -80,6 +84,7 @@
         self._replies: dict[int, ReplyQueue] = {}
         self._last_token = 0
         self._closing = False
+        self._ended = False
         self._awake = False
         self._swept = 0.0
         self._selector = selectors.DefaultSelector()
@@ -93,10 +98,12 @@
     def post(self, message: Message) -> None:
         """Hand in a message; any thread may call this."""
         self._inbox.put(message)
+        if self._ended:
+            self._refuse_rest()
         if not self._awake:
             self._awake = True
             # A full pipe wakes the loop as well as one more byte would.
-            with contextlib.suppress(BlockingIOError):
+            with contextlib.suppress(OSError):
                 self._ringer.send(b'\0')
 
     def run(self) -> None:
@@ -118,22 +125,49 @@
             )
             fleet = fleets.Fleet(shop)
             stack.callback(fleet.close)
+            stack.callback(self._end)
             while not self._closing:
                 self._turn(fleet)
 
+    def _end(self) -> None:
+        """Tell whoever still waits, also where an error has ended the loop.
+
+        Callers' threads would wait for minutes otherwise, and the host would
+        look alive but answer nothing.
+        """
+        self._ended = True
+        self.sample = self.sample._replace(obstacle='ended')
+        for token in tuple(self._replies):
+            reply = messages.Reply(token, ENDED)
+            self._replies.pop(token).put(reply)
+        self._refuse_rest()
+
+    def _refuse_rest(self) -> None:
+        with contextlib.suppress(queue.Empty):
+            while True:
+                message = self._inbox.get_nowait()
+                if isinstance(message, Asked):
+                    failure = ENDED._replace(ran=errors.Ran.NO)
+                    message.reply_to.put(messages.Reply(0, failure))
+
     def _report(self, event: messages.Event | None) -> None:
         if event is not None:
             self._events.append(event)
 
     def _turn(self, fleet: fleets.Fleet) -> None:
         ready = self._selector.select(self._wait())
-        now = time.monotonic()
         for key, mask in ready:
+            # The time is taken anew each time: what this loop takes must not
+            # be counted as the time that a target takes.
+            now = time.monotonic()
             self._serve(key.data, mask, now)
-        self._drain(fleet, now)
-        while not self._inbox.empty():
+            self._drain(fleet, now)
+        # New queries must not hold up the answers to those under way.
+        for _ in range(min(MESSAGES_A_TURN, self._inbox.qsize())):
+            now = time.monotonic()
             self._take(self._inbox.get(), fleet, now)
             self._drain(fleet, now)
+        now = time.monotonic()
         self._handle(messages.Ticked(), fleet, now)
         if now - self._swept >= SWEEP_S:
             self._swept = now
@@ -154,6 +188,8 @@
         )
 
     def _wait(self) -> float:
+        if not self._inbox.empty():
+            return 0
         wake = dispatch.next_wake(self._state)
         if wake is None:
             return SWEEP_S
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -68,8 +68,12 @@
         return self._meters.write(self._loop.sample)
 
 
-def serve(chosen: settings.Settings) -> None:
-    """Serve until a signal asks for the planned stop, then make it."""
+def serve(chosen: settings.Settings) -> bool:
+    """Serve until a signal asks for the planned stop, then make it.
+
+    False where the dispatch loop has failed: the process then ends at once,
+    so that another takes its place.
+    """
     asked = threading.Event()
 
     def ask_stop(number: int, frame: types.FrameType | None) -> None:
@@ -80,7 +84,8 @@
     with contextlib.ExitStack() as stack:
         caller = openings.open_caller(chosen, stack)
         task = _prepare_claims(chosen, caller, stack)
-        dispatcher = _start_loop(chosen, task.take, stack)
+        dispatcher = _make_loop(chosen, task.take)
+        _start_loop(dispatcher, asked, stack)
         task.start(dispatcher.post, stack)
         links = control.Links(
             dispatcher.post, task.take_claims, task.note_members
@@ -90,7 +95,11 @@
         _start_callers(chosen, host, stack)
         logs.info(PART, 'serving', host=chosen.host.name)
         asked.wait()
+        if dispatcher.sample.obstacle == 'ended':
+            logs.error(PART, 'the dispatch loop has failed')
+            return False
         _stop(chosen.limits, host, dispatcher)
+    return True
 
 
 def _stop(limits: settings.Limits, host: Host, dispatcher: loop.Loop) -> None:
@@ -128,9 +137,23 @@
 
 
 def _start_loop(
+    dispatcher: loop.Loop,
+    ended: threading.Event,
+    stack: contextlib.ExitStack,
+) -> None:
+    def run() -> None:
+        try:
+            dispatcher.run()
+        finally:
+            ended.set()
+
+    openings.start_thread(run, 'loop', stack)
+    stack.callback(dispatcher.post, loop.Closed())
+
+
+def _make_loop(
     chosen: settings.Settings,
     claim: Callable[[loop.ClaimAction], None],
-    stack: contextlib.ExitStack,
 ) -> loop.Loop:
     bounds = loop.Settings(
         chosen.targets.answer_bytes,
@@ -143,12 +166,7 @@
         random.random,
         policies.POLICIES[chosen.policy.name],
     )
-    dispatcher = loop.Loop(state, bounds, claim)
-    thread = threading.Thread(target=dispatcher.run, name='loop')
-    thread.start()
-    stack.callback(thread.join)
-    stack.callback(dispatcher.post, loop.Closed())
-    return dispatcher
+    return loop.Loop(state, bounds, claim)
 
 
 def _start_callers(
--- a/fuchsiahaven/operate/command_serve.py
+++ b/fuchsiahaven/operate/command_serve.py
@@ -31,5 +31,5 @@
     from fuchsiahaven.operate import logs
 
     logs.set_up(reading.settings.logs)
-    server.serve(reading.settings)
-    return exits.DONE
+    stopped = server.serve(reading.settings)
+    return exits.DONE if stopped else exits.FAILED
