--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,7 +23,12 @@
             print(f'{scenario.name:18}{scenario.summary}')
         return 0
     turns = _run(options)
-    print('\n'.join(records.compare(turns)))
+    lines = records.compare(turns)
+    lines.extend(
+        f'{turn.policy}: {turn.refusals} {turn.faults} {turn.limit}'
+        for turn in turns
+    )
+    print('\n'.join(lines))
     if options.json:
         text = json.dumps([turn._asdict() for turn in turns], indent=1)
         Path(options.json).write_text(text, encoding='utf-8')
@@ -74,7 +79,7 @@
     run.add_argument(
         '--deployment', choices=tuple(layouts.SERVICES), default='santiago'
     )
-    run.add_argument('--policy', default='', help="or the program's own")
+    run.add_argument('--policy', default='standard')
     run.add_argument('--against', help='another policy, run by turns')
     run.add_argument('--seconds', type=float, default=20)
     run.add_argument('--rate', type=float, default=40, help='requests a second')
