Prove by scenarios that a configuration is in force everywhere

Cause: changes, revisions and membership were tested apart; nothing drove operators, several hosts of two data centres and the platform together.

Change: the driver runs the real membership over the network that its own tests have, which is now also the scripted clock; members push and pull.

A fault found, and mended: where both watchers of a data centre were cut off from the platform while its other hosts reached it, a change took 85 s to be in force there (four hosts, scripted time): nobody looked before its own check of about once a minute. Ruled out: more watchers, since any number can be cut off; a word in gossip that a watcher is blind, since it changes the protocol and tells nothing of who is not. Now a host checks the more often the fewer hosts there are, so that a data centre as a whole checks about twice a second up to 110 hosts, and each host at most each 5 s. The calls of a full data centre are as before; eight hosts make 1.6 reads a second.

Red first, by one mutation each on a scratch copy: - takes hold: nobody watches, and checks are rare or pushes are dropped; - some hosts cut off, a host starts: pushes and pulls are dropped; - both watchers cut off: checks are rare, as before; - down for long, a data centre cut off: a failed call puts nothing into force; - a long outage, a data centre comes back: a failed call is never repeated; - older copy: a lower revision is taken; fork: `_is_forked` says no; - the same label: `proposals.prepare` finds no rival, the platform swaps blindly; different labels: that, or a lost race is not tried again; - lost answer: `transactions._look` does not find its own change. A paused host has four ways to the news; it was red with all of them taken out.

--- a/fuchsiahaven/core/revisions.py
+++ b/fuchsiahaven/core/revisions.py
@@ -22,12 +22,19 @@
 #: Patches kept for members that fell a little behind.
 KEPT_PATCHES: Final = 32
 KEPT_CLAIMS: Final = 16
+#: Both watchers can be cut off from the platform while others reach it; a
+#: change then waits for the next check of any of them. In a data centre of so
+#: many hosts somebody checks twice a second; where there are fewer, each
+#: checks more often, at most so many times as often.
+FULL_CENTRE: Final = 110
+MOST_OFTEN: Final = 12
 
 
 class Rules(NamedTuple):
     """Hold the times of this decision, in seconds.
 
-    `check_s` lies between checks of the platform on average. A host that
+    `check_s` lies between a host's checks of the platform, on average, where
+    its data centre is full; fewer hosts check more often. A host that
     found a revision before the tree brought it waits `hold_s` for the tree,
     so that one change is not sent twice. `retry_s` and `retry_limit_s` bound
     the growing pause after calls of the platform that failed.
@@ -242,7 +249,7 @@
         wait = (
             again
             if state.in_force is patches.NOTHING
-            else now + _spaced(rules.check_s, draws)
+            else _plan_check(state, now, draws)
         )
         state = state._replace(asking=False, ask_at=wait)
     fault = messages.Fault.PLATFORM_DOWN
@@ -382,13 +389,14 @@
     state = state._replace(failures=0)
     if watched:
         return state._replace(watching=False, watch_at=now)
-    ask_at = now + _spaced(state.rules.check_s, draws)
+    ask_at = _plan_check(state, now, draws)
     return state._replace(asking=False, ask_at=ask_at)
 
 
-def _spaced(mean: float, draws: Draws) -> float:
-    """Spread calls, so that hosts started together do not call together."""
-    return mean * (0.5 + draws())
+def _plan_check(state: State, now: float, draws: Draws) -> float:
+    """Spread checks, so that hosts started together do not check together."""
+    share = max(1 / MOST_OFTEN, min(1.0, len(state.order) / FULL_CENTRE))
+    return now + state.rules.check_s * share * (0.5 + draws())
 
 
 def _compare(state: State, source: str, stamp: patches.Stamp) -> Step:
--- a/tests/core/networks.py
+++ b/tests/core/networks.py
@@ -18,6 +18,7 @@
 CENTRE = 'Quilicura'
 
 Cut = Callable[[str, str], bool]
+Tell = Callable[[str, messages.Listed | messages.Heard], None]
 
 
 class Network:
@@ -31,6 +32,7 @@
         self.hosts: dict[str, states.State] = {}
         self.frozen: set[str] = set()
         self.cut: Cut = lambda one, other: False
+        self.tell: Tell = lambda name, told: None
         self.loss = 0.0
         self.exchanges = 0
         self.reports: list[tuple[float, str, messages.Report]] = []
@@ -42,14 +44,18 @@
         for number in range(count):
             self.add(f'h{number}')
 
-    def add(self, name: str) -> None:
+    def add(
+        self,
+        name: str,
+        centre: str = CENTRE,
+        seeds: tuple[str, ...] = ('h0', 'h1'),
+    ) -> None:
         """Start a host, or one anew under the name of another."""
         own = members.Member(name, name, 1, members.Standing.ALIVE)
-        seeds = ('h0', 'h1')
         self.hosts[name] = membership.start(
-            own, CENTRE, self._rules, seeds, self.now
+            own, centre, self._rules, seeds, self.now
         )
-        self._after(self._random.random() * TICK_S, lambda: self._tick(name))
+        self.after(self._random.random() * TICK_S, lambda: self._tick(name))
 
     def kill(self, name: str) -> None:
         """End a host without a word."""
@@ -69,7 +75,7 @@
         if name not in self.hosts:
             return
         if name in self.frozen:
-            self._after(TICK_S, lambda: self.send(name, event))
+            self.after(TICK_S, lambda: self.send(name, event))
             return
         state, actions = membership.handle(
             self.hosts[name], event, self.now, self._random.random
@@ -91,7 +97,9 @@
                 asker, asked = self._waiting.pop(token, ('', 0))
                 if asker and not self._fails(name, asker, answer=True):
                     answer = messages.Answered(asked, gossip)
-                    self._after(DELAY_S, lambda: self.send(asker, answer))
+                    self.after(DELAY_S, lambda: self.send(asker, answer))
+            case messages.Listed() | messages.Heard():
+                self.tell(name, action)
             case messages.Report():
                 self.reports.append((self.now, name, action))
 
@@ -104,10 +112,10 @@
             if self._waiting.pop(token, None):
                 self.send(name, messages.Lost(ask.token))
 
-        self._after(ask.timeout_s, give_up)
+        self.after(ask.timeout_s, give_up)
         if not self._fails(name, ask.address):
             event = messages.Received(token, ask.gossip)
-            self._after(DELAY_S, lambda: self.send(ask.address, event))
+            self.after(DELAY_S, lambda: self.send(ask.address, event))
 
     def _fails(self, one: str, other: str, *, answer: bool = False) -> bool:
         # A connection is cut in the direction in which it was opened.
@@ -118,9 +126,10 @@
         if name in self.hosts:
             if name not in self.frozen:
                 self.send(name, messages.Ticked())
-            self._after(TICK_S, lambda: self._tick(name))
+            self.after(TICK_S, lambda: self._tick(name))
 
-    def _after(self, seconds: float, act: Callable[[], None]) -> None:
+    def after(self, seconds: float, act: Callable[[], None]) -> None:
+        """Let something happen after some seconds."""
         heapq.heappush(
             self._queue, (self.now + seconds, next(self._order), act)
         )
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -1,5 +1,6 @@
 """Say what the steps of the scenarios do."""
 
+import functools
 import re
 from collections.abc import Callable, Mapping
 from typing import Any, Final
@@ -255,6 +256,13 @@
         ask_over_time(stage, int(rate * seconds), name, seconds)
 
 
+@when(step('the watchers of {place} are cut off from the platform'))
+def cut_watchers(stage: world.World, place: str) -> None:
+    for host in stage.hosts.values():
+        if host.watches and host.data_centre == place:
+            stage.cuts.add(frozenset((host.name, world.PLATFORM)))
+
+
 @when(step('{one} is cut off from {other}'))
 def cut(stage: world.World, one: str, other: str) -> None:
     stage.cuts.add(frozenset((one, other)))
@@ -272,7 +280,7 @@
 
 @when(step('host {name} is paused'))
 def pause(stage: world.World, name: str) -> None:
-    stage.hosts[name].paused = True
+    stage.clock.frozen.add(name)
 
 
 @when(step('host {name} goes on'))
@@ -283,6 +291,7 @@
 @when(step('host {name} is killed'))
 def kill(stage: world.World, name: str) -> None:
     stage.hosts[name].alive = False
+    stage.clock.kill(name)
 
 
 @when(step('host {name} starts anew'))
@@ -300,3 +309,30 @@
 def await_claim(stage: world.World, name: str) -> None:
     while stage.ids[name] not in stage.read_claims():
         stage.clock.run(0.001)
+
+
+@when(step('host {name} starts in {place}'))
+def start_host(stage: world.World, name: str, place: str) -> None:
+    stage.add_host(name, place)
+
+
+@when(step('operator {name} labels {group} {key}={value}'))
+def label(
+    stage: world.World, name: str, group: str, key: str, value: str
+) -> None:
+    change = changes.LabelGroup(group, ((key, value),))
+    stage.outcomes[name] = stage.change(name, change)
+
+
+@when(
+    step(
+        'operator {name} labels {group} {key}={value} just before {other} does'
+    )
+)
+def race(
+    stage: world.World, name: str, group: str, key: str, value: str, other: str
+) -> None:
+    del other
+    stage.line.interrupt = functools.partial(
+        label, stage, name, group, key, value
+    )
--- a/tests/scenarios/fakes.py
+++ b/tests/scenarios/fakes.py
@@ -13,7 +13,7 @@
 
 from fuchsiahaven.core import configurations, messages, snapshots
 from fuchsiahaven.edge import frames
-from tests.scenarios import clocks
+from tests.core import networks
 
 LISTINGS: Final = range(2048, 65_536, 4096)
 SERVICE_S: Final = 0.005
@@ -51,7 +51,7 @@
         self,
         config: configurations.Target,
         group: configurations.Group,
-        clock: clocks.Clock,
+        clock: networks.Network,
     ) -> None:
         """Start live, holding nothing."""
         self.config = config
--- a/tests/scenarios/hosts.py
+++ b/tests/scenarios/hosts.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
-from fuchsiahaven.core import dispatch, messages, revisions, states
+from fuchsiahaven.core import dispatch, member_messages, messages
+from fuchsiahaven.core import patches, revisions, states
 from fuchsiahaven.core import revision_messages as wording
 from fuchsiahaven.edge import claim_platform, claims, frames, hostlist
 from fuchsiahaven.edge import manifest_reader, searchers, store
-from tests.scenarios import clocks, fakes, lines
+from tests.core import networks
+from tests.scenarios import fakes, lines
 
 DELAY_S: Final = 0.001
 GRACE_S: Final = 0.25
@@ -22,7 +24,8 @@
 class Surroundings(Protocol):
     """State what a host needs of the world round it."""
 
-    clock: clocks.Clock
+    clock: networks.Network
+    hosts: dict[str, 'Host']
     targets: dict[str, fakes.Target]
     lost: set[str]
 
@@ -43,7 +46,6 @@
         self.name = name
         self.data_centre = data_centre
         self.alive = True
-        self.paused = False
         self.in_force: list[int] = []
         self.faults: set[wording.Fault] = set()
         self._world = world
@@ -56,7 +58,7 @@
         self._draws = random.Random(name).random
         self._dispatch = states.start(data_centre, self._draws)
         self._revisions = revisions.start(
-            name, self._clock.now, revisions.Rules(), alone=True
+            name, self._clock.now, revisions.Rules()
         )
         self._claims = self._open_claims()
 
@@ -80,9 +82,34 @@
         for action in actions:
             self._control(action)
 
+    def meet(
+        self, told: member_messages.Listed | member_messages.Heard
+    ) -> None:
+        """Take what gossip says of the members."""
+        match told:
+            case member_messages.Listed(live, staying):
+                self.tell(messages.MembersChanged(live, self.name))
+                self.steer(wording.Listed(staying))
+            case member_messages.Heard():
+                self.steer(wording.Heard(*told))
+
+    @property
+    def watches(self) -> bool:
+        """Tell whether this host watches the platform."""
+        return revisions.is_watcher(self._revisions)
+
+    @property
+    def stamp(self) -> patches.Stamp:
+        """Say what is in force here."""
+        return self._revisions.in_force.stamp
+
+    def find_patches(self, above: patches.Stamp) -> tuple[patches.Patch, ...]:
+        """List what a member that has a stamp is missing."""
+        return revisions.find_patches(self._revisions, above)
+
     def tick(self) -> None:
         """Let each task have its turn."""
-        if self.alive and not self.paused:
+        if self.alive and self.name not in self._clock.frozen:
             self.tell(messages.Ticked())
             self.steer(wording.Ticked())
             for worker in self._claims._workers:
@@ -91,7 +118,7 @@
 
     def wake(self) -> None:
         """Go on after a pause, with all that has come meanwhile."""
-        self.paused = False
+        self._clock.frozen.discard(self.name)
         waiting = tuple(self._backlog)
         self._backlog.clear()
         for act in waiting:
@@ -113,9 +140,10 @@
                 self._end(send, messages.Broken(send.part, target, fault))
 
     def _must_wait(self, act: Act) -> bool:
-        if self.paused:
+        paused = self.name in self._clock.frozen
+        if paused:
             self._backlog.append(act)
-        return self.paused or not self.alive
+        return paused or not self.alive
 
     def _open_claims(self) -> claims.Task:
         # The task's own threads are left out: `tick` makes their turns.
@@ -217,9 +245,36 @@
             case wording.Configure(stamped):
                 self.in_force.append(stamped.stamp.revision)
                 self.tell(messages.Configured(stamped.configuration))
+                enforced = member_messages.Enforced(stamped.stamp)
+                self._clock.send(self.name, enforced)
+            case wording.Push(names, patch):
+                for member in names:
+                    self._push(member, patch)
+            case wording.Pull(name, above):
+                self._pull(name, above)
             case wording.Report(fault):
                 self.faults.add(fault)
 
+    def _push(self, name: str, patch: patches.Patch) -> None:
+        member = self._find(name)
+        event: wording.Event = wording.Unreached(name, patch)
+        if member is not None:
+            member.steer(wording.Pushed(self.name, patch))
+            event = wording.Heard(name, member.stamp)
+        self._clock.after(DELAY_S, lambda: self.steer(event))
+
+    def _pull(self, name: str, above: patches.Stamp) -> None:
+        member = self._find(name)
+        event: wording.Event = wording.Unreached(name)
+        if member is not None:
+            event = wording.Pulled(name, member.find_patches(above))
+        self._clock.after(DELAY_S, lambda: self.steer(event))
+
+    def _find(self, name: str) -> 'Host | None':
+        member = self._world.hosts[name]
+        silent = name in self._clock.frozen or not member.alive
+        return None if silent or self._world.is_cut(self.name, name) else member
+
     def _bring(self, event: wording.Event) -> None:
         self._clock.after(self._line.took, lambda: self.steer(event))
 
--- a/tests/scenarios/lines.py
+++ b/tests/scenarios/lines.py
@@ -11,7 +11,7 @@
 
 from fuchsiahaven.edge import store
 from standins import platform
-from tests.scenarios import clocks
+from tests.core import networks
 
 CALL_S: Final = 0.003
 CONNECT_S: Final = store.DEFAULT_LIMITS.connect_s
@@ -66,7 +66,7 @@
         """Do nothing: there is nothing to close."""
 
 
-def open_store(line: Line, clock: clocks.Clock) -> store.Store:
+def open_store(line: Line, clock: networks.Network) -> store.Store:
     """Make an adapter on a line."""
     with mock.patch.object(urllib3, 'connection_from_url', return_value=line):
         return store.Store('http://platform', clock=lambda: clock.now)
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -5,7 +5,7 @@
 
 from pytest_bdd import scenarios, then
 
-from fuchsiahaven.core import coverage, errors, messages
+from fuchsiahaven.core import coverage, errors, messages, proposals
 from tests.scenarios import conftest, fakes, world
 
 scenarios('features')
@@ -214,3 +214,59 @@
         return
     assert outcome.request_id == stage.ids[name]
     assert told[-1].reply.replayed == (kind == 'the answer again')
+
+
+@then(conftest.step('revision {number:d} is in force on every host'))
+def check_revision(stage: world.World, number: int) -> None:
+    found = {
+        host.name: host.in_force[-1:]
+        for host in stage.hosts.values()
+        if host.alive
+    }
+    assert found == dict.fromkeys(found, [number])
+    check_reverts(stage)
+
+
+@then(conftest.step('revision {number:d} is still in force in {place}'))
+def check_place(stage: world.World, number: int, place: str) -> None:
+    found = [
+        host.in_force[-1]
+        for host in stage.hosts.values()
+        if host.data_centre == place
+    ]
+    assert set(found) == {number}
+
+
+@then('no host has reverted')
+def check_reverts(stage: world.World) -> None:
+    for host in stage.hosts.values():
+        assert host.in_force == sorted(set(host.in_force))
+
+
+@then(conftest.step('operator {name} is told {kind}'))
+def check_operator(stage: world.World, name: str, kind: str) -> None:
+    outcome = stage.outcomes[name]
+    if isinstance(outcome, errors.Failure):
+        assert outcome.kind == kind, outcome
+    else:
+        assert isinstance(outcome, proposals.Accepted)
+        assert kind == f'revision {outcome.entry.revision}'
+
+
+@then(conftest.step('operator {name} is shown what {other} has changed'))
+def check_shown(stage: world.World, name: str, other: str) -> None:
+    outcome = stage.outcomes[name]
+    assert isinstance(outcome, errors.Failure)
+    assert f'by {other}' in outcome.detail
+
+
+@then(conftest.step('some host reports {fault}'))
+def check_faults(stage: world.World, fault: str) -> None:
+    assert any(fault in host.faults for host in stage.hosts.values())
+
+
+@then(conftest.step('the last answer covers {groups}'))
+def check_groups(stage: world.World, groups: str) -> None:
+    answer = list(list_answers(stage))[-1][1]
+    assert set(answer.snapshots) == set(conftest.split(groups))
+    assert answer.coverage.complete
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -14,7 +14,8 @@
 from fuchsiahaven.core import proposals, request_ids, transactions
 from fuchsiahaven.edge import editor
 from standins import platform
-from tests.scenarios import clocks, fakes, hosts, lines
+from tests.core import networks
+from tests.scenarios import fakes, hosts, lines
 
 PLATFORM: Final = 'the platform'
 #: Where operators and callers are.
@@ -45,7 +46,9 @@
 
     def __init__(self) -> None:
         """Start without a host or a target."""
-        self.clock = clocks.Clock()
+        self.clock = networks.Network(0)
+        self.clock.cut = self.is_cut
+        self.clock.tell = lambda name, told: self.hosts[name].meet(told)
         self.platform = platform.Platform(lambda: self.clock.now)
         self.configuration = configurations.Configuration(0)
         self.targets: dict[str, fakes.Target] = {}
@@ -53,6 +56,7 @@
         self.cuts: set[frozenset[str]] = set()
         self.lost: set[str] = set()
         self.ids: dict[str, str] = {}
+        self.outcomes: dict[str, transactions.Outcome] = {}
         self.asked: list[Asked] = []
         self.told: dict[int, list[Told]] = {}
         self.line = lines.Line(
@@ -63,8 +67,8 @@
         self._settled = 0.0
         self._numbers = itertools.count(1)
         self._random = random.Random(1)
-        self.clock.every(TICK_S, self._tick)
-        self.clock.every(LIST_S, self._read_lists)
+        self._tick()
+        self._read_lists()
 
     def add_group(self, name: str, count: int, shards: int, place: str) -> None:
         """Add a group of targets which hold snapshot 1, or add to it."""
@@ -117,6 +121,12 @@
         self._places[name] = data_centre
         line = lines.Line(self.platform, lambda: self.is_cut(name, PLATFORM))
         self.hosts[name] = hosts.Host(name, data_centre, line, self)
+        seeds = tuple(
+            host.name
+            for host in self.hosts.values()
+            if host.data_centre == data_centre
+        )
+        self.clock.add(name, data_centre, seeds)
 
     def change(
         self, operator: str, change: changes.Change, base: int | None = None
@@ -208,9 +218,11 @@
             self._settled = self.clock.now
 
     def _tick(self) -> None:
+        self.clock.after(TICK_S, self._tick)
         for host in self.hosts.values():
             host.tick()
 
     def _read_lists(self) -> None:
+        self.clock.after(LIST_S, self._read_lists)
         for host in self.hosts.values():
             host.read_list()
