Never tell a claimed id as not run while the platform is away

Cause: 'not run' is true of an attempt and is understood of its id. A refund that ran, asked for again in an outage or after its window, was told as not run, and its caller may then send it with a new id. Change: an attempt that is given up is told as held where its key, as last known here or at the member that writes it, shows the claim; an id out of the window is told as unknown. Red first, by mutation: without the memory of the key test_a_repeat_in_an_outage_is_not_told_as_unrun fails; with the old answer for expired ids test_claim_that_ends_is_told_for_what_it_is fails.

--- a/fuchsiahaven/core/commits.py
+++ b/fuchsiahaven/core/commits.py
@@ -29,6 +29,7 @@
     """Hold the state of one key on one host.
 
     `fresh` tells that `known` was read after the steps in flight arrived;
+    `seen` is what the key held when it was last known;
     `doubtful` is the revision at which a write without an answer was made.
     """
 
@@ -36,6 +37,7 @@
     queued: tuple[claim_calls.Pending, ...] = ()
     flying: tuple[claim_calls.Pending, ...] = ()
     known: Known | None = None
+    seen: claims.Ledger = claims.EMPTY
     fresh: bool = False
     forward: bool = False
     doubtful: int | None = None
@@ -176,7 +178,7 @@
             flying=tuple(_clear(one, ledger) for one in commit.flying),
         )
     known = Known(ledger, found.revision)
-    return commit._replace(known=known, fresh=True), ()
+    return commit._replace(known=known, seen=ledger, fresh=True), ()
 
 
 def _clear(
@@ -201,7 +203,11 @@
         )
     )
     return commit._replace(
-        flying=(), known=known, applied=None, doubtful=None
+        flying=(),
+        known=known,
+        seen=known.ledger,
+        applied=None,
+        doubtful=None,
     ), settled
 
 
@@ -261,7 +267,7 @@
         known=None,
         doubtful=None,
     )
-    settled = tuple(_abandon(pending, detail) for pending in attempts)
+    settled = tuple(_abandon(commit, pending, detail) for pending in attempts)
     return _return_claims(commit, settled, now), settled
 
 
@@ -280,13 +286,24 @@
         queued=tuple(step for step in commit.queued if step not in late),
     )
     settled = tuple(
-        _abandon(pending, 'the deadline passed before the claim was written')
+        _abandon(
+            commit, pending, 'the deadline passed before the claim was written'
+        )
         for pending in late
     )
     return _return_claims(commit, settled, now), settled
 
 
-def _abandon(pending: claim_calls.Pending, detail: str) -> claim_calls.Settled:
+def _abandon(
+    commit: Commit, pending: claim_calls.Pending, detail: str
+) -> claim_calls.Settled:
+    held = commit.seen.held.get(pending.step.request_id)
+    if held is not None and held.nonce != pending.step.nonce:
+        # "Not run" would be understood of the id, and its caller would send
+        # a new one; that it was claimed before is true whatever came since.
+        return claim_calls.Settled(
+            pending, messages.ClaimResult.HELD, held, bool(pending.doubt)
+        )
     return claim_calls.Settled(
         pending,
         messages.ClaimResult.UNAVAILABLE,
--- a/fuchsiahaven/core/messages.py
+++ b/fuchsiahaven/core/messages.py
@@ -217,6 +217,7 @@
     UNAVAILABLE: this attempt was not run and must not be sent; where
     `maybe_written`, the claim may stand all the same, and asking again with
     this id may then find an unknown outcome. `detail` says why, for people.
+    EXPIRED: not run; where `over`, an earlier attempt may have run.
     """
 
     token: int
--- a/fuchsiahaven/core/replies.py
+++ b/fuchsiahaven/core/replies.py
@@ -69,9 +69,9 @@
     if recorded is not None:
         return reply(state, event.token, recorded, now, replayed=True)
     kind = CLAIM_KINDS[event.result]
-    if event.over and not event.done:
-        kind = errors.Kind.OUTCOME_UNKNOWN
-    ran = errors.Ran.YES if event.done else None
+    if event.over and kind is errors.Kind.DUPLICATE_REQUEST:
+        kind = kind if event.done else errors.Kind.OUTCOME_UNKNOWN
+    ran = _say_ran(event)
     failure = errors.make_failure(
         kind,
         SOURCE,
@@ -80,3 +80,14 @@
         ran=ran,
     )
     return reply(state, event.token, failure, now)
+
+
+def _say_ran(event: messages.ClaimSettled) -> errors.Ran | None:
+    """Say what the table of failures does not: None where it does."""
+    if event.done:
+        return errors.Ran.YES
+    if event.result is messages.ClaimResult.EXPIRED and event.over:
+        # Its claim may be gone by now. Told as not run, it would be sent with
+        # a new id, although it may have run under this one.
+        return errors.Ran.UNKNOWN
+    return None
--- a/fuchsiahaven/edge/claims.py
+++ b/fuchsiahaven/edge/claims.py
@@ -135,6 +135,7 @@
             expired = messages.ClaimSettled(
                 asked.token,
                 messages.ClaimResult.EXPIRED,
+                over=time_epoch is not None,
                 detail='the id is no UUIDv7 of the last minutes',
             )
             self._post(expired)
