Kill, freeze and cut off hosts while refunds arrive

Cause: the scenario refunds lost answers only; hosts were never killed, and 'not run' was judged request by request, so an id that was refused, asked for again and run looked like an untrue refusal. Change: refunds now loses two writes' answers each 2 % of the run, drops 2 % of the searchers' answers after the run, takes the platform away three times, kills a host nine times and lets one stand still twice. untrue_refusals stays as it was; beside it untrue_ids (ran, though every request was told as not run), doubtful_ids (told as not run after an unknown outcome, and ran) and untrue_answers (answered, never ran).

--- a/bench/records.py
+++ b/bench/records.py
@@ -2,7 +2,7 @@
 
 import collections
 import statistics
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final, NamedTuple
 
 from hdrh import histogram
@@ -73,8 +73,11 @@
     the mean covered share over all offered requests, `answer_coverage` over
     answers. `extra_load` is sub-requests that searchers received beyond one
     for each shard, as a share. `untrue_refusals` said `not run` although
-    the searchers had run the request. `limit` says where the bench itself
-    or a stand-in, and not the tier, limits the figures.
+    the searchers had run the request, be it for another request with its id;
+    `untrue_ids` ran although each request with them was told `not run`, and
+    `doubtful_ids` were told `not run` after an unknown outcome and have run.
+    `untrue_answers` are answers to what has not run. `limit` says where the
+    bench itself or a stand-in, and not the tier, limits the figures.
     """
 
     policy: str
@@ -92,6 +95,9 @@
     sub_requests: int
     refusals: dict[str, int]
     untrue_refusals: int
+    untrue_ids: int
+    doubtful_ids: int
+    untrue_answers: int
     faults: dict[str, int]
     late_answers: int
     max_runs_per_id: int
@@ -153,6 +159,11 @@
             record.ran == 'no' and targets['runs'].get(record.request_id, 0) > 0
             for record in records
         ),
+        untrue_ids=_count_ids(records, targets, _all_told_no),
+        doubtful_ids=_count_ids(records, targets, _told_no_after_doubt),
+        untrue_answers=sum(
+            record.request_id not in targets['runs'] for record in answered
+        ),
         faults=_count(record.fault for record in records),
         late_answers=sum(
             record.took > record.deadline_s for record in answered
@@ -225,6 +236,32 @@
     return round(max(lags, default=0.0), 3)
 
 
+def _count_ids(
+    records: Iterable[Record],
+    targets: wire.Json,
+    told: Callable[[list[Record]], bool],
+) -> int:
+    by_id: dict[str, list[Record]] = {}
+    for record in records:
+        by_id.setdefault(record.request_id, []).append(record)
+    return sum(
+        told(group) and targets['runs'].get(request_id, 0) > 0
+        for request_id, group in by_id.items()
+    )
+
+
+def _all_told_no(group: list[Record]) -> bool:
+    return all(record.ran == 'no' for record in group)
+
+
+def _told_no_after_doubt(group: list[Record]) -> bool:
+    doubts = [record.done for record in group if record.ran == 'unknown']
+    return any(
+        record.ran == 'no' and record.sent > min(doubts, default=record.sent)
+        for record in group
+    )
+
+
 def _measure_ms(seconds: Iterable[float]) -> list[float]:
     found = histogram.HdrHistogram(1, HIGHEST_US, DIGITS)
     for each in seconds:
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -13,6 +13,7 @@
 OFTEN_SLOW_SHARE: Final = 0.05
 # So slow that the searchers, and not the hosts' processors, set the limit.
 SLOW_MEDIAN_MS: Final = 100.0
+FREEZE_S: Final = 1.5
 SURGE: Final = 4.0
 NEXT_SNAPSHOT: Final = layouts.FIRST_SNAPSHOT + 1
 
@@ -53,12 +54,33 @@
     host: int
 
 
+class Kill(NamedTuple):
+    """End one host at once and start it again."""
+
+    host: int
+
+
+class Freeze(NamedTuple):
+    """Let one host stand still for a while."""
+
+    host: int
+    seconds: float
+
+
 class Change(NamedTuple):
     """Accept the next revision of the configuration."""
 
 
 Action = (
-    TargetOrder | PlatformOrder | Leave | CutCentre | Surge | Restart | Change
+    TargetOrder
+    | PlatformOrder
+    | Leave
+    | CutCentre
+    | Surge
+    | Restart
+    | Kill
+    | Freeze
+    | Change
 )
 
 
@@ -167,9 +189,17 @@
 
 
 def _lose_answers(services: Services) -> Steps:
-    lost = PlatformOrder({'lose_writes': 1})
-    losses = (Step(at / 20, lost) for at in range(1, 20))
-    return (_behave(0, '*', drop='after', share=0.02), *losses)
+    lost = PlatformOrder({'lose_writes': 2})
+    losses = [Step(at / 100, lost) for at in range(1, 100, 2)]
+    downs = [
+        Step(start / 10 + after, PlatformOrder({'down': not after}))
+        for start in (2, 4, 8)
+        for after in (0, 0.02)
+    ]
+    kills = [Step(at / 10, Kill(at % 2)) for at in range(1, 10)]
+    stills = [Step(at, Freeze(1, FREEZE_S)) for at in (0.25, 0.65)]
+    dropped = _behave(0, '*', drop='after', share=0.02)
+    return (dropped, *losses, *downs, *kills, *stills)
 
 
 def _change(services: Services) -> Steps:
@@ -210,7 +240,7 @@
         Scenario('data-centre-cut', 'one of two is cut off', _cut_centre, 2),
         Scenario(
             'refunds',
-            'answers are lost and ids are asked for twice',
+            'answers are lost, hosts killed, ids asked for twice',
             _lose_answers,
             repeats=0.3,
             only_at_most_once=True,
--- a/bench/scripts.py
+++ b/bench/scripts.py
@@ -1,6 +1,7 @@
 """Play the faults of a scenario."""
 
 import asyncio
+import signal
 import time
 from collections.abc import Awaitable
 from typing import Final
@@ -46,6 +47,10 @@
                 return self._surge(factor)
             case scenarios.Restart(index):
                 return self._restart(self._world.hosts[index])
+            case scenarios.Kill(index):
+                return self._kill(self._world.hosts[index])
+            case scenarios.Freeze(index, seconds):
+                return self._freeze(self._world.hosts[index], seconds)
             case scenarios.Change():
                 return self._change()
 
@@ -81,6 +86,16 @@
         await loop.run_in_executor(None, self._world.wait_end, host)
         self._world.start(host)
 
+    async def _kill(self, host: worlds.Host) -> None:
+        self._world.send_signal(host, signal.SIGKILL)
+        self._world.wait_end(host)
+        self._world.start(host)
+
+    async def _freeze(self, host: worlds.Host, seconds: float) -> None:
+        self._world.send_signal(host, signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self._world.send_signal(host, signal.SIGCONT)
+
     async def _change(self) -> None:
         layout = self._world.layout
         revision = layout.configuration.revision + len(self.changes) + 1
--- a/tests/bench/test_records.py
+++ b/tests/bench/test_records.py
@@ -50,6 +50,17 @@
     assert figures.untrue_refusals == 1
 
 
+def test_ids_that_are_asked_again_are_judged_as_a_whole() -> None:
+    refused = make_record('a', 1.0, kind='overloaded', ran='no')
+    unknown = make_record('a', 0.0, kind='outcome_unknown', ran='unknown')
+    answered = make_record('a', 2.0)
+    assert summarise(refused).untrue_ids == 1
+    assert summarise(refused, answered).untrue_ids == 0
+    assert summarise(refused, answered).doubtful_ids == 0
+    assert summarise(refused, unknown).doubtful_ids == 1
+    assert summarise(answered, make_record('b', 0.0)).untrue_answers == 1
+
+
 def test_extra_load_counts_what_searchers_received() -> None:
     figures = summarise(make_record('a', 0.0))
     assert figures.extra_load == 1
