--- a/fuchsiahaven/core/deals.py
+++ b/fuchsiahaven/core/deals.py
@@ -32,7 +32,7 @@
     """Hold what a deal of a group depends on in the configuration."""
 
     cap: int
-    targets: tuple[str, ...]
+    targets: tuple[configurations.Target, ...]
 
 
 def plan_all(state: states.State) -> None:
@@ -43,12 +43,13 @@
 
 def list_shares(state: states.State) -> Mapping[str, Share]:
     """List by group what its deal depends on in the configuration."""
-    names: dict[str, list[str]] = {}
-    for target, owner in state.tables.group_of.items():
-        names.setdefault(owner.name, []).append(target)
+    targets: dict[str, list[configurations.Target]] = {}
+    for name, owner in state.tables.group_of.items():
+        target = state.tables.targets[name]
+        targets.setdefault(owner.name, []).append(target)
     return {
-        name: Share(group.connections, tuple(names[name]))
-        for name, group in _map_groups(state).items()
+        group.name: Share(group.connections, tuple(targets[group.name]))
+        for group in _map_groups(state).values()
     }
 
 
--- a/fuchsiahaven/core/targets.py
+++ b/fuchsiahaven/core/targets.py
@@ -17,6 +17,7 @@
 )
 
 PROBE_JITTER: Final = 0.2
+PROBE_GRID_S: Final = 0.05
 #: A report can be late because this host is: one lost is no evidence.
 MAX_MISSES: Final = 3
 #: How often a target without a seat for this host is asked what it holds.
@@ -45,11 +46,13 @@
         known.targets[target.name] = target
         known.group_of[target.name] = group
     actions: list[messages.Action] = []
-    for gone in before.keys() - known.targets.keys():
-        _forget(state, gone)
-        actions.append(messages.Allot(before[gone], 0))
+    for gone, target in before.items():
+        # With another address the name stands for another process.
+        if known.targets.get(gone) != target:
+            _forget(state, gone)
+            actions.append(messages.Allot(target, 0))
     for name in known.targets:
-        if name not in before:
+        if name not in known.standings:
             _begin(state, name, now)
         _mark(state, name, now)
     deals.plan_changed(state, shares)
@@ -174,6 +177,9 @@
 
 
 def _schedule(state: states.State, name: str, when: float) -> None:
+    # Probes go out in batches: to wake up for each alone costs more than the
+    # probe itself.
+    when = math.ceil(when / PROBE_GRID_S) * PROBE_GRID_S
     state.tables.probes[name] = when
     states.set_timer(state, when, tables.ProbeDue(name))
 
--- a/fuchsiahaven/edge/connectors.py
+++ b/fuchsiahaven/edge/connectors.py
@@ -12,6 +12,7 @@
 import urllib3.connection
 import urllib3.exceptions
 
+from fuchsiahaven.core import configurations
 from fuchsiahaven.edge import tls
 
 #: A target that swallows connects holds a thread up to the timeout.
@@ -21,14 +22,14 @@
 class Opened(NamedTuple):
     """Bring a connection that is open."""
 
-    address: str
+    target: configurations.Target
     connection: urllib3.connection.HTTPConnection
 
 
 class Unopened(NamedTuple):
     """Say that a connection could not be opened."""
 
-    address: str
+    target: configurations.Target
     detail: str
 
 
@@ -48,7 +49,9 @@
         self._report = report
         self._timeout_s = timeout_s
         self._identity = identity
-        self._wanted: queue.SimpleQueue[str | None] = queue.SimpleQueue()
+        self._wanted: queue.SimpleQueue[configurations.Target | None] = (
+            queue.SimpleQueue()
+        )
         self._threads = [
             threading.Thread(target=self._run, name=f'connector-{number}')
             for number in range(THREADS)
@@ -56,9 +59,9 @@
         for thread in self._threads:
             thread.start()
 
-    def ask(self, address: str) -> None:
-        """Ask for one more connection to an address."""
-        self._wanted.put(address)
+    def ask(self, target: configurations.Target) -> None:
+        """Ask for one more connection to a target."""
+        self._wanted.put(target)
 
     def close(self) -> None:
         """End the threads once what they were asked for is done."""
@@ -68,18 +71,18 @@
             thread.join()
 
     def _run(self) -> None:
-        while (address := self._wanted.get()) is not None:
-            self._report(self._open(address))
+        while (target := self._wanted.get()) is not None:
+            self._report(self._open(target))
 
-    def _open(self, address: str) -> Outcome:
-        connection = self._prepare(address)
+    def _open(self, target: configurations.Target) -> Outcome:
+        connection = self._prepare(target.address)
         try:
             connection.connect()
         except (urllib3.exceptions.HTTPError, OSError) as error:
             connection.close()
-            return Unopened(address, str(error))
+            return Unopened(target, str(error))
         connection.sock.settimeout(0)
-        return Opened(address, connection)
+        return Opened(target, connection)
 
     def _prepare(self, address: str) -> urllib3.connection.HTTPConnection:
         host, _, port = address.rpartition(':')
--- a/fuchsiahaven/edge/exchanges.py
+++ b/fuchsiahaven/edge/exchanges.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core import configurations, messages
 from fuchsiahaven.edge import frames, searchers
 
 
@@ -17,6 +17,11 @@
     cancelled: messages.Send | None = None
 
 
+def probe(target: configurations.Target, expires: float) -> Exchange:
+    """Make the question for a target's health."""
+    return Exchange(messages.Probe(target), expires)
+
+
 def write_payload(exchange: Exchange, now: float) -> bytes:
     """Write the request as bytes."""
     match exchange.action:
--- a/fuchsiahaven/edge/loop.py
+++ b/fuchsiahaven/edge/loop.py
@@ -15,7 +15,9 @@
 from fuchsiahaven.core import dispatch, errors, messages, states, tables
 from fuchsiahaven.edge import connectors, fleets, links, pools, tls
 
-SWEEP_S: Final = 0.05
+SWEEP_S: Final = 0.25
+#: How often what waits for admission is looked at.
+ADMIT_S: Final = 0.05
 WAKE_SIZE: Final = 4096
 MESSAGES_A_TURN: Final = 4
 ENDED: Final = errors.make_failure(
@@ -121,9 +123,8 @@
                 opener.ask,
                 self._report,
                 self._settings.answer_bytes,
-                self._settings.probe_s,
             )
-            fleet = fleets.Fleet(shop)
+            fleet = fleets.Fleet(shop, self._settings.probe_s)
             stack.callback(fleet.close)
             stack.callback(self._end)
             while not self._closing:
@@ -191,9 +192,10 @@
         if not self._inbox.empty():
             return 0
         wake = dispatch.next_wake(self._state)
+        longest = ADMIT_S if self._state.tables.waiting else SWEEP_S
         if wake is None:
-            return SWEEP_S
-        return min(SWEEP_S, max(0.0, wake - time.monotonic()))
+            return longest
+        return min(longest, max(0.0, wake - time.monotonic()))
 
     def _serve(
         self, owner: tuple[pools.Pool, links.Link] | None, mask: int, now: float
--- a/fuchsiahaven/edge/pools.py
+++ b/fuchsiahaven/edge/pools.py
@@ -24,10 +24,9 @@
     """
 
     selector: selectors.BaseSelector
-    ask: Callable[[str], None]
+    ask: Callable[[configurations.Target], None]
     report: Callable[[messages.Event | None], None]
     answer_bytes: int
-    probe_s: float
 
 
 class Pool:
@@ -52,8 +51,7 @@
             if exchanges.needs_proof(exchange) and not link.answered:
                 # It goes out once the connection has answered a probe.
                 self._queue.append(exchange)
-                self.probe(link, now)
-                return
+                exchange = exchanges.probe(self.target, exchange.expires)
             if self._start(link, exchange, now):
                 return
         if not self.links and now < self._closed_until:
@@ -63,15 +61,6 @@
         self._queue.append(exchange)
         self._open_more(now)
 
-    def probe(self, link: links.Link | None, now: float) -> None:
-        """Ask for a health report, over one connection or any."""
-        action = messages.Probe(self.target)
-        exchange = exchanges.Exchange(action, now + self._shop.probe_s)
-        if link is None:
-            self.place(exchange, now)
-        elif not self._start(link, exchange, now):
-            self._open_more(now)
-
     def cancel(self, cancel: exchanges.Exchange, now: float) -> None:
         """Cancel a sub-request, or close its connection where none is idle."""
         assert isinstance(cancel.action, messages.Cancel)
@@ -94,8 +83,8 @@
         """Take a connection that was asked for, or the news of none."""
         self._opening -= 1
         match outcome:
-            case connectors.Opened(address, connection):
-                link = links.Link(address, connection)
+            case connectors.Opened(target, connection):
+                link = links.Link(target.address, connection)
                 self.links.add(link)
                 self._shop.selector.register(
                     link.sock, selectors.EVENT_READ, (self, link)
@@ -137,6 +126,12 @@
             self._shop.report(exchanges.refuse(exchange, reason))
         self._open_more(now)
 
+    def is_busy(self) -> bool:
+        """Tell whether anything is under way."""
+        if self._queue or self._opening:
+            return True
+        return any(link.exchange is not None for link in self.links)
+
     def allot(self, seats: int, now: float) -> None:
         """Bound the connections; what is idle beyond that is closed."""
         self.seats = seats
@@ -151,7 +146,7 @@
         # target's reserve, to ask what it holds.
         if len(self.links) + self._opening < max(1, self.seats):
             self._opening += 1
-            self._shop.ask(self.target.address)
+            self._shop.ask(self.target)
 
     def _start(
         self, link: links.Link, exchange: exchanges.Exchange, now: float
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -465,3 +465,27 @@
     """Let the host use every seat at its targets."""
     host.tell(messages.MembersChanged(('host-0',), 'host-0'))
     host.pass_time(20.0)
+
+
+def test_target_with_a_new_address_is_another_process() -> None:
+    """Ask anew what a target holds once its name has another address.
+
+    Symptom: requests go to an address that another process has now.
+    Sequence: a target is replaced under its name; the configuration brings
+    the new address.
+    Cause: what is known of a target is kept by its name alone.
+    """
+    host = rig.Rig(PARTIAL, shards=1, replicas=1)
+    (group,) = host.configuration.groups
+    (before,) = group.targets
+    after = before._replace(address='10.0.9.9:1')
+    changed = host.configuration._replace(
+        revision=2, groups=(group._replace(targets=(after,)),)
+    )
+    done = host.tell(messages.Configured(changed))
+    assert messages.Allot(before, 0) in done
+    assert not host.ask(token=1)
+    assert messages.Probe(after) in host.pass_time(0.3)
+    host.report(0, 0, 1)
+    (send,) = host.ask(token=2)
+    assert send.target == after
--- a/tests/edge/test_pools.py
+++ b/tests/edge/test_pools.py
@@ -8,7 +8,7 @@
 import urllib3.connection
 
 from fuchsiahaven.core import configurations, messages
-from fuchsiahaven.edge import connectors, links, pools
+from fuchsiahaven.edge import connectors, exchanges, links, pools
 
 ANSWER = b'HTTP/1.1 503 -\r\nContent-Length: 2\r\n\r\n{}'
 TARGET = configurations.Target('web-0/1', '127.0.0.1:1', 'Quilicura')
@@ -21,7 +21,7 @@
         self.asked = 0
         self.ends: dict[socket.socket, socket.socket] = {}
         self.events: list[messages.Event | None] = []
-        shop = pools.Shop(selector, self._ask, self.events.append, 1000, 1.0)
+        shop = pools.Shop(selector, self._ask, self.events.append, 1000)
         self.pool = pools.Pool(TARGET, shop)
 
     def open_asked(self) -> None:
@@ -32,7 +32,7 @@
             connection = urllib3.connection.HTTPConnection('127.0.0.1')
             connection.sock = near
             self.ends[near] = far
-            opened = connectors.Opened(TARGET.address, connection)
+            opened = connectors.Opened(TARGET, connection)
             self.pool.take(opened, 0)
 
     def answer(self, link: links.Link) -> None:
@@ -46,7 +46,7 @@
             near.close()
             far.close()
 
-    def _ask(self, address: str) -> None:
+    def _ask(self, target: configurations.Target) -> None:
         self.asked += 1
 
 
@@ -69,7 +69,7 @@
     """
     bench.pool.allot(3, 0)
     for _ in range(3):
-        bench.pool.probe(None, 0)
+        bench.pool.place(exchanges.probe(TARGET, 1.0), 0)
     bench.open_asked()
     assert len(bench.pool.links) == 3
     for link in list(bench.pool.links)[:2]:
@@ -82,8 +82,8 @@
 
 
 def test_without_a_seat_one_probe_passes_and_closes(bench: Bench) -> None:
-    bench.pool.probe(None, 0)
-    bench.pool.probe(None, 0)
+    bench.pool.place(exchanges.probe(TARGET, 1.0), 0)
+    bench.pool.place(exchanges.probe(TARGET, 1.0), 0)
     bench.open_asked()
     link = next(iter(bench.pool.links))
     bench.answer(link)
