Refuse claims at a host whose clock is far off the platform's

Cause: a host an hour behind takes an id whose window has passed and whose key has gone, and the id runs twice. Red first, by mutation: without either check test_a_host_with_a_wrong_clock_grants_nothing fails.

--- a/fuchsiahaven/edge/claim_platform.py
+++ b/fuchsiahaven/edge/claim_platform.py
@@ -15,6 +15,7 @@
 REOPEN_S: Final = 0.5
 LEASE_S: Final = 2 * (claims.WINDOW_S + claims.SLOT_S + 2 * claims.SKEW_S)
 DOWN: Final = 'the platform did not answer'
+ASTRAY: Final = "this host's clock differs from the platform's"
 LOST: Final = 'the platform has lost claims of these seconds'
 
 
@@ -58,11 +59,12 @@
         if self._clocks.monotonic() < self.down_until:
             return claim_calls.Failed(DOWN)
         try:
-            return self._call(call)
+            result = self._call(call)
         except store.StoreOverBudget:
             raise
         except store.StoreError as error:
             return self._explain(error)
+        return self._check_clock(result)
 
     def find_obstacle(self, key: str) -> str:
         """Say why no claim of a key may ever be granted; empty if one may."""
@@ -111,6 +113,24 @@
         self._floor_epoch = self._clocks.epoch()
         return claim_calls.Distrusted(LOST)
 
+    def _check_clock(self, result: claim_calls.Result) -> claim_calls.Result:
+        """Refuse claims while this host's clock is far off the platform's.
+
+        A clock that is behind takes an id whose key has gone, and the id
+        would run twice. Every write follows a read or a lease, so a wrong
+        clock shows before the first of them.
+        """
+        date_epoch = self._store.date_epoch
+        if date_epoch is None:
+            return result
+        skew_s = self._clocks.epoch() - date_epoch
+        if abs(skew_s) <= claims.SKEW_S:
+            return result
+        logs.error(PART, 'the clock of this host is wrong', skew_s=skew_s)
+        if isinstance(result, claim_calls.Written):
+            return claim_calls.Distrusted(ASTRAY)
+        return claim_calls.Failed(ASTRAY)
+
     def _find_lease(self, key: str) -> str:
         """Find a lease that outlives every use of a key's ids."""
         until = claims.needed_until(float(key.rpartition('/')[2]))
--- a/fuchsiahaven/edge/claims.py
+++ b/fuchsiahaven/edge/claims.py
@@ -104,8 +104,10 @@
         itself.
         """
         batch = claim_rows.read_batch(body)
+        now_epoch = self._clocks.epoch()
         if batch is None or not all(
-            _belongs(step.request_id, batch.key) for step in batch.steps
+            _belongs(step.request_id, batch.key, now_epoch)
+            for step in batch.steps
         ):
             return None
         if not self._places.acquire(blocking=False):
@@ -167,10 +169,11 @@
         return self._workers[bucket % WORKERS]
 
 
-def _belongs(request_id: str, key: str) -> bool:
-    # A host that finds another key for an id would let it run twice.
+def _belongs(request_id: str, key: str, now_epoch: float) -> bool:
+    # A host that finds another key for an id would let it run twice, and so
+    # would one whose clock is so far behind that the key has gone.
     time_epoch = request_ids.read_epoch(request_id)
-    if time_epoch is None:
+    if time_epoch is None or now_epoch >= claims.needed_until(time_epoch):
         return False
     return claims.find_key(request_id, time_epoch) == key
 
--- a/fuchsiahaven/edge/store.py
+++ b/fuchsiahaven/edge/store.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import email.utils
 import enum
 import http
 import json
@@ -149,6 +150,8 @@
         The URLs are alike; the next one is taken when a call gave nothing.
         """
         self.calls: collections.Counter[str] = collections.Counter()
+        #: The platform's clock at its last answer, where that told it.
+        self.date_epoch: float | None = None
         self._limits = limits
         self._clock = clock
         self._reads = rates.fill_bucket(limits.reads, clock())
@@ -305,6 +308,7 @@
             response.close()
             raise
         response.release_conn()
+        self.date_epoch = _read_date(response.headers.get('Date', ''))
         return _Reply(response.status, whole)
 
     def _read_body(
@@ -324,6 +328,13 @@
     return f'/v1/keys/{urllib.parse.quote(key)}'
 
 
+def _read_date(text: str) -> float | None:
+    try:
+        return email.utils.parsedate_to_datetime(text).timestamp()
+    except ValueError:
+        return None
+
+
 def _headers(body: bytes | None) -> Mapping[str, str]:
     return {} if body is None else {'Content-Type': 'application/json'}
 
--- a/tests/edge/test_claims.py
+++ b/tests/edge/test_claims.py
@@ -17,6 +17,7 @@
 from standins import platform as standin
 
 GRANTED = messages.ClaimResult.GRANTED
+EXPIRED = messages.ClaimResult.EXPIRED
 HELD = messages.ClaimResult.HELD
 UNAVAILABLE = messages.ClaimResult.UNAVAILABLE
 SOON_S = 10.0
@@ -60,6 +61,17 @@
         return None if lost else answer
 
 
+class Dated:
+    """Stand for a platform that tells the time in every answer."""
+
+    def __get__(self, owner: object, kind: type) -> float:
+        """Give the true time."""
+        return time.time()
+
+    def __set__(self, owner: object, told: float | None) -> None:
+        """Ignore what the stand-in told."""
+
+
 class Host:
     """Hold one host's claims task and what it tells the loop."""
 
@@ -134,7 +146,7 @@
 def test_an_id_out_of_its_window_is_refused(world: World) -> None:
     host = Host(world)
     for age_s in (claims.WINDOW_S + 1, -claims.AHEAD_S - 1):
-        assert host.claim(mint(age_s)).result is messages.ClaimResult.EXPIRED
+        assert host.claim(mint(age_s)).result is EXPIRED
     assert not world.platform.calls
 
 
@@ -295,6 +307,27 @@
     assert host.claim(request_id).result is not GRANTED
 
 
+def test_a_host_with_a_wrong_clock_grants_nothing(
+    world: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Refuse claims at a host whose clock is far behind.
+
+    Symptom: a refund runs twice, an hour apart. Sequence: the caller asks
+    again after an hour, and the clock of the host that it reaches is an
+    hour behind. Cause: the id is in that host's window, its key has gone.
+    """
+    behind = claim_platform.Clocks(epoch=lambda: time.time() - 3600)
+    host = Host(world, 'a', behind)
+    request_id = mint(age_s=3600)
+    assert Host(world, 'b').claim(request_id).result is EXPIRED
+    monkeypatch.setattr(store.Store, 'date_epoch', Dated(), raising=False)
+    refused = host.claim(request_id)
+    assert refused.result is UNAVAILABLE
+    assert claim_platform.ASTRAY in refused.detail
+    host.task.note_members(claim_members.Listed('a', {'b': 'b'}))
+    assert host.claim(request_id).result is UNAVAILABLE
+
+
 @pytest.mark.parametrize('address', ['b', 'lost-b', 'nobody'])
 def test_a_member_is_only_a_hint(world: World, address: str) -> None:
     """Claim alone where the member that writes for us cannot be asked.
--- a/tests/edge/test_store.py
+++ b/tests/edge/test_store.py
@@ -108,6 +108,14 @@
             platform.read('k')
 
 
+def test_tells_the_clock_of_the_platform() -> None:
+    dated = b'HTTP/1.1 404 No\r\nDate: Sun, 06 Nov 1994 08:49:37 GMT\r\n'
+    for reply, told in ((dated, 784111777.0), (b'HTTP/1.1 404 No\r\n', None)):
+        with open_store(b'%bContent-Length: 0\r\n\r\n' % reply) as platform:
+            assert platform.read('k') is None
+            assert platform.date_epoch == told
+
+
 def test_the_budget_holds_calls_back() -> None:
     slow = store.Limits(writes=rates.Rate(0.01, burst=1))
     with open_store(answer(200, b'{"revision": 1}'), slow) as platform:
