--- a/fuchsiahaven/edge/callers.py
+++ b/fuchsiahaven/edge/callers.py
@@ -14,6 +14,9 @@
 HEALTHZ: Final = ('GET', '/healthz')
 READYZ: Final = ('GET', '/readyz')
 METRICS: Final = ('GET', '/metrics')
+#: What the caller port answers, and what the metrics port does.
+CALLERS: Final = frozenset((SEARCH, HEALTHZ, READYZ, METRICS))
+SCRAPERS: Final = frozenset((HEALTHZ, METRICS))
 JSON: Final = 'application/json'
 TEXT: Final = 'text/plain; charset=utf-8'
 #: Past the longest deadline there is: a reply that is not there by then was
@@ -48,8 +51,14 @@
 class Application:
     """Answer requests of callers, each with exactly one reply."""
 
-    def __init__(self, host: Host, bounds: requests.Bounds) -> None:
-        """Answer on behalf of a host."""
+    def __init__(
+        self,
+        host: Host,
+        bounds: requests.Bounds,
+        routes: frozenset[tuple[str, str]] = CALLERS,
+    ) -> None:
+        """Answer on behalf of a host, on these routes alone."""
+        self._routes = routes
         self._host = host
         self._bounds = bounds
 
@@ -76,19 +85,19 @@
         self, environ: Mapping[str, Any]
     ) -> tuple[answers.Written, str]:
         route = (environ['REQUEST_METHOD'], environ['PATH_INFO'])
+        if route not in self._routes:
+            failure = errors.make_failure(
+                errors.Kind.NOT_FOUND, requests.SOURCE, 'try POST /v1/search'
+            )
+            return answers.write_failure(None, failure), JSON
         if route == SEARCH:
             return self._search(environ), JSON
         if route == HEALTHZ:
             return answers.Written(http.HTTPStatus.OK, b'ok\n'), TEXT
         if route == READYZ:
             return self._tell_readiness(), TEXT
-        if route == METRICS:
-            body = self._host.write_metrics()
-            return answers.Written(http.HTTPStatus.OK, body), TEXT
-        failure = errors.make_failure(
-            errors.Kind.NOT_FOUND, requests.SOURCE, 'try POST /v1/search'
-        )
-        return answers.write_failure(None, failure), JSON
+        body = self._host.write_metrics()
+        return answers.Written(http.HTTPStatus.OK, body), TEXT
 
     def _search(self, environ: Mapping[str, Any]) -> answers.Written:
         try:
--- a/fuchsiahaven/edge/openings.py
+++ b/fuchsiahaven/edge/openings.py
@@ -27,6 +27,14 @@
     address: str
 
 
+class Bound(NamedTuple):
+    """Hold a server that listens, and the how manieth of its ports it has."""
+
+    number: int
+    address: addresses.Address
+    server: wsgi.Server
+
+
 def read_rules(chosen: settings.Settings) -> member_states.Rules:
     """Take the times of membership from the settings."""
     own = chosen.peers
@@ -82,18 +90,31 @@
     Each process is a member of its own, for it holds connections to targets
     of its own. Raises OSError where no port is free.
     """
-    host, port = chosen.peers.address
     count = chosen.host.processes
     identity = open_identity(chosen.peers, ssl.Purpose.CLIENT_AUTH)
-    for number in range(count):
-        address = addresses.Address(host, port + number)
-        server = peers.make_server(
+
+    def make(address: addresses.Address) -> wsgi.Server:
+        return peers.make_server(
             application, address, chosen.peers.body_bytes, identity
         )
+
+    bound = bind_next(make, chosen.peers.address, count)
+    name = chosen.host.name
+    name = f'{name}/{bound.number}' if count > 1 else name
+    return Place(name, addresses.write(bound.address)), bound.server
+
+
+def bind_next(
+    make: Callable[[addresses.Address], wsgi.Server],
+    first: addresses.Address,
+    count: int,
+) -> Bound:
+    """Bind the first free one of `count` ports; OSError where none is."""
+    for number in range(count):
+        address = first._replace(port=first.port + number)
+        server = make(address)
         if _prepare(server, last=number + 1 == count):
-            name = chosen.host.name
-            name = f'{name}/{number}' if count > 1 else name
-            return Place(name, addresses.write(address)), server
+            return Bound(number, address, server)
     raise AssertionError('the last port is bound or raises')
 
 
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import Final
 
+from cheroot import wsgi
+
 from fuchsiahaven.core import messages, policies, states
 from fuchsiahaven.edge import (
     callers,
@@ -28,6 +30,7 @@
 PART: Final = 'server'
 MILLISECONDS: Final = 1000
 DRAIN_CHECK_S: Final = 0.05
+SCRAPER_THREADS: Final = 2
 
 
 class Host:
@@ -189,7 +192,24 @@
     )
     server = ports.make_server(callers.Application(host, bounds), port)
     server.prepare()
-    thread = threading.Thread(target=server.serve, name='callers')
-    thread.start()
-    stack.callback(thread.join)
+    _serve_port(server, 'callers', stack)
+    if chosen.metrics.address is not None:
+        application = callers.Application(host, bounds, callers.SCRAPERS)
+        bound = openings.bind_next(
+            lambda address: ports.make_server(
+                application,
+                port._replace(
+                    address=address, threads=SCRAPER_THREADS, shared=False
+                ),
+            ),
+            chosen.metrics.address,
+            chosen.host.processes,
+        )
+        _serve_port(bound.server, 'metrics', stack)
+
+
+def _serve_port(
+    server: wsgi.Server, name: str, stack: contextlib.ExitStack
+) -> None:
+    openings.start_thread(server.serve, name, stack)
     stack.callback(server.stop)
--- a/tests/edge/test_path.py
+++ b/tests/edge/test_path.py
@@ -5,12 +5,16 @@
 import socket
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any, NamedTuple
 
 import pytest
 import urllib3
 
+from fuchsiahaven.core import request_ids
+
 PORTS = 130
 SETTINGS = """
 [host]
@@ -23,9 +27,31 @@
 allow_plain = yes
 [platform]
 addresses = 127.0.0.1:{platform}
+[metrics]
+address = 127.0.0.1:{metrics}
+[limits]
+balancer_lag_s = 0
 """
 
 
+class Entry(NamedTuple):
+    """Say where an entry host answers callers and gives its metrics."""
+
+    callers: str
+    metrics: str
+
+
+def wait_for(*statuses: int) -> urllib3.Retry:
+    """Ask again while the answer has one of these statuses."""
+    return urllib3.Retry(
+        200,
+        backoff_factor=0.05,
+        backoff_max=0.1,
+        status_forcelist=statuses,
+        allowed_methods=None,
+    )
+
+
 def find_ports() -> int:
     """Find a run of free ports below those of outgoing connections."""
     # Test runs side by side start to look at different places.
@@ -50,15 +76,18 @@
 
 
 @pytest.fixture(scope='module')
-def entry(tmp_path_factory: pytest.TempPathFactory) -> Iterator[str]:
-    """Run an entry host of Santiago among stand-ins; give its address."""
+def entry(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Entry]:
+    """Run an entry host of Santiago among stand-ins."""
     first = find_ports()
-    platform = first + PORTS - 1
-    callers = first + PORTS - 2
+    last = first + PORTS
+    platform = last - 1
     settings: Path = tmp_path_factory.mktemp('entry') / 'host.ini'
     settings.write_text(
         SETTINGS.format(
-            callers=callers, peers=first + PORTS - 3, platform=platform
+            callers=last - 2,
+            peers=last - 3,
+            metrics=last - 4,
+            platform=platform,
         )
     )
     layout = ('--deployment', 'santiago', '--first-port', str(first))
@@ -72,26 +101,53 @@
         for part in parts:
             assert part.stdout and part.stdout.readline().startswith('ready')
         start(stack, 'fuchsiahaven', 'serve', '--settings', str(settings))
-        patient = urllib3.Retry(
-            200, backoff_factor=0.05, backoff_max=0.1, status_forcelist=[503]
-        )
-        address = f'http://127.0.0.1:{callers}'
-        urllib3.request('GET', f'{address}/readyz', retries=patient)
-        yield address
+        address = f'http://127.0.0.1:{last - 2}'
+        urllib3.request('GET', f'{address}/readyz', retries=wait_for(503))
+        yield Entry(address, f'http://127.0.0.1:{last - 4}')
 
 
-def test_price_check_is_complete(entry: str) -> None:
-    answer = urllib3.request(
+def check_price(entry: Entry) -> Any:
+    """Ask a price check; return the answer."""
+    return urllib3.request(
         'POST',
-        f'{entry}/v1/search',
+        f'{entry.callers}/v1/search',
         json={'class': 'price-check', 'query': {'text': 'combi', 'limit': 3}},
     ).json()
+
+
+def test_price_check_is_complete(entry: Entry) -> None:
+    answer = check_price(entry)
     assert answer['status'] == 'complete'
     assert len(answer['rows']) == 3
     assert answer['coverage']['shards'] == 50
     assert answer['snapshots'] == {'lotes-remate': 12, 'socios-web': 12}
 
 
+def test_repeated_id_gets_the_recorded_answer(entry: Entry) -> None:
+    """Run a request that may not be repeated once, and answer it twice."""
+    request_id = request_ids.mint(time.time(), bits=7)
+    body = {
+        'class': 'reservation-lookup',
+        'request_id': request_id,
+        'key': 'fryer-17',
+        'query': {},
+    }
+    url = f'{entry.callers}/v1/search'
+    first = urllib3.request('POST', url, json=body)
+    assert first.status == 200
+    # The answer leaves before its record is written.
+    again = urllib3.request('POST', url, json=body, retries=wait_for(409))
+    assert again.json() == {**first.json(), 'replayed': True}
+
+
+def test_metrics_count_answers_on_a_port_of_their_own(entry: Entry) -> None:
+    check_price(entry)
+    metrics = urllib3.request('GET', f'{entry.metrics}/metrics').data.decode()
+    assert 'fuchsiahaven_answers_total{request_class="price-check"' in metrics
+    refused = urllib3.request('POST', f'{entry.metrics}/v1/search', body=b'{}')
+    assert refused.status == 404
+
+
 @pytest.mark.parametrize(
     ('body', 'status', 'kind'),
     [
@@ -110,9 +166,9 @@
     ],
 )
 def test_bad_request_gets_its_own_error(
-    entry: str, body: bytes, status: int, kind: str
+    entry: Entry, body: bytes, status: int, kind: str
 ) -> None:
-    answer = urllib3.request('POST', f'{entry}/v1/search', body=body)
+    answer = urllib3.request('POST', f'{entry.callers}/v1/search', body=body)
     assert answer.status == status
     assert answer.json()['error']['kind'] == kind
     assert answer.json()['error']['ran'] == 'no'
