Follow the platform again once operators have recovered its history

Cause: a host that held revision 31 by one change refused every later manifest in whose history 31 is another change, for ever, also after operators had put back what the hosts had in force.

Change: the history is read with what each change follows; a gap above our number is the mark of a recovery, and ends the refusal.

--- a/fuchsiahaven/core/revision_messages.py
+++ b/fuchsiahaven/core/revision_messages.py
@@ -18,17 +18,25 @@
     DAMAGED = 'damaged'
 
 
+class Change(NamedTuple):
+    """Name the change that made a revision out of the one it follows."""
+
+    revision: int
+    change_id: str
+    follows: int
+
+
 class Found(NamedTuple):
     """Bring what the platform holds.
 
-    `store_revision` is the platform's number of the manifest; `changes` maps
-    the last revisions to the ids of the changes that made them. The
-    configuration is None where there is no manifest.
+    `store_revision` is the platform's number of the manifest, `changes` are
+    the last ones of its history. The configuration is None where there is no
+    manifest.
     """
 
     store_revision: int
     configuration: configurations.Configuration | None = None
-    changes: tuple[tuple[int, str], ...] = ()
+    changes: tuple[Change, ...] = ()
     watched: bool = False
 
 
--- a/fuchsiahaven/core/revisions.py
+++ b/fuchsiahaven/core/revisions.py
@@ -195,31 +195,37 @@
         return _note_older(state, 0)
     if found.configuration.revision < ours.stamp.revision:
         return _note_older(state, found.configuration.revision)
-    changes = dict(found.changes)
+    changes = {it.revision: it for it in found.changes}
     if _is_forked(state, changes):
         text = f'revision {ours.stamp.revision} is another change there'
         return _note(state, messages.Fault.PLATFORM_FORKED, text)
     offered = patches.stamp(found.configuration, ours)
     if offered.stamp.revision == ours.stamp.revision:
         return _note_unvouched(_compare(state, 'platform', offered.stamp))
-    change_id = changes.get(offered.stamp.revision, '')
-    patch = patches.diff(ours, offered, change_id)
+    made_by = changes.get(offered.stamp.revision)
+    patch = patches.diff(ours, offered, made_by.change_id if made_by else '')
     state, cleared = _settle(state)
     step = _spread(_take(state, patch, offered), patch, now, draws)
     return _join(cleared, step)
 
 
-def _is_forked(state: State, changes: Mapping[int, str]) -> bool:
+def _is_forked(state: State, changes: Mapping[int, messages.Change]) -> bool:
     """Tell whether the platform's history leaves out what is in force.
 
     A platform restored from an old copy takes new changes under numbers that
     were used before. Once it has passed our number, following it would undo
-    accepted changes without a word.
+    accepted changes without a word. A gap in the numbers above ours shows
+    that operators have since recovered what was in force.
     """
-    there = changes.get(state.in_force.stamp.revision)
-    return None not in {there, state.change_id or None} and (
-        there != state.change_id
+    ours = state.in_force.stamp.revision
+    there = changes.get(ours)
+    if there is None or there.change_id == state.change_id:
+        return False
+    recovered = any(
+        it.revision > ours and it.follows < it.revision - 1
+        for it in changes.values()
     )
+    return bool(state.change_id) and not recovered
 
 
 def _compare_numbers(
--- a/fuchsiahaven/edge/manifest_reader.py
+++ b/fuchsiahaven/edge/manifest_reader.py
@@ -86,8 +86,11 @@
 
 def _list_changes(
     entries: tuple[audits.Entry, ...],
-) -> tuple[tuple[int, str], ...]:
-    return tuple((entry.revision, entry.change_id) for entry in entries)
+) -> tuple[messages.Change, ...]:
+    return tuple(
+        messages.Change(entry.revision, entry.change_id, entry.follows)
+        for entry in entries
+    )
 
 
 def _fail(failure: errors.Failure, watched: bool) -> messages.Failed:
