Fuzz every reader of what comes from outside, and mend what it broke

Cause: each reader was tested with the faults its writer had thought of. The new test puts hostile values at every place of a good body of fourteen readers, and any bytes and deep nesting besides, and hands what is read to the decisions, as the tasks do.

Ruled out: catching everything in each thread's loop, which would hide the next such fault and leave its state half changed.

--- a/fuchsiahaven/core/claim_rows.py
+++ b/fuchsiahaven/core/claim_rows.py
@@ -5,7 +5,7 @@
 
 import fastjsonschema
 
-from fuchsiahaven.core import claim_calls, claims, messages
+from fuchsiahaven.core import claim_calls, claims, json_texts, messages
 
 _ROW: Final = {
     'type': 'object',
@@ -14,7 +14,7 @@
         'kind': {'enum': ['attempt', 'outcome', 'return']},
         'request_id': {'type': 'string'},
         'nonce': {'type': 'string'},
-        'not_after_epoch': {'type': 'number'},
+        'not_after_epoch': claims.EPOCH,
         'text': {'type': 'string'},
     },
 }
@@ -23,6 +23,7 @@
     'required': ['nonce', 'result', 'held', 'maybe_written', 'detail'],
     'properties': {
         'nonce': {'type': 'string'},
+        'kind': {'type': 'string'},
         'result': {'enum': [one.value for one in messages.ClaimResult]},
         'held': {
             'type': ['array', 'null'],
@@ -30,7 +31,7 @@
             'maxItems': 4,
             'items': [
                 {'type': 'string'},
-                {'type': 'number'},
+                claims.EPOCH,
                 {'enum': [stage.value for stage in claims.Stage]},
                 {'type': ['string', 'null']},
             ],
@@ -76,7 +77,7 @@
 def read_batch(body: bytes) -> Batch | None:
     """Read a batch; None where it is not well formed."""
     try:
-        content = _CHECK_BATCH(json.loads(body))
+        content = _CHECK_BATCH(json_texts.load(body))
         steps = tuple(_read_step(row) for row in content['steps'])
     except (ValueError, KeyError, fastjsonschema.JsonSchemaException):
         return None
@@ -104,7 +105,7 @@
 ) -> claim_calls.Forwarded | None:
     """Read what came of these steps; None where it is not well formed."""
     try:
-        rows = _CHECK_VERDICTS(json.loads(body))['settled']
+        rows = _CHECK_VERDICTS(json_texts.load(body))['settled']
     except (ValueError, fastjsonschema.JsonSchemaException):
         return None
     by_nonce = {(row.get('kind'), row['nonce']): row for row in rows}
--- a/fuchsiahaven/core/claims.py
+++ b/fuchsiahaven/core/claims.py
@@ -13,6 +13,8 @@
 
 import fastjsonschema
 
+from fuchsiahaven.core import json_texts
+
 # Hosts that disagree on these two would claim one id under two keys, and it
 # would run twice. A change needs a new key prefix and one window's pause.
 BUCKETS: Final = 4
@@ -122,6 +124,13 @@
 
 EMPTY: Final = Ledger({}, 0)
 
+# A time too large for a float would end the thread that adds to it.
+_LATEST_EPOCH: Final = 1_000_000_000_000
+EPOCH: Final[Mapping[str, object]] = {
+    'type': 'number',
+    'minimum': 0,
+    'maximum': _LATEST_EPOCH,
+}
 _CHECK_LEDGER: Final = fastjsonschema.compile(
     {
         'type': 'object',
@@ -137,7 +146,7 @@
                     'items': [
                         {'type': 'string'},
                         {'type': 'string'},
-                        {'type': 'number'},
+                        EPOCH,
                         {'enum': [stage.value for stage in Stage]},
                         {'type': ['string', 'null']},
                     ],
@@ -241,7 +250,7 @@
 def decode_ledger(text: str) -> Ledger:
     """Read a ledger. Raises MalformedLedger."""
     try:
-        content = _CHECK_LEDGER(json.loads(text))
+        content = _CHECK_LEDGER(json_texts.load(text))
     except (ValueError, fastjsonschema.JsonSchemaException) as error:
         raise MalformedLedger(str(error)) from error
     held = {
--- a/fuchsiahaven/core/gossip_rows.py
+++ b/fuchsiahaven/core/gossip_rows.py
@@ -7,7 +7,7 @@
 
 import fastjsonschema
 
-from fuchsiahaven.core import addresses, members, patches
+from fuchsiahaven.core import addresses, json_texts, members, patches
 from fuchsiahaven.core import member_messages as messages
 from fuchsiahaven.core import member_tables as tables
 
@@ -80,12 +80,8 @@
 def read(body: bytes) -> messages.Gossip | None:
     """Read gossip; None where it is not of the right shape."""
     try:
-        row = _compile()(json.loads(body))
-    except (
-        ValueError,
-        RecursionError,
-        fastjsonschema.JsonSchemaValueException,
-    ):
+        row = _compile()(json_texts.load(body))
+    except (ValueError, fastjsonschema.JsonSchemaValueException):
         return None
     told = [row['relay']] if 'relay' in row else []
     listed = (row['sender'], *row.get('news', ()), *told)
--- a/fuchsiahaven/core/patch_rows.py
+++ b/fuchsiahaven/core/patch_rows.py
@@ -7,7 +7,7 @@
 
 import fastjsonschema
 
-from fuchsiahaven.core import gossip_rows, patches, trees
+from fuchsiahaven.core import gossip_rows, json_texts, patches, trees
 from fuchsiahaven.core import manifest_schemas as schemas
 
 _NAMES: Final = {'type': 'array', 'items': {'type': 'string'}}
@@ -60,12 +60,8 @@
 def read(body: bytes) -> Parcel | None:
     """Read patches; None where they are not of the right shape."""
     try:
-        row = _compile()(json.loads(body))
-    except (
-        ValueError,
-        RecursionError,
-        fastjsonschema.JsonSchemaValueException,
-    ):
+        row = _compile()(json_texts.load(body))
+    except (ValueError, fastjsonschema.JsonSchemaValueException):
         return None
     found = tuple(_read_patch(patch) for patch in row['patches'])
     return Parcel(row['sender'], found)
--- a/fuchsiahaven/core/records.py
+++ b/fuchsiahaven/core/records.py
@@ -2,9 +2,41 @@
 
 import json
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
 
-from fuchsiahaven.core import coverage, messages
+import fastjsonschema
+
+from fuchsiahaven.core import coverage, json_texts, messages
+
+_COUNT: Final = {'type': 'integer', 'minimum': 0}
+#: A group, a shard and a range.
+_RANGE: Final = [{'type': 'string'}, _COUNT, _COUNT, _COUNT]
+
+
+def _list_of(*fields: object) -> Mapping[str, object]:
+    size = len(fields)
+    row = {'type': 'array', 'minItems': size, 'maxItems': size}
+    return {'type': 'array', 'items': {**row, 'items': list(fields)}}
+
+
+_PROPERTIES: Final = {
+    'request_id': {'type': 'string'},
+    'rows': {'type': 'array', 'items': {'type': 'object'}},
+    'snapshots': {'type': 'object', 'additionalProperties': _COUNT},
+    'shards': _COUNT,
+    'covered': _list_of(*_RANGE),
+    'missing': _list_of(
+        *_RANGE, {'enum': [reason.value for reason in coverage.Reason]}
+    ),
+    'revision': _COUNT,
+}
+_CHECK: Final = fastjsonschema.compile(
+    {
+        'type': 'object',
+        'properties': _PROPERTIES,
+        'required': list(_PROPERTIES),
+    }
+)
 
 
 def write(answer: messages.Answer) -> str:
@@ -26,16 +58,16 @@
 def read(text: str) -> messages.Answer | None:
     """Read a recorded answer; None where the text is not one."""
     try:
-        row = json.loads(text)
-        return messages.Answer(
-            row['request_id'],
-            tuple(row['rows']),
-            row['snapshots'],
-            _read_coverage(row),
-            row['revision'],
-        )
-    except (ValueError, KeyError, TypeError):
+        row = _CHECK(json_texts.load(text))
+    except (ValueError, fastjsonschema.JsonSchemaException):
         return None
+    return messages.Answer(
+        row['request_id'],
+        tuple(row['rows']),
+        row['snapshots'],
+        _read_coverage(row),
+        row['revision'],
+    )
 
 
 def _read_coverage(row: Mapping[str, Any]) -> coverage.Coverage:
--- a/fuchsiahaven/core/texts.py
+++ b/fuchsiahaven/core/texts.py
@@ -1,15 +1,18 @@
 """Write and read the JSON texts that the platform's service stores."""
 
 import json
+import re
 from collections.abc import Mapping
 from typing import Any, Final
 
-from fuchsiahaven.core import errors, manifest_schemas
+from fuchsiahaven.core import errors, json_texts, manifest_schemas
 
 #: The highest format that this program writes and reads. A new field needs a
 #: higher one; a writer uses the lowest that can say what it has to.
 FORMAT: Final = 1
 SOURCE: Final = 'manifests'
+#: JSON can escape half of a character, of which UTF-8 knows nothing.
+_HALVES: Final = re.compile(r'\\u[dD][89a-fA-F]')
 
 
 def dump(row: Mapping[str, object]) -> str:
@@ -29,9 +32,11 @@
     it is not what the schema says.
     """
     try:
-        row = json.loads(text)
-    except (ValueError, RecursionError) as error:
+        row = json_texts.load(text)
+    except ValueError as error:
         return refuse(f'not JSON: {error}')
+    if _HALVES.search(text) and not _is_writable(row):
+        return refuse('half a character, which cannot be written again')
     # The format comes first: the shape of a newer one is not known here, and
     # "unknown field" would send an operator after the wrong cause.
     found = row.get('format') if isinstance(row, dict) else None
@@ -48,6 +53,14 @@
     return valid
 
 
+def _is_writable(row: Mapping[str, object]) -> bool:
+    try:
+        return bool(dump(row).encode())
+    except UnicodeEncodeError:
+        # The next change would fail on it, and every one after that.
+        return False
+
+
 def refuse(detail: str) -> errors.Failure:
     """Say why a stored text cannot be used."""
     return errors.make_failure(
--- a/fuchsiahaven/edge/patch_calls.py
+++ b/fuchsiahaven/edge/patch_calls.py
@@ -1,10 +1,9 @@
 """Carry patches to and from members over the peer port."""
 
-import json
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
-from fuchsiahaven.core import patch_rows, patches
+from fuchsiahaven.core import json_texts, patch_rows, patches
 from fuchsiahaven.core import revision_messages as messages
 from fuchsiahaven.edge import peer_calls
 
@@ -72,7 +71,7 @@
 
 def _read_stamp(answer: bytes) -> patches.Stamp | None:
     try:
-        row: Any = json.loads(answer)
+        row = json_texts.load(answer)
         return patches.Stamp(int(row['revision']), str(row['digest']))
     except (ValueError, TypeError, KeyError):
         return None
--- a/fuchsiahaven/edge/peers.py
+++ b/fuchsiahaven/edge/peers.py
@@ -25,6 +25,8 @@
 THREADS: Final = 32
 IDLE_S: Final = 60.0
 READ_S: Final = 5.0
+#: Digits of the highest revision that a member may have.
+MAX_DIGITS: Final = 16
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 Answer = tuple[http.HTTPStatus, bytes]
@@ -118,7 +120,8 @@
     def _give_patches(self, query: str) -> Answer:
         asked = dict(urllib.parse.parse_qsl(query))
         above = asked.get('above', '')
-        if not (above.isascii() and above.isdigit()):
+        # Python refuses to read a number of thousands of digits.
+        if not (above.isdecimal() and len(above) <= MAX_DIGITS):
             return http.HTTPStatus.BAD_REQUEST, b''
         stamp = patches.Stamp(int(above), asked.get('digest', ''))
         found = self._host.find_patches(stamp)
--- a/fuchsiahaven/edge/requests.py
+++ b/fuchsiahaven/edge/requests.py
@@ -1,14 +1,13 @@
 """Read and check what callers send, within bounds of size, depth and time."""
 
-import json
 import math
 import re
 from collections.abc import Callable, Mapping
-from typing import Any, Final, NamedTuple, NoReturn
+from typing import Any, Final, NamedTuple
 
 import fastjsonschema
 
-from fuchsiahaven.core import errors, messages
+from fuchsiahaven.core import errors, json_texts, messages
 
 SOURCE: Final = 'callers'
 MILLISECONDS: Final = 1000
@@ -110,17 +109,10 @@
     return int(text)
 
 
-def _refuse_constant(name: str) -> NoReturn:
-    raise ValueError(f'{name} is not JSON')
-
-
-_decode: Final = json.JSONDecoder(parse_constant=_refuse_constant).decode
-
-
 def _parse(body: bytes) -> dict[str, Any]:
     try:
-        parsed = _decode(body.decode())
-    except (ValueError, RecursionError) as error:
+        parsed = json_texts.load(body)
+    except ValueError as error:
         detail = f'the body is not JSON: {_LINE_END.sub(" ", str(error))}'
         raise Refusal(errors.Kind.BAD_REQUEST, detail) from error
     if not isinstance(parsed, dict):
--- a/fuchsiahaven/edge/searchers.py
+++ b/fuchsiahaven/edge/searchers.py
@@ -8,9 +8,9 @@
 import math
 import time
 from collections.abc import Mapping
-from typing import Any, Final, NoReturn
+from typing import Any, Final
 
-from fuchsiahaven.core import messages, snapshots
+from fuchsiahaven.core import json_texts, messages, snapshots
 from fuchsiahaven.edge import frames
 
 SEARCH_PATH: Final = '/v1/search'
@@ -22,6 +22,7 @@
 MILLISECONDS: Final = 1000
 MAX_ROWS: Final = 10_000
 MAX_HOLDINGS: Final = 10_000
+MAX_COUNT: Final = 1_000_000_000_000_000
 
 _FIELDS: Final = (
     ('Content-Type', 'application/json'),
@@ -45,7 +46,6 @@
     ValueError,
     TypeError,
     KeyError,
-    RecursionError,
     OverflowError,
 )
 
@@ -231,13 +231,18 @@
         raise MalformedBody
     if len(holdings) > MAX_HOLDINGS:
         raise MalformedBody
+    held = tuple(_read_holding(holding) for holding in holdings)
+    # Each snapshot gets a map with a place for each shard; a report of many
+    # snapshots would fill the memory of the host.
+    if sum({one.snapshot: one.shards for one in held}.values()) > POSITIONS:
+        raise MalformedBody
     return messages.Health(
         str(body['name']),
         _read_state(body),
         float(started),
         _read_count(body, 'sequence'),
         _read_load(body.get('load')) or messages.Load(0, 0, 0),
-        tuple(_read_holding(holding) for holding in holdings),
+        held,
         _read_version(body),
     )
 
@@ -255,20 +260,15 @@
 
 def _read_count(body: Mapping[str, Any], name: str) -> int:
     figure = body.get(name)
-    if not isinstance(figure, int) or figure < 0:
+    # A figure too large for a float would raise in the arithmetic of the
+    # dispatch loop and end it.
+    if not isinstance(figure, int) or not 0 <= figure <= MAX_COUNT:
         raise MalformedBody(name)
     return figure
 
 
-def _refuse_constant(name: str) -> NoReturn:
-    raise MalformedBody(name)
-
-
-_decode: Final = json.JSONDecoder(parse_constant=_refuse_constant).decode
-
-
 def _read_object(body: bytes) -> dict[str, Any]:
-    parsed = _decode(body.decode())
+    parsed = json_texts.load(body)
     if not isinstance(parsed, dict):
         raise MalformedBody
     return parsed
--- a/fuchsiahaven/edge/store_answers.py
+++ b/fuchsiahaven/edge/store_answers.py
@@ -1,11 +1,12 @@
 """Check the answers of the platform's service and hold them as data."""
 
 import enum
-import json
 from typing import Final, NamedTuple, Protocol
 
 import fastjsonschema
 
+from fuchsiahaven.core import json_texts
+
 
 class Entry(NamedTuple):
     """Hold one key, its text and its revision."""
@@ -101,8 +102,8 @@
 
 def _parse(check: _Check, body: bytes) -> dict[str, object]:
     try:
-        answer = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        answer = json_texts.load(body)
+    except ValueError as error:
         raise MalformedAnswer(str(error)) from error
     try:
         check(answer)
--- a/fuchsiahaven/operate/exchanges.py
+++ b/fuchsiahaven/operate/exchanges.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from fuchsiahaven.core import addresses
+from fuchsiahaven.core import addresses, json_texts
 
 CONNECT_TIMEOUT_S: Final = 2.0
 JSON_TYPE: Final = {'Content-Type': 'application/json'}
@@ -73,7 +73,7 @@
 
 def _read(response: urllib3.BaseHTTPResponse) -> Told | Silent:
     try:
-        body = json.loads(response.data or b'{}')
+        body = json_texts.load(response.data or b'{}')
     except ValueError:
         body = None
     if not isinstance(body, dict):
--- a/fuchsiahaven/operate/words.py
+++ b/fuchsiahaven/operate/words.py
@@ -1,6 +1,7 @@
 """Read what operators type: labels, targets, fields and their values."""
 
 import argparse
+import math
 import re
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
@@ -72,7 +73,7 @@
         names = ', '.join(known)
         raise argparse.ArgumentTypeError(f'no field {name}; known: {names}')
     try:
-        return kind(text)
+        return _read_value(text, kind)
     except ValueError:
         what = 'a whole number' if kind is int else 'a number'
         raise argparse.ArgumentTypeError(
@@ -80,6 +81,15 @@
         ) from None
 
 
+def _read_value(text: str, kind: type) -> Any:
+    found = kind(text)
+    if isinstance(found, float) and not math.isfinite(found):
+        # Python reads "nan", which lies within any bounds: a share of hedges
+        # that is no number would leave hedging without a limit.
+        raise ValueError(text)
+    return found
+
+
 def split_names(text: str) -> tuple[str, ...]:
     """Read names separated by commas or spaces."""
     return tuple(text.replace(',', ' ').split())
--- /dev/null
+++ b/tests/edge/test_untrusted.py
@@ -0,0 +1,399 @@
+"""Fuzz every reader of what callers, targets, members and the platform send.
+
+Whatever comes, a reader gives a value that the decisions can take, or its own
+typed refusal; it never ends in another exception, which would end the thread
+that reads, and never holds more than its bound.
+"""
+
+import contextlib
+import copy
+import functools
+import json
+import math
+import operator
+import tracemalloc
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fuchsiahaven.core import claim_rows, claims, configurations, coverage
+from fuchsiahaven.core import errors, gossip_rows, manifests, member_messages
+from fuchsiahaven.core import member_states, members, membership, messages
+from fuchsiahaven.core import patch_rows, patches, records
+from fuchsiahaven.core import revision_messages, revisions
+from fuchsiahaven.edge import answers, frames, requests, searchers
+from fuchsiahaven.edge import store_answers
+from tests.core import rig
+
+ID: Final = '017f22e2-79b0-7cc3-98c4-dc0c0c07398f'
+CLASS: Final = configurations.RequestClass('price-check')
+BOUNDS: Final = requests.Bounds(8, 100)
+MEMBER: Final = ['quilicura-02', '10.0.0.2:7002', 1, 'alive']
+STAMP: Final = [1, 'ab']
+LOAD: Final = {'in_flight': 1, 'queued': 0, 'slots': 2}
+HOLDING: Final = {'snapshot': 2, 'shard': 0, 'shards': 3, 'low': 0, 'high': 9}
+HEALTH: Final = {
+    'name': 'web-0/0',
+    'state': 'live',
+    'started_epoch': 2.0,
+    'sequence': 7,
+    'load': LOAD,
+    'holdings': [HOLDING],
+}
+ANSWER: Final = {
+    'request_id': 'id-1',
+    'group': 'web',
+    'shard': 0,
+    'snapshot': 1,
+    'attempt': 1,
+    'rows': [{'id': 'a', 'rank': 1.5}],
+    'state': 'live',
+    'load': LOAD,
+}
+REFUSAL: Final = {
+    'request_id': 'id-1',
+    'attempt': 1,
+    'ran': 'no',
+    'reason': 'shed',
+    'state': 'live',
+    'retry_after_ms': 50,
+}
+GROUP: Final = configurations.Group(
+    'web',
+    (('tier', 'gold'),),
+    (configurations.Target('web-0/0', '10.0.0.1:1', 'Quilicura'),),
+)
+CONFIGURATION: Final = configurations.Configuration(
+    1,
+    (GROUP,),
+    (configurations.Selector('price-check', 'price-check', 'tier=gold'),),
+    (CLASS,),
+)
+ANSWERED: Final = messages.Answer(
+    ID,
+    ({'id': 'a', 'rank': 1.5},),
+    {'web': 1},
+    coverage.build(
+        (coverage.Wanted('web', 0, 0, 9), coverage.Wanted('web', 1, 9, 10)),
+        {coverage.ShardKey('web', 0)},
+        {},
+    ),
+    1,
+)
+ENCODED: Final = manifests.encode(CONFIGURATION)
+assert isinstance(ENCODED, manifests.Encoded)
+LEDGER: Final = claims.Ledger({ID: claims.Held('n', 9.0)}, 0)
+
+
+class Reader(NamedTuple):
+    """Hold a reader, what it may raise, and an example that it reads."""
+
+    name: str
+    read: Callable[[bytes], object]
+    example: Any
+    refusal: type[Exception] = NotImplementedError
+
+
+def read_request(body: bytes) -> object:
+    query = requests.read_query(body, BOUNDS, lambda: ID, 100.0)
+    return rig.Rig(CLASS).tell(messages.Submitted(1, query))
+
+
+def read_answer(body: bytes, status: int = 200) -> object:
+    host = rig.Rig(CLASS)
+    send = host.ask()[0]
+    frame = frames.Frame(status, body, closes=False)
+    return host.tell(searchers.read_search(send, frame))
+
+
+def read_refusal(body: bytes) -> object:
+    return read_answer(body, 503)
+
+
+def read_health(body: bytes) -> object:
+    host = rig.Rig(CLASS)
+    target = configurations.Target('web-0/0', '10.0.0.0:1', rig.CENTRE)
+    frame = frames.Frame(200, body, closes=False)
+    host.tell(searchers.read_probe(messages.Probe(target), frame))
+    return host.ask()
+
+
+def read_gossip(body: bytes) -> object:
+    gossip = gossip_rows.read(body)
+    if gossip is None:
+        return None
+    own = members.Member('h1', '10.0.0.1:1', 1, members.Standing.ALIVE)
+    state = membership.start(own, 'Quilicura', member_states.Rules(), (), 0)
+    received = member_messages.Received(1, gossip)
+    actions = membership.handle(state, received, 1, float)[1]
+    for action in actions:
+        if isinstance(action, member_messages.Respond):
+            gossip_rows.write(action.gossip)
+    return gossip
+
+
+def read_patches(body: bytes) -> object:
+    parcel = patch_rows.read(body)
+    state = revisions.start('h1', 0, revisions.Rules())
+    for patch in parcel.patches if parcel else ():
+        pushed = revision_messages.Pushed('h2', patch)
+        state = revisions.handle(state, pushed, 1, float)[0]
+    return patch_rows.write(parcel) if parcel else None
+
+
+def read_batch(body: bytes) -> object:
+    batch = claim_rows.read_batch(body)
+    steps = batch.steps if batch else ()
+    applied = claims.add_claims(claims.EMPTY, steps)
+    return claims.decode_ledger(claims.encode_ledger(applied.ledger))
+
+
+def read_verdicts(body: bytes) -> object:
+    return claim_rows.read_verdicts(body, (claims.Attempt(ID, 'n', 9.0),))
+
+
+def read_ledger(body: bytes) -> object:
+    ledger = claims.decode_ledger(body.decode('utf-8', 'replace'))
+    assert all(math.isfinite(it.not_after_epoch) for it in ledger.held.values())
+    return claims.encode_ledger(ledger)
+
+
+def read_manifest(body: bytes) -> object:
+    found = manifests.decode(body.decode('utf-8', 'replace'))
+    if isinstance(found, errors.Failure):
+        return found
+    for policy in found.configuration.classes:
+        assert 0 <= policy.hedge_share <= 1
+    return manifests.encode(found.configuration, found.changes)
+
+
+def read_record(body: bytes) -> object:
+    found = records.read(body.decode('utf-8', 'replace'))
+    if found is None:
+        return None
+    reply = messages.Reply(1, found, replayed=True)
+    return answers.write_reply(found.request_id, reply)
+
+
+STEP: Final = {
+    'kind': 'attempt',
+    'request_id': ID,
+    'nonce': 'n',
+    'not_after_epoch': 9.0,
+}
+VERDICT: Final = {
+    'nonce': 'n',
+    'kind': 'attempt',
+    'result': 'held',
+    'held': ['n', 9.0, 0, None],
+    'maybe_written': False,
+    'detail': '',
+}
+HOST: Final = {
+    'name': 'h1',
+    'kind': 'entry',
+    'address': '10.0.0.1:1',
+    'data_centre': 'Odori',
+    'state': 'live',
+}
+READERS: Final = (
+    Reader(
+        'request',
+        read_request,
+        {
+            'class': 'price-check',
+            'request_id': ID,
+            'deadline_ms': 800,
+            'key': 'pass-17',
+            'query': {'text': 'combi oven', 'limit': 20},
+        },
+        requests.Refusal,
+    ),
+    Reader('answer', read_answer, ANSWER),
+    Reader('refusal', read_refusal, REFUSAL),
+    Reader('health', read_health, HEALTH),
+    Reader(
+        'gossip',
+        read_gossip,
+        {
+            'sender': MEMBER,
+            'data_centre': 'Quilicura',
+            'stamp': STAMP,
+            'digest': 'ab',
+            'news': [MEMBER],
+            'relay': MEMBER,
+            'reached': True,
+        },
+    ),
+    Reader(
+        'patches',
+        read_patches,
+        json.loads(
+            patch_rows.write(
+                patch_rows.Parcel(
+                    'h2',
+                    (
+                        patches.diff(
+                            patches.NOTHING, patches.stamp(CONFIGURATION)
+                        ),
+                    ),
+                )
+            )
+        ),
+    ),
+    Reader('batch', read_batch, {'key': 'claims/0/0', 'steps': [STEP]}),
+    Reader('verdicts', read_verdicts, {'settled': [VERDICT]}),
+    Reader(
+        'ledger',
+        read_ledger,
+        json.loads(claims.encode_ledger(LEDGER)),
+        claims.MalformedLedger,
+    ),
+    Reader(
+        'manifest',
+        read_manifest,
+        json.loads(ENCODED.text),
+    ),
+    Reader('record', read_record, json.loads(records.write(ANSWERED))),
+    Reader(
+        'entry',
+        lambda body: store_answers.parse_entry(body, 'k'),
+        {'key': 'k', 'value': 'v', 'revision': 3},
+        store_answers.MalformedAnswer,
+    ),
+    Reader(
+        'keys',
+        store_answers.parse_keys,
+        {'keys': [{'key': 'k', 'revision': 3}]},
+        store_answers.MalformedAnswer,
+    ),
+    Reader(
+        'hosts',
+        store_answers.parse_hosts,
+        {'hosts': [HOST], 'age_s': 4.0},
+        store_answers.MalformedAnswer,
+    ),
+)
+
+#: What parsers and comparisons stumble over.
+HOSTILE: Final[tuple[Any, ...]] = (
+    None,
+    True,
+    math.nan,
+    math.inf,
+    -1,
+    0.5,
+    10**400,
+    '',
+    '\ud800',
+    'x\r\ny',
+    [],
+    {},
+    [[]],
+)
+VALUES: Final = st.recursive(
+    st.sampled_from(HOSTILE) | st.integers() | st.text(max_size=3),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=4,
+)
+
+
+def list_places(node: Any, above: tuple[Any, ...] = ()) -> list[Any]:
+    """List the paths to every value in a body."""
+    if not isinstance(node, dict | list):
+        return [above]
+    keys = node if isinstance(node, dict) else range(len(node))
+    return [
+        above,
+        *(
+            place
+            for key in keys
+            for place in list_places(node[key], (*above, key))
+        ),
+    ]
+
+
+def put(body: Any, place: tuple[Any, ...], value: Any) -> bytes:
+    """Write a body with another value at one place."""
+    whole = [copy.deepcopy(body)]
+    *above, last = (0, *place)
+    functools.reduce(operator.getitem, above, whole)[last] = value
+    return json.dumps(whole[0]).encode()
+
+
+@pytest.mark.parametrize('reader', READERS, ids=lambda reader: reader.name)
+def test_a_spoilt_value_is_read_or_refused(reader: Reader) -> None:
+    assert reader.read(json.dumps(reader.example).encode()) is not None
+    for place in list_places(reader.example):
+        for value in HOSTILE:
+            with contextlib.suppress(reader.refusal):
+                reader.read(put(reader.example, place, value))
+
+
+@pytest.mark.parametrize('reader', READERS, ids=lambda reader: reader.name)
+@given(st.data())
+def test_any_body_is_read_or_refused(
+    reader: Reader, data: st.DataObject
+) -> None:
+    places = st.sampled_from(list_places(reader.example))
+    spoilt = st.builds(put, st.just(reader.example), places, VALUES)
+    body = data.draw(st.binary() | spoilt)
+    with contextlib.suppress(reader.refusal):
+        reader.read(body[: data.draw(st.integers(0, len(body)))])
+
+
+@pytest.mark.parametrize('reader', READERS, ids=lambda reader: reader.name)
+def test_a_deep_body_is_refused(reader: Reader) -> None:
+    """Refuse what is nested deeper than the interpreter recurses.
+
+    Symptom: a task ends and nothing it owns is served any more. Sequence: a
+    few kilobytes of opening brackets come. Cause: the parser's own error for
+    it is no ValueError, and is not caught.
+    """
+    with contextlib.suppress(reader.refusal):
+        reader.read(b'[' * 100_000)
+
+
+@given(
+    st.binary()
+    | st.builds(
+        b'HTTP/1.1 %d x\r\n%b: %b\r\n\r\n%b'.__mod__,
+        st.tuples(
+            st.integers(0, 999),
+            st.sampled_from((b'Content-Length', b'Transfer-Encoding', b'x')),
+            st.sampled_from((b'3', b'-1', b'9' * 5000, b'chunked', b'')),
+            st.sampled_from((b'', b'abc', b'abcd', b'3\r\nabc\r\n0\r\n\r\n')),
+        ),
+    )
+)
+def test_any_bytes_are_a_frame_or_refused(data: bytes) -> None:
+    with contextlib.suppress(frames.FrameError):
+        frame = frames.cut_frame(data, 100)
+        assert frame is None or len(frame.body) <= 100
+
+
+def test_a_report_of_many_snapshots_is_refused() -> None:
+    """Bound the memory that one target's report can ask for.
+
+    Symptom: a host's memory grows by gigabytes and it is killed. Sequence: a
+    target reports ten thousand snapshots, each in 65,536 shards, in less than
+    a megabyte. Cause: each snapshot gets a map with a place for each shard.
+    """
+    holdings = [
+        {**HOLDING, 'snapshot': number, 'shards': 65_536, 'high': 1}
+        for number in range(1, 41)
+    ]
+    body = json.dumps({**HEALTH, 'holdings': holdings}).encode()
+    tracemalloc.start()
+    try:
+        read_health(body)
+        peak = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert peak < 20_000_000
