Recover an older platform from hosts; show what a change reaches

Cause: once a platform came back with an older copy every change was refused, and nothing brought back what hosts have in force. A label taken away could cut a group out of a class without a word. Operators could not ask hosts whose peer port speaks TLS. Ruled out: hosts that write to the platform by themselves (a host that was cut off could put an old configuration back), recovery from one host (each holds the targets of its own data centre alone), refusing a change that makes a class reach less (it is often meant). Conclusion: test_a_platform_with_an_older_copy_is_recovered_from_hosts fails without the command, and the same content at a higher revision is accepted for a recovery alone.

--- a/fuchsiahaven/core/proposals.py
+++ b/fuchsiahaven/core/proposals.py
@@ -10,6 +10,7 @@
     configurations,
     errors,
     manifests,
+    selectors,
     trees,
     writes,
 )
@@ -87,16 +88,46 @@
         return _explain(after, request, (*older, *manifest.changes), base)
     found = trees.find_edits(trees.build_tree(before), trees.build_tree(after))
     edits = tuple(found)
-    if not edits:
+    # A recovery is about the revision too, which has to pass that of hosts.
+    if not edits and not isinstance(request.change, changes.Recover):
         return Unchanged(before.revision)
     rival = audits.find_latest(since, (edit.field for edit in edits))
     if rival is not None:
         return _refuse(errors.Kind.CONFLICT, describe_rival(rival))
-    problems = checks.find_new_problems(before, after, manifest.placed)
-    barred = [p for p in problems if not (request.force and p.forceable)]
+    barred = _list_barred(manifest, after, request)
     if barred:
         return _refuse(errors.Kind.INVALID_CHANGE, _list_problems(barred))
-    return _build(manifest, after, _write_entry(request, before, edits, epoch))
+    entry = _write_entry(request, before, edits, epoch)
+    reach = list_reach(before, after)[:SHOWN_EDITS]
+    entry = entry._replace(what='; '.join((entry.what, *reach)))
+    return _build(manifest, after, entry)
+
+
+def list_reach(
+    before: configurations.Configuration,
+    after: configurations.Configuration,
+) -> list[str]:
+    """Say which classes of request reach more or fewer groups than before.
+
+    A label taken away can cut a group out of every search, and nothing else
+    would show it: answers stay complete over what is still reached.
+    """
+    lines: list[str] = []
+    known = {policy.name for policy in before.classes}
+    for policy in after.classes:
+        was, now = _reach(before, policy.name), _reach(after, policy.name)
+        if policy.name in known and was != now:
+            words = [f'+{name}' for name in sorted(now - was)]
+            words += [f'-{name}' for name in sorted(was - now)]
+            lines.append('{0} reaches {1}'.format(policy.name, ' '.join(words)))
+    return lines
+
+
+def _reach(
+    configuration: configurations.Configuration, class_name: str
+) -> set[str]:
+    groups = selectors.reach_groups(configuration, class_name)
+    return {group.name for group in groups}
 
 
 def describe_rival(entry: audits.Entry) -> str:
@@ -191,6 +222,19 @@
     return len(manifests.write_archived(entry).encode())
 
 
+def _list_barred(
+    manifest: manifests.Manifest,
+    after: configurations.Configuration,
+    request: Request,
+) -> list[checks.Problem]:
+    found = checks.find_new_problems(
+        manifest.configuration, after, manifest.placed
+    )
+    # What hosts have in force was accepted, by force or not, once before.
+    force = request.force or isinstance(request.change, changes.Recover)
+    return [it for it in found if not (force and it.forceable)]
+
+
 def _list_problems(problems: list[checks.Problem]) -> str:
     lines = [problem.text for problem in problems]
     if all(problem.forceable for problem in problems):
--- a/fuchsiahaven/core/readings.py
+++ b/fuchsiahaven/core/readings.py
@@ -83,7 +83,11 @@
     key = manifests.name_archive(revision)
     found = yield store_calls.Read(key)
     if isinstance(found, store_calls.Missing):
-        return errors.make_failure(errors.Kind.NOT_FOUND, SOURCE, key)
+        return errors.make_failure(
+            errors.Kind.NOT_FOUND,
+            SOURCE,
+            f'revision {revision} has no audit entry ({key})',
+        )
     if not isinstance(found, store_calls.Found):
         return fail_platform(found)
     return manifests.read_archived(found.value)
--- a/fuchsiahaven/operate/commands.py
+++ b/fuchsiahaven/operate/commands.py
@@ -93,6 +93,11 @@
         'fuchsiahaven.operate.command_status',
         'say which revision is in force where',
     ),
+    Entry(
+        'recover',
+        'fuchsiahaven.operate.command_recover',
+        'put what hosts have in force back into an older platform',
+    ),
     Entry(
         'watch',
         'fuchsiahaven.operate.command_watch',
--- a/fuchsiahaven/operate/exchanges.py
+++ b/fuchsiahaven/operate/exchanges.py
@@ -1,6 +1,7 @@
 """Ask a running host one question over HTTP, for a command."""
 
 import json
+import ssl
 from collections.abc import Mapping
 from typing import Final, NamedTuple, cast
 
@@ -35,13 +36,15 @@
     *,
     body: Body | None = None,
     timeout_s: float = 10.0,
+    context: ssl.SSLContext | None = None,
 ) -> Told | Silent:
-    """Ask once, never twice, and tell what came back."""
-    url = f'http://{addresses.write(address)}{path}'
+    """Ask once, never twice, and tell what came back; by TLS if asked to."""
+    scheme = 'https' if context else 'http'
+    url = f'{scheme}://{addresses.write(address)}{path}'
     # urllib3 repeats a request whose connection broke, unless told not to. A
     # refund asked for again by the library would show as two requests in the
     # host's log for one command.
-    with urllib3.PoolManager(retries=False) as pool:
+    with urllib3.PoolManager(retries=False, ssl_context=context) as pool:
         try:
             response = pool.request(
                 method,
--- a/fuchsiahaven/operate/statuses.py
+++ b/fuchsiahaven/operate/statuses.py
@@ -12,6 +12,8 @@
 #: Hosts asked at a time; each waits for one answer.
 ASKED_AT_ONCE: Final = 32
 TIMEOUT_S: Final = 2.0
+#: How long a change waits to be told the revision in force, in seconds.
+QUICK_S: Final = 0.5
 HTTP_OK: Final = 200
 #: Members that are known to be gone are not expected to have a revision.
 GONE: Final = frozenset(('dead', 'left'))
@@ -56,7 +58,7 @@
     found: dict[str, Seen] = {}
     while expected.keys() > found.keys():
         waiting = [expected[key] for key in expected.keys() - found.keys()]
-        for seen, members in _ask_all(waiting, timeout_s):
+        for seen, members in _ask_all(place, waiting, timeout_s):
             found[seen.address] = seen
             expected = {**members, **expected}
     hosts = sorted(found.values(), key=_order)
@@ -73,10 +75,27 @@
     by_centre = {seen.data_centre: seen for seen in expected.values()}
     few = list(by_centre.values())
     few += [Seen(addresses.write(address)) for address in place.hosts[:1]]
-    told = _ask_all(few, TIMEOUT_S / 4)
+    told = _ask_all(place, few, QUICK_S)
     return max((seen.revision or 0 for seen, _ in told), default=0)
 
 
+def ask(
+    place: connections.Place, address: str, path: str, timeout_s: float
+) -> exchanges.Told | exchanges.Silent:
+    """Ask one host at its peer port."""
+    parsed = addresses.parse(address)
+    if parsed is None:
+        return exchanges.Silent(f'{address} is no address', sent=False)
+    identity = place.peer_identity
+    return exchanges.ask(
+        parsed,
+        'GET',
+        path,
+        timeout_s=timeout_s,
+        context=identity.context() if identity else None,
+    )
+
+
 def count_revisions(hosts: Iterable[Seen]) -> Mapping[str, Mapping[str, int]]:
     """Count hosts by data centre and revision; `unknown` where silent."""
     counts: dict[str, collections.Counter[str]] = {}
@@ -103,17 +122,16 @@
 
 
 def _ask_all(
-    hosts: list[Seen], timeout_s: float
+    place: connections.Place, hosts: list[Seen], timeout_s: float
 ) -> list[tuple[Seen, Mapping[str, Seen]]]:
     with concurrent.futures.ThreadPoolExecutor(ASKED_AT_ONCE) as pool:
-        return list(pool.map(lambda seen: _ask(seen, timeout_s), hosts))
+        return list(pool.map(lambda seen: _ask(place, seen, timeout_s), hosts))
 
 
-def _ask(known: Seen, timeout_s: float) -> tuple[Seen, Mapping[str, Seen]]:
-    address = addresses.parse(known.address)
-    if address is None:
-        return known._replace(remark='no address'), {}
-    told = exchanges.ask(address, 'GET', '/v1/status', timeout_s=timeout_s)
+def _ask(
+    place: connections.Place, known: Seen, timeout_s: float
+) -> tuple[Seen, Mapping[str, Seen]]:
+    told = ask(place, known.address, '/v1/status', timeout_s)
     if isinstance(told, exchanges.Silent):
         return known._replace(remark=told.reason), {}
     body: Mapping[str, Any] = told.body
--- a/tests/core/test_change_races.py
+++ b/tests/core/test_change_races.py
@@ -186,6 +186,10 @@
     recovered = read(store).configuration
     assert recovered == in_force._replace(revision=3)
     assert read(store).changes[-1].follows == 1
+    # The same content has to pass a higher revision all the same.
+    told = store.finish(ask('d', changes.Recover(recovered), floor=7))
+    assert isinstance(told, proposals.Accepted)
+    assert told.entry.revision == 8
 
 
 def test_two_histories_in_the_archive_stop_a_change(
--- a/tests/operate/test_operators.py
+++ b/tests/operate/test_operators.py
@@ -10,8 +10,9 @@
 
 import pytest
 
-from fuchsiahaven.core import errors, manifests
-from fuchsiahaven.edge import store
+from fuchsiahaven.core import configurations, errors, manifests
+from fuchsiahaven.core import patch_rows, patches, readings
+from fuchsiahaven.edge import editor, store
 from fuchsiahaven.operate import command_watch, commands, exits
 from standins import platform, wire
 
@@ -30,10 +31,14 @@
 class Host:
     """Stand in for a host's peer port, by the revisions that it tells."""
 
-    def __init__(self, name: str, revisions: list[int]) -> None:
+    def __init__(
+        self, name: str, revisions: list[int], place: str = 'Odori'
+    ) -> None:
         self.name = name
         self.revisions = revisions
+        self.place = place
         self.address = ''
+        self.held = configurations.EMPTY
 
     def opened(self, channel: wire.Channel) -> None:
         """Accept every connection."""
@@ -42,11 +47,16 @@
         """Keep nothing of a connection."""
 
     def received(self, channel: wire.Channel, request: wire.Request) -> None:
+        if request.path.startswith('/v1/configuration'):
+            whole = patches.diff(patches.NOTHING, patches.stamp(self.held))
+            parcel = patch_rows.Parcel(self.name, (whole,))
+            channel.reply(200, patch_rows.write(parcel).decode())
+            return
         known = self.revisions
         revision = known.pop(0) if len(known) > 1 else known[0]
         body = {
             'host': self.name,
-            'data_centre': 'Odori',
+            'data_centre': self.place,
             'state': 'alive',
             'revision': revision,
         }
@@ -57,7 +67,7 @@
             'name': self.name,
             'kind': 'entry',
             'address': self.address,
-            'data_centre': 'Odori',
+            'data_centre': self.place,
             'state': 'live',
         }
 
@@ -89,12 +99,30 @@
         assert told.code == exits.DONE, told
         return told
 
+    def read(self) -> configurations.Configuration:
+        with contextlib.closing(store.Store(f'http://{self.address}')) as it:
+            loaded = editor.read_configuration(it)
+        assert isinstance(loaded, readings.Loaded)
+        return loaded.manifest.configuration
+
     def serve(self, *hosts: Host) -> None:
         for host in hosts:
             host.address = find_address(self.call(wire.listen(host, 0)))
         self.platform.list_hosts([each.show() for each in hosts])
 
 
+def keep_only(
+    whole: configurations.Configuration, place: str
+) -> configurations.Configuration:
+    groups = [
+        group._replace(
+            targets=tuple(it for it in group.targets if it.data_centre == place)
+        )
+        for group in whole.groups
+    ]
+    return whole._replace(groups=tuple(groups))
+
+
 def find_address(server: asyncio.Server) -> str:
     return '{0}:{1}'.format(*server.sockets[0].getsockname())
 
@@ -118,6 +146,10 @@
     selector = ('selector', 'set', 's', '--class', 'c', '--expression', 'a=b')
     filled.change(*selector)
     assert filled.run('selector', 'show', 's').body['reaches'] == ['g']
+    filled.change('group', 'create', 'g2', '--label', 'a=b', '--force')
+    cut = filled.change('group', 'label', 'g2', 'a=x').body['change']
+    assert cut['what'].endswith('c reaches -g2')
+    filled.change('group', 'delete', 'g2')
     refused = filled.run('group', 'label', 'g', 'a-')
     assert refused.code == exits.FAILED
     assert 'reaches no group' in refused.body['error']['detail']
@@ -127,12 +159,12 @@
     assert states == ['live', 'leaving', 'leaving']
     change_id = drained.body['change']['id']
     undone = filled.change('undo', change_id).body['change']
-    assert (undone['revision'], undone['undoes']) == (5, change_id)
+    assert (undone['revision'], undone['undoes']) == (8, change_id)
     again = filled.change('target', 'return', 'g', 'c-02/1')
-    assert again.body == {'status': 'unchanged', 'revision': 5}
+    assert again.body == {'status': 'unchanged', 'revision': 8}
     rows = filled.run('history').body['rows']
-    assert [row['revision'] for row in rows] == [5, 4, 3, 2, 1]
-    shown = filled.run('history', 'show', '4').body
+    assert [row['revision'] for row in rows] == [8, 7, 6, 5, 4, 3, 2, 1]
+    shown = filled.run('history', 'show', '7').body
     assert shown['edits'][0] == [
         ['groups', 'g', 'leaving', 'c-02/1'],
         None,
@@ -246,6 +278,34 @@
     assert 'its copy is older' in status.body['faults'][0]
 
 
+def test_a_platform_with_an_older_copy_is_recovered_from_hosts(
+    filled: World,
+) -> None:
+    """Get out of an older copy with nothing lost that was in force.
+
+    Symptom: after a restore no change is accepted any more, or the changes
+    since the copy are gone. Sequence: the platform comes back older, hosts
+    keep what they have. Cause: nothing brings the hosts' configuration back
+    above the revision that they have in force.
+    """
+    filled.change('group', 'create', 'h', '--target', 'Kotoni/k=10.0.9.1:1')
+    filled.platform.control({'save': True})
+    filled.change('target', 'drain', 'g', 'c-01/1')
+    filled.change('group', 'label', 'h', 'a=z')
+    lost = filled.read()
+    filled.platform.control({'restore': True})
+    # Each host holds the targets of its own data centre alone.
+    hosts = Host('o', [4]), Host('k', [4], 'Kotoni')
+    for host in hosts:
+        host.held = keep_only(lost, host.place)
+    filled.serve(hosts[0])
+    assert filled.run('recover').code == exits.UNREACHABLE
+    filled.serve(*hosts)
+    told = filled.change('recover').body['change']
+    assert (told['revision'], told['follows']) == (5, 2)
+    assert filled.read() == lost._replace(revision=5)
+
+
 @pytest.mark.parametrize('name', ['santiago', 'ishikari'])
 def test_the_examples_are_applied_whole_and_then_change_nothing(
     world: World, name: str
