Deal evenly what is left of the seats

After two replicas for every host, the rest went by weight alone: at 60 hosts and 12 replicas some hosts had two replicas of a shard and others ten. Now nobody gets a fourth before all had a chance at a third, and a reserve that was given up for hosts left short is given up no further than for them.

--- /dev/null
+++ b/bench/deals.py
@@ -0,0 +1,106 @@
+"""Measure the deal of connection seats: its time, and what a change moves.
+
+Run as `python -m bench.deals`.
+"""
+
+import statistics
+import time
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import seats
+
+SHARDS: Final = 270
+ROUNDS: Final = 5
+JOINS: Final = 20
+SAMPLE: Final = 6
+
+Rows = dict[str, seats.Row]
+
+
+class Size(NamedTuple):
+    """Name one size of a data centre."""
+
+    hosts: int
+    replicas: int
+    cap: int
+
+
+SIZES: Final = (
+    Size(8, 2, 25),
+    Size(8, 2, 110),
+    Size(24, 12, 25),
+    Size(30, 12, 25),
+    Size(60, 12, 25),
+    Size(110, 12, 25),
+    Size(110, 11, 25),
+    Size(119, 12, 25),
+)
+
+
+def main() -> None:
+    """Print a table with a row for each size."""
+    print('hosts replicas cap | fewest | joiner takes | others gain | ms')
+    for size in SIZES:
+        fewest, taken, gained = _measure_joins(size)
+        print(
+            f'{size.hosts:5} {size.replicas:8} {size.cap:3} | {fewest:6} |'
+            f' {taken:10.2f} % | {gained:9.2f} % | {_measure_time(size):.2f}'
+        )
+
+
+def _name_all(prefix: str, count: int) -> list[str]:
+    return [f'{prefix}-{number:03}' for number in range(count)]
+
+
+def _name_shards(size: Size, count: int) -> list[list[str]]:
+    return [_name_all(f't{shard}', size.replicas) for shard in range(count)]
+
+
+def _measure_joins(size: Size) -> tuple[int, float, float]:
+    hosts = _name_all('host', size.hosts)
+    shards = _name_shards(size, SAMPLE)
+    before = seats.deal(hosts, shards, size.cap)
+    total = sum(sum(row.values()) for row in before.values())
+    taken = []
+    gained = []
+    for joiner in _name_all('joiner', JOINS):
+        after = seats.deal([*hosts, joiner], shards, size.cap)
+        taken.append(sum(after[joiner].values()) * 100 / total)
+        gained.append(_count_gains(before, after) * 100 / total)
+    fewest = min(
+        len([target for target in shard if row.get(target)])
+        for row in before.values()
+        for shard in shards
+    )
+    return fewest, statistics.mean(taken), statistics.mean(gained)
+
+
+def _count_gains(before: Rows, after: Rows) -> int:
+    return sum(
+        max(0, count - before[host].get(target, 0))
+        for host in before
+        for target, count in after[host].items()
+    )
+
+
+def _measure_time(size: Size) -> float:
+    """Return the median processor time of one shard's deal, in ms."""
+    hosts = _name_all('host', size.hosts)
+    shards = _name_shards(size, SHARDS)
+    return statistics.median(
+        _time_deals(hosts, shards, size.cap) for _ in range(ROUNDS)
+    )
+
+
+def _time_deals(
+    hosts: Sequence[str], shards: Sequence[Sequence[str]], cap: int
+) -> float:
+    began = time.process_time()
+    for shard in shards:
+        seats.deal(hosts, [shard], cap)
+    return (time.process_time() - began) * 1000 / len(shards)
+
+
+if __name__ == '__main__':
+    main()
--- a/fuchsiahaven/core/seats.py
+++ b/fuchsiahaven/core/seats.py
@@ -48,12 +48,14 @@
 class _Table(NamedTuple):
     """Hold a deal of single seats while it is made.
 
-    `homes` are the shards of each target, `free` its seats that are left.
+    `homes` are the shards of each target, `usable` the seats it may deal,
+    `free` those that are left.
     """
 
     hosts: tuple[str, ...]
     shards: list[_Shard]
     homes: Mapping[str, tuple[int, ...]]
+    usable: Mapping[str, int]
     free: dict[str, int]
     held: dict[str, set[str]]
 
@@ -93,8 +95,9 @@
         for shard in table.shards:
             _fill(table, shard, quota)
             _repair(table, shard, quota)
+    _keep_reserve(table, cap)
     for rest in table.shards:
-        _fill(table, rest, len(rest.replicas))
+        _fill_up(table, rest)
     return {host: dict.fromkeys(sorted(table.held[host]), 1) for host in names}
 
 
@@ -143,19 +146,20 @@
     weights: Mapping[str, int],
 ) -> _Table:
     homes: dict[str, tuple[int, ...]] = {}
-    free: dict[str, int] = {}
+    usable: dict[str, int] = {}
     for number, shard in enumerate(shards):
-        usable = _count_usable(len(hosts), len(shard), cap)
+        seats = _count_usable(len(hosts), len(shard), cap)
         for target in shard:
             homes[target] = (*homes.get(target, ()), number)
-            free[target] = max(usable, free.get(target, 0))
+            usable[target] = max(seats, usable.get(target, 0))
     made = [
         _Shard(
             replicas, _rank(replicas, hosts, weights), dict.fromkeys(hosts, 0)
         )
         for replicas in shards
     ]
-    return _Table(hosts, made, homes, free, {host: set() for host in hosts})
+    held: dict[str, set[str]] = {host: set() for host in hosts}
+    return _Table(hosts, made, homes, usable, dict(usable), held)
 
 
 def _count_usable(hosts: int, replicas: int, cap: int) -> int:
@@ -176,6 +180,24 @@
             _change(table, pair, 1)
 
 
+def _keep_reserve(table: _Table, cap: int) -> None:
+    """Stop giving up the reserve once no host is short."""
+    reserve = find_reserve(len(table.hosts), cap)
+    for target, free in table.free.items():
+        spare = free - max(0, table.usable[target] - (cap - reserve))
+        table.free[target] = max(0, spare)
+
+
+def _fill_up(table: _Table, shard: _Shard) -> None:
+    """Deal what is left, evenly: a third replica before anyone's fourth."""
+    quota = REPLICAS_WANTED
+    while any(table.free[target] for target in shard.replicas):
+        quota += 1
+        if quota > len(shard.replicas):
+            break
+        _fill(table, shard, quota)
+
+
 def _repair(table: _Table, shard: _Shard, quota: int) -> None:
     """Swap seats for the hosts that the deal by weight left short."""
     wanted = min(quota, len(shard.replicas))
