--- a/tests/core/test_seats.py
+++ b/tests/core/test_seats.py
@@ -86,6 +86,8 @@
     usable = cap - seats.find_reserve(hosts, cap)
     if hosts * wanted <= replicas * usable:
         assert max(sum_up(rows).values()) <= usable
+    dealt = sum(sum_up(rows).values())
+    assert dealt <= len(shards) * max(hosts * wanted, replicas * usable)
 
 
 @given(draw_sizes(), SALTS)
