--- a/fuchsiahaven/core/outcomes.py
+++ b/fuchsiahaven/core/outcomes.py
@@ -77,7 +77,7 @@
         SOURCE,
         detail,
         retry_after=max(RETRY_AFTER[reason] for reason in reasons),
-        ran=_say_ran(run),
+        ran=queries.say_ran(run),
     )
 
 
@@ -93,14 +93,6 @@
     return errors.Kind.INCOMPLETE
 
 
-def _say_ran(run: queries.Run) -> errors.Ran:
-    if any(part.rows is not None for part in run.parts.values()):
-        return errors.Ran.YES
-    if queries.may_have_run(run):
-        return errors.Ran.UNKNOWN
-    return errors.Ran.NO
-
-
 def _describe(run: queries.Run, stated: coverage.Coverage) -> str:
     first = stated.missing[0]
     return (
--- a/fuchsiahaven/core/queries.py
+++ b/fuchsiahaven/core/queries.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from fuchsiahaven.core import configurations, coverage, messages
+from fuchsiahaven.core import configurations, coverage, errors, messages
 
 Rows = tuple[Mapping[str, object], ...]
 #: A part of a run is a shard of a group.
@@ -57,7 +57,8 @@
     """Hold one pass of a query over its shards.
 
     `open_parts` have neither rows nor a reason to be missing, `lost_parts`
-    have a reason.
+    have a reason. `ran_before` says whether an earlier run of the same query
+    ran on any searcher.
     """
 
     number: int
@@ -73,6 +74,7 @@
     first_attempt: int = 0
     not_after_epoch: float | None = None
     restarts: int = 0
+    ran_before: errors.Ran = errors.Ran.NO
 
     @property
     def at_most_once(self) -> bool:
@@ -186,3 +188,12 @@
         part.rows is not None or part.may_have_run or part.flights
         for part in run.parts.values()
     )
+
+
+def say_ran(run: Run) -> errors.Ran:
+    """Say whether any searcher ran any part of this or an earlier run."""
+    if any(part.rows is not None for part in run.parts.values()):
+        return errors.Ran.YES
+    if may_have_run(run) and run.ran_before is errors.Ran.NO:
+        return errors.Ran.UNKNOWN
+    return run.ran_before
--- a/fuchsiahaven/core/starts.py
+++ b/fuchsiahaven/core/starts.py
@@ -77,6 +77,7 @@
         lost_parts=set(),
         first_attempt=last,
         restarts=before.restarts + 1,
+        ran_before=queries.say_ran(before),
     )
 
 
--- a/fuchsiahaven/edge/links.py
+++ b/fuchsiahaven/edge/links.py
@@ -71,15 +71,17 @@
         return frame
 
     def is_open(self) -> bool:
-        """Tell whether the target has not closed an idle connection."""
+        """Tell whether an idle connection is open and nothing has come."""
         if isinstance(self.sock, ssl.SSLSocket):
             return True
         try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK))
+            self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
             return False
+        # Either it is closed, or bytes came that answer nothing.
+        return False
 
     def finish(self) -> None:
         """Make ready for the next exchange."""
--- a/tests/core/rig.py
+++ b/tests/core/rig.py
@@ -3,10 +3,12 @@
 from fuchsiahaven.core import (
     configurations,
     dispatch,
+    hedges,
     messages,
     policies,
     snapshots,
     states,
+    tables,
 )
 
 CENTRE = 'Quilicura'
@@ -136,6 +138,19 @@
         """List the replies given so far."""
         return [one for one in self.actions if isinstance(one, messages.Reply)]
 
+    def hedge_after(self, class_name: str, delay: float) -> None:
+        """Let the host know how long answers to a class take."""
+        kind = tables.ClassGroup(class_name, 'web')
+        window = hedges.Window(total=hedges.FEWEST, stale=0, delay=delay)
+        self._state.tables.windows[kind] = window
+
+    def check_idle(self) -> None:
+        """Check that nothing is kept of queries that have ended."""
+        known = self._state.tables
+        kept = (known.runs, known.flying, known.begun, known.waiting)
+        assert not any(kept)
+        assert not any(stats.in_flight for stats in known.stats.values())
+
 
 def find_sends(actions: list[messages.Action]) -> list[messages.Send]:
     """Pick the sub-requests out of what a host does."""
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -153,6 +153,27 @@
     assert reply.outcome.snapshots == {'web': 2}
 
 
+def test_failure_after_a_restart_tells_what_ran_before_it() -> None:
+    """Count what ran for the older snapshot as run.
+
+    Symptom: a caller is told `not run`, and searchers have run its query.
+    Sequence: shard 0 answers; shard 1's snapshot has gone, so the query
+    starts again; every replica refuses the newer one.
+    Cause: each run of a query is looked at for itself.
+    """
+    host = rig.Rig(COMPLETE, shards=2)
+    sends = host.ask()
+    host.answer(sends[0], 'old-0')
+    host.hold(2, sequence=2)
+    other = rig.find_sends(host.refuse(sends[1], GONE))
+    newer = rig.find_sends(host.refuse(other[0], GONE))
+    while newer and not host.replies():
+        leaving = messages.RefusalReason.LEAVING
+        newer.extend(rig.find_sends(host.refuse(newer.pop(0), leaving)))
+    (reply,) = host.replies()
+    assert fail(reply.outcome).ran is errors.Ran.YES
+
+
 def test_lost_snapshot_without_newer_is_told_at_once() -> None:
     host = rig.Rig(COMPLETE, shards=2)
     sends = host.ask()
