Let failures come together, twice and at random

Change: twelve pairs of failures and eight drawn sequences of forty, with all that must hold judged after each. What a dead host was asked counts as possibly run; what is asked of a host started anew is another host's.

Red by one mutation each: lost parts left out of the coverage, answers matched by nothing, `ran` always no, every claim granted, an at-most-once request asked again. Not red here, but in the scenarios of their own: the other mutations.

--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -1,6 +1,7 @@
 """Say what the steps of the scenarios do."""
 
 import functools
+import random
 import re
 from collections.abc import Callable, Mapping
 from typing import Any, Final
@@ -281,6 +282,7 @@
 @when(step('host {name} is paused'))
 def pause(stage: world.World, name: str) -> None:
     stage.clock.frozen.add(name)
+    stage.stalled.add(name)
 
 
 @when(step('host {name} goes on'))
@@ -336,3 +338,62 @@
     stage.line.interrupt = functools.partial(
         label, stage, name, group, key, value
     )
+
+
+@when(step('{count:d} failures come in an order drawn from {seed:d}'))
+def storm(stage: world.World, count: int, seed: int) -> None:
+    draws = random.Random(seed)
+    for number in range(count):
+        draws.choice(STORM)(stage, draws)
+        serving = [host.name for host in stage.hosts.values() if host.alive]
+        refund(stage, f'R{number // 3}', draws.choice(serving))
+        ask_next(stage, 'gate-lookup', number)
+        stage.clock.run(draws.choice((0, 0.002, 0.01, 0.3, 4)))
+    for name in tuple(stage.clock.frozen):
+        wake(stage, name)
+    stage.cuts.clear()
+    order(stage, 'is up again')
+    order(stage, 'is quick again')
+    stage.clock.run(START_S)
+
+
+def strike_target(stage: world.World, draws: random.Random) -> None:
+    target = stage.targets[draws.choice(list(stage.targets))]
+    events = [event for name, event in EVENTS.items() if 'leav' not in name]
+    draws.choice(events)(stage, target)
+
+
+def strike_platform(stage: world.World, draws: random.Random) -> None:
+    order(stage, draws.choice([name for name in ORDERS if 'cop' not in name]))
+
+
+def strike_host(stage: world.World, draws: random.Random) -> None:
+    name = draws.choice(list(stage.hosts))
+    if name in stage.clock.frozen:
+        wake(stage, name)
+    elif stage.hosts[name].alive:
+        draws.choice((pause, pause, kill))(stage, name)
+    else:
+        start_anew(stage, name)
+
+
+def strike_network(stage: world.World, draws: random.Random) -> None:
+    places = (world.PLATFORM, 'Odori', *stage.hosts)
+    cut(stage, *draws.sample(places, 2))
+
+
+def strike_index(stage: world.World, draws: random.Random) -> None:
+    # A number stands for one partition of one index for ever.
+    held = {key[0] for one in stage.targets.values() for key in one.holdings}
+    newest = max(held, default=1)
+    load(stage, 'turnstile', newest + 1, draws.choice((2, 3, 4)))
+    drop(stage, 'turnstile', newest - 1)
+
+
+STORM: Final = (
+    strike_target,
+    strike_platform,
+    strike_host,
+    strike_network,
+    strike_index,
+)
