--- a/fuchsiahaven/core/changes.py
+++ b/fuchsiahaven/core/changes.py
@@ -192,4 +192,8 @@
 
 
 def _list_pairs(pairs: Pairs) -> str:
-    return ', '.join(f'{key}={value}' for key, value in pairs)
+    return ', '.join(f'{key}={_write(told)}' for key, told in pairs)
+
+
+def _write(told: object) -> str:
+    return ','.join(told) if isinstance(told, list) else str(told)
--- a/fuchsiahaven/core/errors.py
+++ b/fuchsiahaven/core/errors.py
@@ -89,7 +89,7 @@
         422, 'the time inside the request id is out of bounds', Ran.NO
     ),
     Kind.PLATFORM_UNAVAILABLE: Row(
-        503, 'the platform cannot record the claim', Ran.NO, retry=True
+        503, 'the platform cannot be reached', Ran.NO, retry=True
     ),
     Kind.OUTCOME_UNKNOWN: Row(
         504, 'the outcome of the request is unknown', Ran.UNKNOWN
--- a/fuchsiahaven/operate/command_group.py
+++ b/fuchsiahaven/operate/command_group.py
@@ -166,14 +166,19 @@
         }
         for target in group.targets
     ]
+    columns = ('target', 'address', 'data_centre', 'state')
+    revision = configuration.revision
     if not arguments.json:
         print('\n'.join(tables.lay_out([_summarize(group)])))
+        return lookups.print_rows(
+            targets, columns, as_json=False, revision=revision
+        )
     return lookups.print_rows(
         targets,
-        ('target', 'address', 'data_centre', 'state'),
-        as_json=arguments.json,
+        columns,
+        as_json=True,
         group=group.name,
         labels=dict(group.labels),
         caps={name: getattr(group, name) for name in words.CAPS},
-        revision=configuration.revision,
+        revision=revision,
     )
--- a/fuchsiahaven/operate/lookups.py
+++ b/fuchsiahaven/operate/lookups.py
@@ -43,7 +43,8 @@
         return exits.DONE
     print('\n'.join(tables.lay_out(rows, first)))
     for name, told in extra.items():
-        print(f'{name}: {told}')
+        text = ', '.join(told) if isinstance(told, list) else told
+        print(f'{name}: {text}')
     return exits.DONE
 
 
