Give the record of a target's failures a module of its own

No behaviour changes. The order by data centre goes: `views` pins the own data centre first, and nothing else used it.

--- a/fuchsiahaven/core/flights.py
+++ b/fuchsiahaven/core/flights.py
@@ -1,6 +1,7 @@
 """Keep account of each attempt from its sending to its one last event."""
 
 from fuchsiahaven.core import (
+    ejections,
     hedges,
     limits,
     messages,
@@ -123,7 +124,7 @@
     """Eject a target that fails, unless too few would be left."""
     known = state.tables
     run = known.runs.get(key.query)
-    if run is None or not routes.is_failing(known.stats[name], now):
+    if run is None or not ejections.is_failing(known.stats[name].record, now):
         return
     part = run.parts[queries.PartId(key.group, key.shard)]
     members = [target.name for target in known.group_of[name].targets]
--- a/fuchsiahaven/core/routes.py
+++ b/fuchsiahaven/core/routes.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core import ejections, messages
 
 LATENCY_WEIGHT: Final = 0.2
 # One random slow answer must not condemn a target, so a sample counts at most
@@ -20,10 +20,6 @@
 # What an unmeasured target is taken to need: little, so that it gets measured.
 UNMEASURED_S: Final = 0.001
 
-RECORD_HALF_LIFE_S: Final = 2.0
-EJECT_AT: Final = 3.0
-EJECT_S: Final = 1.0
-EJECT_LONGEST_S: Final = 30.0
 # More ejections at once than this point to a fault of the network or of this
 # host, and would drive the load onto too few targets.
 EJECT_SHARE: Final = 0.2
@@ -33,28 +29,6 @@
 HINT_WEIGHT: Final = 0.5
 HINT_FADES_S: Final = 2.0
 
-SHED_WEIGHT: Final = 1.0
-OVERDUE_WEIGHT: Final = 1.0
-# Each answer leaves this part of the failures: a target that fails once in a
-# while, or is late under an overload, still answers most of the time.
-ANSWER_LEAVES: Final = 0.7
-
-
-class Record(NamedTuple):
-    """Hold the decayed misdeeds of one target, and its ejection.
-
-    `ejected_until` is 0 while the target is in use; once that time has passed
-    the target is on trial until it answers. It is vouched for once it has
-    answered a probe on trial.
-    """
-
-    failures: float = 0.0
-    refusals: float = 0.0
-    noted: float = 0.0
-    ejections: int = 0
-    ejected_until: float = 0.0
-    vouched: bool = False
-
 
 class Hint(NamedTuple):
     """Hold a load report as a pressure from 0 to 1 and when it came."""
@@ -63,7 +37,6 @@
     reported: float
 
 
-CLEAN: Final = Record()
 NO_HINT: Final = Hint(0.0, 0.0)
 
 
@@ -77,7 +50,7 @@
     latency: float = 0.0
     heard: float = 0.0
     opened: int = 0
-    record: Record = CLEAN
+    record: ejections.Record = ejections.CLEAN
     hint: Hint = NO_HINT
 
 
@@ -102,7 +75,7 @@
     usable = [
         name
         for name in candidates
-        if (one := stats.get(name, UNSEEN)).record is CLEAN
+        if (one := stats.get(name, UNSEEN)).record is ejections.CLEAN
         or _is_usable(one, now, trials=trials)
     ]
     if not usable:
@@ -123,8 +96,8 @@
     latency = one.latency or UNMEASURED_S
     latency /= 1 + (now - one.heard) / RELAX_S
     cost = latency * (one.in_flight + 1)
-    if one.record is not CLEAN:
-        cost *= 1 + _weigh(one.record, now)
+    if one.record is not ejections.CLEAN:
+        cost *= 1 + ejections.weigh(one.record, now)
     if one.hint is not NO_HINT:
         fresh = 1 - (now - one.hint.reported) / HINT_FADES_S
         if fresh > 0:
@@ -134,25 +107,6 @@
     return cost
 
 
-def is_ejected(one: TargetStats, now: float) -> bool:
-    """Tell whether the target is ejected and not yet due for a trial."""
-    return now < one.record.ejected_until
-
-
-def order_near_first(
-    targets: Mapping[str, str], own: str, others: Sequence[str]
-) -> tuple[tuple[str, ...], ...]:
-    """Sort targets (name to data centre) into tiers, the own centre first.
-
-    Data centres that no selector names are left out.
-    """
-    tiers = (
-        tuple(name for name, centre in targets.items() if centre == wanted)
-        for wanted in (own, *(other for other in others if other != own))
-    )
-    return tuple(tier for tier in tiers if tier)
-
-
 def note_sent(one: TargetStats) -> TargetStats:
     """Count one more sub-request in flight on a connection of its own."""
     in_flight, latency, heard, opened, record, hint = one
@@ -162,8 +116,8 @@
 def note_answered(one: TargetStats, now: float, elapsed: float) -> TargetStats:
     """Take in one answer; it ends a trial."""
     record = one.record
-    if record is not CLEAN:
-        record = _forgive(record, now)
+    if record is not ejections.CLEAN:
+        record = ejections.forgive(record, now)
     return TargetStats(
         max(0, one.in_flight - 1),
         _smooth(one, elapsed, now),
@@ -181,9 +135,9 @@
     record = one.record
     match reason:
         case messages.RefusalReason.SHED | messages.RefusalReason.COLD:
-            record = _blame(record, now, refusals=SHED_WEIGHT)
+            record = ejections.blame(record, now, refusals=1)
         case messages.RefusalReason.NO_CONNECTION:
-            record = _blame(record, now, failures=1.0)
+            record = ejections.blame(record, now, failures=1)
         case _:
             # Leaving, a lost snapshot or a passed deadline is no fault.
             pass
@@ -193,7 +147,7 @@
 
 def note_broken(one: TargetStats, now: float) -> TargetStats:
     """Take in a fault that left the outcome unknown."""
-    record = _blame(one.record, now, failures=1.0)
+    record = ejections.blame(one.record, now, failures=1)
     return one._replace(in_flight=max(0, one.in_flight - 1), record=record)
 
 
@@ -215,7 +169,7 @@
     A frozen target accepts everything and answers nothing: nothing breaks,
     and only the time that passes tells.
     """
-    record = _blame(one.record, now, failures=OVERDUE_WEIGHT)
+    record = ejections.blame(one.record, now, failures=1)
     return note_cancelled(one, now, elapsed)._replace(record=record)
 
 
@@ -230,10 +184,7 @@
     A group that runs each request at most once has no others for a trial:
     without a probe its ejected targets would never return.
     """
-    until = one.record.ejected_until
-    if not until or now < until:
-        return one
-    return one._replace(record=one.record._replace(vouched=True))
+    return one._replace(record=ejections.vouch(one.record, now))
 
 
 def note_connections(one: TargetStats, opened: int) -> TargetStats:
@@ -252,17 +203,6 @@
     return one._replace(hint=Hint(pressure, now))
 
 
-def is_failing(one: TargetStats, now: float) -> bool:
-    """Tell whether a target in use has failed too often lately."""
-    record = one.record
-    if record is CLEAN or now < record.ejected_until:
-        return False
-    if record.ejected_until:
-        # On trial, one more failure is enough.
-        return record.noted >= record.ejected_until
-    return record.failures * _decay(record, now) >= EJECT_AT
-
-
 def eject(
     stats: Mapping[str, TargetStats],
     target: str,
@@ -277,39 +217,29 @@
     makes it dear, so the other replicas come first.
     """
     one = stats.get(target, UNSEEN)
-    if not is_failing(one, now):
+    if not ejections.is_failing(one.record, now):
         return one
-    others = [name for name in replicas if name != target]
-    if all(_is_out(stats.get(name, UNSEEN)) for name in others):
+    others = {name for name in replicas if name != target}
+    out = {name for name in members if stats.get(name, UNSEEN).record.until}
+    most = max(1, EJECT_SHARE * len(members))
+    if others <= out or len(out | {target}) > most:
         return one
-    out = sum(1 for name in members if _is_out(stats.get(name, UNSEEN)))
-    if not _is_out(one) and out + 1 > max(1, EJECT_SHARE * len(members)):
-        return one
-    ejections = one.record.ejections + 1
-    pause = min(EJECT_LONGEST_S, EJECT_S * 2 ** (ejections - 1))
-    record = one.record._replace(
-        ejections=ejections, ejected_until=now + pause, vouched=False
-    )
-    return one._replace(record=record)
-
-
-def _draw_two(count: int, draws: tuple[float, float]) -> tuple[int, int]:
-    first = int(draws[0] * count)
-    second = int(draws[1] * (count - 1))
-    return first, second + 1 if second >= first else second
+    return one._replace(record=ejections.eject(one.record, now))
 
 
 def _is_usable(one: TargetStats, now: float, *, trials: bool) -> bool:
-    until = one.record.ejected_until
-    if not until:
+    record = one.record
+    if not record.until:
         return True
     # A trial is one sub-request at a time.
-    may_try = trials or one.record.vouched
-    return may_try and now >= until and not one.in_flight
+    may_try = trials or record.vouched
+    return may_try and now >= record.until and not one.in_flight
 
 
-def _is_out(one: TargetStats) -> bool:
-    return one.record.ejected_until > 0
+def _draw_two(count: int, draws: tuple[float, float]) -> tuple[int, int]:
+    first = int(draws[0] * count)
+    second = int(draws[1] * (count - 1))
+    return first, second + 1 if second >= first else second
 
 
 def _smooth(one: TargetStats, elapsed: float, now: float) -> float:
@@ -320,46 +250,3 @@
     age = now - one.heard
     weight = max(LATENCY_WEIGHT, age / (age + RELAX_S))
     return latency + weight * (sample - latency)
-
-
-def _decay(record: Record, now: float) -> float:
-    return float(0.5 ** ((now - record.noted) / RECORD_HALF_LIFE_S))
-
-
-def _weigh(record: Record, now: float) -> float:
-    return (record.failures + record.refusals) * _decay(record, now)
-
-
-def _blame(
-    record: Record,
-    now: float,
-    *,
-    failures: float = 0.0,
-    refusals: float = 0.0,
-) -> Record:
-    decay = _decay(record, now)
-    return Record(
-        record.failures * decay + failures,
-        record.refusals * decay + refusals,
-        now,
-        record.ejections,
-        record.ejected_until,
-    )
-
-
-def _forgive(record: Record, now: float) -> Record:
-    """End a trial, forget a record that has faded away, forgive a part."""
-    until = record.ejected_until
-    if until:
-        if now < until:
-            # An answer from before the ejection proves nothing.
-            return record
-        return Record(noted=now, ejections=record.ejections)
-    if now - record.noted > EJECT_LONGEST_S:
-        return CLEAN
-    return Record(
-        record.failures * ANSWER_LEAVES,
-        record.refusals,
-        record.noted,
-        record.ejections,
-    )
--- a/tests/core/test_routes.py
+++ b/tests/core/test_routes.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import messages, routes
+from fuchsiahaven.core import ejections, messages, routes
 
 NOW = 100.0
 DRAWS = (0.3, 0.7)
@@ -14,6 +14,10 @@
     return routes.TargetStats(in_flight, latency, heard=NOW, opened=9)
 
 
+def is_out(one: routes.TargetStats, now: float) -> bool:
+    return now < one.record.until
+
+
 def test_no_candidates_give_none() -> None:
     assert routes.pick_replica((), {}, NOW, DRAWS) is None
 
@@ -43,14 +47,14 @@
     for _ in range(3):
         stats['a'] = routes.note_broken(stats['a'], NOW)
     stats['a'] = routes.eject(stats, 'a', PAIR, PAIR, NOW)
-    assert routes.is_ejected(stats['a'], NOW)
+    assert is_out(stats['a'], NOW)
     assert routes.pick_replica(PAIR, stats, NOW, DRAWS) == 'b'
-    later = NOW + routes.EJECT_S
+    later = NOW + ejections.SHORTEST_S
     assert routes.pick_replica(PAIR, stats, later, DRAWS) == 'a'
     stats['a'] = routes.note_sent(stats['a'])
     assert routes.pick_replica(PAIR, stats, later, DRAWS) == 'b'
     stats['a'] = routes.note_answered(stats['a'], later, 0.001)
-    assert not stats['a'].record.ejected_until
+    assert not stats['a'].record.until
 
 
 def test_the_last_replica_of_a_shard_is_never_ejected() -> None:
@@ -59,8 +63,8 @@
         for _ in range(3):
             stats[name] = routes.note_broken(stats[name], NOW)
         stats[name] = routes.eject(stats, name, PAIR, PAIR, NOW)
-    assert routes.is_ejected(stats['a'], NOW)
-    assert not routes.is_ejected(stats['b'], NOW)
+    assert is_out(stats['a'], NOW)
+    assert not is_out(stats['b'], NOW)
 
 
 @given(st.lists(st.integers(0, 39)), st.floats(0.0, 60.0))
@@ -83,7 +87,7 @@
         for _ in range(3):
             stats[name] = routes.note_broken(stats[name], now)
         stats[name] = routes.eject(stats, name, shard, members, now)
-        out = {one for one in members if routes.is_ejected(stats[one], now)}
+        out = {one for one in members if is_out(stats[one], now)}
         assert len(out) <= routes.EJECT_SHARE * len(members)
         assert not out.issuperset(shard)
         picked = routes.pick_replica(shard, stats, now, DRAWS)
@@ -142,12 +146,6 @@
     assert faded == routes.estimate_cost(make_stats(0.005), late, 0.0)
 
 
-def test_the_own_data_centre_comes_first() -> None:
-    homes = {'a': 'Odori', 'b': 'Kotoni', 'c': 'Odori', 'd': 'Shiroishi'}
-    tiers = routes.order_near_first(homes, 'Kotoni', ('Odori', 'Kotoni'))
-    assert tiers == (('b',), ('a', 'c'))
-
-
 def test_a_group_without_trials_gets_its_targets_back_by_probes() -> None:
     """An ejected target of a group of refunds comes back.
 
@@ -155,7 +153,7 @@
     Sequence: a target is ejected; refunds are no trials; nothing else comes.
     Cause: only an answered trial ended an ejection.
     """
-    record = routes.Record(failures=3.0, noted=NOW, ejected_until=NOW + 1)
+    record = ejections.Record(failures=3.0, noted=NOW, until=NOW + 1)
     stats = {
         'a': make_stats(0.001)._replace(record=record),
         'b': make_stats(0.1),
