Give the queue of admission a module of its own

Two small changes of behaviour come with it: a start that is spaced out gets a timer instead of the next tick, and the one that gives way in a full queue has a test (red with its refusal forgotten).

--- a/fuchsiahaven/core/admission.py
+++ b/fuchsiahaven/core/admission.py
@@ -9,17 +9,9 @@
 from types import MappingProxyType
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import errors
+from fuchsiahaven.core import errors, queues
 
 SOURCE: Final = 'admission'
-PRIORITIES: Final = 4
-QUEUE_LENGTH: Final = 64
-# Places that each priority keeps even where the others fill the queue.
-RESERVED: Final = 2
-# Every so many starts, the query that has waited longest goes first, whatever
-# its priority: the weakest class is slowed down but never starved.
-FLOOR_EVERY: Final = 10
-
 # A query may spend this share of its time in the queue. A longer queue starts
 # queries that have too little time left to finish, and starts no more of them.
 QUEUE_SHARE: Final = 0.5
@@ -43,16 +35,6 @@
 SWEEP_S: Final = 0.005
 
 
-class Entry(NamedTuple):
-    """Name one query that waits; times are seconds on one clock."""
-
-    token: int
-    priority: int
-    arrived: float
-    deadline: float
-    class_name: str = ''
-
-
 class Pace(NamedTuple):
     """Hold how long queries of one class run: mean and mean deviation."""
 
@@ -68,7 +50,7 @@
     `cut` is when the window last shrank, 0 for never.
     """
 
-    queues: tuple[tuple[Entry, ...], ...] = ((),) * PRIORITIES
+    queue: queues.Queue = queues.EMPTY
     running: int = 0
     window: float = WINDOW_START
     paces: Mapping[str, Pace] = MappingProxyType({})
@@ -77,7 +59,6 @@
     finished: float = 0.0
     cut: float = 0.0
     started: float = 0.0
-    starts: int = 0
     swept: float = 0.0
 
 
@@ -92,7 +73,7 @@
     """Hold the new state, the queries to start and those to refuse."""
 
     admission: Admission
-    started: tuple[Entry, ...] = ()
+    started: tuple[queues.Entry, ...] = ()
     refused: tuple[Refused, ...] = ()
 
 
@@ -101,7 +82,7 @@
 
 def count_waiting(admission: Admission) -> int:
     """Count the queries that wait."""
-    return sum(len(queue) for queue in admission.queues)
+    return queues.count(admission.queue)
 
 
 def is_idle(admission: Admission) -> bool:
@@ -114,23 +95,22 @@
     return shed > parts * STRAIN_SHARE
 
 
-def offer(admission: Admission, entry: Entry, now: float) -> Step:
+def offer(admission: Admission, entry: queues.Entry, now: float) -> Step:
     """Start, queue or refuse one query."""
     step = expire(admission, now)
     wait = estimate_wait(step.admission, entry.priority)
     if _comes_too_late(step.admission, entry, now, wait):
         kind = errors.Kind.DEADLINE_UNREACHABLE
         return _add_refusals(step, _refuse(entry, kind, wait))
-    room = _make_room(step.admission, entry, wait)
-    if room is None:
+    added = queues.add(step.admission.queue, entry)
+    if added is None:
         refused = _refuse(entry, errors.Kind.OVERLOADED, wait)
         return _add_refusals(step, refused)
-    started = start(_append(room.admission, entry), now)
-    return Step(
-        started.admission,
-        started.started,
-        (*step.refused, *room.refused, *started.refused),
-    )
+    if added.evicted is not None:
+        evicted = _refuse(added.evicted, errors.Kind.OVERLOADED, wait)
+        step = _add_refusals(step, evicted)
+    started = start(step.admission._replace(queue=added.queue), now)
+    return started._replace(refused=(*step.refused, *started.refused))
 
 
 def start(admission: Admission, now: float) -> Step:
@@ -139,10 +119,13 @@
         return Step(admission)
     step = expire(admission._replace(swept=now), now)
     current = step.admission
-    started: list[Entry] = []
+    started: list[queues.Entry] = []
     while count_waiting(current) and _has_room(current, now):
-        current, entry = _take(current, now)
-        started.append(entry)
+        taken = queues.take(current.queue)
+        current = current._replace(
+            queue=taken.queue, running=current.running + 1, started=now
+        )
+        started.append(taken.entry)
     return Step(current, tuple(started), step.refused)
 
 
@@ -155,20 +138,12 @@
 
 def expire(admission: Admission, now: float) -> Step:
     """Drop every waiting query that can no longer be answered in time."""
-    late = [
-        entry
-        for queue in admission.queues
-        for entry in queue
-        if _is_doomed(admission, entry, now)
-    ]
+    left, late = queues.part(
+        admission.queue, lambda entry: _is_doomed(admission, entry, now)
+    )
     if not late:
         return Step(admission)
-    gone = {entry.token for entry in late}
-    queues = tuple(
-        tuple(entry for entry in queue if entry.token not in gone)
-        for queue in admission.queues
-    )
-    current = admission._replace(queues=queues)
+    current = admission._replace(queue=left)
     kind = errors.Kind.DEADLINE_UNREACHABLE
     refused = tuple(
         _refuse(entry, kind, estimate_wait(current, entry.priority))
@@ -219,10 +194,7 @@
     if admission.running < int(admission.window):
         return 0.0
     gap_s = admission.gap_s or admission.run_s / admission.window
-    ahead = sum(len(queue) for queue in admission.queues[: priority + 1])
-    own = len(admission.queues[priority])
-    turns = min(ahead + 1, (own + 1) * FLOOR_EVERY)
-    return turns * gap_s
+    return queues.count_turns(admission.queue, priority) * gap_s
 
 
 def _has_room(admission: Admission, now: float) -> bool:
@@ -244,7 +216,7 @@
     return window + (GROWTH + GROWTH_SHARE * window) / max(1.0, window)
 
 
-def _estimate_run(admission: Admission, entry: Entry) -> float:
+def _estimate_run(admission: Admission, entry: queues.Entry) -> float:
     """Estimate how long a query would run, at most half of its time.
 
     Without that bound a class whose queries once ran longer than their
@@ -258,12 +230,12 @@
     return min(likely, (entry.deadline - entry.arrived) / 2)
 
 
-def _is_doomed(admission: Admission, entry: Entry, now: float) -> bool:
+def _is_doomed(admission: Admission, entry: queues.Entry, now: float) -> bool:
     return now + _estimate_run(admission, entry) >= entry.deadline
 
 
 def _comes_too_late(
-    admission: Admission, entry: Entry, now: float, wait: float
+    admission: Admission, entry: queues.Entry, now: float, wait: float
 ) -> bool:
     allowed = (entry.deadline - entry.arrived) * QUEUE_SHARE
     waited = now - entry.arrived
@@ -272,7 +244,7 @@
     return _is_doomed(admission, entry, now + wait)
 
 
-def _refuse(entry: Entry, kind: errors.Kind, wait: float) -> Refused:
+def _refuse(entry: queues.Entry, kind: errors.Kind, wait: float) -> Refused:
     failure = errors.make_failure(
         kind, SOURCE, retry_after=max(SHORTEST_RETRY_S, wait)
     )
@@ -283,52 +255,6 @@
     return step._replace(refused=(*step.refused, refused))
 
 
-def _append(admission: Admission, entry: Entry) -> Admission:
-    queues = list(admission.queues)
-    queues[entry.priority] = (*queues[entry.priority], entry)
-    return admission._replace(queues=tuple(queues))
-
-
-def _make_room(admission: Admission, entry: Entry, wait: float) -> Step | None:
-    """Find a place, if need be by refusing the newest of a weaker class."""
-    if count_waiting(admission) < QUEUE_LENGTH:
-        return Step(admission)
-    if len(admission.queues[entry.priority]) < RESERVED:
-        return Step(admission)
-    for priority in range(PRIORITIES - 1, entry.priority, -1):
-        queue = admission.queues[priority]
-        if len(queue) > RESERVED:
-            queues = list(admission.queues)
-            queues[priority] = queue[:-1]
-            evicted = _refuse(queue[-1], errors.Kind.OVERLOADED, wait)
-            current = admission._replace(queues=tuple(queues))
-            return Step(current, refused=(evicted,))
-    return None
-
-
-def _take(admission: Admission, now: float) -> tuple[Admission, Entry]:
-    waiting = [queue for queue in admission.queues if queue]
-    chosen = waiting[0]
-    starts = admission.starts + 1
-    if starts >= FLOOR_EVERY:
-        chosen = min(waiting, key=_tell_arrival)
-        starts = 0
-    entry = chosen[0]
-    queues = list(admission.queues)
-    queues[entry.priority] = chosen[1:]
-    current = admission._replace(
-        queues=tuple(queues),
-        running=admission.running + 1,
-        started=now,
-        starts=starts,
-    )
-    return current, entry
-
-
-def _tell_arrival(queue: tuple[Entry, ...]) -> float:
-    return queue[0].arrived
-
-
 def _note_pace(
     paces: Mapping[str, Pace], class_name: str, run_s: float
 ) -> Mapping[str, Pace]:
--- a/fuchsiahaven/core/dispatch.py
+++ b/fuchsiahaven/core/dispatch.py
@@ -105,6 +105,9 @@
             return gather.retry_later(state, due, now)
         case tables.RoomDue(name):
             return scatter.serve_queue(state, name, now)
+        case tables.StartDue():
+            # Each tick starts what is due.
+            return []
         case tables.SeatsDue(name):
             return deals.settle(state, name, now)
         case tables.DealDue():
--- a/fuchsiahaven/core/submissions.py
+++ b/fuchsiahaven/core/submissions.py
@@ -10,6 +10,7 @@
     errors,
     messages,
     policies,
+    queues,
     replies,
     scatter,
     starts,
@@ -42,7 +43,7 @@
             return _admit_bounded(state, event, policy, queries, now)
         case policies.ByDeadline():
             query = event.query
-            entry = admission.Entry(
+            entry = queues.Entry(
                 event.token,
                 policy.priority,
                 query.arrived,
@@ -76,7 +77,9 @@
     if state.tables.waiting:
         for key, admitted in tuple(state.tables.admitted.items()):
             step = admission.start(admitted, now)
-            actions.extend(_take_step(state, key, step, now))
+            state.tables.admitted[key] = step.admission
+            if step.started or step.refused:
+                actions.extend(_take_step(state, key, step, now))
     return actions
 
 
@@ -197,6 +200,9 @@
         actions.append(messages.Reply(token, failure))
     for entry in step.started:
         actions.extend(_start(state, key, entry.token, now))
+    due = admission.next_start(step.admission)
+    if due is not None and due > now:
+        states.set_timer(state, due, tables.StartDue())
     return actions
 
 
--- a/fuchsiahaven/core/tables.py
+++ b/fuchsiahaven/core/tables.py
@@ -80,6 +80,10 @@
     target: str
 
 
+class StartDue(NamedTuple):
+    """Say that a query may start that was spaced out from the last."""
+
+
 class SeatsDue(NamedTuple):
     """Say that the seats at a target may grow to what was dealt."""
 
@@ -97,6 +101,7 @@
     | RetryDue
     | ProbeDue
     | RoomDue
+    | StartDue
     | SeatsDue
     | DealDue
 )
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -5,12 +5,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import admission, errors
+from fuchsiahaven.core import admission, errors, queues
 
 NOW = 100.0
 STRONGEST = 0
 WEAKEST = 3
-MOST_WAITING = admission.QUEUE_LENGTH + 4 * admission.RESERVED
+MOST_WAITING = queues.LENGTH + 4 * queues.RESERVED
 
 
 def make_busy(running: int = 8, run_s: float = 0.1) -> admission.Admission:
@@ -29,8 +29,8 @@
 
 def make_entry(
     token: int, priority: int = 1, allowed: float = 1.0, now: float = NOW
-) -> admission.Entry:
-    return admission.Entry(token, priority, now, now + allowed)
+) -> queues.Entry:
+    return queues.Entry(token, priority, now, now + allowed)
 
 
 def test_a_query_that_cannot_be_answered_in_time_is_refused_at_once() -> None:
@@ -81,7 +81,7 @@
         make_busy(), make_entry(0, WEAKEST, 60.0), NOW
     ).admission
     weak_starts: list[int] = []
-    for turn in range(3 * admission.FLOOR_EVERY):
+    for turn in range(3 * queues.FLOOR_EVERY):
         strong = make_entry(1000 + turn, STRONGEST, 60.0, NOW + turn + 0.5)
         step = admission.offer(current, strong, NOW + turn + 0.5)
         step = admission.finish(
@@ -92,12 +92,12 @@
             turn for entry in step.started if entry.priority == WEAKEST
         )
     assert weak_starts
-    assert weak_starts[0] < admission.FLOOR_EVERY
+    assert weak_starts[0] < queues.FLOOR_EVERY
 
 
 def test_a_full_queue_keeps_places_for_every_priority() -> None:
     current = make_busy(run_s=0.001)
-    for token in range(admission.QUEUE_LENGTH):
+    for token in range(queues.LENGTH):
         current = admission.offer(
             current, make_entry(token, STRONGEST), NOW
         ).admission
@@ -108,6 +108,22 @@
     assert strong.refused[0].failure.kind is errors.Kind.OVERLOADED
 
 
+def test_the_newest_of_a_weaker_class_gives_way() -> None:
+    current = make_busy(run_s=0.001)
+    for token in range(queues.LENGTH):
+        current = admission.offer(
+            current, make_entry(token, WEAKEST), NOW
+        ).admission
+    for token in range(900, 900 + queues.RESERVED):
+        current = admission.offer(
+            current, make_entry(token, STRONGEST), NOW
+        ).admission
+    step = admission.offer(current, make_entry(990, STRONGEST), NOW)
+    (refused,) = step.refused
+    assert refused.token == queues.LENGTH - 1
+    assert refused.failure.ran is errors.Ran.NO
+
+
 def test_a_class_that_once_ran_too_long_is_tried_again() -> None:
     """A bad spell does not lock a class out.
 
