Check the name of the policy where settings are read

`check` said "0 faults" of a file with `[policy] name = standrad`, and `serve` then ended with a KeyError: the reader knew one list of choices, the verbosity, and took any other for a free name. Both are read as choices now.

Red first: the test of a file with one fault of each kind, with that line added, lacked ('policy', 'name').

--- a/fuchsiahaven/operate/settings_reader.py
+++ b/fuchsiahaven/operate/settings_reader.py
@@ -2,6 +2,7 @@
 
 import configparser
 import difflib
+import enum
 import types
 import typing
 from collections.abc import Iterator, Mapping
@@ -192,7 +193,9 @@
         wanted = 'one of {0}'.format(', '.join(BOOLEANS))
         return BOOLEANS.get(text.lower(), _Rejected(wanted))
     if hint is settings.Verbosity:
-        return _convert_verbosity(text)
+        return _convert_choice(text, settings.Verbosity)
+    if hint is settings.PolicyName:
+        return _convert_choice(text, settings.PolicyName)
     if hint is addresses.Address:
         return addresses.parse(text) or _Rejected('an IP number and port')
     if hint == settings.Addresses:
@@ -216,11 +219,11 @@
     return number if bounds.low <= number <= bounds.high else rejected
 
 
-def _convert_verbosity(text: str) -> object:
+def _convert_choice(text: str, choices: type[enum.StrEnum]) -> object:
     try:
-        return settings.Verbosity(text.lower())
+        return choices(text.lower())
     except ValueError:
-        return _Rejected('one of {0}'.format(', '.join(settings.Verbosity)))
+        return _Rejected('one of {0}'.format(', '.join(choices)))
 
 
 def _convert_addresses(text: str) -> object:
--- a/tests/operate/test_settings_reader.py
+++ b/tests/operate/test_settings_reader.py
@@ -57,6 +57,8 @@
             'allow_plain = perhaps',
             '[platform]',
             'addresses = 10.0.0.1:8400, 10.0.0.2',
+            '[policy]',
+            'name = standrad',
         ),
     )
     faults = settings_reader.read_text(text).faults
@@ -72,9 +74,11 @@
         ('peers', 'address'),
         ('peers', 'allow_plain'),
         ('platform', 'addresses'),
+        ('policy', 'name'),
     }
     assert told['host', 'data_center'].endswith('data_centre')
     assert told['caller', ''].endswith('callers')
+    assert told['policy', 'name'] == 'one of standard, baseline'
     assert told['host', 'processes'] == 'a whole number from 1 to 64'
 
 
