Tell by the exit code that the history could not be read

With the platform down `history` printed the failure, an empty table and ended with 0, though its help says 3: a script took that for "no changes". Now the list shows what was had, and the code is that of the failure.

Red first: the new test got 0 where it wants 3.

--- a/fuchsiahaven/operate/command_history.py
+++ b/fuchsiahaven/operate/command_history.py
@@ -19,7 +19,8 @@
   fuchsiahaven history show 31
   fuchsiahaven history show 0193b2c4-... --json
 
-exit codes: 0 shown; 1 no such change; 3 the platform was not reached
+exit codes: 0 shown; 1 no such change, or one of the trail cannot be read;
+3 the platform was not reached
 """
 
 
@@ -58,15 +59,18 @@
 
 def _list(found: Found, last: int, *, as_json: bool) -> int:
     entries: list[audits.Entry] = []
+    code = exits.DONE
     for each in itertools.islice(found, last):
         if isinstance(each, errors.Failure):
             # What was found is shown all the same; the hole is named.
             submissions.show_failure(each, as_json=False)
+            code = submissions.choose_exit(each)
         else:
             entries.append(each)
     if as_json:
         rows = [audits.write_row(entry) for entry in entries]
-        return lookups.print_rows(rows, (), as_json=True)
+        lookups.print_rows(rows, (), as_json=True)
+        return code
     told = [
         {
             'revision': entry.revision,
@@ -77,7 +81,8 @@
         }
         for entry in entries
     ]
-    return lookups.print_rows(told, ('revision', 'time'), as_json=False)
+    lookups.print_rows(told, ('revision', 'time'), as_json=False)
+    return code
 
 
 def _show(entry: audits.Entry | errors.Failure, *, as_json: bool) -> int:
--- a/tests/operate/test_operators.py
+++ b/tests/operate/test_operators.py
@@ -306,6 +306,21 @@
     assert filled.read() == lost._replace(revision=5)
 
 
+def test_a_history_that_cannot_be_read_is_not_an_empty_one(
+    filled: World,
+) -> None:
+    """Tell by the exit code that the audit trail was not had.
+
+    Symptom: a script that looks for changes finds none and goes on. Sequence:
+    the platform is down; the history is listed. Cause: the failure is printed
+    as a hole in the list and the exit code is that of a whole list.
+    """
+    filled.platform.control({'down': True})
+    told = filled.run('history', '--timeout', '0.1')
+    assert told.code == exits.UNREACHABLE
+    assert 'platform_unavailable' in told.errors
+
+
 @pytest.mark.parametrize('name', ['santiago', 'ishikari'])
 def test_the_examples_are_applied_whole_and_then_change_nothing(
     world: World, name: str
