Work out the size aimed at from measured slopes

Cause: the users ask for a page that says, for each role, what it holds and costs at 3,100 nodes, and what does not fit.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-from bench import footprint, records, runs, scenarios, worlds
+from bench import capacity, footprint, records, runs, scenarios, worlds
 from standins import layouts
 
 EXAMPLES = """examples:
@@ -25,6 +25,9 @@
     if options.command == 'footprint':
         footprint.main(print)
         return 0
+    if options.command == 'capacity':
+        capacity.main(print)
+        return 0
     turns = _run(options)
     lines = records.compare(turns)
     lines.extend(
@@ -77,6 +80,7 @@
     )
     commands = parser.add_subparsers(dest='command', required=True)
     commands.add_parser('list', help='list the scenarios')
+    commands.add_parser('capacity', help='work out the size aimed at')
     commands.add_parser('footprint', help="measure a host's decisions")
     run = commands.add_parser('run', help='run one scenario')
     run.add_argument('scenario', choices=tuple(scenarios.SCENARIOS))
