Share what the operators' commands have in common

Cause: three commands declared and ran `list`, `show` and `delete` in the same lines, and two read the whole manifest in the same lines (found by a search for lines that stand twice). The stand-ins' at-most-once classes carried a hedge share that `class set` refuses.

Change: operate/verbs.py declares and runs what the three share; lookups.show_manifest serves `plan` too; the stand-ins' classes claim without a hedge share. No behaviour of a command changes but the words of its help.

The tests of the commands pass unchanged.

--- a/fuchsiahaven/operate/command_class.py
+++ b/fuchsiahaven/operate/command_class.py
@@ -5,8 +5,7 @@
 from typing import Final
 
 from fuchsiahaven.core import changes, configurations, trees
-from fuchsiahaven.operate import connections, exits, lookups, submissions
-from fuchsiahaven.operate import words
+from fuchsiahaven.operate import exits, lookups, submissions, verbs, words
 
 EPILOG: Final = f"""examples:
   fuchsiahaven class set price-check deadline_ms=800 needs=partial
@@ -21,33 +20,22 @@
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Declare the arguments of the command."""
-    parser.epilog = EPILOG
-    verbs = parser.add_subparsers(dest='verb', required=True, metavar='verb')
-    connections.add_arguments(verbs.add_parser('list', help='list them all'))
-    showing = verbs.add_parser('show', help='show one')
-    showing.add_argument('name')
-    connections.add_arguments(showing)
-    setting = verbs.add_parser('set', help='create one, or set some fields')
-    setting.add_argument('name')
+    found = verbs.add_reading(parser, EPILOG)
+    setting = verbs.add_change(found, 'set', 'create one, or set some fields')
     setting.add_argument(
         'fields', nargs='+', type=words.split_pair, metavar='FIELD=VALUE'
     )
-    submissions.add_arguments(setting)
-    deleting = verbs.add_parser('delete', help='delete one')
-    deleting.add_argument('name')
-    submissions.add_arguments(deleting)
+    verbs.add_change(found, 'delete', 'delete one')
 
 
 def run(arguments: argparse.Namespace) -> int:
     """Run the verb."""
-    match arguments.verb:
-        case 'list':
-            return lookups.show(arguments, lambda it: _list(arguments, it))
-        case 'show':
-            return lookups.show(arguments, lambda it: _show(arguments, it))
-        case 'delete':
-            change: changes.Change = changes.DeleteClass(arguments.name)
-            return submissions.submit(arguments, change)
+    read = verbs.read(arguments, _list, _show)
+    if read is not None:
+        return read
+    if arguments.verb == 'delete':
+        deleting = changes.DeleteClass(arguments.name)
+        return submissions.submit(arguments, deleting)
     try:
         fields = words.read_fields(arguments.fields, words.POLICY)
     except argparse.ArgumentTypeError as error:
--- a/fuchsiahaven/operate/command_group.py
+++ b/fuchsiahaven/operate/command_group.py
@@ -4,20 +4,18 @@
 import collections
 import sys
 from collections.abc import Iterator
-from typing import Final, TypeAlias
+from typing import Final
 
 from fuchsiahaven.core import changes, configurations
 from fuchsiahaven.operate import (
-    connections,
     exits,
     lookups,
     submissions,
     tables,
+    verbs,
     words,
 )
 
-Verbs: TypeAlias = 'argparse._SubParsersAction[argparse.ArgumentParser]'
-
 EPILOG: Final = f"""examples:
   fuchsiahaven group list
   fuchsiahaven group create catalogo --label kind=catalogue --slots 2 \\
@@ -31,27 +29,22 @@
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Declare the arguments of the command."""
-    parser.epilog = EPILOG
-    verbs = parser.add_subparsers(dest='verb', required=True, metavar='verb')
-    connections.add_arguments(verbs.add_parser('list', help='list all groups'))
-    showing = verbs.add_parser('show', help='show one group whole')
-    showing.add_argument('name')
-    connections.add_arguments(showing)
-    _add_create(verbs.add_parser('create', help='create a group'))
-    labelling = _add_change(verbs, 'label', 'set and remove labels')
+    found = verbs.add_reading(parser, EPILOG)
+    _add_create(verbs.add_change(found, 'create', 'create a group'))
+    labelling = verbs.add_change(found, 'label', 'set and remove labels')
     labelling.add_argument('labels', nargs='+', metavar='KEY=VALUE|KEY-')
-    setting = _add_change(verbs, 'set', 'set slots, connections, connect_ms')
+    setting = verbs.add_change(
+        found, 'set', 'set slots, connections, connect_ms'
+    )
     setting.add_argument('fields', nargs='+', type=words.split_pair)
-    _add_change(verbs, 'delete', 'delete a group with its targets')
+    verbs.add_change(found, 'delete', 'delete a group with its targets')
 
 
 def run(arguments: argparse.Namespace) -> int:
     """Run the verb."""
-    match arguments.verb:
-        case 'list':
-            return lookups.show(arguments, lambda it: _list(arguments, it))
-        case 'show':
-            return lookups.show(arguments, lambda it: _show(arguments, it))
+    read = verbs.read(arguments, _list, _show)
+    if read is not None:
+        return read
     try:
         change = _build_change(arguments)
     except argparse.ArgumentTypeError as error:
@@ -60,16 +53,7 @@
     return submissions.submit(arguments, change)
 
 
-def _add_change(verbs: Verbs, verb: str, text: str) -> argparse.ArgumentParser:
-    parser = verbs.add_parser(verb, help=text)
-    parser.add_argument('name')
-    submissions.add_arguments(parser)
-    return parser
-
-
 def _add_create(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument('name')
-    submissions.add_arguments(parser)
     parser.add_argument(
         '--label',
         type=words.split_pair,
--- a/fuchsiahaven/operate/command_plan.py
+++ b/fuchsiahaven/operate/command_plan.py
@@ -1,7 +1,6 @@
 """Show what a whole description would change, without changing anything."""
 
 import argparse
-import contextlib
 import json
 import sys
 import time
@@ -9,8 +8,8 @@
 from typing import Final
 
 from fuchsiahaven.core import changes, errors, manifests, proposals
-from fuchsiahaven.edge import editor
-from fuchsiahaven.operate import connections, descriptions, exits, submissions
+from fuchsiahaven.operate import descriptions, exits, lookups
+from fuchsiahaven.operate import submissions
 
 EPILOG: Final = """examples:
   fuchsiahaven plan santiago.ini
@@ -54,16 +53,9 @@
 
 def show_plan(arguments: argparse.Namespace, change: changes.Change) -> int:
     """Print what a change would do to what the platform has now."""
-    with contextlib.ExitStack() as stack:
-        place = connections.find_place(arguments)
-        if place is None:
-            return exits.USAGE
-        platform = connections.open_store(place, stack)
-        loaded = editor.read_configuration(platform, place.patience)
-    if isinstance(loaded, errors.Failure):
-        submissions.show_failure(loaded, as_json=arguments.json)
-        return submissions.choose_exit(loaded)
-    return _print(arguments, loaded.manifest, change)
+    return lookups.show_manifest(
+        arguments, lambda it: _print(arguments, it, change)
+    )
 
 
 def _print(
--- a/fuchsiahaven/operate/command_selector.py
+++ b/fuchsiahaven/operate/command_selector.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from fuchsiahaven.core import changes, configurations, selectors
-from fuchsiahaven.operate import connections, lookups, submissions, words
+from fuchsiahaven.operate import lookups, submissions, verbs, words
 
 EPILOG: Final = f"""examples:
   fuchsiahaven selector set price-check --class price-check \\
@@ -17,15 +17,8 @@
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Declare the arguments of the command."""
-    parser.epilog = EPILOG
-    verbs = parser.add_subparsers(dest='verb', required=True, metavar='verb')
-    listing = verbs.add_parser('list', help='list all selectors')
-    connections.add_arguments(listing)
-    showing = verbs.add_parser('show', help='show one, with what it reaches')
-    showing.add_argument('name')
-    connections.add_arguments(showing)
-    setting = verbs.add_parser('set', help='create one, or set some fields')
-    setting.add_argument('name')
+    found = verbs.add_reading(parser, EPILOG)
+    setting = verbs.add_change(found, 'set', 'create one, or set some fields')
     setting.add_argument('--class', dest='request_class', metavar='CLASS')
     setting.add_argument('--expression', help='over labels of groups')
     setting.add_argument(
@@ -34,22 +27,17 @@
         metavar='A,B',
         help='others that may serve when the own one cannot; empty for none',
     )
-    submissions.add_arguments(setting)
-    deleting = verbs.add_parser('delete', help='delete one')
-    deleting.add_argument('name')
-    submissions.add_arguments(deleting)
+    verbs.add_change(found, 'delete', 'delete one')
 
 
 def run(arguments: argparse.Namespace) -> int:
     """Run the verb."""
-    match arguments.verb:
-        case 'list':
-            return lookups.show(arguments, lambda it: _list(arguments, it))
-        case 'show':
-            return lookups.show(arguments, lambda it: _show(arguments, it))
-        case 'delete':
-            change: changes.Change = changes.DeleteSelector(arguments.name)
-            return submissions.submit(arguments, change)
+    read = verbs.read(arguments, _list, _show)
+    if read is not None:
+        return read
+    if arguments.verb == 'delete':
+        deleting = changes.DeleteSelector(arguments.name)
+        return submissions.submit(arguments, deleting)
     centres = arguments.data_centres
     fields = {
         'class': arguments.request_class,
--- a/fuchsiahaven/operate/lookups.py
+++ b/fuchsiahaven/operate/lookups.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
-from fuchsiahaven.core import audits, configurations, errors, readings
+from fuchsiahaven.core import (
+    audits,
+    configurations,
+    errors,
+    manifests,
+    readings,
+)
 from fuchsiahaven.edge import editor, store
 from fuchsiahaven.operate import connections, exits, submissions, tables
 
@@ -14,10 +20,16 @@
 MAX_LOOKED: Final = 2000
 
 Show = Callable[[configurations.Configuration], int]
+ShowManifest = Callable[[manifests.Manifest], int]
 
 
 def show(arguments: argparse.Namespace, print_it: Show) -> int:
     """Read the configuration and show some of it."""
+    return show_manifest(arguments, lambda it: print_it(it.configuration))
+
+
+def show_manifest(arguments: argparse.Namespace, print_it: ShowManifest) -> int:
+    """Read the manifest with all its parts and show some of it."""
     with contextlib.ExitStack() as stack:
         place = connections.find_place(arguments)
         if place is None:
@@ -27,7 +39,7 @@
     if isinstance(loaded, errors.Failure):
         submissions.show_failure(loaded, as_json=arguments.json)
         return submissions.choose_exit(loaded)
-    return print_it(loaded.manifest.configuration)
+    return print_it(loaded.manifest)
 
 
 def print_rows(
--- a/standins/layouts.py
+++ b/standins/layouts.py
@@ -23,6 +23,11 @@
 KEYED: Final = configurations.FanOut.KEYED
 
 
+def _claim(name: str) -> configurations.RequestClass:
+    # What runs at most once has nothing to hedge, and `class set` says so.
+    return RequestClass(name, 800, COMPLETE, AT_MOST_ONCE, KEYED, hedge_share=0)
+
+
 class Service(NamedTuple):
     """Hold the sizes of one service in one data centre."""
 
@@ -65,13 +70,11 @@
         ('kind=catalogue', RequestClass('quick-lookup', 300, priority=0)),
         (
             'kind=alerts',
-            RequestClass('listing-inquiry', 800, COMPLETE, AT_MOST_ONCE, KEYED),
+            _claim('listing-inquiry'),
         ),
         (
             'kind=catalogue',
-            RequestClass(
-                'reservation-lookup', 800, COMPLETE, AT_MOST_ONCE, KEYED
-            ),
+            _claim('reservation-lookup'),
         ),
     ),
     'ishikari': (
@@ -82,7 +85,7 @@
         ),
         (
             'kind=refunds',
-            RequestClass('refund', 800, COMPLETE, AT_MOST_ONCE, KEYED),
+            _claim('refund'),
         ),
         (
             'kind=bundles',
