Take out settings and metrics that nothing reads or counts

Cause: a walk through the operators' page against the built file found three settings without effect (`queue_length`, `queries_in_flight`, `probe_interval_ms`) and three metrics that stay at 0 (`control_bytes`, `platform_calls`, `platform_faults`). Who sets or watches them is misled.

Ruled out: serving them now. Admission finds its bounds itself, the time between probes is part of the promise for leaving targets, and the control traffic has to be counted where sockets are, which is a change of its own.

Counting control traffic is left to do.

--- a/fuchsiahaven/operate/metrics.py
+++ b/fuchsiahaven/operate/metrics.py
@@ -56,26 +56,6 @@
     MISMATCHED = 'mismatched'
 
 
-class Control(enum.StrEnum):
-    """List the kinds of control traffic."""
-
-    GOSSIP = 'gossip'
-    CONFIGURATION = 'configuration'
-    CLAIMS = 'claims'
-    PROBES = 'probes'
-    PLATFORM = 'platform'
-
-
-class PlatformCall(enum.StrEnum):
-    """List the calls to the platform's service, each counted by it."""
-
-    READ = 'read'
-    WRITE = 'write'
-    WATCH = 'watch'
-    LEASE = 'lease'
-    HOSTS = 'hosts'
-
-
 Counters = Mapping[Named, prometheus_client.Counter]
 
 
@@ -97,9 +77,6 @@
     slots_in_use: prometheus_client.Gauge
     queued: prometheus_client.Gauge
     revision: prometheus_client.Gauge
-    control_bytes: Counters[Control]
-    platform_calls: Counters[PlatformCall]
-    platform_faults: Counters[PlatformCall]
 
 
 def build_metrics() -> Metrics:
@@ -136,14 +113,6 @@
         ),
         queued=_gauge(registry, 'queued', 'Queries that wait to start.'),
         revision=_gauge(registry, 'revision', 'Configuration in force.'),
-        control_bytes=_count(registry, 'control_bytes', 'kind', Control),
-        platform_calls=_count(registry, 'platform_calls', 'call', PlatformCall),
-        platform_faults=_count(
-            registry,
-            'platform_faults',
-            'call',
-            PlatformCall,
-        ),
     )
 
 
--- a/fuchsiahaven/operate/settings.py
+++ b/fuchsiahaven/operate/settings.py
@@ -109,7 +109,6 @@
     """Bound the exchange with targets."""
 
     connect_timeout_ms: Milliseconds = 500
-    probe_interval_ms: Milliseconds = 1000
     probe_timeout_ms: Milliseconds = 500
     answer_bytes: Bytes = 1024 * 1024
     tls_certificate: Path | None = None
@@ -124,8 +123,6 @@
     gives what runs at most `drain_s`.
     """
 
-    queue_length: Count = 256
-    queries_in_flight: Count = 64
     balancer_lag_s: Seconds = 5.0
     drain_s: Seconds = 30.0
 
