--- a/bench/claims.py
+++ b/bench/claims.py
@@ -51,10 +51,13 @@
         _control(url, slow_s=options.slow_ms / 1000)
         crowd = Crowd(_start_hosts(url, options, stack))
         before = _control(url)['calls']
+        used_s = time.process_time()
         crowd.arrive(options.rate, options.seconds)
+        used_s = time.process_time() - used_s
         after = _control(url)['calls']
     calls = {name: after[name] - before.get(name, 0) for name in after}
-    print(json.dumps({**vars(options), **crowd.summarise(), 'calls': calls}))
+    figures = {**crowd.summarise(), 'calls': calls, 'cpu_s': round(used_s, 2)}
+    print(json.dumps({**vars(options), **figures}))
 
 
 def _start_platform(stack: contextlib.ExitStack) -> str:
