Read a contended claims key right before it is written

Cause: where several hosts write one key (several data centres, or members that cannot be asked), each read it, waited for its budget of writes, and wrote at a revision that had passed: claims timed out with nothing down. Change: after a conflict a key is read anew before its next eight writes, and after each wait for the budget. Red first: test_a_contended_key_is_read_right_before_its_write fails without the change.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -45,9 +45,10 @@
     parser.add_argument('--hosts', type=int, default=6)
     parser.add_argument('--slow-ms', type=float, default=2)
     parser.add_argument('--alone', action='store_true', help='no members')
+    parser.add_argument('--platform', help='an URL, in place of our own')
     options = parser.parse_args()
     with contextlib.ExitStack() as stack:
-        url = _start_platform(stack)
+        url = options.platform or _start_platform(stack)
         _control(url, slow_s=options.slow_ms / 1000)
         crowd = Crowd(_start_hosts(url, options, stack))
         before = _control(url)['calls']
--- a/fuchsiahaven/core/commits.py
+++ b/fuchsiahaven/core/commits.py
@@ -16,6 +16,8 @@
 from fuchsiahaven.core import claim_calls, claims, messages
 
 BATCH_LIMIT: Final = 2000
+# For so many writes after a conflict others are taken to write the key too.
+CONTENDED: Final = 8
 
 
 class Known(NamedTuple):
@@ -30,7 +32,8 @@
 
     `fresh` tells that `known` was read after the steps in flight arrived;
     `seen` is what the key held when it was last known;
-    `doubtful` is the revision at which a write without an answer was made.
+    `doubtful` is the revision at which a write without an answer was made;
+    `contended` counts the writes for which others may write the key as well.
     """
 
     key: str
@@ -41,6 +44,7 @@
     fresh: bool = False
     forward: bool = False
     doubtful: int | None = None
+    contended: int = 0
     applied: claims.Applied | None = None
 
 
@@ -94,6 +98,17 @@
     return min((one.hurry for one in commit.queued), default=math.inf)
 
 
+def delay(commit: Commit) -> Commit:
+    """Take note that the next write comes later than the last read.
+
+    Where other hosts write the key as well, a write at the revision of then
+    is lost, and the turn with it: every host would read, wait for its budget
+    of writes, and come too late, again and again, until claims time out
+    although nothing is down. Such a key is read right before each write.
+    """
+    return commit._replace(known=None) if commit.contended else commit
+
+
 def note_result(
     commit: Commit, result: claim_calls.Result, now: float
 ) -> tuple[Commit, claim_calls.Settlements]:
@@ -111,9 +126,11 @@
         case claim_calls.Written():
             assert commit.applied is not None
             known = Known(commit.applied.ledger, result.revision)
-            return _settle_all(commit, known)
+            commit, settled = _settle_all(commit, known)
+            left = max(0, commit.contended - 1)
+            return delay(commit)._replace(contended=left), settled
         case claim_calls.Conflict():
-            return commit._replace(known=None), ()
+            return commit._replace(known=None, contended=CONTENDED), ()
         case claim_calls.Failed():
             return _give_up(commit, result.detail, now)
         case claim_calls.Distrusted():
--- a/fuchsiahaven/edge/claim_workers.py
+++ b/fuchsiahaven/edge/claim_workers.py
@@ -174,6 +174,7 @@
         except store.StoreOverBudget as refusal:
             # The steps wait, and so more of them go together in one write.
             self._hold_until = now + refusal.retry_after
+            self._commits[key] = commits.delay(commit)
             return
         step = commits.note_result(commit, result, self._clock())
         self._settle(key, step)
--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -166,3 +166,21 @@
     _, call, settled = commits.next_call(commit, 0, forward=False)
     assert call == claim_calls.Read('k')
     assert settled == ()
+
+
+def test_a_contended_key_is_read_right_before_its_write() -> None:
+    """Read a key anew where the write had to wait and others write it too.
+
+    Symptom: claims time out although nothing is down. Sequence: several
+    hosts read a key, wait for their budget of writes, and write at a
+    revision that has passed; then again. Cause: the wait lay between the
+    read and the write.
+    """
+    commit, _ = commits.note_result(fly(FIRST), claim_calls.Conflict(), 0)
+    commit, _, _ = commits.next_call(commit, 0, forward=False)
+    commit, _ = commits.note_result(commit, claim_calls.Found(None, 0), 0)
+    commit, call, _ = commits.next_call(commit, 0, forward=False)
+    assert isinstance(call, claim_calls.Swap)
+    commit, call, _ = commits.next_call(commits.delay(commit), 0, forward=False)
+    assert call == claim_calls.Read('k')
+    assert commits.delay(fly(FIRST)).known is not None
