--- a/bench/claims.py
+++ b/bench/claims.py
@@ -45,12 +45,13 @@
     parser.add_argument('--hosts', type=int, default=6)
     parser.add_argument('--slow-ms', type=float, default=2)
     parser.add_argument('--alone', action='store_true', help='no members')
+    parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--platform', help='an URL, in place of our own')
     options = parser.parse_args()
     with contextlib.ExitStack() as stack:
         url = options.platform or _start_platform(stack)
         _control(url, slow_s=options.slow_ms / 1000)
-        crowd = Crowd(_start_hosts(url, options, stack))
+        crowd = Crowd(_start_hosts(url, options, stack), options.seed)
         before = _control(url)['calls']
         used_s = time.process_time()
         crowd.arrive(options.rate, options.seconds)
@@ -104,13 +105,13 @@
 class Crowd:
     """Own the claims of one run."""
 
-    def __init__(self, hosts: list[Host]) -> None:
+    def __init__(self, hosts: list[Host], seed: int) -> None:
         """Start with nothing asked."""
         self._hosts = hosts
         self._asked: list[float] = []
         self._took: list[float] = []
         self._results: collections.Counter[str] = collections.Counter()
-        self._draws = random.Random(1)
+        self._draws = random.Random(seed)
 
     def arrive(self, rate: float, seconds: float) -> None:
         """Ask `rate` claims a second and wait for all answers."""
