--- a/fuchsiahaven/operate/command_serve.py
+++ b/fuchsiahaven/operate/command_serve.py
@@ -4,24 +4,39 @@
 import sys
 from pathlib import Path
 
-from fuchsiahaven.operate import exits, settings_reader
+from fuchsiahaven.operate import exits
 
 EPILOG = """examples:
   fuchsiahaven serve --settings host.ini
+  fuchsiahaven serve --platform
 """
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Declare the arguments of the command."""
     parser.epilog = EPILOG
-    parser.add_argument(
-        '--settings', type=Path, required=True, help='the settings file (INI)'
+    where = parser.add_mutually_exclusive_group(required=True)
+    where.add_argument('--settings', type=Path, help='the settings file (INI)')
+    where.add_argument(
+        '--platform',
+        action='store_true',
+        help='run on the platform, with the settings file that it names',
     )
 
 
 def run(arguments: argparse.Namespace) -> int:
     """Read the settings and serve."""
-    reading = settings_reader.read_file(arguments.settings)
+    if arguments.platform:
+        from fuchsiahaven.relay import process
+
+        return process.serve()
+    return _serve_settings(arguments.settings)
+
+
+def _serve_settings(path: Path) -> int:
+    from fuchsiahaven.operate import settings_reader
+
+    reading = settings_reader.read_file(path)
     if reading.settings is None:
         for fault in reading.faults:
             print(settings_reader.describe(fault), file=sys.stderr)
--- /dev/null
+++ b/fuchsiahaven/platform/exchanges.py
@@ -0,0 +1,193 @@
+"""Translate between HTTP messages and the events of the decisions."""
+
+import math
+from collections.abc import Iterable, Mapping
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import errors, messages
+from fuchsiahaven.platform import headers
+from fuchsiahaven.routing import events
+
+MILLISECONDS: Final = 1000
+#: What a caller waits that does not say; as long as most routes allow.
+USUAL_DEADLINE_S: Final = 2.0
+SUCCESS: Final = range(200, 300)
+#: Statuses that promise that a request has not run and will not.
+PROMISES: Final = frozenset((408, 421, 429, 503))
+MISDIRECTED: Final = 421
+LOAD_FIGURES: Final = 3
+
+#: Fields that concern one connection only, or that are written anew here.
+_OWN: Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+_SET: Final = _OWN | {headers.DEADLINE, headers.INSTANCE}
+#: Fields of a target's answer that speak to this host and not to callers.
+_HIDDEN: Final = _OWN | {headers.LOAD, headers.RETRY_AFTER, 'date', 'server'}
+
+RawFields = Iterable[tuple[bytes, bytes]]
+
+
+class Message(NamedTuple):
+    """Hold a whole HTTP message that was received; names are lower case."""
+
+    first: str
+    status: int
+    fields: events.Fields
+    body: bytes
+    method: str = ''
+
+
+class Written(NamedTuple):
+    """Hold an HTTP answer to be sent."""
+
+    status: int
+    fields: events.Fields
+    body: bytes
+
+
+def read_fields(raw: RawFields) -> events.Fields:
+    """Read header fields as text; any byte is kept as it came."""
+    return tuple(
+        (name.decode('latin-1').lower(), told.decode('latin-1'))
+        for name, told in raw
+    )
+
+
+def read_request(message: Message, now: float) -> events.Request:
+    """Read the request of a caller."""
+    fields = dict(message.fields)
+    host = fields.get('host', '').partition(':')[0].lower()
+    passed = _list_passed(message.fields, fields, _SET)
+    return events.Request(
+        fields.get(headers.REQUEST_ID, ''),
+        message.method,
+        message.first,
+        host,
+        passed,
+        message.body,
+        now,
+        now + _read_wait(fields.get(headers.DEADLINE)),
+    )
+
+
+def write_request(send: events.Send, now: float) -> events.Fields:
+    """Write the header fields of a request to a target."""
+    request = send.request
+    left = max(1, int((min(send.ends, request.deadline) - now) * MILLISECONDS))
+    return (
+        *request.fields,
+        (headers.DEADLINE, str(left)),
+        (headers.INSTANCE, send.instance.name),
+        *_write_length(request),
+    )
+
+
+def is_answer_to(message: Message, request: events.Request) -> bool:
+    """Tell whether a target's answer belongs to a request."""
+    told = dict(message.fields).get(headers.REQUEST_ID)
+    return told == request.request_id
+
+
+def read_answer(
+    send: events.Send, message: Message
+) -> events.Answered | events.Refused | events.Broken:
+    """Read what a target answered."""
+    fields = dict(message.fields)
+    load = _read_load(fields.get(headers.LOAD))
+    if message.status == MISDIRECTED:
+        return events.Refused(send.key, messages.RefusalReason.LEAVING, load)
+    if headers.NOT_RUN in fields:
+        return events.Refused(send.key, messages.RefusalReason.SHED, load)
+    signature = fields.get(headers.SIGNATURE, '')
+    if not signature or 'content-encoding' in fields:
+        # Without the signature a success is not the target's own word.
+        return events.Broken(send.key, messages.Fault.MALFORMED)
+    if message.status in PROMISES:
+        # It promises what the target has not said: that it did not run.
+        return events.Broken(send.key, messages.Fault.MALFORMED)
+    passed = _list_passed(message.fields, fields, _HIDDEN)
+    return events.Answered(
+        send.key,
+        events.Answer(message.status, passed, signature, message.body, load),
+    )
+
+
+def write_outcome(outcome: events.Outcome) -> Written:
+    """Write what a caller is told."""
+    match outcome:
+        case events.Relayed(answer):
+            return Written(answer.status, answer.fields, answer.body)
+        case events.Merged(signatures, missing, body):
+            return Written(
+                HTTPStatus.OK,
+                (
+                    ('content-type', 'application/octet-stream'),
+                    (headers.PARTS, ', '.join(signatures)),
+                    (headers.MISSING, str(missing)),
+                ),
+                body,
+            )
+        case errors.Failure():
+            return write_failure(outcome)
+
+
+def write_failure(failure: errors.Failure) -> Written:
+    """Write a failure; a status that promises is used only if it is true."""
+    row = errors.TABLE[failure.kind]
+    status = row.status
+    if status in PROMISES and failure.ran is not errors.Ran.NO:
+        status = HTTPStatus.BAD_GATEWAY
+    if status == HTTPStatus.GATEWAY_TIMEOUT and failure.ran is errors.Ran.NO:
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+    fields = [('content-type', 'text/plain')]
+    if failure.retry_after is not None:
+        fields.append((headers.RETRY_AFTER, f'{failure.retry_after:g}'))
+    text = f'{failure.kind.value}: {row.text}; ran={failure.ran.value}\n'
+    return Written(status, tuple(fields), text.encode())
+
+
+def _list_passed(
+    fields: events.Fields, by_name: Mapping[str, str], kept: frozenset[str]
+) -> events.Fields:
+    named = by_name.get('connection', '').lower()
+    if named:
+        kept |= {name.strip() for name in named.split(',')}
+    return tuple(field for field in fields if field[0] not in kept)
+
+
+def _write_length(request: events.Request) -> events.Fields:
+    if not request.body and request.method in {'GET', 'HEAD', 'DELETE'}:
+        return ()
+    return (('content-length', str(len(request.body))),)
+
+
+def _read_wait(told: str | None) -> float:
+    try:
+        wait = float(told or '') / MILLISECONDS
+    except ValueError:
+        return USUAL_DEADLINE_S
+    return wait if math.isfinite(wait) else USUAL_DEADLINE_S
+
+
+def _read_load(told: str | None) -> messages.Load | None:
+    figures = (told or '').split(',')
+    if len(figures) < LOAD_FIGURES:
+        return None
+    try:
+        return messages.Load(*[int(it) for it in figures[:LOAD_FIGURES]])
+    except ValueError:
+        return None
--- /dev/null
+++ b/fuchsiahaven/platform/settings.py
@@ -0,0 +1,114 @@
+"""Read the settings file that the platform gives each process."""
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from fuchsiahaven.routing import places
+
+VARIABLE: Final = 'FUCHSIAHAVEN_SETTINGS'
+MILLISECONDS: Final = 1000
+#: Names that every settings file has.
+REQUIRED: Final = (
+    'node',
+    'zone',
+    'ip',
+    'listen.front',
+    'listen.ready',
+    'internal_ports',
+    'platform.address',
+    'bounds.retry_budget_ratio',
+    'bounds.retry_slack',
+    'bounds.retry_window_s',
+    'bounds.grace_s',
+    'heartbeat_ms',
+)
+
+
+class Fault(NamedTuple):
+    """Say what is wrong with one line of a settings file."""
+
+    name: str
+    text: str
+
+
+class Reading(NamedTuple):
+    """Return the settings, or every fault that was found."""
+
+    settings: places.Settings | None
+    faults: tuple[Fault, ...]
+
+
+def find_path() -> Path | None:
+    """Find the settings file that the environment names."""
+    named = os.environ.get(VARIABLE)
+    return Path(named) if named else None
+
+
+def read_file(path: Path) -> Reading:
+    """Read a settings file."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        return Reading(None, (Fault(str(path), str(error)),))
+    return read_text(text)
+
+
+def read_text(text: str) -> Reading:
+    """Read the lines `a.b=value`; names that are not known are ignored."""
+    lines = dict(
+        line.strip().split('=', 1) for line in text.splitlines() if '=' in line
+    )
+    faults = [
+        Fault(name, 'is missing') for name in REQUIRED if not lines.get(name)
+    ]
+    if faults:
+        return Reading(None, tuple(faults))
+    numbers = _read_numbers(lines, faults)
+    if faults:
+        return Reading(None, tuple(faults))
+    return Reading(_build(lines, numbers), ())
+
+
+def _read_numbers(
+    lines: Mapping[str, str], faults: list[Fault]
+) -> dict[str, float]:
+    numbers = {}
+    for name in REQUIRED:
+        if not name.startswith('bounds.') and name != 'heartbeat_ms':
+            continue
+        try:
+            numbers[name] = float(lines[name])
+        except ValueError:
+            faults.append(Fault(name, f'{lines[name]!r} is not a number'))
+    return numbers
+
+
+def _build(
+    lines: Mapping[str, str], numbers: Mapping[str, float]
+) -> places.Settings:
+    ports = lines['internal_ports'].split(',')
+    # Other hosts are told the seeds' addresses, so the port that the seeds
+    # name is the one where this host answers other hosts.
+    peers = lines.get('listen.control') or f'{lines["ip"]}:{ports[0]}'
+    return places.Settings(
+        places.Host(lines['node'], peers, lines['zone']),
+        tuple(
+            name.partition('.')[2]
+            for name in lines
+            if name.startswith('zones.')
+        ),
+        lines['listen.front'],
+        lines['listen.ready'],
+        f'{lines["ip"]}:{ports[-1]}',
+        tuple(seed for seed in lines.get('seeds', '').split(',') if seed),
+        lines['platform.address'],
+        places.ExtraLoad(
+            numbers['bounds.retry_budget_ratio'],
+            numbers['bounds.retry_slack'],
+            numbers['bounds.retry_window_s'],
+        ),
+        numbers['heartbeat_ms'] / MILLISECONDS,
+        numbers['bounds.grace_s'],
+    )
--- /dev/null
+++ b/fuchsiahaven/platform/store.py
@@ -0,0 +1,107 @@
+"""Write the calls to the platform's metadata store and read its answers."""
+
+import json
+import urllib.parse
+from collections.abc import Callable, Mapping
+from typing import Any, Final, NamedTuple
+
+from fuchsiahaven.platform import records
+from fuchsiahaven.routing import facts, places
+
+OK: Final = 200
+NOT_FOUND: Final = 404
+CONFLICT: Final = 412
+MILLISECONDS: Final = 1000
+
+#: Decodes a value, or returns it as decoded before.
+Decode = Callable[[facts.Key, int, str], facts.Value | None]
+
+
+class Call(NamedTuple):
+    """Hold one call: method, path with its query, and the body to send."""
+
+    method: str
+    target: str
+    body: bytes = b''
+
+
+class Page(NamedTuple):
+    """Hold one page of a listing.
+
+    `revision` is the store's when the page was read; `after` is where the
+    next page begins, or None after the last.
+    """
+
+    revision: int
+    items: tuple[facts.Fact, ...]
+    after: str | None
+
+
+def list_everything(after: str | None) -> Call:
+    """Ask for a page of everything that the store holds."""
+    query = {'prefix': ''}
+    if after is not None:
+        query['after'] = after
+    return Call('GET', f'/kv-range?{urllib.parse.urlencode(query)}')
+
+
+def read_page(body: bytes, decode: Decode) -> Page:
+    """Read a page; raises records.Malformed."""
+    try:
+        read = json.loads(body)
+        rows = read['items']
+        found = [_read_item(row, decode) for row in rows]
+        after = rows[-1]['key'] if read['has_more'] and rows else None
+        return Page(
+            int(read['store_revision']),
+            tuple(fact for fact in found if fact is not None),
+            after,
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise records.Malformed(repr(error)) from error
+
+
+def open_lease(seconds: float) -> Call:
+    """Ask for a lease."""
+    body = json.dumps({'ttl_ms': int(seconds * MILLISECONDS)})
+    return Call('POST', '/kv-lease', body.encode())
+
+
+def read_lease(body: bytes) -> int:
+    """Read the number of a lease; raises records.Malformed."""
+    try:
+        return int(json.loads(body)['lease'])
+    except (ValueError, KeyError, TypeError) as error:
+        raise records.Malformed(repr(error)) from error
+
+
+def renew_lease(lease: int) -> Call:
+    """Ask for a lease to last on."""
+    return Call('POST', f'/kv-keep/{lease}', b'{}')
+
+
+def enter_host(host: places.Host, lease: int) -> Call:
+    """Ask for the entry by which other hosts find this one."""
+    key, encoded = records.write_host(host)
+    put = {'key': key, 'value': encoded, 'lease': lease}
+    body: Mapping[str, Any] = {
+        # Under no condition: the entry is this host's alone.
+        'expected_rev': [],
+        'puts': [put],
+        'remove': [],
+    }
+    return Call('POST', '/kv-txn', json.dumps(body).encode())
+
+
+def end_lease(lease: int) -> Call:
+    """Ask for a lease and its keys to go."""
+    return Call('DELETE', f'/kv-lease-end/{lease}')
+
+
+def _read_item(row: Mapping[str, Any], decode: Decode) -> facts.Fact | None:
+    key = records.name_key(row['key'])
+    if key is None:
+        return None
+    revision = int(row['revision'])
+    found = decode(key, revision, row['value'])
+    return None if found is None else facts.Fact(key, revision, found)
--- /dev/null
+++ b/fuchsiahaven/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Carry requests between callers and targets, and news between hosts."""
--- /dev/null
+++ b/fuchsiahaven/relay/calls.py
@@ -0,0 +1,93 @@
+"""Call the store and other hosts, one call at a time on each connection."""
+
+import asyncio
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import messages
+from fuchsiahaven.platform import exchanges, store
+from fuchsiahaven.relay import links
+
+
+class CallFailed(Exception):
+    """Report that a call brought no answer, and whether it may have run."""
+
+
+class Done(NamedTuple):
+    """Hold the answer to a call."""
+
+    status: int
+    body: bytes
+
+
+IDLE_AGAIN: Final = 2
+
+
+class Client:
+    """Own a connection to one address, opened when it is needed."""
+
+    def __init__(self, address: str) -> None:
+        """Start without a connection."""
+        self.address = address
+        self.calls = 0
+        self._link: links.Link | None = None
+        self._waiting: asyncio.Future[Done] | None = None
+        self._lock = asyncio.Lock()
+
+    async def call(self, call: store.Call, seconds: float) -> Done:
+        """Make a call; raises CallFailed after so many seconds at most."""
+        try:
+            async with self._lock, asyncio.timeout(seconds):
+                return await self._call(call)
+        except (OSError, TimeoutError) as error:
+            self.close()
+            raise CallFailed(f'{self.address}: {error!r}') from error
+
+    def close(self) -> None:
+        """Close the connection: what still comes on it is not wanted."""
+        link = self._link
+        self._link = None
+        if link is not None:
+            link.close(messages.Fault.TIMED_OUT)
+
+    def take_message(
+        self, link: links.Link, message: exchanges.Message
+    ) -> None:
+        """Take the answer to the call."""
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.set_result(Done(message.status, message.body))
+
+    def take_end(self, link: links.Link, fault: messages.Fault) -> None:
+        """Take the end of the connection."""
+        if self._link is link:
+            self._link = None
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.set_exception(ConnectionError(fault.value))
+
+    async def _call(self, call: store.Call) -> Done:
+        link = self._link
+        if link is None or not link.reusable:
+            link = await self._open()
+        self.calls += 1
+        waiting: asyncio.Future[Done] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting = waiting
+        fields = (
+            ('host', self.address),
+            ('content-type', 'application/json'),
+            ('content-length', str(len(call.body))),
+        )
+        link.start(
+            links.Exchange(
+                call.method, call.target, fields, call.body, lambda _: True
+            )
+        )
+        return await waiting
+
+    async def _open(self) -> links.Link:
+        host, _, port = self.address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        link = links.Link(self)
+        await loop.create_connection(lambda: link, host, int(port))
+        self._link = link
+        return link
--- /dev/null
+++ b/fuchsiahaven/relay/links.py
@@ -0,0 +1,224 @@
+"""Carry one exchange at a time over one connection that this host opened."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Final, NamedTuple, Protocol
+
+import h11
+
+from fuchsiahaven.core import messages
+from fuchsiahaven.platform import exchanges
+from fuchsiahaven.routing import events
+
+#: The largest answer that is taken in; the largest of a target are 36 kB, a
+#: page of the store is up to 1 MB, in base64 and JSON.
+ANSWER_BYTES: Final = 4 * 1024 * 1024
+#: Bytes that nobody acknowledges for this long break a connection. A cut that
+#: drops packets would otherwise hold requests for minutes; packets that are
+#: lost one by one are repeated within less.
+UNACKNOWLEDGED_MS: Final = 1500
+#: A connection on which nothing moves is tried after so many seconds, and
+#: given up after as many tries as often.
+KEEP_ALIVE_S: Final = 2
+KEEP_ALIVE_TRIES: Final = 2
+#: Answers of other requests that are passed over before a connection is given
+#: up; a target sends one more than it should, not many.
+MOST_STRAY: Final = 3
+
+
+class Exchange(NamedTuple):
+    """Hold a request to be sent and whom to tell how it ended.
+
+    `belongs` tells whether a whole answer is one to this request.
+    """
+
+    method: str
+    target: str
+    fields: events.Fields
+    body: bytes
+    belongs: Callable[[exchanges.Message], bool]
+
+
+class Owner(Protocol):
+    """State what a link tells whoever owns it."""
+
+    def take_message(self, link: 'Link', message: exchanges.Message) -> None:
+        """Take the answer to the exchange."""
+
+    def take_end(self, link: 'Link', fault: messages.Fault) -> None:
+        """Take the end of the connection, with an exchange or without."""
+
+
+class Link(asyncio.Protocol):
+    """Own one connection and the exchange on it."""
+
+    def __init__(self, owner: Owner) -> None:
+        """Wait for the connection to open."""
+        self.exchange: Exchange | None = None
+        self.reusable = False
+        self.closed = False
+        self._owner = owner
+        self._transport: asyncio.Transport | None = None
+        self._machine = h11.Connection(h11.CLIENT)
+        self._head: h11.Response | None = None
+        self._body = bytearray()
+        self._stray = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self.reusable = True
+        set_options(transport.get_extra_info('socket'))
+
+    def start(self, exchange: Exchange) -> None:
+        """Send a request."""
+        assert self._transport is not None
+        self.exchange = exchange
+        self.reusable = False
+        self._stray = 0
+        self._transport.write(self._write(exchange))
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of an answer."""
+        if self.exchange is None:
+            # Bytes that nobody asked for would be taken for the answer to
+            # the next request.
+            self.close(messages.Fault.MISMATCHED)
+            return
+        self._feed(data)
+
+    def eof_received(self) -> bool | None:
+        """Take the end of an answer that has no length."""
+        if self.exchange is not None:
+            self._feed(b'')
+        return None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell the owner that the connection is gone."""
+        self.close(messages.Fault.CONNECTION_LOST)
+
+    def close(self, fault: messages.Fault) -> None:
+        """End the connection; the owner is told once."""
+        if self.closed:
+            return
+        self.closed = True
+        self.reusable = False
+        if self._transport is not None:
+            # What was sent and not answered is not waited for.
+            self._transport.abort()
+        self._owner.take_end(self, fault)
+
+    def _write(self, exchange: Exchange) -> bytes:
+        fields = [
+            (name.encode('latin-1'), told.encode('latin-1'))
+            for name, told in exchange.fields
+        ]
+        head = h11.Request(
+            method=exchange.method,
+            target=exchange.target.encode('latin-1'),
+            headers=fields,
+        )
+        data = self._machine.send(head) or b''
+        if exchange.body:
+            data += self._machine.send(h11.Data(data=exchange.body)) or b''
+        data += self._machine.send(h11.EndOfMessage()) or b''
+        return data
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._machine.receive_data(data)
+            self._pull()
+        except h11.RemoteProtocolError:
+            fault = messages.Fault.MALFORMED
+            if not data:
+                fault = messages.Fault.CONNECTION_LOST
+            self.close(fault)
+
+    def _pull(self) -> None:
+        while self.exchange is not None and not self.closed:
+            event = self._machine.next_event()
+            match event:
+                case h11.Response():
+                    self._head = event
+                case h11.Data():
+                    self._body += event.data
+                    if len(self._body) > ANSWER_BYTES:
+                        self.close(messages.Fault.TOO_LARGE)
+                case h11.EndOfMessage():
+                    self._end_message()
+                case h11.InformationalResponse():
+                    continue
+                case _:
+                    # More bytes are needed, or the connection has ended.
+                    return
+
+    def _end_message(self) -> None:
+        assert self._head is not None
+        assert self.exchange is not None
+        message = exchanges.Message(
+            '',
+            self._head.status_code,
+            exchanges.read_fields(self._head.headers),
+            bytes(self._body),
+        )
+        self._head = None
+        self._body.clear()
+        if self.exchange.belongs(message):
+            self._settle(message)
+        else:
+            self._pass_over()
+
+    def _settle(self, message: exchanges.Message) -> None:
+        rest, _ = self._machine.trailing_data
+        self.exchange = None
+        # What follows an answer belongs to nobody.
+        self.reusable = self._is_whole() and not rest
+        if self.reusable:
+            self._machine.start_next_cycle()
+        self._owner.take_message(self, message)
+        if self.exchange is None and not self.reusable:
+            self.close(messages.Fault.CONNECTION_LOST)
+
+    def _pass_over(self) -> None:
+        """Read on after an answer that belongs to another request.
+
+        A target may send an answer twice; the second one comes where the
+        next answer is due. Breaking off there would leave the outcome of the
+        request under way unknown.
+        """
+        rest, _ = self._machine.trailing_data
+        self._stray += 1
+        if self._stray > MOST_STRAY or not self._is_whole():
+            self.close(messages.Fault.MISMATCHED)
+            return
+        assert self.exchange is not None
+        # The machine of the protocol has to see a request before an answer;
+        # this one has been sent already.
+        self._machine = h11.Connection(h11.CLIENT)
+        self._write(self.exchange)
+        if rest:
+            self._machine.receive_data(rest)
+
+    def _is_whole(self) -> bool:
+        """Tell whether the connection goes on after the answer."""
+        assert self._transport is not None
+        if self._transport.is_closing():
+            return False
+        # A target may answer before it has read a long body; the rest of
+        # that body must not be followed by another request.
+        unsent = self._transport.get_write_buffer_size()
+        return self._machine.their_state is h11.DONE and not unsent
+
+
+def set_options(sock: socket.socket | None) -> None:
+    """Have the kernel notice a peer that has fallen silent."""
+    if sock is None:
+        return
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_TRIES)
--- /dev/null
+++ b/fuchsiahaven/relay/news.py
@@ -0,0 +1,219 @@
+"""Keep up with what the store holds, from it or from other hosts."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from fuchsiahaven.platform import records, store
+from fuchsiahaven.relay import calls, journal
+from fuchsiahaven.routing import codecs, facts, places, sources
+
+PART: Final = 'news'
+#: How often the reader of a data centre reads the store. A change has to be in
+#: force within 3 s, and a leaving target free of new work: the read, the
+#: others' question to the reader and one lost round of each fit in.
+READ_S: Final = 1.0
+#: How often the others ask the reader.
+ASK_S: Final = 0.5
+#: The store answers in 4 ms, and in 0.25 s when it is sixty times as slow.
+STORE_S: Final = 0.8
+PEER_S: Final = 0.4
+#: How long a store that did not answer is left alone, in seconds.
+STORE_DOUBT_S: Final = 0.7
+#: Sources tried in one round before the next round is waited for.
+TRIES: Final = 3
+#: How long the entry of a host outlives it, and how often it is renewed: a
+#: store that is away for the difference does not lose it.
+LEASE_S: Final = 30.0
+RENEW_S: Final = 9.0
+#: How soon a host without an entry of its own tries to write one again.
+ENTER_S: Final = 2.0
+FACTS_PATH: Final = '/v1/facts?after='
+
+Learn = Callable[[facts.Merged], None]
+
+
+class Decoded(NamedTuple):
+    """Hold a value as it was decoded at a revision."""
+
+    revision: int
+    value: facts.Value
+
+
+class News:
+    """Own the calls to the store and what they brought."""
+
+    def __init__(
+        self, settings: places.Settings, log: journal.Journal, learn: Learn
+    ) -> None:
+        """Start with nothing known."""
+        self.ledger = facts.EMPTY
+        self.settings = settings
+        self.store = calls.Client(settings.store)
+        self._log = log
+        self._learn = learn
+        self._peers: dict[str, calls.Client] = {}
+        self._decoded: dict[facts.Key, Decoded] = {}
+        self._doubted: dict[str, float] = {}
+        self._store_doubted = 0.0
+        self._store_lost = False
+        self._returned = float('-inf')
+        self._lease: int | None = None
+
+    async def follow(self) -> None:
+        """Keep up, for ever."""
+        while True:
+            pause = await self._go_round()
+            await asyncio.sleep(pause)
+
+    async def stay_entered(self) -> None:
+        """Keep the entry by which other hosts find this one, for ever."""
+        while True:
+            pause = ENTER_S
+            if self._store_lost or not self.ledger.revision:
+                await asyncio.sleep(ENTER_S / 4)
+                continue
+            try:
+                await self._enter()
+                pause = RENEW_S
+            except (calls.CallFailed, records.Malformed) as error:
+                self._log.tell(PART, 'no entry in the store', error=str(error))
+            await asyncio.sleep(pause)
+
+    def list_changes(self, after: int) -> bytes:
+        """List what has changed after a revision, for another host."""
+        now = time.monotonic()
+        return codecs.write_report(facts.list_changes(self.ledger, after, now))
+
+    def close(self) -> None:
+        """Close the connections."""
+        for client in (self.store, *self._peers.values()):
+            client.close()
+
+    async def _go_round(self) -> float:
+        """Ask until there is an answer; return how long it will do."""
+        for _ in range(TRIES):
+            now = time.monotonic()
+            source = sources.choose(self._view(), now, random.random())
+            match source:
+                case sources.Store():
+                    if await self._read_store():
+                        return READ_S
+                case sources.Peer(address):
+                    if await self._ask(address):
+                        return ASK_S
+        return ASK_S
+
+    def _view(self) -> sources.View:
+        return sources.View(
+            self.settings.host,
+            facts.list_hosts(self.ledger),
+            self.settings.seeds,
+            self._doubted,
+            self._store_doubted,
+        )
+
+    async def _read_store(self) -> bool:
+        try:
+            report = await self._read_pages()
+        except (calls.CallFailed, records.Malformed) as error:
+            now = time.monotonic()
+            self._store_doubted = now + STORE_DOUBT_S
+            if not self._store_lost:
+                self._log.tell(PART, 'the store is lost', error=str(error))
+            self._store_lost = True
+            return False
+        now = time.monotonic()
+        if self._store_lost:
+            self._store_lost = False
+            self._returned = now
+            self._log.tell(PART, 'the store is back', revision=report.revision)
+        self._take(report, now, self._returned)
+        return True
+
+    async def _read_pages(self) -> facts.Report:
+        began = time.monotonic()
+        found: list[facts.Fact] = []
+        revision = 0
+        after: str | None = None
+        while True:
+            call = store.list_everything(after)
+            done = await self.store.call(call, STORE_S)
+            if done.status != store.OK:
+                raise calls.CallFailed(f'the store answers {done.status}')
+            page = store.read_page(done.body, self._decode)
+            found.extend(page.items)
+            # Pages are not a snapshot: only the first one's revision holds
+            # for all of them.
+            revision = revision or page.revision
+            after = page.after
+            if after is None:
+                age = time.monotonic() - began
+                return facts.Report(revision, tuple(found), True, age)
+
+    def _decode(
+        self, key: facts.Key, revision: int, encoded: str
+    ) -> facts.Value | None:
+        known = self._decoded.get(key)
+        if known is not None and known.revision == revision:
+            return known.value
+        try:
+            read = records.read_value(key, encoded)
+        except records.Malformed as error:
+            self._log.tell(PART, 'a record is malformed', error=str(error))
+            return known.value if known is not None else None
+        self._decoded[key] = Decoded(revision, read)
+        return read
+
+    async def _ask(self, address: str) -> bool:
+        now = time.monotonic()
+        client = self._peers.get(address)
+        if client is None:
+            client = calls.Client(address)
+            self._peers[address] = client
+        target = f'{FACTS_PATH}{self.ledger.revision}'
+        try:
+            done = await client.call(store.Call('GET', target), PEER_S)
+            report = codecs.read_report(done.body)
+        except (calls.CallFailed, codecs.Malformed) as error:
+            self._doubt(address, str(error))
+            return False
+        now = time.monotonic()
+        self._take(report, now, None)
+        if now - self.ledger.read > sources.STALE_S:
+            self._doubt(address, f'its news is {report.age:.1f} s old')
+            return False
+        return True
+
+    def _doubt(self, address: str, why: str) -> None:
+        self._doubted[address] = time.monotonic() + sources.DOUBT_S
+        self._log.tell(PART, 'a host is doubted', address=address, why=why)
+
+    def _take(
+        self, report: facts.Report, now: float, returned: float | None
+    ) -> None:
+        merged = facts.merge(self.ledger, report, now, returned=returned)
+        self.ledger = merged.ledger
+        if merged.changed:
+            self._learn(merged)
+
+    async def _enter(self) -> None:
+        if self._lease is not None:
+            done = await self.store.call(
+                store.renew_lease(self._lease), STORE_S
+            )
+            own = facts.Key(facts.Subject.HOST, self.settings.host.name)
+            fact = self.ledger.facts.get(own)
+            if done.status == store.OK and fact and fact.value:
+                return
+            self._lease = None
+        done = await self.store.call(store.open_lease(LEASE_S), STORE_S)
+        lease = store.read_lease(done.body)
+        entry = store.enter_host(self.settings.host, lease)
+        done = await self.store.call(entry, STORE_S)
+        if done.status != store.OK:
+            raise calls.CallFailed(f'the entry is answered {done.status}')
+        self._lease = lease
+        self._log.tell(PART, 'entered', lease=lease)
--- /dev/null
+++ b/fuchsiahaven/relay/process.py
@@ -0,0 +1,241 @@
+"""Wire one process together on the platform, and stop it without a cut."""
+
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final
+
+from fuchsiahaven.operate import exits
+from fuchsiahaven.platform import exchanges
+from fuchsiahaven.platform import settings as settings_files
+from fuchsiahaven.relay import journal, meters, news, ports, runner
+from fuchsiahaven.routing import (
+    configs,
+    desks,
+    events,
+    facts,
+    instances,
+    places,
+    states,
+)
+
+PART: Final = 'process'
+#: How long a host goes on as ever once it is asked to stop: the balancer asks
+#: once a second and passes over a host after two answers that are not 200.
+LAG_S: Final = 2.6
+#: Kept back from the time until the kill, to end what is left in order.
+GRACE_MARGIN_S: Final = 0.7
+CHECK_S: Final = 0.05
+FACTS_PATH: Final = '/v1/facts'
+READY_PATH: Final = '/ready'
+METRICS_PATH: Final = '/metrics'
+TEXT: Final = (('content-type', 'text/plain'),)
+JSON: Final = (('content-type', 'application/json'),)
+
+
+class Process:
+    """Join the decisions, the ports and the news of one process."""
+
+    def __init__(self, settings: places.Settings, log: journal.Journal) -> None:
+        """Prepare without listening."""
+        self.settings = settings
+        self.log = log
+        self.meters = meters.Meters()
+        self.desk = states.Desk(
+            settings.host, settings.extra_load, random.random
+        )
+        self.runner = runner.Runner(self.desk, self._tell)
+        self.news = news.News(settings, log, self._learn)
+        self.callers = self._make_port(self._take_request)
+        self.readiness = self._make_port(self._take_question)
+        self.peers = self._make_port(self._take_question)
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until a signal asks for the planned stop, then make it."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(self.runner.close)
+            stack.callback(self.news.close)
+            for port, address in (
+                (self.peers, self.settings.host.address),
+                (self.readiness, self.settings.readiness),
+                (self.callers, self.settings.callers),
+            ):
+                server = await port.listen(address)
+                stack.callback(server.close)
+            if self.settings.metrics != self.settings.host.address:
+                server = await self.peers.listen(self.settings.metrics)
+                stack.callback(server.close)
+            async with asyncio.TaskGroup() as tasks:
+                running = [
+                    tasks.create_task(self.news.follow()),
+                    tasks.create_task(self.news.stay_entered()),
+                    tasks.create_task(self.runner.sweep()),
+                ]
+                self.log.tell(PART, 'started', settings=self.settings)
+                await self._stopping.wait()
+                await self._stop()
+                for task in running:
+                    task.cancel()
+
+    def find_obstacle(self) -> str:
+        """Say why no new work should come to this host; empty if it may."""
+        if self._stopping.is_set():
+            return 'stopping'
+        return desks.find_obstacle(self.desk)
+
+    async def _stop(self) -> None:
+        """Stop without cutting a request.
+
+        The balancer sends on for its lag after it has been told; what comes
+        in that time is served, and each answer ends its connection. Idle
+        connections are closed only then, when hardly any request can cross.
+        """
+        began = time.monotonic()
+        last = began + self.settings.grace - GRACE_MARGIN_S
+        self.log.tell(PART, 'stopping', waiting=self.runner.count_waiting())
+        self.callers.stop()
+        await asyncio.sleep(LAG_S)
+        self.callers.close_idle()
+        while self.callers.count_busy() and time.monotonic() < last:
+            await asyncio.sleep(CHECK_S)
+            self.callers.close_idle()
+        self.log.tell(
+            PART,
+            'stopped',
+            took=round(time.monotonic() - began, 3),
+            waiting=self.runner.count_waiting(),
+        )
+
+    def _reload(self) -> None:
+        path = settings_files.find_path()
+        if path is None:
+            return
+        reading = settings_files.read_file(path)
+        if reading.settings is None:
+            self.log.tell(PART, 'settings are wrong', faults=reading.faults)
+            return
+        self.settings = reading.settings
+        self.news.settings = reading.settings
+        self.desk.extra_load = reading.settings.extra_load
+        self.log.tell(PART, 'reloaded', settings=self.settings)
+
+    def _make_port(self, handle: ports.Handler) -> ports.Port:
+        return ports.Port(ports.Terms(handle, self._find_limits))
+
+    def _find_limits(self) -> configs.Limits:
+        return self.desk.index.configuration.limits
+
+    def _learn(self, merged: facts.Merged) -> None:
+        for subject in merged.changed:
+            match subject:
+                case facts.Subject.CONFIGURATION:
+                    self._configure(merged.ledger)
+                case facts.Subject.INSTANCE:
+                    found = facts.list_instances(merged.ledger)
+                    directory = instances.build_directory(found)
+                    self.runner.direct(directory)
+                case facts.Subject.HOST:
+                    self._count_hosts(merged.ledger)
+        self.log.tell(
+            PART,
+            'learned',
+            subjects=sorted(merged.changed),
+            revision=merged.ledger.revision,
+            version=self.desk.index.configuration.version,
+            targets=len(self.desk.directory.by_name),
+            hosts=self.desk.hosts,
+            ready=self.find_obstacle() or 'yes',
+        )
+
+    def _configure(self, ledger: facts.Ledger) -> None:
+        configuration = facts.find_configuration(ledger)
+        self.runner.post(events.Configured(configuration))
+        self.runner.deal()
+
+    def _count_hosts(self, ledger: facts.Ledger) -> None:
+        # Until the hosts have entered themselves the seeds are all there is.
+        known = len(facts.list_hosts(ledger))
+        count = max(known, len(self.settings.seeds))
+        self.runner.post(events.Counted(count))
+        self.runner.deal()
+
+    def _take_request(
+        self, message: exchanges.Message, answer: ports.Answer
+    ) -> Callable[[], None]:
+        request = exchanges.read_request(message, time.monotonic())
+
+        def reply(outcome: events.Outcome) -> None:
+            answer(exchanges.write_outcome(outcome))
+
+        number = self.runner.ask(request, reply)
+        return lambda: self.runner.abandon(number)
+
+    def _take_question(
+        self, message: exchanges.Message, answer: ports.Answer
+    ) -> None:
+        path, _, query = message.first.partition('?')
+        match path:
+            case '/ready':
+                answer(self._tell_readiness())
+            case '/v1/facts':
+                after = int(query.partition('=')[2] or 0)
+                body = self.news.list_changes(after)
+                answer(exchanges.Written(HTTPStatus.OK, JSON, body))
+            case '/metrics':
+                answer(self._write_metrics())
+            case _:
+                missing = HTTPStatus.NOT_FOUND
+                answer(exchanges.Written(missing, TEXT, b'not found\n'))
+
+    def _tell_readiness(self) -> exchanges.Written:
+        obstacle = self.find_obstacle()
+        status = HTTPStatus.OK
+        if obstacle:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+        return exchanges.Written(
+            status, TEXT, f'{obstacle or "ready"}\n'.encode()
+        )
+
+    def _write_metrics(self) -> exchanges.Written:
+        known = self.meters
+        pools = self.runner.pools.values()
+        known.version.set(self.desk.index.configuration.version)
+        known.age.set(time.monotonic() - self.news.ledger.read)
+        known.targets.set(len(self.desk.directory.by_name))
+        known.hosts.set(self.desk.hosts)
+        known.links.set(sum(pool.count_links() for pool in pools))
+        known.opened.set(sum(pool.opened for pool in pools))
+        known.calls.set(self.news.store.calls)
+        known.left_out.set(self.log.left_out)
+        return exchanges.Written(HTTPStatus.OK, TEXT, known.write())
+
+    def _tell(self, story: events.Story) -> None:
+        self.meters.note(story)
+        good = story.result in {'complete', 'partial', 'relayed 200'}
+        self.log.tell_request('request', 'ended', good=good, **story._asdict())
+
+
+def serve() -> int:
+    """Serve with the settings file that the platform names."""
+    path = settings_files.find_path()
+    if path is None:
+        print(f'{settings_files.VARIABLE} names no settings file')
+        return exits.FAILED
+    reading = settings_files.read_file(path)
+    if reading.settings is None:
+        for fault in reading.faults:
+            print(f'{path}: {fault.name} {fault.text}')
+        return exits.FAILED
+    log = journal.Journal(reading.settings.host.name)
+    with contextlib.closing(log):
+        asyncio.run(Process(reading.settings, log).run())
+    return exits.DONE
--- /dev/null
+++ b/fuchsiahaven/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decide where each request of a caller goes, without input or output."""
--- /dev/null
+++ b/fuchsiahaven/routing/arrivals.py
@@ -0,0 +1,156 @@
+"""Take in how each sending ended: answer, refusal, fault, or never sent."""
+
+from typing import Final
+
+from fuchsiahaven.core import coverage, hedges, messages
+from fuchsiahaven.routing import asks, endings, events, states, tries
+
+Actions = list[events.Action]
+
+REFUSAL_REASONS: Final = {
+    messages.RefusalReason.SHED: coverage.Reason.OVERLOADED,
+    messages.RefusalReason.DEADLINE: coverage.Reason.TIMED_OUT,
+}
+FAULT_REASONS: Final = {
+    messages.Fault.CONNECTION_LOST: coverage.Reason.UNREACHABLE,
+    messages.Fault.TIMED_OUT: coverage.Reason.TIMED_OUT,
+}
+
+
+def take_answer(
+    desk: states.Desk, event: events.Answered, now: float
+) -> Actions:
+    """Keep the first good answer to a part; try again after a bad one."""
+    aloft = desk.aloft.pop(event.key, None)
+    if aloft is None:
+        return []
+    answer = event.answer
+    desk.standings.note_answered(aloft.instance, event.key, now, answer.load)
+    _note_latency(desk, aloft, now)
+    ask = _find_open(desk, event.key)
+    if answer.status >= asks.FAILURES:
+        desk.standings.note_failed(aloft.instance, now)
+    if ask is None:
+        return []
+    service = event.key.service
+    part = _land(ask, event.key)
+    if _is_failure(ask, answer):
+        _note_try(ask, event.key, aloft, f'status {answer.status}')
+        ask.parts[service] = part._replace(
+            failed=answer,
+            may_have_run=True,
+            reason=coverage.Reason.REFUSED,
+        )
+        return _go_on(desk, ask, service, now)
+    ask.parts[service] = part._replace(answer=answer)
+    ask.open.discard(service)
+    beaten = [
+        events.Withdraw(events.FlightKey(ask.number, service, flight.number))
+        for flight in part.flights
+    ]
+    return [*beaten, *endings.settle(desk, ask, now)]
+
+
+def take_refusal(
+    desk: states.Desk, event: events.Refused, now: float
+) -> Actions:
+    """Ask another target, which any request may: this one has not run it."""
+    aloft = desk.aloft.pop(event.key, None)
+    if aloft is None:
+        return []
+    desk.standings.note_refused(aloft.instance, event, now)
+    if event.reason is messages.RefusalReason.LEAVING:
+        # Another process answers at this address, or this one is leaving.
+        desk.standings.note_gone(aloft.instance, now)
+    if event.reason is messages.RefusalReason.SHED:
+        window = desk.windows.get(aloft.route, hedges.EMPTY)
+        desk.windows[aloft.route] = hedges.note_refusal(window)
+    reason = REFUSAL_REASONS.get(event.reason, coverage.Reason.REFUSED)
+    ask = _find_open(desk, event.key)
+    if ask is None:
+        return []
+    _note_try(ask, event.key, aloft, f'refused {event.reason}')
+    part = _land(ask, event.key)
+    ask.parts[event.key.service] = part._replace(reason=reason)
+    return _go_on(desk, ask, event.key.service, now)
+
+
+def take_fault(desk: states.Desk, event: events.Broken, now: float) -> Actions:
+    """Ask another target if the request may run twice."""
+    aloft = desk.aloft.pop(event.key, None)
+    if aloft is None:
+        return []
+    desk.standings.note_broken(aloft.instance, event, now)
+    ask = _find_open(desk, event.key)
+    if ask is None:
+        return []
+    _note_try(ask, event.key, aloft, f'broken {event.fault}')
+    part = _land(ask, event.key)
+    ask.parts[event.key.service] = part._replace(
+        reason=FAULT_REASONS.get(event.fault, coverage.Reason.BROKEN_ANSWER),
+        may_have_run=True,
+    )
+    return _go_on(desk, ask, event.key.service, now)
+
+
+def take_unsent(desk: states.Desk, event: events.Unsent, now: float) -> Actions:
+    """Ask another target: nothing has left, so nothing counts as sent."""
+    aloft = desk.aloft.pop(event.key, None)
+    if aloft is None:
+        return []
+    service = event.key.service
+    desk.standings.note_unsent(aloft.instance, event, now)
+    if aloft.extra:
+        desk.find_budget(service).note_extra(now, -1)
+    ask = _find_open(desk, event.key)
+    if ask is None:
+        return []
+    _note_try(ask, event.key, aloft, 'not sent')
+    part = _land(ask, event.key)
+    ask.parts[service] = part._replace(
+        sent=part.sent - 1,
+        reason=part.reason or coverage.Reason.UNREACHABLE,
+    )
+    return _go_on(desk, ask, service, now)
+
+
+def _go_on(
+    desk: states.Desk, ask: asks.Ask, service: str, now: float
+) -> Actions:
+    actions = tries.send_again(desk, ask, service, now)
+    return [*actions, *endings.settle(desk, ask, now)]
+
+
+def _find_open(desk: states.Desk, key: events.FlightKey) -> asks.Ask | None:
+    ask = desk.asks.get(key.ask)
+    if ask is None or key.service not in ask.open:
+        return None
+    return ask
+
+
+def _is_failure(ask: asks.Ask, answer: events.Answer) -> bool:
+    if ask.gathers:
+        return answer.status != asks.OK
+    return answer.status >= asks.FAILURES
+
+
+def _land(ask: asks.Ask, key: events.FlightKey) -> asks.Part:
+    part = ask.parts[key.service]
+    left = tuple(it for it in part.flights if it.number != key.number)
+    return part._replace(flights=left)
+
+
+def _note_try(
+    ask: asks.Ask, key: events.FlightKey, aloft: states.Aloft, how: str
+) -> None:
+    ask.tries.append(f'{key.service} {aloft.instance} {aloft.purpose}: {how}')
+
+
+def _note_latency(desk: states.Desk, aloft: states.Aloft, now: float) -> None:
+    # Hedges and retries are left out: they go where answers come fast, and
+    # would pull the delay after which to hedge down to themselves.
+    if aloft.purpose is events.Purpose.FIRST:
+        window = desk.windows.get(aloft.route, hedges.EMPTY)
+        desk.windows[aloft.route] = hedges.note_latency(
+            window, now - aloft.sent, policy=tries.HEDGING
+        )
--- /dev/null
+++ b/fuchsiahaven/routing/asks.py
@@ -0,0 +1,199 @@
+"""Follow one request from its route to its one outcome.
+
+A request for one target is an ask with one part, a query over shards has one
+part for each shard. The tables of an ask belong to it and change in place.
+"""
+
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import coverage, errors
+from fuchsiahaven.routing import configs, events, merges
+
+SOURCE: Final = 'asks'
+#: Kept back from the objective and the deadline for the way to the caller
+#: and back (1 ms each), merging and this host's own delay, in seconds.
+MARGIN_S: Final = 0.012
+OK: Final = 200
+FAILURES: Final = 500
+
+#: How soon asking again may help, in seconds. A full target has room again
+#: after about one request's work; an entry that lapsed is back in two.
+RETRY_AFTER: Final = {
+    coverage.Reason.NO_REPLICA: 1.0,
+    coverage.Reason.OVERLOADED: 0.1,
+    coverage.Reason.REFUSED: 0.1,
+    coverage.Reason.UNREACHABLE: 0.5,
+    coverage.Reason.BROKEN_ANSWER: 0.1,
+    coverage.Reason.TIMED_OUT: 0.2,
+}
+
+
+class Flight(NamedTuple):
+    """Describe one sending that has not ended."""
+
+    number: int
+    instance: str
+    sent: float
+
+
+class Part(NamedTuple):
+    """Hold what is known of one part.
+
+    `tried` are the targets not to be asked again, `sent` counts the sendings
+    that reached a target, `number` is the last one's number. `failed` is a
+    target's own answer that tells of a failure. `lost` says why the part is
+    missing for good.
+    """
+
+    flights: tuple[Flight, ...] = ()
+    tried: tuple[str, ...] = ()
+    sent: int = 0
+    number: int = 0
+    answer: events.Answer | None = None
+    failed: events.Answer | None = None
+    reason: coverage.Reason | None = None
+    lost: bool = False
+    may_have_run: bool = False
+
+
+class Ask(NamedTuple):
+    """Hold one request under way.
+
+    At `cut` what is in hand is worth more than what may still come; `ends` is
+    when the caller has to be told whatever there is.
+    """
+
+    number: int
+    request: events.Request
+    route: configs.Route
+    version: int
+    cut: float
+    ends: float
+    parts: dict[str, Part]
+    open: set[str]
+    tries: list[str]
+
+    @property
+    def gathers(self) -> bool:
+        """Tell whether the parts are shards to be merged."""
+        return isinstance(self.route.way, configs.Gather)
+
+
+def begin(
+    number: int,
+    request: events.Request,
+    route: configs.Route,
+    version: int,
+    services: tuple[str, ...],
+) -> Ask:
+    """Begin an ask that reaches the services given."""
+    arrived = request.arrived
+    ends = min(arrived + route.timeout, request.deadline - MARGIN_S)
+    return Ask(
+        number,
+        request,
+        route,
+        version,
+        arrived + route.objective - MARGIN_S,
+        ends,
+        dict.fromkeys(services, Part()),
+        set(services),
+        [],
+    )
+
+
+def count_missing(ask: Ask) -> int:
+    """Count the parts that are not in."""
+    return sum(1 for part in ask.parts.values() if part.answer is None)
+
+
+def is_enough(ask: Ask, *, lost: bool = False) -> bool:
+    """Tell whether enough parts are in, or, with `lost`, may still come."""
+    if not isinstance(ask.route.way, configs.Gather):
+        return (
+            not any(part.lost for part in ask.parts.values())
+            if lost
+            else (count_missing(ask) == 0)
+        )
+    if lost:
+        missing = sum(1 for part in ask.parts.values() if part.lost)
+    else:
+        missing = count_missing(ask)
+    total = len(ask.parts)
+    covered = total - missing
+    return covered > 0 and covered >= ask.route.way.coverage * total
+
+
+def is_over(ask: Ask, now: float) -> bool:
+    """Tell whether the caller is to be told now.
+
+    Past the objective an answer that covers enough goes out at once: a part
+    that is missing costs the caller less than an answer that comes late.
+    What can no longer cover enough is not held back until its deadline.
+    """
+    if not ask.open or now >= ask.ends:
+        return True
+    if not is_enough(ask, lost=True):
+        return True
+    return ask.gathers and now >= ask.cut and is_enough(ask)
+
+
+def build_outcome(ask: Ask) -> events.Outcome:
+    """Build what the caller is told."""
+    if is_enough(ask):
+        return _build_answer(ask)
+    if not ask.gathers:
+        failed = next(iter(ask.parts.values())).failed
+        if failed is not None:
+            return events.Relayed(failed)
+    return _build_failure(ask)
+
+
+def say_ran(ask: Ask) -> errors.Ran:
+    """Say whether any target may have run any part of this."""
+    parts = ask.parts.values()
+    if any(part.answer or part.failed for part in parts):
+        return errors.Ran.YES
+    if any(part.may_have_run or part.flights for part in parts):
+        return errors.Ran.UNKNOWN
+    return errors.Ran.NO
+
+
+def _build_answer(ask: Ask) -> events.Outcome:
+    answers = [
+        part.answer for part in ask.parts.values() if part.answer is not None
+    ]
+    match ask.route.way:
+        case configs.Gather(_, limit, _):
+            return events.Merged(
+                tuple(answer.signature for answer in answers),
+                len(ask.parts) - len(answers),
+                merges.merge_records([it.body for it in answers], limit),
+            )
+    return events.Relayed(answers[0])
+
+
+def _build_failure(ask: Ask) -> errors.Failure:
+    reasons = [
+        part.reason or coverage.Reason.TIMED_OUT
+        for part in ask.parts.values()
+        if part.answer is None
+    ]
+    detail = f'{len(reasons)} of {len(ask.parts)} parts missing: {reasons[0]}'
+    return errors.make_failure(
+        _choose_kind(reasons),
+        SOURCE,
+        detail,
+        retry_after=max(RETRY_AFTER[reason] for reason in reasons),
+        ran=say_ran(ask),
+    )
+
+
+def _choose_kind(reasons: list[coverage.Reason]) -> errors.Kind:
+    if coverage.Reason.TIMED_OUT in reasons:
+        return errors.Kind.TIMED_OUT
+    if set(reasons) == {coverage.Reason.NO_REPLICA}:
+        return errors.Kind.NO_ROUTE
+    if set(reasons) <= {coverage.Reason.OVERLOADED, coverage.Reason.REFUSED}:
+        return errors.Kind.OVERLOADED
+    return errors.Kind.INCOMPLETE
--- /dev/null
+++ b/fuchsiahaven/routing/choices.py
@@ -0,0 +1,57 @@
+"""Choose the target that a part is sent to."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from fuchsiahaven.routing import asks, instances, standings, states
+
+#: Estimates are spread by this share, so that hosts that know the same do not
+#: all choose the same target.
+SPREAD: Final = 0.2
+
+
+def list_candidates(
+    desk: states.Desk, service: str, part: asks.Part, now: float
+) -> list[instances.Instance]:
+    """List the targets that may be asked, without those taken for dead."""
+    return [
+        one
+        for one in desk.directory.by_service.get(service, ())
+        if one.name not in part.tried
+        and not standings.is_dead(desk.standings.get(one.name), now)
+    ]
+
+
+def choose(
+    desk: states.Desk,
+    candidates: Sequence[instances.Instance],
+    now: float,
+    *,
+    once: bool,
+) -> instances.Instance | None:
+    """Choose the target that would answer soonest; None where there is none.
+
+    What runs at most once (`once`) is no trial for a target that failed
+    lately, unless no other is left.
+    """
+    clean = [
+        one for one in candidates if _is_clean(desk, one.name, now, once=once)
+    ]
+    best = None
+    least = float('inf')
+    for one in clean or candidates:
+        known = desk.standings.get(one.name)
+        cost = standings.estimate(known, one, desk.near, now)
+        cost *= 1 + SPREAD * desk.draw()
+        if cost < least:
+            least = cost
+            best = one
+    return best
+
+
+def _is_clean(desk: states.Desk, name: str, now: float, *, once: bool) -> bool:
+    known = desk.standings.get(name)
+    record = known.stats.record
+    if not record.until:
+        return not once or standings.measure_silence(known, now) is None
+    return not once and now >= record.until and not known.aloft
--- /dev/null
+++ b/fuchsiahaven/routing/codecs.py
@@ -0,0 +1,136 @@
+"""Write facts as the JSON that hosts send each other, and read them."""
+
+import json
+from collections.abc import Mapping
+from typing import Any, TypedDict
+
+from fuchsiahaven.core import configurations
+from fuchsiahaven.routing import configs, facts, instances, places
+
+
+class WrittenFact(TypedDict):
+    """Hold one fact on the wire; `value` is null where it is gone."""
+
+    subject: str
+    name: str
+    revision: int
+    value: Mapping[str, Any] | None
+
+
+class WrittenReport(TypedDict):
+    """Hold a report on the wire; `age` is in seconds."""
+
+    revision: int
+    whole: bool
+    age: float
+    facts: list[WrittenFact]
+
+
+class Malformed(Exception):
+    """Report bytes that are no report."""
+
+
+def write_report(report: facts.Report) -> bytes:
+    """Write a report."""
+    written = WrittenReport(
+        revision=report.revision,
+        whole=report.whole,
+        age=round(report.age, 3),
+        facts=[_write_fact(fact) for fact in report.facts],
+    )
+    return json.dumps(written, separators=(',', ':')).encode()
+
+
+def read_report(text: bytes) -> facts.Report:
+    """Read a report; raises Malformed."""
+    try:
+        return _read_report(json.loads(text))
+    except (ValueError, KeyError, TypeError) as error:
+        raise Malformed(str(error)) from error
+
+
+def _write_fact(fact: facts.Fact) -> WrittenFact:
+    return WrittenFact(
+        subject=fact.key.subject.value,
+        name=fact.key.name,
+        revision=fact.revision,
+        value=None if fact.value is None else _write_value(fact.value),
+    )
+
+
+def _write_value(known: facts.Value) -> Mapping[str, Any]:
+    match known:
+        case configs.Configuration(version, routes, services, limits):
+            return {
+                'version': version,
+                'routes': [_write_route(route) for route in routes],
+                'services': [list(service) for service in services],
+                'limits': list(limits),
+            }
+        case _:
+            return known._asdict()
+
+
+def _write_route(route: configs.Route) -> Mapping[str, Any]:
+    written = route._asdict()
+    written['way'] = _write_way(route.way)
+    return written
+
+
+def _write_way(way: configs.Way) -> Mapping[str, Any]:
+    match way:
+        case configs.Single(service):
+            return {'service': service}
+        case configs.Split(parts):
+            return {'split': [list(part) for part in parts]}
+        case configs.Gather(shards, limit, coverage):
+            return {'shards': shards, 'limit': limit, 'coverage': coverage}
+
+
+def _read_report(written: WrittenReport) -> facts.Report:
+    return facts.Report(
+        int(written['revision']),
+        tuple(_read_fact(row) for row in written['facts']),
+        bool(written['whole']),
+        float(written['age']),
+    )
+
+
+def _read_fact(row: WrittenFact) -> facts.Fact:
+    key = facts.Key(facts.Subject(row['subject']), row['name'])
+    written = row['value']
+    read = None if written is None else _read_value(key.subject, written)
+    return facts.Fact(key, int(row['revision']), read)
+
+
+def _read_value(
+    subject: facts.Subject, written: Mapping[str, Any]
+) -> facts.Value:
+    match subject:
+        case facts.Subject.CONFIGURATION:
+            return configs.Configuration(
+                written['version'],
+                tuple(_read_route(row) for row in written['routes']),
+                tuple(configs.Service(*row) for row in written['services']),
+                configs.Limits(*written['limits']),
+            )
+        case facts.Subject.INSTANCE:
+            return instances.Instance(**written)
+        case facts.Subject.HOST:
+            return places.Host(**written)
+
+
+def _read_route(row: Mapping[str, Any]) -> configs.Route:
+    read = {**row, 'way': _read_way(row['way'])}
+    read['repeat'] = configurations.Repeat(row['repeat'])
+    return configs.Route(**read)
+
+
+def _read_way(row: Mapping[str, Any]) -> configs.Way:
+    if 'service' in row:
+        return configs.Single(row['service'])
+    if 'split' in row:
+        return configs.Split(
+            tuple(configs.Weighted(*part) for part in row['split'])
+        )
+    return configs.Gather(tuple(row['shards']), row['limit'], row['coverage'])
--- /dev/null
+++ b/fuchsiahaven/routing/configs.py
@@ -0,0 +1,140 @@
+"""Hold what operators put in force: routes, services and limits."""
+
+import functools
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from fuchsiahaven.core import configurations
+
+
+class Single(NamedTuple):
+    """Send each request to one target of one service."""
+
+    service: str
+
+
+class Weighted(NamedTuple):
+    """Name a service and its share of a split, relative to the others."""
+
+    service: str
+    weight: float
+
+
+class Split(NamedTuple):
+    """Spread requests over services in proportion to their weights."""
+
+    parts: tuple[Weighted, ...]
+
+
+class Gather(NamedTuple):
+    """Send each request to one target of every shard and merge the records.
+
+    `limit` is how many records an answer holds, `coverage` the smallest share
+    of shards that makes an answer.
+    """
+
+    shards: tuple[str, ...]
+    limit: int
+    coverage: float
+
+
+Way = Single | Split | Gather
+
+
+class Route(NamedTuple):
+    """Hold what operators want for the requests below one path of one host.
+
+    Times are in seconds. `objective` is the time within which an answer is
+    worth most, `attempts` the most targets that a part of a request may run
+    on, `priority` 0 for the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeat: configurations.Repeat
+    timeout: float
+    objective: float
+    attempts: int
+    priority: int
+    way: Way
+
+    @property
+    def at_most_once(self) -> bool:
+        """Tell whether no target may run a request a second time."""
+        return self.repeat is configurations.Repeat.AT_MOST_ONCE
+
+
+class Service(NamedTuple):
+    """Hold how many connections each target of a service takes over all."""
+
+    name: str
+    connections: int
+
+
+class Limits(NamedTuple):
+    """Bound what a caller may send; times are in seconds."""
+
+    head_bytes: int = 16_384
+    body_bytes: int = 262_144
+    head: float = 3.0
+    idle: float = 15.0
+
+
+class Configuration(NamedTuple):
+    """Hold one accepted version in full; version 0 is none."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: Limits
+
+
+NOTHING: Configuration = Configuration(0, (), (), Limits())
+
+
+class Index(NamedTuple):
+    """Hold a configuration so that requests find their route quickly."""
+
+    configuration: Configuration
+    routes: Mapping[str, Mapping[str, Route]]
+    services: Mapping[str, Service]
+
+
+def build_index(configuration: Configuration) -> Index:
+    """Sort routes by host and prefix."""
+    routes: dict[str, dict[str, Route]] = {}
+    for route in configuration.routes:
+        routes.setdefault(route.host, {})[route.prefix] = route
+    services = {service.name: service for service in configuration.services}
+    return Index(configuration, routes, services)
+
+
+def find_route(index: Index, host: str, path: str) -> Route | None:
+    """Find the route with the longest prefix that begins the path.
+
+    Prefixes end with a slash, so only the path's own slashes are tried: the
+    cost depends on the depth of the path and not on the number of routes.
+    """
+    prefixes = index.routes.get(host)
+    if prefixes is None:
+        return None
+    end = path.rfind('/')
+    while end >= 0:
+        route = prefixes.get(path[: end + 1])
+        if route is not None:
+            return route
+        end = path.rfind('/', 0, end)
+    return None
+
+
+@functools.lru_cache(maxsize=1024)
+def list_services(way: Way) -> tuple[str, ...]:
+    """List every service that a request on this way may reach."""
+    match way:
+        case Single(service):
+            return (service,)
+        case Split(parts):
+            return tuple(part.service for part in parts)
+        case Gather(shards):
+            return shards
--- /dev/null
+++ b/fuchsiahaven/routing/desks.py
@@ -0,0 +1,141 @@
+"""Decide what a host does with each event: `handle(desk, event, now)`."""
+
+from typing import Final
+
+from fuchsiahaven.core import errors
+from fuchsiahaven.routing import (
+    arrivals,
+    asks,
+    configs,
+    endings,
+    events,
+    splits,
+    states,
+    tries,
+)
+
+SOURCE: Final = 'desks'
+#: How soon a host that has just started may have its configuration: a read of
+#: the store, and a second one if the first was turned away.
+START_S: Final = 0.5
+
+Actions = list[events.Action]
+
+
+def handle(desk: states.Desk, event: events.Event, now: float) -> Actions:
+    """Take in an event and return what is to be done."""
+    match event:
+        case events.Asked():
+            return _take_request(desk, event, now)
+        case events.Answered():
+            return arrivals.take_answer(desk, event, now)
+        case events.Refused():
+            return arrivals.take_refusal(desk, event, now)
+        case events.Broken():
+            return arrivals.take_fault(desk, event, now)
+        case events.Unsent():
+            return arrivals.take_unsent(desk, event, now)
+        case events.Abandoned(number):
+            return endings.abandon(desk, number, now)
+        case events.Ticked():
+            return _tick(desk, now)
+    _learn(desk, event)
+    return []
+
+
+def find_obstacle(desk: states.Desk) -> str:
+    """Say why no new work should come to this host; empty if it may."""
+    if not desk.index.configuration.version:
+        return 'no configuration yet'
+    if not desk.directory.by_name:
+        return 'no targets yet'
+    return ''
+
+
+def _learn(desk: states.Desk, event: events.Event) -> None:
+    match event:
+        case events.Configured(configuration):
+            if configuration.version > desk.index.configuration.version:
+                desk.index = configs.build_index(configuration)
+        case events.Directed(directory):
+            desk.directory = directory
+            desk.standings.keep_only(directory.by_name)
+        case events.Counted(hosts):
+            desk.hosts = max(1, hosts)
+
+
+def _take_request(
+    desk: states.Desk, event: events.Asked, now: float
+) -> Actions:
+    request = event.request
+    version = desk.index.configuration.version
+    route = _find_route(desk, request)
+    if isinstance(route, errors.Failure):
+        return endings.refuse(event.ask, request, route, version, now)
+    services = _list_services(desk, route)
+    ask = asks.begin(event.ask, request, route, version, services)
+    desk.asks[ask.number] = ask
+    tries.foresee(desk, ask, now)
+    actions: Actions = []
+    if asks.is_enough(ask, lost=True):
+        for service in tuple(ask.open):
+            actions.extend(tries.send_first(desk, ask, service, now))
+    # What cannot be served is refused before anything is sent, so that the
+    # refusal can say that nothing has run.
+    over = endings.settle(desk, ask, now)
+    if not over:
+        _set_timers(desk, ask, now)
+    return [*actions, *over]
+
+
+def _find_route(
+    desk: states.Desk, request: events.Request
+) -> configs.Route | errors.Failure:
+    if not desk.index.configuration.version:
+        return errors.make_failure(
+            errors.Kind.NOT_READY,
+            SOURCE,
+            'no configuration yet',
+            retry_after=START_S,
+        )
+    path = request.target.partition('?')[0]
+    route = configs.find_route(desk.index, request.host, path)
+    if route is None:
+        return errors.make_failure(
+            errors.Kind.NOT_FOUND, SOURCE, f'no route for {request.host}{path}'
+        )
+    return route
+
+
+def _list_services(desk: states.Desk, route: configs.Route) -> tuple[str, ...]:
+    match route.way:
+        case configs.Split() as split:
+            saved = desk.credits.get(route.name)
+            if saved is None:
+                saved = splits.start(split, desk.draw())
+            choice = splits.choose(split, saved)
+            desk.credits[route.name] = choice.credits
+            return (choice.service,)
+    return configs.list_services(route.way)
+
+
+def _set_timers(desk: states.Desk, ask: asks.Ask, now: float) -> None:
+    delay = tries.find_delay(desk, ask)
+    desk.set_timer(now + delay, states.HedgeDue(ask.number))
+    for when in (ask.cut, ask.ends):
+        if when > now:
+            desk.set_timer(when, states.CutDue(ask.number))
+
+
+def _tick(desk: states.Desk, now: float) -> Actions:
+    actions: Actions = []
+    while (due := desk.pop_due(now)) is not None:
+        ask = desk.asks.get(due.ask)
+        if ask is None:
+            continue
+        match due:
+            case states.HedgeDue():
+                actions.extend(tries.hedge(desk, ask, now))
+            case states.CutDue():
+                actions.extend(endings.settle(desk, ask, now))
+    return actions
--- /dev/null
+++ b/fuchsiahaven/routing/endings.py
@@ -0,0 +1,90 @@
+"""End an ask: one reply to its caller, and an account of it for the log."""
+
+from fuchsiahaven.core import errors
+from fuchsiahaven.routing import asks, events, states
+
+Actions = list[events.Action]
+
+
+def settle(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
+    """Reply if nothing that may still come is worth the wait."""
+    if not asks.is_over(ask, now):
+        return []
+    return finish(desk, ask, now)
+
+
+def finish(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
+    """Reply to the caller; what waits to be sent is not needed any more."""
+    outcome = asks.build_outcome(ask)
+    desk.asks.pop(ask.number, None)
+    return [
+        events.Reply(ask.number, outcome),
+        _tell(ask, name_result(outcome), now),
+        *[events.Withdraw(key) for key in list_flights(ask)],
+    ]
+
+
+def abandon(desk: states.Desk, number: int, now: float) -> Actions:
+    """End the work for a caller that has left.
+
+    What may not be repeated runs on: it has been asked for, and breaking it
+    off would leave nobody knowing whether it was done.
+    """
+    ask = desk.asks.pop(number, None)
+    if ask is None:
+        return []
+    flights = list_flights(ask)
+    actions: Actions = [events.Withdraw(key) for key in flights]
+    if not ask.route.at_most_once:
+        actions = [events.Cancel(key) for key in flights]
+    return [*actions, _tell(ask, 'abandoned', now)]
+
+
+def refuse(
+    ask: int,
+    request: events.Request,
+    failure: errors.Failure,
+    version: int,
+    now: float,
+) -> Actions:
+    """Refuse a request that has no route or cannot be served."""
+    took = now - request.arrived
+    result = failure.kind.value
+    story = events.Story(
+        request.request_id, '', version, result, took, 0, 0, 0, ()
+    )
+    return [events.Reply(ask, failure), story]
+
+
+def list_flights(ask: asks.Ask) -> list[events.FlightKey]:
+    """List the sendings that have not ended."""
+    return [
+        events.FlightKey(ask.number, service, flight.number)
+        for service, part in ask.parts.items()
+        for flight in part.flights
+    ]
+
+
+def name_result(outcome: events.Outcome) -> str:
+    """Name an outcome for the log."""
+    match outcome:
+        case events.Relayed(answer):
+            return f'relayed {answer.status}'
+        case events.Merged(_, missing, _):
+            return 'partial' if missing else 'complete'
+        case errors.Failure(kind):
+            return f'{kind} ran={outcome.ran}'
+
+
+def _tell(ask: asks.Ask, result: str, now: float) -> events.Story:
+    return events.Story(
+        ask.request.request_id,
+        ask.route.name,
+        ask.version,
+        result,
+        now - ask.request.arrived,
+        len(ask.parts),
+        asks.count_missing(ask),
+        sum(max(0, part.number - 1) for part in ask.parts.values()),
+        tuple(ask.tries),
+    )
--- /dev/null
+++ b/fuchsiahaven/routing/events.py
@@ -0,0 +1,207 @@
+"""Define what passes between the decisions and the sockets.
+
+`desks.handle(desk, event, now)` turns events into actions. Times are seconds
+on the monotonic clock.
+"""
+
+import enum
+from typing import NamedTuple
+
+from fuchsiahaven.core import errors, messages
+from fuchsiahaven.routing import configs, instances
+
+Fields = tuple[tuple[str, str], ...]
+
+
+class Request(NamedTuple):
+    """Hold one whole request of a caller.
+
+    `target` is the path with the query as it came, `fields` are the header
+    fields that go on to a target as they are.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    fields: Fields
+    body: bytes
+    arrived: float
+    deadline: float
+
+
+class Answer(NamedTuple):
+    """Hold the whole answer of a target, with the signature it gave it."""
+
+    status: int
+    fields: Fields
+    signature: str
+    body: bytes
+    load: messages.Load | None = None
+
+
+class FlightKey(NamedTuple):
+    """Identify one sending: the ask, its part, and which of its sendings."""
+
+    ask: int
+    service: str
+    number: int
+
+
+class Purpose(enum.StrEnum):
+    """Say why a request was sent to a target."""
+
+    FIRST = 'first'
+    HEDGE = 'hedge'
+    RETRY = 'retry'
+
+
+class Asked(NamedTuple):
+    """Bring a request in under a new number."""
+
+    ask: int
+    request: Request
+
+
+class Abandoned(NamedTuple):
+    """Tell that the caller has left without its answer."""
+
+    ask: int
+
+
+class Answered(NamedTuple):
+    """Bring an answer that belongs to a request, good or bad."""
+
+    key: FlightKey
+    answer: Answer
+
+
+class Refused(NamedTuple):
+    """Bring a target's word that it has not run a request."""
+
+    key: FlightKey
+    reason: messages.RefusalReason
+    load: messages.Load | None = None
+
+
+class Broken(NamedTuple):
+    """Bring a fault after the request had left: it may have run."""
+
+    key: FlightKey
+    fault: messages.Fault
+
+
+class Unsent(NamedTuple):
+    """Tell that a request did not leave this host and will not.
+
+    `unreachable` tells that no connection could be had, as opposed to one
+    that was not waited for any longer.
+    """
+
+    key: FlightKey
+    unreachable: bool
+
+
+class Ticked(NamedTuple):
+    """Bring the passing of time."""
+
+
+class Configured(NamedTuple):
+    """Bring a configuration; a lower version changes nothing."""
+
+    configuration: configs.Configuration
+
+
+class Directed(NamedTuple):
+    """Bring the targets there are now."""
+
+    directory: instances.Directory
+
+
+class Counted(NamedTuple):
+    """Bring how many hosts share the bounds on load."""
+
+    hosts: int
+
+
+class Send(NamedTuple):
+    """Ask for a request to be sent to a target.
+
+    `fresh` asks for a connection that is proven to work just now, because
+    the request may not be repeated.
+    """
+
+    key: FlightKey
+    instance: instances.Instance
+    request: Request
+    ends: float
+    fresh: bool
+
+
+class Withdraw(NamedTuple):
+    """Ask for a request not to be sent if it has not left yet."""
+
+    key: FlightKey
+
+
+class Cancel(NamedTuple):
+    """Ask for work at a target to end: the caller has left."""
+
+    key: FlightKey
+
+
+class Relayed(NamedTuple):
+    """Give a caller the answer of one target as it is."""
+
+    answer: Answer
+
+
+class Merged(NamedTuple):
+    """Give a caller the greatest records of the parts that are in."""
+
+    signatures: tuple[str, ...]
+    missing: int
+    body: bytes
+
+
+Outcome = Relayed | Merged | errors.Failure
+
+
+class Reply(NamedTuple):
+    """Give a caller its one outcome."""
+
+    ask: int
+    outcome: Outcome
+
+
+class Story(NamedTuple):
+    """Tell what was decided for one request, for the log.
+
+    `tries` lists, for the parts that did not go as planned, what was tried:
+    service, target, purpose and how it ended.
+    """
+
+    request_id: str
+    route: str
+    version: int
+    result: str
+    took: float
+    parts: int
+    missing: int
+    hedges: int
+    tries: tuple[str, ...]
+
+
+Event = (
+    Asked
+    | Abandoned
+    | Answered
+    | Refused
+    | Broken
+    | Unsent
+    | Ticked
+    | Configured
+    | Directed
+    | Counted
+)
+Action = Send | Withdraw | Cancel | Reply | Story
--- /dev/null
+++ b/fuchsiahaven/routing/instances.py
@@ -0,0 +1,44 @@
+"""Hold which targets there are, each start of one under its own identity."""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+
+class Instance(NamedTuple):
+    """Describe one start of a target.
+
+    `name` is new at each start, so that a request can name the process it is
+    meant for: an address can pass to a target of another service. `cold`
+    tells that it has just started and is still slow.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    leaving: bool
+    cold: bool
+
+
+class Directory(NamedTuple):
+    """Hold the targets that may get new work, by service."""
+
+    by_name: Mapping[str, Instance]
+    by_service: Mapping[str, tuple[Instance, ...]]
+
+
+EMPTY = Directory({}, {})
+
+
+def build_directory(instances: Iterable[Instance]) -> Directory:
+    """Leave out what is leaving; order each service by name."""
+    by_name = {one.name: one for one in instances if not one.leaving}
+    by_service: dict[str, list[Instance]] = {}
+    for name in sorted(by_name):
+        one = by_name[name]
+        by_service.setdefault(one.service, []).append(one)
+    return Directory(
+        by_name,
+        {service: tuple(found) for service, found in by_service.items()},
+    )
--- /dev/null
+++ b/fuchsiahaven/routing/merges.py
@@ -0,0 +1,24 @@
+"""Merge the records of many shards into one list."""
+
+import heapq
+import itertools
+from collections.abc import Iterable
+from typing import Final
+
+#: Bytes of a record; records are compared byte by byte.
+RECORD_BYTES: Final = 16
+
+
+def cut_records(body: bytes) -> list[bytes]:
+    """Cut a body into records; a shorter rest at its end is none."""
+    whole = len(body) - len(body) % RECORD_BYTES
+    return [
+        body[start : start + RECORD_BYTES]
+        for start in range(0, whole, RECORD_BYTES)
+    ]
+
+
+def merge_records(bodies: Iterable[bytes], limit: int) -> bytes:
+    """Join the greatest records, greatest first; equal ones all count."""
+    records = itertools.chain.from_iterable(map(cut_records, bodies))
+    return b''.join(heapq.nlargest(limit, records))
--- /dev/null
+++ b/fuchsiahaven/routing/places.py
@@ -0,0 +1,43 @@
+"""Hold what a host knows of itself and of the others from the start."""
+
+from typing import NamedTuple
+
+
+class Host(NamedTuple):
+    """Name a host, where other hosts reach it (`ip:port`), its data centre."""
+
+    name: str
+    address: str
+    data_centre: str
+
+
+class ExtraLoad(NamedTuple):
+    """Bound repeated arrivals at a service, over all hosts together.
+
+    In any stretch of `window` seconds at most `share` of the requests for the
+    service plus `slack` may arrive beyond the first of each request.
+    """
+
+    share: float
+    slack: float
+    window: float
+
+
+class Settings(NamedTuple):
+    """Hold what the platform tells a process at its start.
+
+    Addresses are `ip:port`, times in seconds. `data_centres` are all of the
+    deployment. `heartbeat` is how often a target renews its entry, `grace`
+    the time from the signal to stop to the kill.
+    """
+
+    host: Host
+    data_centres: tuple[str, ...]
+    callers: str
+    readiness: str
+    metrics: str
+    seeds: tuple[str, ...]
+    store: str
+    extra_load: ExtraLoad
+    heartbeat: float
+    grace: float
--- /dev/null
+++ b/fuchsiahaven/routing/standings.py
@@ -0,0 +1,195 @@
+"""Judge each target by what this host sees of it."""
+
+from collections.abc import Mapping
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import ejections, messages, routes
+from fuchsiahaven.routing import events, instances
+
+#: Added to the expected wait at a target in another data centre, in seconds.
+#: Bytes between data centres are dear, and with 4 ms instead of 50 a quiet
+#: day of 20 shards moved 17 % more of them for no better latency.
+CROSSING_S: Final = 0.05
+#: What a target costs that has been silent for longer than it usually takes:
+#: pauses last 120 to 150 ms.
+PAUSE_S: Final = 0.15
+#: A target counts as paused after so many times its usual latency.
+PAUSE_FACTOR: Final = 2.0
+#: But not sooner: scheduling on both sides takes some milliseconds.
+SHORTEST_PAUSE_S: Final = 0.025
+#: A target that has answered nothing for this long is taken for dead. Pauses
+#: are shorter; the answers of single requests take longer, hence the factor.
+SILENT_S: Final = 0.4
+SILENT_FACTOR: Final = 5.0
+#: How often a target taken for dead gets a request, to see whether it is.
+TRIAL_S: Final = 0.3
+#: A target that has just started takes 1.6 times as long for some seconds.
+COLD_FACTOR: Final = 1.6
+#: How long a target that refused a connection is left out; doubled with each
+#: further one up to the longest, so that its return is noticed within that.
+DOWN_S: Final = 0.2
+LONGEST_DOWN_S: Final = 0.8
+#: A time-out weighs as much as three other failures: it costs the caller most.
+TIMEOUT_BLAME: Final = 3
+
+
+class Standing(NamedTuple):
+    """Hold what is known of one target.
+
+    `aloft` maps the requests sent and not ended to when they were sent, the
+    oldest first. `down` is until when it is left out, `trial` when a silent
+    one may be tried next.
+    """
+
+    stats: routes.TargetStats = routes.UNSEEN
+    aloft: Mapping[events.FlightKey, float] = {}
+    failures: int = 0
+    down: float = 0.0
+    trial: float = 0.0
+
+
+UNSEEN: Final = Standing()
+
+
+class Standings:
+    """Own the standing of every target."""
+
+    def __init__(self) -> None:
+        """Start with no target seen."""
+        self._known: dict[str, Standing] = {}
+
+    def get(self, name: str) -> Standing:
+        """Return the standing of a target."""
+        return self._known.get(name, UNSEEN)
+
+    def keep_only(self, names: Mapping[str, object]) -> None:
+        """Forget the targets that are gone and have nothing under way."""
+        for name in self._known.keys() - names.keys():
+            if not self._known[name].aloft:
+                self._known.pop(name)
+
+    def note_sent(self, name: str, key: events.FlightKey, now: float) -> None:
+        """Count a request out."""
+        known = self.get(name)
+        trial = known.trial
+        if measure_silence(known, now) is not None:
+            trial = now + TRIAL_S
+        self._known[name] = known._replace(
+            stats=routes.note_sent(known.stats),
+            aloft={**known.aloft, key: now},
+            trial=trial,
+        )
+
+    def note_answered(
+        self,
+        name: str,
+        key: events.FlightKey,
+        now: float,
+        load: messages.Load | None,
+    ) -> None:
+        """Take in an answer."""
+        known = self.get(name)
+        sent = known.aloft.get(key, now)
+        stats = routes.note_answered(known.stats, now, now - sent)
+        if load is not None:
+            stats = routes.note_load(stats, load, now)
+        self._known[name] = _land(known, key)._replace(
+            stats=stats, failures=0, down=0
+        )
+
+    def note_failed(self, name: str, now: float) -> None:
+        """Take in that an answer told of a failure."""
+        known = self.get(name)
+        record = ejections.blame(known.stats.record, now, failures=1)
+        self._known[name] = known._replace(
+            stats=_judge(known.stats._replace(record=record), now)
+        )
+
+    def note_refused(
+        self, name: str, event: events.Refused, now: float
+    ) -> None:
+        """Take in that a target refused a request without running it."""
+        known = self.get(name)
+        stats = routes.note_refused(known.stats, now, event.reason)
+        if event.load is not None:
+            stats = routes.note_load(stats, event.load, now)
+        self._known[name] = _land(known, event.key)._replace(stats=stats)
+
+    def note_broken(self, name: str, event: events.Broken, now: float) -> None:
+        """Take in that a request ended with an unknown outcome."""
+        known = self.get(name)
+        stats = routes.note_broken(known.stats, now)
+        if event.fault is messages.Fault.TIMED_OUT:
+            record = ejections.blame(
+                stats.record, now, failures=TIMEOUT_BLAME - 1
+            )
+            stats = stats._replace(record=record)
+        self._known[name] = _land(known, event.key)._replace(
+            stats=_judge(stats, now)
+        )
+
+    def note_unsent(self, name: str, event: events.Unsent, now: float) -> None:
+        """Take in that a request did not leave."""
+        known = _land(self.get(name), event.key)
+        known = known._replace(stats=routes.note_ended(known.stats))
+        if event.unreachable and now >= known.down:
+            pause = min(LONGEST_DOWN_S, DOWN_S * 2**known.failures)
+            known = known._replace(
+                failures=known.failures + 1, down=now + pause
+            )
+        self._known[name] = known
+
+    def note_gone(self, name: str, now: float) -> None:
+        """Take in that another process has the address by now."""
+        known = self.get(name)
+        self._known[name] = known._replace(down=now + LONGEST_DOWN_S)
+
+
+def measure_silence(known: Standing, now: float) -> float | None:
+    """Return for how long a target has been unusually silent, or None."""
+    if not known.aloft:
+        return None
+    oldest = next(iter(known.aloft.values()))
+    waited = now - max(oldest, known.stats.heard)
+    usual = max(SHORTEST_PAUSE_S, known.stats.latency * PAUSE_FACTOR)
+    return waited if waited > usual else None
+
+
+def is_dead(known: Standing, now: float) -> bool:
+    """Tell whether a target is left out, but for a trial now and then."""
+    if now < known.down:
+        return True
+    silence = measure_silence(known, now)
+    if silence is None:
+        return False
+    longest = max(SILENT_S, known.stats.latency * SILENT_FACTOR)
+    return silence > longest and now < known.trial
+
+
+def estimate(
+    known: Standing, instance: instances.Instance, near: str, now: float
+) -> float:
+    """Estimate the seconds until a target would answer, and what it costs.
+
+    `near` is the data centre of this host.
+    """
+    cost = routes.estimate_cost(known.stats, now, 0)
+    if instance.cold:
+        cost *= COLD_FACTOR
+    if instance.data_centre != near:
+        cost += CROSSING_S
+    if measure_silence(known, now) is not None:
+        cost += PAUSE_S
+    return cost
+
+
+def _judge(stats: routes.TargetStats, now: float) -> routes.TargetStats:
+    """Leave a target out that has failed too often lately."""
+    if not ejections.is_failing(stats.record, now):
+        return stats
+    return stats._replace(record=ejections.eject(stats.record, now))
+
+
+def _land(known: Standing, key: events.FlightKey) -> Standing:
+    aloft = {other: sent for other, sent in known.aloft.items() if other != key}
+    return known._replace(aloft=aloft)
--- /dev/null
+++ b/fuchsiahaven/routing/states.py
@@ -0,0 +1,93 @@
+"""Hold the state of a host's decisions, in tables that belong to its loop."""
+
+import heapq
+import itertools
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from fuchsiahaven.core import hedges
+from fuchsiahaven.routing import (
+    asks,
+    budgets,
+    configs,
+    events,
+    instances,
+    places,
+    standings,
+)
+
+
+class HedgeDue(NamedTuple):
+    """Look at which parts of an ask are worth a second sending."""
+
+    ask: int
+
+
+class CutDue(NamedTuple):
+    """See whether what is in hand makes an answer, or the time is over."""
+
+    ask: int
+
+
+Due = HedgeDue | CutDue
+
+
+class Aloft(NamedTuple):
+    """Describe a sending that has not ended, also after its ask has.
+
+    `extra` tells that it was charged to the budget of repeats.
+    """
+
+    instance: str
+    purpose: events.Purpose
+    sent: float
+    route: str
+    extra: bool
+
+
+class Desk:
+    """Own all that one host decides by."""
+
+    def __init__(
+        self,
+        host: places.Host,
+        extra_load: places.ExtraLoad,
+        draw: Callable[[], float],
+    ) -> None:
+        """Start with no configuration and no targets."""
+        self.near = host.data_centre
+        self.extra_load = extra_load
+        self.draw = draw
+        self.hosts = 1
+        self.index = configs.build_index(configs.NOTHING)
+        self.directory = instances.EMPTY
+        self.standings = standings.Standings()
+        self.asks: dict[int, asks.Ask] = {}
+        self.aloft: dict[events.FlightKey, Aloft] = {}
+        self.windows: dict[str, hedges.Window] = {}
+        self.credits: dict[str, Mapping[str, float]] = {}
+        self._budgets: dict[str, budgets.Budget] = {}
+        self._timers: list[tuple[float, int, Due]] = []
+        self._order = itertools.count()
+
+    def find_budget(self, service: str) -> budgets.Budget:
+        """Find the budget of repeats at a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = budgets.Budget(self.extra_load)
+            self._budgets[service] = budget
+        return budget
+
+    def set_timer(self, when: float, due: Due) -> None:
+        """Have something looked at then."""
+        heapq.heappush(self._timers, (when, next(self._order), due))
+
+    def pop_due(self, now: float) -> Due | None:
+        """Take the next thing that is due."""
+        if not self._timers or self._timers[0][0] > now:
+            return None
+        return heapq.heappop(self._timers)[2]
+
+    def next_wake(self) -> float | None:
+        """Return when something is due next."""
+        return self._timers[0][0] if self._timers else None
--- /dev/null
+++ b/fuchsiahaven/routing/tries.py
@@ -0,0 +1,164 @@
+"""Send the parts of an ask: first, again, and to a second target in time."""
+
+from typing import Final
+
+from fuchsiahaven.core import coverage, hedges
+from fuchsiahaven.routing import asks, choices, events, instances, states
+
+#: Nine of ten sub-requests are back by then, so that hedges take up a tenth
+#: of the load or the pauses of targets, whichever is more.
+HEDGING: Final = hedges.Policy(quantile=0.9, medians=2.5)
+#: Share of the objective after which to hedge while too little is known, or
+#: while targets are overloaded.
+UNKNOWN_SHARE: Final = 0.3
+#: Hedges later than this share of the objective are too late to help.
+LATEST_SHARE: Final = 0.6
+SHORTEST_HEDGE_S: Final = 0.006
+#: Repeats that hedges leave for what was refused or broke.
+KEPT_FOR_RETRIES: Final = 1.0
+
+
+def foresee(desk: states.Desk, ask: asks.Ask, now: float) -> None:
+    """Mark the parts that no target can take as lost."""
+    for service in tuple(ask.open):
+        desk.find_budget(service).note_request(now)
+        part = ask.parts[service]
+        if not choices.list_candidates(desk, service, part, now):
+            _lose(desk, ask, service)
+
+
+def send_first(
+    desk: states.Desk, ask: asks.Ask, service: str, now: float
+) -> list[events.Action]:
+    """Send a part for the first time."""
+    return _send_or_lose(desk, ask, service, now, events.Purpose.FIRST)
+
+
+def send_again(
+    desk: states.Desk, ask: asks.Ask, service: str, now: float
+) -> list[events.Action]:
+    """Send a part again if it may run again, or note that it is lost."""
+    part = ask.parts[service]
+    if part.flights:
+        return []
+    once = ask.route.at_most_once and part.may_have_run
+    if once or not may_repeat(desk, ask, service, now):
+        _lose(desk, ask, service)
+        return []
+    return _send_or_lose(desk, ask, service, now, events.Purpose.RETRY)
+
+
+def may_repeat(
+    desk: states.Desk,
+    ask: asks.Ask,
+    service: str,
+    now: float,
+    *,
+    kept: float = 0,
+) -> bool:
+    """Tell whether attempts and the shared budget allow one more sending."""
+    part = ask.parts[service]
+    if not part.sent:
+        # Nothing has arrived anywhere, so this is the first arrival.
+        return True
+    if part.sent >= ask.route.attempts:
+        return False
+    left = desk.find_budget(service).count_left(now, desk.hosts)
+    return left >= 1 + kept
+
+
+def hedge(desk: states.Desk, ask: asks.Ask, now: float) -> list[events.Action]:
+    """Send what takes unusually long to a second target."""
+    if ask.route.at_most_once:
+        return []
+    delay = find_delay(desk, ask)
+    actions: list[events.Action] = []
+    waiting = False
+    for service in tuple(ask.open):
+        part = ask.parts[service]
+        if len(part.flights) != 1:
+            continue
+        if now - part.flights[0].sent < delay:
+            waiting = True
+        elif may_repeat(desk, ask, service, now, kept=KEPT_FOR_RETRIES):
+            actions.extend(_hedge_part(desk, ask, service, now))
+    if waiting or not actions:
+        desk.set_timer(now + delay / 2, states.HedgeDue(ask.number))
+    return actions
+
+
+def find_delay(desk: states.Desk, ask: asks.Ask) -> float:
+    """Return after how many seconds a part is worth a second sending."""
+    objective = ask.route.objective
+    window = desk.windows.get(ask.route.name, hedges.EMPTY)
+    known = hedges.hedge_delay(window)
+    delay = UNKNOWN_SHARE * objective if known is None else known
+    return max(SHORTEST_HEDGE_S, min(delay, LATEST_SHARE * objective))
+
+
+def _hedge_part(
+    desk: states.Desk, ask: asks.Ask, service: str, now: float
+) -> list[events.Action]:
+    part = ask.parts[service]
+    found = choices.list_candidates(desk, service, part, now)
+    chosen = choices.choose(desk, found, now, once=False)
+    if chosen is None:
+        return []
+    return [_send(desk, ask, service, chosen, now, events.Purpose.HEDGE)]
+
+
+def _send_or_lose(
+    desk: states.Desk,
+    ask: asks.Ask,
+    service: str,
+    now: float,
+    purpose: events.Purpose,
+) -> list[events.Action]:
+    part = ask.parts[service]
+    found = choices.list_candidates(desk, service, part, now)
+    once = ask.route.at_most_once
+    chosen = choices.choose(desk, found, now, once=once)
+    if chosen is not None:
+        return [_send(desk, ask, service, chosen, now, purpose)]
+    _lose(desk, ask, service)
+    return []
+
+
+def _lose(desk: states.Desk, ask: asks.Ask, service: str) -> None:
+    part = ask.parts[service]
+    reason = part.reason
+    if reason is None:
+        known = service in desk.directory.by_service
+        reason = coverage.Reason.NO_REPLICA
+        if known:
+            reason = coverage.Reason.UNREACHABLE
+    ask.parts[service] = part._replace(lost=True, reason=reason)
+    ask.open.discard(service)
+
+
+def _send(
+    desk: states.Desk,
+    ask: asks.Ask,
+    service: str,
+    chosen: instances.Instance,
+    now: float,
+    purpose: events.Purpose,
+) -> events.Send:
+    part = ask.parts[service]
+    extra = part.sent > 0
+    if extra:
+        desk.find_budget(service).note_extra(now)
+    number = part.number + 1
+    ask.parts[service] = part._replace(
+        flights=(*part.flights, asks.Flight(number, chosen.name, now)),
+        tried=(*part.tried, chosen.name),
+        sent=part.sent + 1,
+        number=number,
+    )
+    key = events.FlightKey(ask.number, service, number)
+    route = ask.route.name
+    desk.aloft[key] = states.Aloft(chosen.name, purpose, now, route, extra)
+    desk.standings.note_sent(chosen.name, key, now)
+    return events.Send(
+        key, chosen, ask.request, ask.ends, ask.route.at_most_once
+    )
