Number what a host passes on by its own order, and split what had grown

Cause: a removal held back by the reader was written under a revision that another host had already heard of, so that host kept a leaving target and sent it a request 3,275 ms after its word (bound 3,000 ms). A host whose own way to the store had been closed also held back removals that the others had seen.

Ruled out: late polls; the reader had learned of it 1 s after the word.

--- a/fuchsiahaven/platform/exchanges.py
+++ b/fuchsiahaven/platform/exchanges.py
@@ -12,7 +12,6 @@
 MILLISECONDS: Final = 1000
 #: What a caller waits that does not say; as long as most routes allow.
 USUAL_DEADLINE_S: Final = 2.0
-SUCCESS: Final = range(200, 300)
 #: Statuses that promise that a request has not run and will not.
 PROMISES: Final = frozenset((408, 421, 429, 503))
 MISDIRECTED: Final = 421
--- a/fuchsiahaven/platform/records.py
+++ b/fuchsiahaven/platform/records.py
@@ -1,7 +1,6 @@
 """Decode what operators, targets and hosts keep in the platform's store."""
 
 import base64
-import binascii
 import json
 from collections.abc import Mapping
 from typing import Any, Final
@@ -39,7 +38,7 @@
     try:
         row = json.loads(base64.b64decode(encoded, validate=True))
         return _read_value(key, row)
-    except (ValueError, KeyError, TypeError, binascii.Error) as error:
+    except (ValueError, KeyError, TypeError) as error:
         raise Malformed(f'{key.subject} {key.name}: {error!r}') from error
 
 
@@ -101,20 +100,20 @@
 
 
 def _read_way(row: Mapping[str, Any]) -> configs.Way:
-    if 'gather' in row:
-        return configs.Gather(
-            tuple(row['gather']), int(row['top_k']), float(row['min_coverage'])
-        )
-    if 'traffic_split' in row:
-        return configs.Split(
-            tuple(
-                configs.Weighted(part['service'], float(part['weight']))
-                for part in row['traffic_split']
+    match row:
+        case {'gather': shards}:
+            return configs.Gather(
+                tuple(shards), int(row['top_k']), float(row['min_coverage'])
             )
-        )
+        case {'traffic_split': parts}:
+            return configs.Split(tuple(_read_weighted(it) for it in parts))
     return configs.Single(row['service'])
 
 
+def _read_weighted(row: Mapping[str, Any]) -> configs.Weighted:
+    return configs.Weighted(row['service'], float(row['weight']))
+
+
 def _read_instance(name: str, row: Mapping[str, Any]) -> instances.Instance:
     return instances.Instance(
         name,
--- a/fuchsiahaven/platform/store.py
+++ b/fuchsiahaven/platform/store.py
@@ -48,19 +48,22 @@
 def read_page(body: bytes, decode: Decode) -> Page:
     """Read a page; raises records.Malformed."""
     try:
-        read = json.loads(body)
-        rows = read['items']
-        found = [_read_item(row, decode) for row in rows]
-        after = rows[-1]['key'] if read['has_more'] and rows else None
-        return Page(
-            int(read['store_revision']),
-            tuple(fact for fact in found if fact is not None),
-            after,
-        )
+        return _read_page(json.loads(body), decode)
     except (ValueError, KeyError, TypeError) as error:
         raise records.Malformed(repr(error)) from error
 
 
+def _read_page(read: Mapping[str, Any], decode: Decode) -> Page:
+    rows = read['items']
+    found = [_read_item(row, decode) for row in rows]
+    after = rows[-1]['key'] if read['has_more'] and rows else None
+    return Page(
+        int(read['store_revision']),
+        tuple(fact for fact in found if fact is not None),
+        after,
+    )
+
+
 def open_lease(seconds: float) -> Call:
     """Ask for a lease."""
     body = json.dumps({'ttl_ms': int(seconds * MILLISECONDS)})
--- a/fuchsiahaven/relay/journal.py
+++ b/fuchsiahaven/relay/journal.py
@@ -76,7 +76,7 @@
             line['left_out'] = self.left_out
         encoded = json.dumps(line, separators=(',', ':'), default=str)
         try:
-            self._lines.put_nowait(encoded.encode() + b'\n')
+            self._lines.put_nowait(f'{encoded}\n'.encode())
         except queue.Full:
             self.left_out += 1
         else:
--- a/fuchsiahaven/relay/links.py
+++ b/fuchsiahaven/relay/links.py
@@ -89,11 +89,12 @@
             return
         self._feed(data)
 
-    def eof_received(self) -> bool | None:
+    def eof_received(self) -> bool:
         """Take the end of an answer that has no length."""
         if self.exchange is not None:
             self._feed(b'')
-        return None
+        # The connection is not kept half open.
+        return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell the owner that the connection is gone."""
@@ -139,20 +140,22 @@
     def _pull(self) -> None:
         while self.exchange is not None and not self.closed:
             event = self._machine.next_event()
-            match event:
-                case h11.Response():
-                    self._head = event
-                case h11.Data():
-                    self._body += event.data
-                    if len(self._body) > ANSWER_BYTES:
-                        self.close(messages.Fault.TOO_LARGE)
-                case h11.EndOfMessage():
-                    self._end_message()
-                case h11.InformationalResponse():
-                    continue
-                case _:
-                    # More bytes are needed, or the connection has ended.
-                    return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            self._take_event(event)
+
+    def _take_event(self, event: object) -> None:
+        match event:
+            case h11.Response():
+                self._head = event
+            case h11.Data():
+                self._body += event.data
+                if len(self._body) > ANSWER_BYTES:
+                    self.close(messages.Fault.TOO_LARGE)
+            case h11.EndOfMessage():
+                self._end_message()
+            case h11.ConnectionClosed():
+                self.close(messages.Fault.CONNECTION_LOST)
 
     def _end_message(self) -> None:
         assert self._head is not None
--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -4,6 +4,7 @@
 
 import prometheus_client
 
+from fuchsiahaven.relay import runner
 from fuchsiahaven.routing import events
 
 PREFIX: Final = 'fuchsiahaven_relay'
@@ -62,6 +63,15 @@
         self.extra.inc(story.hedges)
         self.missing.inc(story.missing)
 
+    def take_runner(self, driven: runner.Runner) -> None:
+        """Take what the decisions and the connections are like now."""
+        pools = driven.pools.values()
+        self.version.set(driven.desk.index.configuration.version)
+        self.targets.set(len(driven.desk.directory.by_name))
+        self.hosts.set(driven.desk.hosts)
+        self.links.set(sum(pool.count_links() for pool in pools))
+        self.opened.set(sum(pool.opener.opened for pool in pools))
+
     def write(self) -> bytes:
         """Write the page."""
         return prometheus_client.generate_latest(self.registry)
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -24,6 +24,9 @@
 STORE_DOUBT_S: Final = 0.7
 #: Sources tried in one round before the next round is waited for.
 TRIES: Final = 3
+#: News this old means that the store was away for all hosts, not for this one
+#: alone: the others would have passed theirs on.
+OUTAGE_S: Final = 2.5
 #: How long the entry of a host outlives it, and how often it is renewed: a
 #: store that is away for the difference does not lose it.
 LEASE_S: Final = 30.0
@@ -31,6 +34,8 @@
 #: How soon a host without an entry of its own tries to write one again.
 ENTER_S: Final = 2.0
 FACTS_PATH: Final = '/v1/facts?after='
+#: No two starts of a process have the same number, for all practical purposes.
+LIFE_BITS: Final = 48
 
 Learn = Callable[[facts.Merged], None]
 
@@ -49,13 +54,14 @@
         self, settings: places.Settings, log: journal.Journal, learn: Learn
     ) -> None:
         """Start with nothing known."""
-        self.ledger = facts.EMPTY
+        self.ledger = facts.begin(random.SystemRandom().getrandbits(LIFE_BITS))
         self.settings = settings
         self.store = calls.Client(settings.store)
         self._log = log
         self._learn = learn
         self._peers: dict[str, calls.Client] = {}
         self._decoded: dict[facts.Key, Decoded] = {}
+        self._cursors: dict[str, facts.Cursor] = {}
         self._doubted: dict[str, float] = {}
         self._store_doubted = 0.0
         self._store_lost = False
@@ -82,10 +88,12 @@
                 self._log.tell(PART, 'no entry in the store', error=str(error))
             await asyncio.sleep(pause)
 
-    def list_changes(self, after: int) -> bytes:
-        """List what has changed after a revision, for another host."""
+    def list_changes(self, after: str) -> bytes:
+        """List what was learned after a place, for another host."""
         now = time.monotonic()
-        return codecs.write_report(facts.list_changes(self.ledger, after, now))
+        cursor = codecs.read_cursor(after)
+        report = facts.list_changes(self.ledger, cursor, now)
+        return codecs.write_report(report)
 
     def close(self) -> None:
         """Close the connections."""
@@ -94,17 +102,22 @@
 
     async def _go_round(self) -> float:
         """Ask until there is an answer; return how long it will do."""
-        for _ in range(TRIES):
+        tries = 0
+        pause = None
+        while pause is None and tries < TRIES:
+            tries += 1
             now = time.monotonic()
-            source = sources.choose(self._view(), now, random.random())
-            match source:
-                case sources.Store():
-                    if await self._read_store():
-                        return READ_S
-                case sources.Peer(address):
-                    if await self._ask(address):
-                        return ASK_S
-        return ASK_S
+            pause = await self._ask_source(
+                sources.choose(self._view(), now, random.random())
+            )
+        return ASK_S if pause is None else pause
+
+    async def _ask_source(self, source: sources.Source) -> float | None:
+        match source:
+            case sources.Store():
+                return READ_S if await self._read_store() else None
+            case sources.Peer(address):
+                return ASK_S if await self._ask(address) else None
 
     def _view(self) -> sources.View:
         return sources.View(
@@ -128,7 +141,9 @@
         now = time.monotonic()
         if self._store_lost:
             self._store_lost = False
-            self._returned = now
+            if now - self.ledger.read > OUTAGE_S:
+                # Nobody could read it, so targets could not renew either.
+                self._returned = now
             self._log.tell(PART, 'the store is back', revision=report.revision)
         self._take(report, now, self._returned)
         return True
@@ -173,7 +188,8 @@
         if client is None:
             client = calls.Client(address)
             self._peers[address] = client
-        target = f'{FACTS_PATH}{self.ledger.revision}'
+        cursor = self._cursors.get(address, facts.START)
+        target = f'{FACTS_PATH}{codecs.write_cursor(cursor)}'
         try:
             done = await client.call(store.Call('GET', target), PEER_S)
             report = codecs.read_report(done.body)
@@ -181,6 +197,7 @@
             self._doubt(address, str(error))
             return False
         now = time.monotonic()
+        self._cursors[address] = report.cursor
         self._take(report, now, None)
         if now - self.ledger.read > sources.STALE_S:
             self._doubt(address, f'its news is {report.age:.1f} s old')
--- a/fuchsiahaven/relay/pools.py
+++ b/fuchsiahaven/relay/pools.py
@@ -3,22 +3,15 @@
 Every sending that is handed in ends in exactly one event.
 """
 
-import asyncio
 import collections
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import messages
 from fuchsiahaven.platform import exchanges
-from fuchsiahaven.relay import links
+from fuchsiahaven.relay import links, openers
 from fuchsiahaven.routing import events, instances
 
-#: A connection that is not open by then is not waited for; a new one takes
-#: one round trip, at most 3 ms here, and up to 6 ms of the target's time.
-CONNECT_S: Final = 0.25
-#: A target past its bound on connections resets new ones; trying again at once
-#: would meet the same.
-BACK_OFF_S: Final = 0.5
 #: An answer so recent proves that a connection works.
 PROVEN_S: Final = 0.2
 #: A sending is given up so long after its end: the target's own answer that
@@ -51,7 +44,6 @@
         """Start without a connection."""
         self.instance = instance
         self.seats = 1
-        self.opened = 0
         self._report = report
         self._clock = clock
         self._queue: collections.deque[events.Send] = collections.deque()
@@ -59,8 +51,9 @@
         # Idle connections, and until when each may be used.
         self._idle: dict[links.Link, float] = {}
         self._proven: dict[links.Link, float] = {}
-        self._opening: set[asyncio.Task[None]] = set()
-        self._closed_until = 0.0
+        self.opener = openers.Opener(
+            instance.address, lambda: links.Link(self), self._take_link
+        )
 
     def place(self, send: events.Send) -> None:
         """Send at once where a connection is idle, or else when one is."""
@@ -72,49 +65,42 @@
         self._queue.append(send)
         self._open_more(now)
 
-    def withdraw(self, key: events.FlightKey) -> None:
-        """Do not send what has not left yet."""
+    def stop(self, key: events.FlightKey, *, also_sent: bool) -> None:
+        """Do not send what has not left; end soon what has, if asked to."""
         for send in self._queue:
             if send.key == key:
                 self._queue.remove(send)
                 self._report(events.Unsent(key, unreachable=False))
                 return
-
-    def cancel(self, key: events.FlightKey) -> None:
-        """End the work on a sending soon."""
-        self.withdraw(key)
-        for link, busy in self._busy.items():
-            if busy.send.key == key:
-                expires = min(busy.expires, self._clock() + CANCEL_S)
-                self._busy[link] = busy._replace(expires=expires)
+        carried = [
+            it for it, busy in self._busy.items() if busy.send.key == key
+        ]
+        for link in carried if also_sent else ():
+            busy = self._busy[link]
+            expires = min(busy.expires, self._clock() + CANCEL_S)
+            self._busy[link] = busy._replace(expires=expires)
 
     def sweep(self, now: float) -> None:
         """End what has taken too long, and connections idle for too long."""
-        for link in [
-            it for it, busy in self._busy.items() if busy.expires < now
-        ]:
+        late = [it for it, busy in self._busy.items() if busy.expires < now]
+        for link in late:
             link.close(messages.Fault.TIMED_OUT)
-        for link in [it for it, until in self._idle.items() if until < now]:
+        old = [it for it, until in self._idle.items() if until < now]
+        for link in old:
             link.close(messages.Fault.CONNECTION_LOST)
         self._open_more(now)
 
     def is_unused(self) -> bool:
         """Tell whether nothing is under way."""
-        return not (self._busy or self._queue or self._opening)
+        return not (self._busy or self._queue or self.opener.count())
 
     def count_links(self) -> int:
         """Count the connections, those being opened included."""
-        return len(self._busy) + len(self._idle) + len(self._opening)
-
-    def warm(self) -> None:
-        """Open a first connection before a request needs it."""
-        if not self.count_links():
-            self._open()
+        return len(self._busy) + len(self._idle) + self.opener.count()
 
     def close(self) -> None:
         """Close every connection; what is under way ends as broken."""
-        for task in tuple(self._opening):
-            task.cancel()
+        self.opener.close()
         for link in (*self._busy, *self._idle):
             link.close(messages.Fault.CONNECTION_LOST)
         while self._queue:
@@ -170,49 +156,26 @@
             self._idle[link] = until
 
     def _open_more(self, now: float) -> None:
-        if len(self._queue) <= len(self._opening):
+        if len(self._queue) <= self.opener.count():
             return
-        if now < self._closed_until:
-            self._give_up(unreachable=not (self._busy or self._idle))
-            return
-        if self.count_links() >= self.seats and self._idle:
+        if now < self.opener.closed_until:
+            self._give_up()
+        elif self.count_links() < self.seats:
+            self.opener.open()
+        elif self._idle:
             # Those idle are too old for what waits.
             next(iter(self._idle)).close(messages.Fault.CONNECTION_LOST)
-        elif self.count_links() < self.seats:
-            self._open()
-
-    def _open(self) -> None:
-        task = asyncio.create_task(self._connect())
-        self._opening.add(task)
-
-    async def _connect(self) -> None:
-        host, _, port = self.instance.address.rpartition(':')
-        loop = asyncio.get_running_loop()
-        link = links.Link(self)
-        task = asyncio.current_task()
-        try:
-            async with asyncio.timeout(CONNECT_S):
-                await loop.create_connection(lambda: link, host, int(port))
-        except (OSError, TimeoutError):
-            self._opening.discard(task)
-            self._back_off()
-            return
-        except asyncio.CancelledError:
-            self._opening.discard(task)
-            raise
-        self._opening.discard(task)
-        self.opened += 1
-        if link.closed:
+
+    def _take_link(self, link: links.Link | None) -> None:
+        if link is None:
+            self._give_up()
             return
-        now = self._clock()
-        self._proven[link] = now
+        self._proven[link] = self._clock()
         self._release(link, float('inf'))
 
-    def _back_off(self) -> None:
-        self._closed_until = self._clock() + BACK_OFF_S
-        self._give_up(unreachable=not (self._busy or self._idle))
-
-    def _give_up(self, *, unreachable: bool) -> None:
+    def _give_up(self) -> None:
+        """Send nothing that waits for a connection that cannot be had."""
+        unreachable = not (self._busy or self._idle)
         if not unreachable and not any(it.fresh for it in self._queue):
             # A connection in use takes what waits when it is done.
             return
--- a/fuchsiahaven/relay/ports.py
+++ b/fuchsiahaven/relay/ports.py
@@ -5,10 +5,8 @@
 from http import HTTPStatus
 from typing import Final, NamedTuple
 
-import h11
-
 from fuchsiahaven.platform import exchanges
-from fuchsiahaven.relay import links
+from fuchsiahaven.relay import intakes, links
 from fuchsiahaven.routing import configs
 
 #: Bytes taken in while a request is being answered; a caller that sends more
@@ -66,11 +64,8 @@
     def __init__(self, port: Port) -> None:
         """Wait for the connection."""
         self._port = port
-        self._limits = port.terms.limits()
-        self._machine = self._make_machine()
+        self._intake = intakes.Intake(port.terms.limits())
         self._transport: asyncio.Transport | None = None
-        self._head: h11.Request | None = None
-        self._body = bytearray()
         self._leave: Callable[[], None] | None = None
         self._begun = False
         self._answering = False
@@ -83,7 +78,7 @@
         self._transport = transport
         links.set_options(transport.get_extra_info('socket'))
         self._port.talks.add(self)
-        self._set_timer(self._limits.idle)
+        self._set_timer(self._intake.limits.idle)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of a request."""
@@ -93,17 +88,11 @@
                 self.close()
                 return
         try:
-            self._machine.receive_data(data)
-        except h11.RemoteProtocolError:
-            self.close()
-            return
-        if not self._answering:
-            self._begin()
-            self._pull()
-
-    def eof_received(self) -> bool | None:
-        """Take the caller's leave."""
-        return None
+            self._intake.feed(data)
+        except intakes.Improper as error:
+            self._reject(error.status)
+        else:
+            self._go_on()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell whoever works for the caller that it has left."""
@@ -123,11 +112,6 @@
         if self._transport is not None:
             self._transport.close()
 
-    def _make_machine(self) -> h11.Connection:
-        return h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
-        )
-
     def _set_timer(self, seconds: float | None) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -142,57 +126,29 @@
         else:
             self.close()
 
-    def _begin(self) -> None:
-        """Bound the time for a request from its first byte on."""
+    def _go_on(self) -> None:
+        """Take the next request once it is whole."""
+        if self._answering:
+            return
         if not self._begun:
+            # The time for a request is bounded from its first byte on.
             self._begun = True
-            self._set_timer(self._limits.head)
-
-    def _pull(self) -> None:
+            self._set_timer(self._intake.limits.head)
         try:
-            while not self._answering and self._take_event():
-                pass
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint)
-
-    def _take_event(self) -> bool:
-        """Take one event of the protocol; False if there is none yet."""
-        event = self._machine.next_event()
-        match event:
-            case h11.Request():
-                self._head = event
-                self._body.clear()
-                self._invite()
-            case h11.Data():
-                self._body += event.data
-                if len(self._body) > self._limits.body_bytes:
-                    self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-                    return False
-            case h11.EndOfMessage():
-                self._take_request()
-            case _:
-                return False
-        return True
-
-    def _invite(self) -> None:
-        """Tell a caller that waits for it to send the body."""
-        if self._machine.they_are_waiting_for_100_continue:
-            go_on = h11.InformationalResponse(status_code=100, headers=[])
-            self._send(go_on)
+            taken = self._intake.take()
+        except intakes.Improper as error:
+            self._reject(error.status)
+            return
+        if isinstance(taken, bytes):
+            self._write(taken)
+        else:
+            self._take_request(taken)
 
-    def _take_request(self) -> None:
-        assert self._head is not None
+    def _take_request(self, message: exchanges.Message) -> None:
         self._set_timer(None)
         self._begun = False
         self._answering = True
         self._ahead = 0
-        message = exchanges.Message(
-            self._head.target.decode('latin-1'),
-            0,
-            exchanges.read_fields(self._head.headers),
-            bytes(self._body),
-            self._head.method.decode('latin-1'),
-        )
         leave = self._port.terms.handle(message, self._answer)
         if self._answering:
             self._leave = leave
@@ -200,58 +156,28 @@
     def _answer(self, written: exchanges.Written) -> None:
         self._leave = None
         self._answering = False
-        assert self._transport is not None
-        if self._transport.is_closing():
-            return
         ends = self._port.stopping
-        self._write(written, ends=ends)
-        if self._machine.our_state is not h11.DONE or ends:
+        self._write(self._intake.write(written, ends=ends))
+        if ends or not self._intake.goes_on():
             self.close()
             return
-        self._limits = self._port.terms.limits()
-        self._machine.start_next_cycle()
-        self._set_timer(self._limits.idle)
-        if self._machine.trailing_data[0]:
-            self._begin()
-            asyncio.get_running_loop().call_soon(self._pull)
+        self._intake.limits = self._port.terms.limits()
+        self._set_timer(self._intake.limits.idle)
+        if self._intake.has_more():
+            asyncio.get_running_loop().call_soon(self._go_on)
 
-    def _write(self, written: exchanges.Written, *, ends: bool) -> None:
-        fields = [
-            (name.encode('latin-1'), told.encode('latin-1'))
-            for name, told in written.fields
-        ]
-        length = str(len(written.body)).encode()
-        fields.append((b'content-length', length))
-        if ends:
-            fields.append((b'connection', b'close'))
-        head = h11.Response(
-            status_code=written.status,
-            headers=fields,
-            reason=_name_status(written.status),
-        )
-        body = h11.Data(data=written.body)
-        self._send(head, body, h11.EndOfMessage())
-
-    def _send(self, *sent: h11.Event) -> None:
+    def _write(self, data: bytes) -> None:
         assert self._transport is not None
-        parts = [self._machine.send(one) or b'' for one in sent]
-        self._transport.write(b''.join(parts))
+        if data and not self._transport.is_closing():
+            self._transport.write(data)
 
     def _reject(self, status: int) -> None:
         """Refuse what is no proper request, and end the connection."""
-        self._answering = True
         self._set_timer(None)
-        if self._machine.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
+        if not self._answering:
+            self._answering = True
             text = f'{status} {HTTPStatus(status).phrase}\n'
             fields = (('content-type', 'text/plain'),)
-            self._write(
-                exchanges.Written(status, fields, text.encode()), ends=True
-            )
+            written = exchanges.Written(status, fields, text.encode())
+            self._write(self._intake.write(written, ends=True))
         self.close()
-
-
-def _name_status(status: int) -> bytes:
-    try:
-        return HTTPStatus(status).phrase.encode()
-    except ValueError:
-        return b''
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -64,16 +64,7 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self.runner.close)
             stack.callback(self.news.close)
-            for port, address in (
-                (self.peers, self.settings.host.address),
-                (self.readiness, self.settings.readiness),
-                (self.callers, self.settings.callers),
-            ):
-                server = await port.listen(address)
-                stack.callback(server.close)
-            if self.settings.metrics != self.settings.host.address:
-                server = await self.peers.listen(self.settings.metrics)
-                stack.callback(server.close)
+            await self._listen(stack)
             async with asyncio.TaskGroup() as tasks:
                 running = [
                     tasks.create_task(self.news.follow()),
@@ -92,6 +83,17 @@
             return 'stopping'
         return desks.find_obstacle(self.desk)
 
+    async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
+        settings = self.settings
+        peers = await self.peers.listen(settings.host.address)
+        stack.callback(peers.close)
+        metrics = await self.peers.listen(settings.metrics)
+        stack.callback(metrics.close)
+        readiness = await self.readiness.listen(settings.readiness)
+        stack.callback(readiness.close)
+        callers = await self.callers.listen(settings.callers)
+        stack.callback(callers.close)
+
     async def _stop(self) -> None:
         """Stop without cutting a request.
 
@@ -138,11 +140,12 @@
         for subject in merged.changed:
             match subject:
                 case facts.Subject.CONFIGURATION:
-                    self._configure(merged.ledger)
+                    configuration = facts.find_configuration(merged.ledger)
+                    self.runner.learn(events.Configured(configuration))
                 case facts.Subject.INSTANCE:
                     found = facts.list_instances(merged.ledger)
                     directory = instances.build_directory(found)
-                    self.runner.direct(directory)
+                    self.runner.learn(events.Directed(directory))
                 case facts.Subject.HOST:
                     self._count_hosts(merged.ledger)
         self.log.tell(
@@ -156,17 +159,11 @@
             ready=self.find_obstacle() or 'yes',
         )
 
-    def _configure(self, ledger: facts.Ledger) -> None:
-        configuration = facts.find_configuration(ledger)
-        self.runner.post(events.Configured(configuration))
-        self.runner.deal()
-
     def _count_hosts(self, ledger: facts.Ledger) -> None:
         # Until the hosts have entered themselves the seeds are all there is.
         known = len(facts.list_hosts(ledger))
         count = max(known, len(self.settings.seeds))
-        self.runner.post(events.Counted(count))
-        self.runner.deal()
+        self.runner.learn(events.Counted(count))
 
     def _take_request(
         self, message: exchanges.Message, answer: ports.Answer
@@ -187,8 +184,7 @@
             case '/ready':
                 answer(self._tell_readiness())
             case '/v1/facts':
-                after = int(query.partition('=')[2] or 0)
-                body = self.news.list_changes(after)
+                body = self.news.list_changes(query.partition('=')[2])
                 answer(exchanges.Written(HTTPStatus.OK, JSON, body))
             case '/metrics':
                 answer(self._write_metrics())
@@ -207,15 +203,10 @@
 
     def _write_metrics(self) -> exchanges.Written:
         known = self.meters
-        pools = self.runner.pools.values()
-        known.version.set(self.desk.index.configuration.version)
         known.age.set(time.monotonic() - self.news.ledger.read)
-        known.targets.set(len(self.desk.directory.by_name))
-        known.hosts.set(self.desk.hosts)
-        known.links.set(sum(pool.count_links() for pool in pools))
-        known.opened.set(sum(pool.opened for pool in pools))
         known.calls.set(self.news.store.calls)
         known.left_out.set(self.log.left_out)
+        known.take_runner(self.runner)
         return exchanges.Written(HTTPStatus.OK, TEXT, known.write())
 
     def _tell(self, story: events.Story) -> None:
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -62,16 +62,18 @@
             self._running = False
         self._set_timer()
 
-    def direct(self, directory: instances.Directory) -> None:
-        """Take the targets there are now."""
-        self.post(events.Directed(directory))
-        for name in self.pools.keys() - directory.by_name.keys():
+    def learn(
+        self, event: events.Configured | events.Directed | events.Counted
+    ) -> None:
+        """Take news of what there is, and what follows for connections."""
+        self.post(event)
+        for name in self.pools.keys() - self.desk.directory.by_name.keys():
             # What is under way at a target that leaves may end there.
             if self.pools[name].is_unused():
                 self.pools.pop(name).close()
-        self.deal()
+        self._deal()
 
-    def deal(self) -> None:
+    def _deal(self) -> None:
         """Work out how many connections each target has for this host."""
         services = self.desk.index.services
         for pool in self.pools.values():
@@ -104,9 +106,9 @@
             case events.Send():
                 self._find_pool(action.instance).place(action)
             case events.Withdraw(key):
-                self._find_carrier(key, pools.Pool.withdraw)
+                self._stop(key, also_sent=False)
             case events.Cancel(key):
-                self._find_carrier(key, pools.Pool.cancel)
+                self._stop(key, also_sent=True)
             case events.Reply(ask, outcome):
                 reply = self._replies.pop(ask, None)
                 if reply is not None:
@@ -119,17 +121,13 @@
         if pool is None:
             pool = pools.Pool(instance, self.post, time.monotonic)
             self.pools[instance.name] = pool
-            self.deal()
+            self._deal()
         return pool
 
-    def _find_carrier(
-        self,
-        key: events.FlightKey,
-        act: Callable[[pools.Pool, events.FlightKey], None],
-    ) -> None:
+    def _stop(self, key: events.FlightKey, *, also_sent: bool) -> None:
         aloft = self.desk.aloft.get(key)
         if aloft is not None and aloft.instance in self.pools:
-            act(self.pools[aloft.instance], key)
+            self.pools[aloft.instance].stop(key, also_sent=also_sent)
 
     def _set_timer(self) -> None:
         wake = self.desk.next_wake()
--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -107,21 +107,23 @@
     return sum(1 for part in ask.parts.values() if part.answer is None)
 
 
-def is_enough(ask: Ask, *, lost: bool = False) -> bool:
-    """Tell whether enough parts are in, or, with `lost`, may still come."""
-    if not isinstance(ask.route.way, configs.Gather):
-        return (
-            not any(part.lost for part in ask.parts.values())
-            if lost
-            else (count_missing(ask) == 0)
-        )
-    if lost:
-        missing = sum(1 for part in ask.parts.values() if part.lost)
-    else:
-        missing = count_missing(ask)
+def is_enough(ask: Ask) -> bool:
+    """Tell whether what is in makes an answer."""
+    return _covers(ask, count_missing(ask))
+
+
+def is_hopeless(ask: Ask) -> bool:
+    """Tell whether too much is lost for what may still come to matter."""
+    return not _covers(ask, sum(1 for it in ask.parts.values() if it.lost))
+
+
+def _covers(ask: Ask, missing: int) -> bool:
     total = len(ask.parts)
+    needed = float(total)
+    if isinstance(ask.route.way, configs.Gather):
+        needed *= ask.route.way.coverage
     covered = total - missing
-    return covered > 0 and covered >= ask.route.way.coverage * total
+    return covered > 0 and covered >= needed
 
 
 def is_over(ask: Ask, now: float) -> bool:
@@ -133,7 +135,7 @@
     """
     if not ask.open or now >= ask.ends:
         return True
-    if not is_enough(ask, lost=True):
+    if is_hopeless(ask):
         return True
     return ask.gathers and now >= ask.cut and is_enough(ask)
 
@@ -163,14 +165,15 @@
     answers = [
         part.answer for part in ask.parts.values() if part.answer is not None
     ]
-    match ask.route.way:
-        case configs.Gather(_, limit, _):
-            return events.Merged(
-                tuple(answer.signature for answer in answers),
-                len(ask.parts) - len(answers),
-                merges.merge_records([it.body for it in answers], limit),
-            )
-    return events.Relayed(answers[0])
+    if not isinstance(ask.route.way, configs.Gather):
+        return events.Relayed(answers[0])
+    return events.Merged(
+        tuple(answer.signature for answer in answers),
+        len(ask.parts) - len(answers),
+        merges.merge_records(
+            [answer.body for answer in answers], ask.route.way.limit
+        ),
+    )
 
 
 def _build_failure(ask: Ask) -> errors.Failure:
--- a/fuchsiahaven/routing/codecs.py
+++ b/fuchsiahaven/routing/codecs.py
@@ -18,8 +18,12 @@
 
 
 class WrittenReport(TypedDict):
-    """Hold a report on the wire; `age` is in seconds."""
+    """Hold a report on the wire; `age` is in seconds.
 
+    `cursor` is the process's life and a place in it.
+    """
+
+    cursor: list[int]
     revision: int
     whole: bool
     age: float
@@ -33,6 +37,7 @@
 def write_report(report: facts.Report) -> bytes:
     """Write a report."""
     written = WrittenReport(
+        cursor=list(report.cursor),
         revision=report.revision,
         whole=report.whole,
         age=round(report.age, 3),
@@ -49,6 +54,19 @@
         raise Malformed(str(error)) from error
 
 
+def write_cursor(cursor: facts.Cursor) -> str:
+    """Write a cursor as part of a query."""
+    return f'{cursor.life}.{cursor.place}'
+
+
+def read_cursor(text: str) -> facts.Cursor:
+    """Read a cursor; what is none asks for everything."""
+    life, _, place = text.partition('.')
+    if life.isdigit() and place.isdigit():
+        return facts.Cursor(int(life), int(place))
+    return facts.START
+
+
 def _write_fact(fact: facts.Fact) -> WrittenFact:
     return WrittenFact(
         subject=fact.key.subject.value,
@@ -93,6 +111,7 @@
         tuple(_read_fact(row) for row in written['facts']),
         bool(written['whole']),
         float(written['age']),
+        facts.Cursor(*[int(it) for it in written['cursor']]),
     )
 
 
@@ -127,10 +146,11 @@
 
 
 def _read_way(row: Mapping[str, Any]) -> configs.Way:
-    if 'service' in row:
-        return configs.Single(row['service'])
-    if 'split' in row:
-        return configs.Split(
-            tuple(configs.Weighted(*part) for part in row['split'])
-        )
+    match row:
+        case {'service': service}:
+            return configs.Single(service)
+        case {'split': parts}:
+            return configs.Split(
+                tuple(configs.Weighted(*part) for part in parts)
+            )
     return configs.Gather(tuple(row['shards']), row['limit'], row['coverage'])
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -77,7 +77,7 @@
     desk.asks[ask.number] = ask
     tries.foresee(desk, ask, now)
     actions: Actions = []
-    if asks.is_enough(ask, lost=True):
+    if not asks.is_hopeless(ask):
         for service in tuple(ask.open):
             actions.extend(tries.send_first(desk, ask, service, now))
     # What cannot be served is refused before anything is sent, so that the
@@ -108,15 +108,15 @@
 
 
 def _list_services(desk: states.Desk, route: configs.Route) -> tuple[str, ...]:
-    match route.way:
-        case configs.Split() as split:
-            saved = desk.credits.get(route.name)
-            if saved is None:
-                saved = splits.start(split, desk.draw())
-            choice = splits.choose(split, saved)
-            desk.credits[route.name] = choice.credits
-            return (choice.service,)
-    return configs.list_services(route.way)
+    way = route.way
+    if not isinstance(way, configs.Split):
+        return configs.list_services(way)
+    saved = desk.credits.get(route.name)
+    if saved is None:
+        saved = splits.start(way, desk.draw())
+    choice = splits.choose(way, saved)
+    desk.credits[route.name] = choice.credits
+    return (choice.service,)
 
 
 def _set_timers(desk: states.Desk, ask: asks.Ask, now: float) -> None:
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -5,7 +5,7 @@
 """
 
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Final, NamedTuple
 
 from fuchsiahaven.routing import configs, instances, places
@@ -53,28 +53,47 @@
     value: Value | None
 
 
+class Cursor(NamedTuple):
+    """Name a place in the order in which one process learned its facts.
+
+    The store's revisions will not do: a removal that was held back is learned
+    after later ones, and whoever had asked in between would never hear of it.
+    `life` is another one after each start of the process.
+    """
+
+    life: int = 0
+    place: int = 0
+
+
+START: Final = Cursor()
+
+
 class Report(NamedTuple):
     """Bring news: what has changed, or, if `whole`, everything there is.
 
     It is complete up to `revision`; `age` says how many seconds ago the store
-    itself was read.
+    itself was read. `cursor` is where to go on from the next time.
     """
 
     revision: int
     facts: tuple[Fact, ...]
     whole: bool
     age: float
+    cursor: Cursor = START
 
 
 class Ledger(NamedTuple):
     """Hold all that is known.
 
     `read` is when the store was last read by whoever told us. `missing` are
-    facts that are gone from the store but kept until the time given.
-    `floor` is the revision up to which removals are forgotten.
+    facts that are gone from the store but kept until the time given. `places`
+    is when each fact was learned, in the order of `cursor`; removals up to
+    `floor` are forgotten.
     """
 
+    cursor: Cursor
     facts: Mapping[Key, Fact] = {}
+    places: Mapping[Key, int] = {}
     missing: Mapping[Key, float] = {}
     revision: int = 0
     read: float = float('-inf')
@@ -82,9 +101,6 @@
     forget_at: float = 0.0
 
 
-EMPTY: Final = Ledger()
-
-
 class Merged(NamedTuple):
     """Return the ledger and which subjects have changed."""
 
@@ -92,6 +108,11 @@
     changed: frozenset[Subject]
 
 
+def begin(life: int) -> Ledger:
+    """Begin with nothing known; `life` is new at each start of a process."""
+    return Ledger(Cursor(life, 0))
+
+
 def merge(
     ledger: Ledger, report: Report, now: float, *, returned: float | None
 ) -> Merged:
@@ -108,24 +129,34 @@
     until = _find_return(known, gone, now, returned)
     missing.update(dict.fromkeys(gone, until))
     changed |= _remove_missing(known, missing, report.revision, now)
+    life, place = ledger.cursor
+    place += len(changed)
     merged = ledger._replace(
+        cursor=Cursor(life, place),
         facts=known,
+        places={**ledger.places, **dict.fromkeys(changed, place)},
         missing=missing,
         revision=max(ledger.revision, report.revision),
         read=max(ledger.read, now - report.age),
     )
-    return Merged(_forget(merged, now), frozenset(changed))
+    subjects = frozenset(key.subject for key in changed)
+    return Merged(_forget(merged, now), subjects)
 
 
-def list_changes(ledger: Ledger, after: int, now: float) -> Report:
-    """List what has changed after a revision, for another host."""
-    whole = after < ledger.floor or after > ledger.revision
-    facts = tuple(
-        fact for fact in ledger.facts.values() if whole or fact.revision > after
-    )
+def list_changes(ledger: Ledger, after: Cursor, now: float) -> Report:
+    """List what has been learned after a place, for another host."""
+    cursor = ledger.cursor
+    whole = after.life != cursor.life or after.place < ledger.floor
     if whole:
-        facts = tuple(fact for fact in facts if fact.value is not None)
-    return Report(ledger.revision, facts, whole, now - ledger.read)
+        found = [it for it in ledger.facts.values() if it.value is not None]
+    else:
+        found = [
+            fact
+            for key, fact in ledger.facts.items()
+            if ledger.places[key] > after.place
+        ]
+    age = now - ledger.read
+    return Report(ledger.revision, tuple(found), whole, age, cursor)
 
 
 def find_configuration(ledger: Ledger) -> configs.Configuration:
@@ -156,34 +187,38 @@
 
 def _take_values(
     known: dict[Key, Fact], missing: dict[Key, float], report: Report
-) -> set[Subject]:
+) -> set[Key]:
     changed = set()
     for fact in report.facts:
         if fact.value is None:
             continue
         missing.pop(fact.key, None)
-        before = known.get(fact.key)
-        if before is not None and fact.revision <= before.revision:
-            continue
-        # A renewed entry that says the same keeps its old revision, so that
-        # it is not passed on to other hosts once a second for each target.
-        if before is None or before.value != fact.value:
+        if _is_news(known.get(fact.key), fact):
             known[fact.key] = fact
-            changed.add(fact.key.subject)
+            changed.add(fact.key)
     return changed
 
 
+def _is_news(before: Fact | None, fact: Fact) -> bool:
+    if before is None:
+        return True
+    # A renewed entry that says the same keeps its old revision, so that it
+    # is not passed on to other hosts once a second for each target.
+    return fact.revision > before.revision and before.value != fact.value
+
+
 def _find_gone(known: Mapping[Key, Fact], report: Report) -> set[Key]:
     gone = {fact.key for fact in report.facts if fact.value is None}
     if report.whole:
         gone |= known.keys() - {fact.key for fact in report.facts}
-    return {
-        key
-        for key in gone
-        if (fact := known.get(key)) is not None
-        and fact.value is not None
-        and fact.revision <= report.revision
-    }
+    return {key for key in gone if _stands(known.get(key), report.revision)}
+
+
+def _stands(fact: Fact | None, revision: int) -> bool:
+    """Tell whether a removal by that revision would be of this fact."""
+    if fact is None or fact.value is None:
+        return False
+    return fact.revision <= revision
 
 
 def _find_return(
@@ -206,7 +241,7 @@
     missing: dict[Key, float],
     revision: int,
     now: float,
-) -> set[Subject]:
+) -> set[Key]:
     due = [key for key, until in missing.items() if until <= now]
     changed = set()
     for key in due:
@@ -216,15 +251,25 @@
         kept = key.subject is Subject.CONFIGURATION
         if fact is not None and fact.value is not None and not kept:
             known[key] = Fact(key, max(revision, fact.revision + 1), None)
-            changed.add(key.subject)
+            changed.add(key)
     return changed
 
 
 def _forget(ledger: Ledger, now: float) -> Ledger:
-    """Forget removals that every host has had the time to hear of."""
+    """Forget removals from time to time; who asks later gets everything."""
     if now < ledger.forget_at:
         return ledger
-    gone = [key for key, fact in ledger.facts.items() if fact.value is None]
-    kept = {key: fact for key, fact in ledger.facts.items() if key not in gone}
-    floor = ledger.revision if gone else ledger.floor
-    return ledger._replace(facts=kept, floor=floor, forget_at=now + REMEMBER_S)
+    kept = {
+        key: fact
+        for key, fact in ledger.facts.items()
+        if fact.value is not None
+    }
+    floor = ledger.floor
+    if len(kept) < len(ledger.facts):
+        floor = ledger.cursor.place
+    return ledger._replace(
+        facts=kept,
+        places={key: ledger.places[key] for key in kept},
+        floor=floor,
+        forget_at=now + REMEMBER_S,
+    )
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -7,7 +7,10 @@
 
 #: Nine of ten sub-requests are back by then, so that hedges take up a tenth
 #: of the load or the pauses of targets, whichever is more.
-HEDGING: Final = hedges.Policy(quantile=0.9, medians=2.5)
+QUANTILE: Final = 0.9
+#: Where a tenth or more is slow, the quantile falls among what is slow.
+MEDIANS: Final = 2.5
+HEDGING: Final = hedges.Policy(QUANTILE, MEDIANS)
 #: Share of the objective after which to hedge while too little is known, or
 #: while targets are overloaded.
 UNKNOWN_SHARE: Final = 0.3
@@ -73,20 +76,20 @@
         return []
     delay = find_delay(desk, ask)
     actions: list[events.Action] = []
-    waiting = False
     for service in tuple(ask.open):
-        part = ask.parts[service]
-        if len(part.flights) != 1:
-            continue
-        if now - part.flights[0].sent < delay:
-            waiting = True
-        elif may_repeat(desk, ask, service, now, kept=KEPT_FOR_RETRIES):
+        if _is_slow(ask.parts[service], now - delay):
             actions.extend(_hedge_part(desk, ask, service, now))
-    if waiting or not actions:
+    if ask.open:
+        # What the budget did not allow now it may allow then, and a second
+        # sending may be worth it for what was sent again meanwhile.
         desk.set_timer(now + delay / 2, states.HedgeDue(ask.number))
     return actions
 
 
+def _is_slow(part: asks.Part, since: float) -> bool:
+    return len(part.flights) == 1 and part.flights[0].sent <= since
+
+
 def find_delay(desk: states.Desk, ask: asks.Ask) -> float:
     """Return after how many seconds a part is worth a second sending."""
     objective = ask.route.objective
@@ -99,8 +102,9 @@
 def _hedge_part(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> list[events.Action]:
-    part = ask.parts[service]
-    found = choices.list_candidates(desk, service, part, now)
+    if not may_repeat(desk, ask, service, now, kept=KEPT_FOR_RETRIES):
+        return []
+    found = choices.list_candidates(desk, service, ask.parts[service], now)
     chosen = choices.choose(desk, found, now, once=False)
     if chosen is None:
         return []
