Report not ready while most requests lack targets that can be reached

Cause: in a data centre that is cut off, 8 of 30 shards have no target, so each query was refused or waited for its deadline while hosts elsewhere could serve it; its balancer moves callers only if no host of the data centre is ready.

Ruled out: waiting for a store or a peer to tell: they time out later than the targets, which are asked all the time.

--- a/fuchsiahaven/relay/pools.py
+++ b/fuchsiahaven/relay/pools.py
@@ -9,11 +9,9 @@
 
 from fuchsiahaven.core import messages
 from fuchsiahaven.platform import exchanges
-from fuchsiahaven.relay import links, openers
+from fuchsiahaven.relay import idles, links, openers
 from fuchsiahaven.routing import events, instances
 
-#: An answer so recent proves that a connection works.
-PROVEN_S: Final = 0.2
 #: A sending is given up so long after its end: the target's own answer that
 #: the time is over may come a little late.
 PATIENCE_S: Final = 0.25
@@ -48,9 +46,7 @@
         self._clock = clock
         self._queue: collections.deque[events.Send] = collections.deque()
         self._busy: dict[links.Link, Busy] = {}
-        # Idle connections, and until when each may be used.
-        self._idle: dict[links.Link, float] = {}
-        self._proven: dict[links.Link, float] = {}
+        self._idle = idles.Idles()
         self.opener = openers.Opener(
             instance.address, lambda: links.Link(self), self._take_link
         )
@@ -58,7 +54,7 @@
     def place(self, send: events.Send) -> None:
         """Send at once where a connection is idle, or else when one is."""
         now = self._clock()
-        link = self._take_idle(now, fresh=send.fresh)
+        link = self._idle.take(now, fresh=send.fresh)
         if link is not None:
             self._start(link, send, now)
             return
@@ -85,15 +81,18 @@
         late = [it for it, busy in self._busy.items() if busy.expires < now]
         for link in late:
             link.close(messages.Fault.TIMED_OUT)
-        old = [it for it, until in self._idle.items() if until < now]
-        for link in old:
-            link.close(messages.Fault.CONNECTION_LOST)
+        self._idle.close_old(now)
         self._open_more(now)
 
     def is_unused(self) -> bool:
         """Tell whether nothing is under way."""
         return not (self._busy or self._queue or self.opener.count())
 
+    def try_way(self) -> None:
+        """Open a connection to see whether the target can be reached."""
+        if not self.opener.count():
+            self.opener.open()
+
     def count_links(self) -> int:
         """Count the connections, those being opened included."""
         return len(self._busy) + len(self._idle) + self.opener.count()
@@ -101,7 +100,8 @@
     def close(self) -> None:
         """Close every connection; what is under way ends as broken."""
         self.opener.close()
-        for link in (*self._busy, *self._idle):
+        self._idle.close()
+        for link in tuple(self._busy):
             link.close(messages.Fault.CONNECTION_LOST)
         while self._queue:
             key = self._queue.popleft().key
@@ -113,29 +113,19 @@
         """Take an answer, and use the connection again."""
         now = self._clock()
         busy = self._busy.pop(link)
-        self._proven[link] = now
+        self._idle.prove(link, now)
         if link.reusable:
             self._release(link, now + _read_idle(message))
         self._report(exchanges.read_answer(busy.send, message))
 
     def take_end(self, link: links.Link, fault: messages.Fault) -> None:
         """Take the end of a connection."""
-        self._idle.pop(link, None)
-        self._proven.pop(link, None)
+        self._idle.drop(link)
         busy = self._busy.pop(link, None)
         if busy is not None:
             self._report(events.Broken(busy.send.key, fault))
         self._open_more(self._clock())
 
-    def _take_idle(self, now: float, *, fresh: bool) -> links.Link | None:
-        # The one used last comes first, so that those not needed fall idle.
-        for link in reversed(self._idle):
-            proven = now - self._proven.get(link, 0) <= PROVEN_S
-            if self._idle[link] > now and (proven or not fresh):
-                self._idle.pop(link)
-                return link
-        return None
-
     def _start(self, link: links.Link, send: events.Send, now: float) -> None:
         request = send.request
         self._busy[link] = Busy(send, send.ends + PATIENCE_S)
@@ -153,7 +143,7 @@
         if self._queue:
             self._start(link, self._queue.popleft(), self._clock())
         else:
-            self._idle[link] = until
+            self._idle.put(link, until)
 
     def _open_more(self, now: float) -> None:
         if len(self._queue) <= self.opener.count():
@@ -164,14 +154,15 @@
             self.opener.open()
         elif self._idle:
             # Those idle are too old for what waits.
-            next(iter(self._idle)).close(messages.Fault.CONNECTION_LOST)
+            self._idle.close_oldest()
 
     def _take_link(self, link: links.Link | None) -> None:
         if link is None:
             self._give_up()
             return
-        self._proven[link] = self._clock()
+        self._idle.prove(link, self._clock())
         self._release(link, float('inf'))
+        self._report(events.Reached(self.instance.name))
 
     def _give_up(self) -> None:
         """Send nothing that waits for a connection that cannot be had."""
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -81,7 +81,7 @@
         """Say why no new work should come to this host; empty if it may."""
         if self._stopping.is_set():
             return 'stopping'
-        return desks.find_obstacle(self.desk)
+        return desks.find_obstacle(self.desk, time.monotonic())
 
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
         settings = self.settings
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -7,13 +7,20 @@
 from typing import Final
 
 from fuchsiahaven.relay import pools
-from fuchsiahaven.routing import desks, events, instances, states
+from fuchsiahaven.routing import (
+    desks,
+    events,
+    instances,
+    reaches,
+    seats,
+    states,
+)
 
 #: How often connections are looked at for what takes too long.
 SWEEP_S: Final = 0.1
-#: Part of a target's bound on connections that all hosts use together: those
-#: of hosts that have just ended still count there for a moment.
-SEATS_SHARE: Final = 0.9
+#: How often a host that is cut off tries whether it still is, in seconds. Its
+#: balancer asks once a second.
+TRY_S: Final = 0.4
 
 Reply = Callable[[events.Outcome], None]
 Tell = Callable[[events.Story], None]
@@ -31,6 +38,7 @@
         self._replies: dict[int, Reply] = {}
         self._running = False
         self._last = 0
+        self._try_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
     def ask(self, request: events.Request, reply: Reply) -> int:
@@ -75,12 +83,12 @@
 
     def _deal(self) -> None:
         """Work out how many connections each target has for this host."""
-        services = self.desk.index.services
         for pool in self.pools.values():
-            service = services.get(pool.instance.service)
+            service = self.desk.index.services.get(pool.instance.service)
             if service is not None:
-                share = SEATS_SHARE * service.connections / self.desk.hosts
-                pool.seats = max(1, int(share))
+                pool.seats = seats.count_seats(
+                    service.connections, self.desk.hosts
+                )
 
     async def sweep(self) -> None:
         """Look at the connections from time to time, for ever."""
@@ -89,6 +97,13 @@
             now = time.monotonic()
             for pool in tuple(self.pools.values()):
                 pool.sweep(now)
+            if now >= self._try_at and reaches.is_cut_off(self.desk, now):
+                self._try_at = now + TRY_S
+                # A host that is sent nothing would not notice its return.
+                for name in self.pools.keys() & reaches.list_doubtful(
+                    self.desk, now
+                ):
+                    self.pools[name].try_way()
 
     def close(self) -> None:
         """Close all connections to targets."""
--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -177,12 +177,11 @@
 
 
 def _build_failure(ask: Ask) -> errors.Failure:
-    reasons = [
-        part.reason or coverage.Reason.TIMED_OUT
-        for part in ask.parts.values()
-        if part.answer is None
-    ]
-    detail = f'{len(reasons)} of {len(ask.parts)} parts missing: {reasons[0]}'
+    parts = ask.parts.values()
+    reasons = [coverage.Reason.TIMED_OUT]
+    if is_hopeless(ask):
+        reasons = [it.reason for it in parts if it.lost and it.reason]
+    detail = f'{count_missing(ask)} of {len(parts)} missing: {reasons[0]}'
     return errors.make_failure(
         _choose_kind(reasons),
         SOURCE,
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -9,6 +9,7 @@
     configs,
     endings,
     events,
+    reaches,
     splits,
     states,
     tries,
@@ -43,12 +44,14 @@
     return []
 
 
-def find_obstacle(desk: states.Desk) -> str:
+def find_obstacle(desk: states.Desk, now: float) -> str:
     """Say why no new work should come to this host; empty if it may."""
     if not desk.index.configuration.version:
         return 'no configuration yet'
     if not desk.directory.by_name:
         return 'no targets yet'
+    if reaches.is_cut_off(desk, now):
+        return 'too few targets can be reached'
     return ''
 
 
@@ -62,6 +65,8 @@
             desk.standings.keep_only(directory.by_name)
         case events.Counted(hosts):
             desk.hosts = max(1, hosts)
+        case events.Reached(instance):
+            desk.standings.note_reached(instance)
 
 
 def _take_request(
@@ -73,6 +78,7 @@
     if isinstance(route, errors.Failure):
         return endings.refuse(event.ask, request, route, version, now)
     services = _list_services(desk, route)
+    reaches.note_asked(desk, route, now)
     ask = asks.begin(event.ask, request, route, version, services)
     desk.asks[ask.number] = ask
     tries.foresee(desk, ask, now)
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -102,6 +102,12 @@
     unreachable: bool
 
 
+class Reached(NamedTuple):
+    """Tell that a connection to a target has just been opened."""
+
+    instance: str
+
+
 class Ticked(NamedTuple):
     """Bring the passing of time."""
 
@@ -199,6 +205,7 @@
     | Refused
     | Broken
     | Unsent
+    | Reached
     | Ticked
     | Configured
     | Directed
--- /dev/null
+++ b/fuchsiahaven/routing/reaches.py
@@ -0,0 +1,72 @@
+"""Tell whether a host still reaches enough targets to be sent requests.
+
+A host in a data centre that is cut off would refuse most requests for as long
+as its balancer sends them; told that it is not ready, the balancer sends them
+to hosts that can serve them.
+"""
+
+from typing import Final
+
+from fuchsiahaven.routing import configs, standings, states
+
+#: Requests on a route count half after so many seconds: a host sees some of
+#: each frequent kind in that time.
+MEMORY_S: Final = 5.0
+#: A host that cannot serve more than this share of what it is asked sends
+#: the rest of it to others as well: they can serve all of it.
+BLOCKED_SHARE: Final = 0.5
+
+
+def note_asked(desk: states.Desk, route: configs.Route, now: float) -> None:
+    """Count a request on a route."""
+    known = desk.asked.get(route.name)
+    weight = 1.0
+    if known is not None:
+        weight += known.weight * _decay(now - known.noted)
+    desk.asked[route.name] = states.Asked(route, weight, now)
+
+
+def is_cut_off(desk: states.Desk, now: float) -> bool:
+    """Tell whether most of what callers ask could not be served now."""
+    total = 0.0
+    blocked = 0.0
+    for known in desk.asked.values():
+        weight = known.weight * _decay(now - known.noted)
+        total += weight
+        if _is_blocked(desk, known.route.way, now):
+            blocked += weight
+    return blocked > BLOCKED_SHARE * total
+
+
+def list_doubtful(desk: states.Desk, now: float) -> set[str]:
+    """List the targets to which the way is in doubt, to try it again."""
+    return {
+        name
+        for name in desk.directory.by_name
+        if standings.is_doubtful(desk.standings.get(name), now)
+    }
+
+
+def _is_blocked(desk: states.Desk, way: configs.Way, now: float) -> bool:
+    services = configs.list_services(way)
+    lost = sum(1 for it in services if _is_out_of_reach(desk, it, now))
+    if not isinstance(way, configs.Gather):
+        return lost == len(services)
+    return len(services) - lost < way.coverage * len(services)
+
+
+def _is_out_of_reach(desk: states.Desk, service: str, now: float) -> bool:
+    """Tell whether there are targets of a service, all of them in doubt.
+
+    A service without any target is so for every host, and no reason to send
+    requests elsewhere.
+    """
+    found = desk.directory.by_service.get(service, ())
+    return bool(found) and all(
+        standings.is_doubtful(desk.standings.get(one.name), now)
+        for one in found
+    )
+
+
+def _decay(age: float) -> float:
+    return float(0.5 ** (age / MEMORY_S))
--- a/fuchsiahaven/routing/standings.py
+++ b/fuchsiahaven/routing/standings.py
@@ -124,21 +124,25 @@
                 stats.record, now, failures=TIMEOUT_BLAME - 1
             )
             stats = stats._replace(record=record)
-        self._known[name] = _land(known, event.key)._replace(
-            stats=_judge(stats, now)
-        )
+        known = _land(known, event.key)._replace(stats=_judge(stats, now))
+        if event.fault is messages.Fault.TIMED_OUT:
+            known = _leave_out(known, now)
+        self._known[name] = known
 
     def note_unsent(self, name: str, event: events.Unsent, now: float) -> None:
         """Take in that a request did not leave."""
         known = _land(self.get(name), event.key)
         known = known._replace(stats=routes.note_ended(known.stats))
-        if event.unreachable and now >= known.down:
-            pause = min(LONGEST_DOWN_S, DOWN_S * 2**known.failures)
-            known = known._replace(
-                failures=known.failures + 1, down=now + pause
-            )
+        if event.unreachable:
+            known = _leave_out(known, now)
         self._known[name] = known
 
+    def note_reached(self, name: str) -> None:
+        """Take in that a connection was had: the way there is open."""
+        known = self.get(name)
+        if known.failures:
+            self._known[name] = known._replace(failures=0, down=0)
+
     def note_gone(self, name: str, now: float) -> None:
         """Take in that another process has the address by now."""
         known = self.get(name)
@@ -159,11 +163,20 @@
     """Tell whether a target is left out, but for a trial now and then."""
     if now < known.down:
         return True
+    return is_silent(known, now) and now < known.trial
+
+
+def is_silent(known: Standing, now: float) -> bool:
+    """Tell whether a target has been silent for longer than pauses take."""
     silence = measure_silence(known, now)
     if silence is None:
         return False
-    longest = max(SILENT_S, known.stats.latency * SILENT_FACTOR)
-    return silence > longest and now < known.trial
+    return silence > max(SILENT_S, known.stats.latency * SILENT_FACTOR)
+
+
+def is_doubtful(known: Standing, now: float) -> bool:
+    """Tell whether nothing proves that a target can be reached."""
+    return known.failures > 0 or is_silent(known, now)
 
 
 def estimate(
@@ -178,11 +191,20 @@
         cost *= COLD_FACTOR
     if instance.data_centre != near:
         cost += CROSSING_S
-    if measure_silence(known, now) is not None:
-        cost += PAUSE_S
+    silence = measure_silence(known, now)
+    if silence is not None:
+        # What has been silent for long will most likely be so for as long.
+        cost += max(PAUSE_S, silence)
     return cost
 
 
+def _leave_out(known: Standing, now: float) -> Standing:
+    if now < known.down:
+        return known
+    pause = min(LONGEST_DOWN_S, DOWN_S * 2**known.failures)
+    return known._replace(failures=known.failures + 1, down=now + pause)
+
+
 def _judge(stats: routes.TargetStats, now: float) -> routes.TargetStats:
     """Leave a target out that has failed too often lately."""
     if not ejections.is_failing(stats.record, now):
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -45,6 +45,14 @@
     extra: bool
 
 
+class Asked(NamedTuple):
+    """Hold how often a route was asked lately, as a sum that decays."""
+
+    route: configs.Route
+    weight: float
+    noted: float
+
+
 class Desk:
     """Own all that one host decides by."""
 
@@ -65,6 +73,7 @@
         self.asks: dict[int, asks.Ask] = {}
         self.aloft: dict[events.FlightKey, Aloft] = {}
         self.windows: dict[str, hedges.Window] = {}
+        self.asked: dict[str, Asked] = {}
         self.credits: dict[str, Mapping[str, float]] = {}
         self._budgets: dict[str, budgets.Budget] = {}
         self._timers: list[tuple[float, int, Due]] = []
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Test `fuchsiahaven.platform`."""
--- /dev/null
+++ b/tests/routing/test_configs.py
@@ -0,0 +1,29 @@
+"""Test how a request finds its route."""
+
+import pytest
+
+from fuchsiahaven.routing import configs
+from tests.routing import desk_rig
+
+
+@pytest.mark.parametrize(
+    ('path', 'found'),
+    [
+        ('/a/x', '/a/'),
+        ('/a/b/x', '/a/b/'),
+        ('/a/bc/x', '/a/'),
+        ('/a', None),
+        ('/ab/x', None),
+        ('', None),
+    ],
+)
+def test_finds_the_longest_prefix(path: str, found: str | None) -> None:
+    """Prefixes end with a slash: a longer word is another path."""
+    way = configs.Single('one')
+    routes = [desk_rig.make_route(way, prefix=it) for it in ('/a/', '/a/b/')]
+    index = configs.build_index(
+        configs.Configuration(1, tuple(routes), (), configs.Limits())
+    )
+    route = configs.find_route(index, 'shop.example', path)
+    assert getattr(route, 'prefix', None) == found
+    assert configs.find_route(index, 'other.example', '/a/x') is None
--- /dev/null
+++ b/tests/routing/test_facts.py
@@ -0,0 +1,182 @@
+"""Test how news is kept and passed on."""
+
+from fuchsiahaven.core import configurations
+from fuchsiahaven.routing import codecs, configs, facts, instances, places
+
+NEVER = float('-inf')
+
+
+def make_key(name: str) -> facts.Key:
+    """Name a target's fact."""
+    return facts.Key(facts.Subject.INSTANCE, name)
+
+
+def make_fact(name: str, revision: int, *, leaving: bool = False) -> facts.Fact:
+    """State that a target is there."""
+    one = instances.Instance(
+        name, 'search', '10.0.0.1:80', 'north', 2, leaving, cold=False
+    )
+    return facts.Fact(make_key(name), revision, one)
+
+
+def read(revision: int, *found: facts.Fact) -> facts.Report:
+    """Read the whole store."""
+    return facts.Report(revision, found, whole=True, age=0.0)
+
+
+def take(
+    ledger: facts.Ledger,
+    report: facts.Report,
+    now: float,
+    returned: float | None = NEVER,
+) -> facts.Ledger:
+    """Take in a report."""
+    return facts.merge(ledger, report, now, returned=returned).ledger
+
+
+def list_names(ledger: facts.Ledger) -> set[str]:
+    """Name the targets that are known."""
+    return {one.name for one in facts.list_instances(ledger)}
+
+
+def test_removes_at_once_what_is_gone_from_the_store() -> None:
+    """A target that has left gets no new work."""
+    ledger = take(
+        facts.begin(1), read(5, make_fact('a', 2), make_fact('b', 3)), 0
+    )
+    ledger = take(ledger, read(6, make_fact('a', 2)), 1)
+    assert list_names(ledger) == {'a'}
+
+
+def test_waits_for_entries_that_lapsed_while_the_store_was_away() -> None:
+    """Symptom: all requests are refused for two seconds after an outage.
+
+    The store returns without the entries of the targets, which come back
+    within two seconds; what is still missing then is gone.
+    """
+    all_of_it = read(5, make_fact('a', 2), make_fact('b', 3))
+    ledger = take(facts.begin(1), all_of_it, 0)
+    ledger = take(ledger, read(6), 10, returned=10)
+    assert list_names(ledger) == {'a', 'b'}
+    ledger = take(ledger, read(8, make_fact('a', 7)), 11, returned=10)
+    ledger = take(ledger, read(8, make_fact('a', 7)), 12.2, returned=10)
+    assert list_names(ledger) == {'a', 'b'}
+    ledger = take(ledger, read(8, make_fact('a', 7)), 12.4, returned=10)
+    assert list_names(ledger) == {'a'}
+
+
+def test_waits_for_entries_that_vanish_all_at_once() -> None:
+    """Symptom: the same, where this host did not notice the outage."""
+    found = [make_fact(f'target-{number}', number) for number in range(20)]
+    ledger = take(facts.begin(1), read(30, *found), 0)
+    ledger = take(ledger, read(31, *found[:2]), 1)
+    assert len(list_names(ledger)) == 20
+    ledger = take(ledger, read(31, *found[:2]), 3.4)
+    assert len(list_names(ledger)) == 2
+
+
+def test_passes_on_a_removal_that_was_held_back() -> None:
+    """Symptom: a host sends requests to a target that left seconds ago.
+
+    The reader holds a removal back after an outage. Another host asks before
+    it is made and again after it; between the two the store's revision does
+    not change, so the second question must not be by that revision.
+    """
+    all_of_it = read(5, make_fact('a', 2), make_fact('b', 3))
+    reader = take(facts.begin(1), all_of_it, 0)
+    reader = take(reader, read(6, make_fact('a', 2)), 10, returned=10)
+    early = facts.list_changes(reader, facts.START, 10)
+    other = take(facts.begin(2), early, 10, None)
+    assert list_names(other) == {'a', 'b'}
+    reader = take(reader, read(6, make_fact('a', 2)), 13, returned=10)
+    late = facts.list_changes(reader, early.cursor, 13)
+    assert not late.whole
+    assert list_names(take(other, late, 13, None)) == {'a'}
+
+
+def test_passes_on_no_renewal_that_says_the_same() -> None:
+    """Renewals of all targets would be most of what hosts send each other."""
+    ledger = take(facts.begin(1), read(5, make_fact('a', 2)), 0)
+    cursor = ledger.cursor
+    ledger = take(ledger, read(9, make_fact('a', 8)), 1)
+    assert not facts.list_changes(ledger, cursor, 1).facts
+    ledger = take(ledger, read(12, make_fact('a', 11, leaving=True)), 2)
+    assert len(facts.list_changes(ledger, cursor, 2).facts) == 1
+
+
+def test_does_not_go_back_by_older_news() -> None:
+    """A host that is behind brings back no target and no old state."""
+    ledger = take(facts.begin(1), read(5, make_fact('a', 2)), 0)
+    ledger = take(ledger, read(9, make_fact('b', 8)), 1)
+    behind = read(6, make_fact('a', 2))
+    ledger = take(ledger, behind, 1.5, None)
+    assert list_names(ledger) == {'b'}
+
+
+def test_keeps_the_configuration_that_was_accepted() -> None:
+    """Operators' word does not lapse, whatever a listing lacks."""
+    key = facts.Key(facts.Subject.CONFIGURATION, '')
+    known = configs.NOTHING._replace(version=4)
+    ledger = take(facts.begin(1), read(5, facts.Fact(key, 2, known)), 0)
+    ledger = take(ledger, read(9), 60)
+    ledger = take(ledger, read(9), 70)
+    assert facts.find_configuration(ledger).version == 4
+
+
+def test_gives_everything_to_a_host_that_asked_long_ago() -> None:
+    """Removals are forgotten after a minute; then only everything will do."""
+    both = read(5, make_fact('a', 2), make_fact('b', 3))
+    ledger = take(facts.begin(1), both, 0)
+    cursor = ledger.cursor
+    ledger = take(ledger, read(6, make_fact('a', 2)), 1)
+    ledger = take(ledger, read(6, make_fact('a', 2)), 200)
+    report = facts.list_changes(ledger, cursor, 200)
+    assert report.whole
+    assert [fact.key.name for fact in report.facts] == ['a']
+
+
+def test_gives_everything_after_a_restart() -> None:
+    """A place in the order of an earlier life means nothing in this one."""
+    ledger = take(facts.begin(7), read(5, make_fact('a', 2)), 0)
+    assert facts.list_changes(ledger, facts.Cursor(6, 1), 0).whole
+
+
+def test_reads_what_it_writes() -> None:
+    """Every kind of fact survives the way to another host."""
+    routes = [
+        configs.Route(
+            'name',
+            'host',
+            '/p/',
+            configurations.Repeat.IDEMPOTENT,
+            0.5,
+            0.1,
+            2,
+            1,
+            way,
+        )
+        for way in (
+            configs.Single('one'),
+            configs.Split((configs.Weighted('one', 3.0),)),
+            configs.Gather(('one', 'two'), 5, 0.9),
+        )
+    ]
+    configuration = configs.Configuration(
+        3, tuple(routes), (configs.Service('one', 26),), configs.Limits()
+    )
+    host = places.Host('host-1', '10.0.0.1:1', 'north')
+    report = facts.Report(
+        9,
+        (
+            facts.Fact(
+                facts.Key(facts.Subject.CONFIGURATION, ''), 4, configuration
+            ),
+            facts.Fact(facts.Key(facts.Subject.HOST, 'host-1'), 5, host),
+            make_fact('a', 6),
+            facts.Fact(make_key('b'), 7, None),
+        ),
+        whole=False,
+        age=0.5,
+        cursor=facts.Cursor(3, 4),
+    )
+    assert codecs.read_report(codecs.write_report(report)) == report
--- /dev/null
+++ b/tests/routing/test_splits.py
@@ -0,0 +1,25 @@
+"""Test how requests are spread over the services of a split."""
+
+import collections
+
+from fuchsiahaven.routing import configs, splits
+
+
+def test_splits_by_weight_from_the_first_requests_on() -> None:
+    """Any ten requests in a row keep to weights of 7, 2 and 1."""
+    split = configs.Split(
+        tuple(
+            configs.Weighted(name, weight)
+            for name, weight in (('x', 7.0), ('y', 2.0), ('z', 1.0))
+        )
+    )
+    saved = splits.start(split, 0.5)
+    chosen = []
+    for _ in range(100):
+        choice = splits.choose(split, saved)
+        saved = choice.credits
+        chosen.append(choice.service)
+    for start in range(10, 90):
+        counted = collections.Counter(chosen[start : start + 10])
+        assert counted['x'] in {6, 7, 8}
+        assert counted['z'] in {0, 1, 2}
