--- /dev/null
+++ b/tests/platform/test_exchanges.py
@@ -0,0 +1,145 @@
+"""Test how HTTP messages and the events of the decisions translate."""
+
+from collections.abc import Mapping
+
+import pytest
+
+from fuchsiahaven.core import errors, messages
+from fuchsiahaven.platform import exchanges, headers
+from fuchsiahaven.routing import events
+from tests.routing import desk_rig
+
+SIGNED = {headers.SIGNATURE: 'abc', headers.REQUEST_ID: 'id-1'}
+(INSTANCE,) = desk_rig.make_instances(['records'], 1)
+
+
+def make_message(
+    status: int, fields: Mapping[str, str], body: bytes = b''
+) -> exchanges.Message:
+    """Make a message that was received."""
+    return exchanges.Message('/a/1?x=y', status, tuple(fields.items()), body)
+
+
+def make_send(fields: Mapping[str, str]) -> events.Send:
+    """Make a sending of a request with the fields given."""
+    message = make_message(0, fields)._replace(method='GET')
+    request = exchanges.read_request(message, 50.0)
+    key = events.FlightKey(1, 'records', 1)
+    return events.Send(key, INSTANCE, request, 51.0, fresh=False)
+
+
+def read(
+    status: int, fields: Mapping[str, str]
+) -> events.Answered | events.Refused | events.Broken:
+    """Read an answer of a target."""
+    return exchanges.read_answer(make_send({}), make_message(status, fields))
+
+
+def test_passes_a_request_on_but_for_what_concerns_one_connection() -> None:
+    """Fields that the connection names go as well; the rest is unchanged."""
+    send = make_send(
+        {
+            'host': 'Shop.Example:80',
+            headers.REQUEST_ID: 'id-1',
+            headers.DEADLINE: '250',
+            'connection': 'close, X-Mine',
+            'x-mine': '1',
+            'x-yours': '2',
+            'keep-alive': 'timeout=3',
+            headers.INSTANCE: 'forged',
+        }
+    )
+    request = send.request
+    assert (request.host, request.target) == ('shop.example', '/a/1?x=y')
+    assert request.deadline == pytest.approx(50.25)
+    written = exchanges.write_request(send, 50.125)
+    assert dict(written) == {
+        'host': 'Shop.Example:80',
+        headers.REQUEST_ID: 'id-1',
+        'x-yours': '2',
+        headers.DEADLINE: '125',
+        headers.INSTANCE: INSTANCE.name,
+    }
+
+
+def test_hands_a_target_no_more_time_than_the_route_allows() -> None:
+    """The ask ends before the caller's deadline: that counts."""
+    send = make_send({headers.DEADLINE: '9000'})
+    assert dict(exchanges.write_request(send, 50.25))[headers.DEADLINE] == '750'
+
+
+def test_takes_an_answer_as_it_is() -> None:
+    """Status, body and signature go on; what speaks to this host does not."""
+    fields = {
+        **SIGNED,
+        headers.LOAD: '3,1,8,100',
+        'content-type': 'x/y',
+        'connection': 'close',
+    }
+    event = read(200, fields)
+    assert isinstance(event, events.Answered)
+    assert event.answer.load == messages.Load(3, 1, 8)
+    written = exchanges.write_outcome(events.Relayed(event.answer))
+    assert dict(written.fields) == {**SIGNED, 'content-type': 'x/y'}
+
+
+@pytest.mark.parametrize(
+    ('status', 'fields'),
+    [
+        (200, {headers.REQUEST_ID: 'id-1'}),
+        (200, {**SIGNED, 'content-encoding': 'gzip'}),
+        (503, SIGNED),
+        (429, SIGNED),
+    ],
+)
+def test_takes_no_answer_that_promises_or_proves_too_little(
+    status: int, fields: Mapping[str, str]
+) -> None:
+    """Symptom: a caller is told not run by a target that has not said so.
+
+    A success without signature, or a promise without the target's word for
+    it, leaves the outcome unknown.
+    """
+    event = read(status, fields)
+    assert isinstance(event, events.Broken)
+    assert event.fault is messages.Fault.MALFORMED
+
+
+def test_takes_a_refusal_only_with_the_word_for_it() -> None:
+    """Full, and another process at the address: neither has run it."""
+    full = read(503, {headers.NOT_RUN: '1', headers.LOAD: '2,12,2'})
+    assert isinstance(full, events.Refused)
+    assert full.reason is messages.RefusalReason.SHED
+    other = read(421, {})
+    assert isinstance(other, events.Refused)
+    assert other.reason is messages.RefusalReason.LEAVING
+
+
+@pytest.mark.parametrize(
+    ('kind', 'ran', 'status'),
+    [
+        (errors.Kind.OVERLOADED, errors.Ran.NO, 503),
+        (errors.Kind.OVERLOADED, errors.Ran.UNKNOWN, 502),
+        (errors.Kind.INCOMPLETE, errors.Ran.YES, 502),
+        (errors.Kind.TIMED_OUT, errors.Ran.YES, 504),
+        (errors.Kind.TIMED_OUT, errors.Ran.NO, 503),
+        (errors.Kind.NOT_FOUND, errors.Ran.NO, 404),
+        (errors.Kind.NOT_READY, errors.Ran.NO, 503),
+    ],
+)
+def test_promises_only_what_is_true(
+    kind: errors.Kind, ran: errors.Ran, status: int
+) -> None:
+    """503 says not run; where that is not known another status is used."""
+    failure = errors.make_failure(kind, 'test', retry_after=0.1, ran=ran)
+    written = exchanges.write_failure(failure)
+    assert written.status == status
+    assert dict(written.fields)[headers.RETRY_AFTER] == '0.1'
+
+
+def test_states_which_parts_an_answer_holds() -> None:
+    """Signatures and the number missing stand in the head."""
+    merged = events.Merged(('a', 'b'), 1, b'x' * 16)
+    fields = dict(exchanges.write_outcome(merged).fields)
+    assert fields[headers.PARTS] == 'a, b'
+    assert fields[headers.MISSING] == '1'
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,125 @@
+"""Test how records of the platform's store are decoded."""
+
+import base64
+import json
+from typing import Any
+
+import pytest
+
+from fuchsiahaven.core import configurations
+from fuchsiahaven.platform import records, store
+from fuchsiahaven.routing import configs, facts, instances, places
+
+CONFIGURATION = facts.Key(facts.Subject.CONFIGURATION, '')
+INSTANCE = facts.Key(facts.Subject.INSTANCE, 'i-1')
+
+
+def encode(row: Any) -> str:
+    """Encode a value as the store does."""
+    return base64.b64encode(json.dumps(row).encode()).decode()
+
+
+def make_route(**way: Any) -> dict[str, Any]:
+    """Write a route of the operator."""
+    return {
+        'name': 'r-1',
+        'host': 'Shop.Example',
+        'prefix': '/a/',
+        'type': 'non_idempotent',
+        'timeout_ms': 300,
+        'target_latency_ms': 68,
+        'priority': 2,
+        'max_attempts': 2,
+        **way,
+    }
+
+
+@pytest.mark.parametrize(
+    ('way', 'wanted'),
+    [
+        ({'service': 'one'}, configs.Single('one')),
+        (
+            {'traffic_split': [{'service': 'one', 'weight': 3}]},
+            configs.Split((configs.Weighted('one', 3.0),)),
+        ),
+        (
+            {'gather': ['one', 'two'], 'top_k': 5, 'min_coverage': 0.75},
+            configs.Gather(('one', 'two'), 5, 0.75),
+        ),
+    ],
+)
+def test_reads_a_configuration(
+    way: dict[str, Any], wanted: configs.Way
+) -> None:
+    """Times come out in seconds, host names in lower case."""
+    row = {
+        'version': 7,
+        'routes': [make_route(**way)],
+        'services': [{'name': 'one', 'max_connections': 26}],
+        'limits': {'max_body_bytes': 100, 'idle_timeout_ms': 1500},
+    }
+    read = records.read_value(CONFIGURATION, encode(row))
+    assert isinstance(read, configs.Configuration)
+    (route,) = read.routes
+    assert route.way == wanted
+    assert (route.host, route.timeout) == ('shop.example', 0.3)
+    assert route.repeat is configurations.Repeat.AT_MOST_ONCE
+    assert read.services == (configs.Service('one', 26),)
+    assert (read.limits.body_bytes, read.limits.idle) == (100, 1.5)
+
+
+def test_reads_an_instance() -> None:
+    """A target that says anything but ready is leaving."""
+    row = {
+        'service': 'one',
+        'address': '10.0.0.9:80',
+        'zone': 'north',
+        'version': 'v1',
+        'slots': 2,
+        'state': 'draining',
+        'warmup_left_ms': 12,
+        'seq': 4,
+    }
+    read = records.read_value(INSTANCE, encode(row))
+    assert read == instances.Instance(
+        'i-1', 'one', '10.0.0.9:80', 'north', 2, leaving=True, cold=True
+    )
+
+
+@pytest.mark.parametrize('text', ['%', encode([]), encode({'version': 1})])
+def test_refuses_what_is_no_record(text: str) -> None:
+    """Wrong base64, wrong JSON and missing fields end in one error."""
+    with pytest.raises(records.Malformed):
+        records.read_value(CONFIGURATION, text)
+
+
+def test_reads_a_page_and_passes_over_foreign_keys() -> None:
+    """Keys of others are no facts; the next page begins after the last key."""
+    host = places.Host('host-1', '10.0.0.1:7', 'north')
+    key, encoded = records.write_host(host)
+    rows = [
+        {'key': key, 'value': encoded, 'revision': 4},
+        {'key': 'other/key', 'value': 'eA==', 'revision': 5},
+    ]
+    body = {'items': rows, 'has_more': True, 'store_revision': 9}
+
+    def decode(key: facts.Key, revision: int, text: str) -> facts.Value:
+        return records.read_value(key, text)
+
+    page = store.read_page(json.dumps(body).encode(), decode)
+    assert (page.revision, page.after) == (9, 'other/key')
+    assert page.items == (
+        facts.Fact(facts.Key(facts.Subject.HOST, 'host-1'), 4, host),
+    )
+    last = json.dumps({**body, 'has_more': False}).encode()
+    assert store.read_page(last, decode).after is None
+    with pytest.raises(records.Malformed):
+        store.read_page(b'{}', decode)
+
+
+def test_writes_the_entry_of_a_host_under_its_lease() -> None:
+    """The entry goes when the lease ends."""
+    call = store.enter_host(places.Host('host-1', '10.0.0.1:7', 'north'), 77)
+    body = json.loads(call.body)
+    assert body['puts'][0]['lease'] == 77
+    assert body['puts'][0]['key'].endswith('/host-1')
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,60 @@
+"""Test how the platform's settings file is read."""
+
+import pytest
+
+from fuchsiahaven.platform import settings
+
+TEXT = """node=front-north-1
+ip=10.1.0.9
+zone=north
+zones.north=land
+zones.south=land
+listen.front=10.1.0.9:8104
+listen.ready=10.1.0.9:8108
+listen.control=10.1.0.9:8106
+internal_ports=7380,7395
+seeds=10.1.0.9:8106,10.2.0.21:8106
+heartbeat_ms=1200
+bounds.grace_s=6
+bounds.retry_budget_ratio=0.2
+bounds.retry_window_s=10
+bounds.retry_slack=56
+platform.address=10.200.1.7:8102
+a.field=that nobody knows
+"""
+
+
+def test_reads_a_file() -> None:
+    """Times come out in seconds, lists as tuples, other fields are ignored."""
+    reading = settings.read_text(TEXT)
+    assert reading.settings is not None
+    assert reading.settings.host.name == 'front-north-1'
+    assert reading.settings.host.address == '10.1.0.9:8106'
+    assert reading.settings.data_centres == ('north', 'south')
+    assert len(reading.settings.seeds) == 2
+    assert reading.settings.heartbeat == 1.2
+    assert reading.settings.extra_load.slack == 56
+
+
+@pytest.mark.parametrize('name', settings.REQUIRED)
+def test_names_what_is_missing(name: str) -> None:
+    """A file without a field that is needed is refused by that name."""
+    lines = [it for it in TEXT.splitlines() if not it.startswith(f'{name}=')]
+    reading = settings.read_text('\n'.join(lines))
+    assert reading.settings is None
+    assert [fault.name for fault in reading.faults] == [name]
+
+
+def test_names_every_fault_at_once() -> None:
+    """Two fields are no numbers: both are told."""
+    text = TEXT.replace('=56', '=many').replace('=1200', '=often')
+    names = {fault.name for fault in settings.read_text(text).faults}
+    assert names == {'bounds.retry_slack', 'heartbeat_ms'}
+
+
+def test_uses_its_own_port_where_hosts_have_none_for_control() -> None:
+    """Without an address for control hosts meet at the first inner port."""
+    lines = [it for it in TEXT.splitlines() if 'listen.control' not in it]
+    reading = settings.read_text('\n'.join(lines))
+    assert reading.settings is not None
+    assert reading.settings.host.address == '10.1.0.9:7380'
--- /dev/null
+++ b/tests/relay/peers.py
@@ -0,0 +1,118 @@
+"""Offer scripted servers on loopback, and run a test's coroutine."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from typing import Any, Final
+
+from fuchsiahaven.routing import instances
+
+LOOPBACK: Final = '127.0.0.1'
+#: A test that takes longer than this hangs.
+LONGEST_S: Final = 20.0
+END_OF_HEAD: Final = b'\r\n\r\n'
+
+#: Takes the head of a request and writes what the script says.
+Script = Callable[[bytes, asyncio.StreamWriter], Awaitable[None]]
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    """Run a test's coroutine, and end it if it hangs."""
+    asyncio.run(asyncio.wait_for(test, LONGEST_S))
+
+
+class Server:
+    """Own a scripted server; `heads` are the requests it has got."""
+
+    def __init__(self, script: Script) -> None:
+        """Prepare without listening."""
+        self.address = ''
+        self.heads: list[bytes] = []
+        self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
+        self._script = script
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one connection."""
+        self.connections += 1
+        self.writers.append(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(END_OF_HEAD)
+                self.heads.append(head)
+                await self._script(head, writer)
+                await writer.drain()
+
+    def as_instance(self, service: str = 'records') -> instances.Instance:
+        """Describe the server as a target."""
+        return instances.Instance(
+            f'at {self.address}',
+            service,
+            self.address,
+            'north',
+            2,
+            leaving=False,
+            cold=False,
+        )
+
+
+@contextlib.asynccontextmanager
+async def listen(script: Script) -> AsyncIterator[Server]:
+    """Run a scripted server."""
+    server = Server(script)
+    listening = await asyncio.start_server(server.serve, LOOPBACK, 0)
+    host, port = listening.sockets[0].getsockname()
+    server.address = f'{host}:{port}'
+    try:
+        yield server
+    finally:
+        listening.close()
+        for writer in server.writers:
+            writer.close()
+
+
+def find_field(head: bytes, name: str) -> str:
+    """Find a field in the head of a request."""
+    for line in head.decode().split('\r\n'):
+        found, _, told = line.partition(': ')
+        if found.lower() == name:
+            return told
+    return ''
+
+
+def find_id(head: bytes) -> str:
+    """Find the request's id."""
+    return find_field(head, 'fuchsiahaven-request-id')
+
+
+def write_answer(
+    request_id: str, body: bytes = b'', fields: tuple[str, ...] = ()
+) -> bytes:
+    """Write a signed answer to a request."""
+    lines = (
+        'HTTP/1.1 200 OK',
+        f'Content-Length: {len(body)}',
+        f'Fuchsiahaven-Request-Id: {request_id}',
+        'Fuchsiahaven-Response-Signature: signed',
+        *fields,
+        '',
+        '',
+    )
+    return '\r\n'.join(lines).encode() + body
+
+
+def answer_with(body: bytes) -> Script:
+    """Answer every request with a body."""
+
+    async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(write_answer(find_id(head), body))
+
+    return script
+
+
+async def wait_for(condition: Callable[[], object]) -> None:
+    """Let the loop run until a condition holds."""
+    while not condition():
+        await asyncio.sleep(0.002)
