--- /dev/null
+++ b/fuchsiahaven/relay/fleets.py
@@ -0,0 +1,84 @@
+"""Own the connections to all targets."""
+
+from collections.abc import Callable
+
+from fuchsiahaven.relay import pools
+from fuchsiahaven.routing import events, instances, reaches, seats, states
+
+
+class Fleet:
+    """Own a pool for each target that was sent anything."""
+
+    def __init__(
+        self,
+        desk: states.Desk,
+        report: Callable[[events.Event], None],
+        clock: Callable[[], float],
+    ) -> None:
+        """Start without a pool."""
+        self._desk = desk
+        self._report = report
+        self._clock = clock
+        self._pools: dict[str, pools.Pool] = {}
+
+    def place(self, send: events.Send) -> None:
+        """Send a request to its target."""
+        self._find(send.instance).place(send)
+
+    def stop(self, key: events.FlightKey, *, also_sent: bool) -> None:
+        """Do not send what has not left; end soon what has, if asked to."""
+        aloft = self._desk.aloft.get(key)
+        if aloft is not None and aloft.instance in self._pools:
+            self._pools[aloft.instance].stop(key, also_sent=also_sent)
+
+    def prune(self) -> None:
+        """Close the pools of targets that are gone, once they are unused."""
+        known = self._desk.directory.by_name
+        for name in self._pools.keys() - known.keys():
+            # What is under way at a target that leaves may end there.
+            if self._pools[name].is_unused():
+                self._pools.pop(name).close()
+
+    def deal(self) -> None:
+        """Work out how many connections each target has for this host."""
+        for pool in self._pools.values():
+            service = self._desk.index.services.get(pool.instance.service)
+            if service is not None:
+                pool.seats = seats.count_seats(
+                    service.connections, self._desk.host_count
+                )
+
+    def try_ways(self, now: float) -> None:
+        """Open connections to targets that may not be reached any more.
+
+        A host that is sent nothing would not notice that they are back.
+        """
+        doubtful = reaches.list_doubtful(self._desk, now)
+        for name in self._pools.keys() & doubtful:
+            self._pools[name].try_way()
+
+    def sweep(self, now: float) -> None:
+        """End what has taken too long."""
+        for pool in tuple(self._pools.values()):
+            pool.sweep(now)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for pool in tuple(self._pools.values()):
+            pool.close()
+
+    def count_links(self) -> int:
+        """Count the connections."""
+        return sum(pool.count_links() for pool in self._pools.values())
+
+    def count_opened(self) -> int:
+        """Count the connections that were opened so far."""
+        return sum(pool.opener.opened for pool in self._pools.values())
+
+    def _find(self, instance: instances.Instance) -> pools.Pool:
+        pool = self._pools.get(instance.name)
+        if pool is None:
+            pool = pools.Pool(instance, self._report, self._clock)
+            self._pools[instance.name] = pool
+            self.deal()
+        return pool
--- a/fuchsiahaven/relay/intakes.py
+++ b/fuchsiahaven/relay/intakes.py
@@ -69,6 +69,22 @@
         body = h11.Data(data=written.body)
         return self._write(head, body, h11.EndOfMessage())
 
+    def begin_stream(self) -> bytes:
+        """Write the head of an answer whose body comes in pieces."""
+        fields = [
+            (b'content-type', b'application/json'),
+            (b'transfer-encoding', b'chunked'),
+        ]
+        head = h11.Response(status_code=HTTPStatus.OK, headers=fields)
+        return self._write(head)
+
+    def write_piece(self, piece: bytes, *, last: bool) -> bytes:
+        """Write a piece of a body."""
+        data = self._write(h11.Data(data=piece))
+        if last:
+            data += self._write(h11.EndOfMessage())
+        return data
+
     def goes_on(self) -> bool:
         """Make ready for the next request; False if there will be none."""
         if self._machine.our_state is not h11.DONE:
--- a/fuchsiahaven/relay/links.py
+++ b/fuchsiahaven/relay/links.py
@@ -25,12 +25,14 @@
 #: Answers of other requests that are passed over before a connection is given
 #: up; a target sends one more than it should, not many.
 MOST_STRAY: Final = 3
+OK: Final = 200
 
 
 class Exchange(NamedTuple):
     """Hold a request to be sent and whom to tell how it ended.
 
-    `belongs` tells whether a whole answer is one to this request.
+    `belongs` tells whether a whole answer is one to this request. Where
+    `take_chunk` is given, the body of a success goes there as it comes.
     """
 
     method: str
@@ -38,6 +40,7 @@
     fields: events.Fields
     body: bytes
     belongs: Callable[[exchanges.Message], bool]
+    take_chunk: Callable[[bytes], None] | None = None
 
 
 class Owner(Protocol):
@@ -149,14 +152,23 @@
             case h11.Response():
                 self._head = event
             case h11.Data():
-                self._body += event.data
-                if len(self._body) > ANSWER_BYTES:
-                    self.close(messages.Fault.TOO_LARGE)
+                self._take_data(event.data)
             case h11.EndOfMessage():
                 self._end_message()
             case h11.ConnectionClosed():
                 self.close(messages.Fault.CONNECTION_LOST)
 
+    def _take_data(self, chunk: bytes) -> None:
+        assert self._head is not None
+        assert self.exchange is not None
+        take_chunk = self.exchange.take_chunk
+        if take_chunk is not None and self._head.status_code == OK:
+            take_chunk(chunk)
+            return
+        self._body += chunk
+        if len(self._body) > ANSWER_BYTES:
+            self.close(messages.Fault.TOO_LARGE)
+
     def _end_message(self) -> None:
         assert self._head is not None
         assert self.exchange is not None
@@ -174,10 +186,11 @@
             self._pass_over()
 
     def _settle(self, message: exchanges.Message) -> None:
+        assert self._transport is not None
         rest, _ = self._machine.trailing_data
         self.exchange = None
         # What follows an answer belongs to nobody.
-        self.reusable = self._is_whole() and not rest
+        self.reusable = _is_whole(self._machine, self._transport) and not rest
         if self.reusable:
             self._machine.start_next_cycle()
         self._owner.take_message(self, message)
@@ -192,11 +205,13 @@
         request under way unknown.
         """
         rest, _ = self._machine.trailing_data
+        assert self._transport is not None
+        assert self.exchange is not None
         self._stray += 1
-        if self._stray > MOST_STRAY or not self._is_whole():
+        whole = _is_whole(self._machine, self._transport)
+        if self._stray > MOST_STRAY or not whole:
             self.close(messages.Fault.MISMATCHED)
             return
-        assert self.exchange is not None
         # The machine of the protocol has to see a request before an answer;
         # this one has been sent already.
         self._machine = h11.Connection(h11.CLIENT)
@@ -204,15 +219,15 @@
         if rest:
             self._machine.receive_data(rest)
 
-    def _is_whole(self) -> bool:
-        """Tell whether the connection goes on after the answer."""
-        assert self._transport is not None
-        if self._transport.is_closing():
-            return False
-        # A target may answer before it has read a long body; the rest of
-        # that body must not be followed by another request.
-        unsent = self._transport.get_write_buffer_size()
-        return self._machine.their_state is h11.DONE and not unsent
+
+def _is_whole(machine: h11.Connection, transport: asyncio.Transport) -> bool:
+    """Tell whether a connection goes on after an answer."""
+    if transport.is_closing():
+        return False
+    # A target may answer before it has read a long body; the rest of that
+    # body must not be followed by another request.
+    unsent = transport.get_write_buffer_size()
+    return machine.their_state is h11.DONE and not unsent
 
 
 def set_options(sock: socket.socket | None) -> None:
--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -1,10 +1,11 @@
 """Count what a host does, for the page that is scraped."""
 
+import time
 from typing import Final
 
 import prometheus_client
 
-from fuchsiahaven.relay import runner
+from fuchsiahaven.relay import news, runner
 from fuchsiahaven.routing import events
 
 PREFIX: Final = 'fuchsiahaven_relay'
@@ -54,7 +55,6 @@
         self.links = self._gauge('connections', 'Connections to targets.')
         self.opened = self._gauge('opened', 'Connections opened so far.')
         self.calls = self._gauge('store_calls', 'Calls to the store so far.')
-        self.left_out = self._gauge('log_lines_left_out', 'Not written.')
 
     def note(self, story: events.Story) -> None:
         """Count one request."""
@@ -65,12 +65,16 @@
 
     def take_runner(self, driven: runner.Runner) -> None:
         """Take what the decisions and the connections are like now."""
-        pools = driven.pools.values()
         self.version.set(driven.desk.index.configuration.version)
         self.targets.set(len(driven.desk.directory.by_name))
-        self.hosts.set(driven.desk.hosts)
-        self.links.set(sum(pool.count_links() for pool in pools))
-        self.opened.set(sum(pool.opener.opened for pool in pools))
+        self.hosts.set(driven.desk.host_count)
+        self.links.set(driven.fleet.count_links())
+        self.opened.set(driven.fleet.count_opened())
+
+    def take_news(self, known: news.News) -> None:
+        """Take how old the news is and what it has cost."""
+        self.age.set(time.monotonic() - known.ledger.read)
+        self.calls.set(known.store.calls)
 
     def write(self) -> bytes:
         """Write the page."""
--- a/fuchsiahaven/relay/ports.py
+++ b/fuchsiahaven/relay/ports.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, Protocol
 
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.relay import intakes, links
@@ -13,10 +13,20 @@
 #: ahead of its answers would fill the memory.
 AHEAD_BYTES: Final = 65_536
 
-Answer = Callable[[exchanges.Written], None]
-#: Takes a request and the function that answers it; returns what to call if
+
+class Caller(Protocol):
+    """State how a request is answered: at once or in pieces."""
+
+    def answer(self, written: exchanges.Written) -> None:
+        """Send the whole answer."""
+
+    def send_piece(self, piece: bytes, *, last: bool) -> None:
+        """Send a piece of the answer; the last one ends it."""
+
+
+#: Takes a request and whoever waits for its answer; returns what to call if
 #: the caller leaves before its answer.
-Handler = Callable[[exchanges.Message, Answer], Callable[[], None] | None]
+Handler = Callable[[exchanges.Message, Caller], Callable[[], None] | None]
 
 
 class Terms(NamedTuple):
@@ -69,6 +79,7 @@
         self._leave: Callable[[], None] | None = None
         self._begun = False
         self._answering = False
+        self._streaming = False
         self._ahead = 0
         self._timer: asyncio.TimerHandle | None = None
 
@@ -103,6 +114,21 @@
         if leave is not None:
             leave()
 
+    def answer(self, written: exchanges.Written) -> None:
+        """Send the whole answer."""
+        ends = self._port.stopping
+        self._write(self._intake.write(written, ends=ends))
+        self._end_answer(ends=ends)
+
+    def send_piece(self, piece: bytes, *, last: bool) -> None:
+        """Send a piece of the answer; the last one ends it."""
+        if not self._streaming:
+            self._streaming = True
+            self._write(self._intake.begin_stream())
+        self._write(self._intake.write_piece(piece, last=last))
+        if last:
+            self._end_answer(ends=False)
+
     def is_idle(self) -> bool:
         """Tell whether no request has begun to arrive."""
         return not self._answering and not self._begun
@@ -149,15 +175,14 @@
         self._begun = False
         self._answering = True
         self._ahead = 0
-        leave = self._port.terms.handle(message, self._answer)
+        leave = self._port.terms.handle(message, self)
         if self._answering:
             self._leave = leave
 
-    def _answer(self, written: exchanges.Written) -> None:
+    def _end_answer(self, *, ends: bool) -> None:
         self._leave = None
         self._answering = False
-        ends = self._port.stopping
-        self._write(self._intake.write(written, ends=ends))
+        self._streaming = False
         if ends or not self._intake.goes_on():
             self.close()
             return
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -6,13 +6,12 @@
 import signal
 import time
 from collections.abc import Callable
-from http import HTTPStatus
 from typing import Final
 
 from fuchsiahaven.operate import exits
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.platform import settings as settings_files
-from fuchsiahaven.relay import journal, meters, news, ports, runner
+from fuchsiahaven.relay import journal, meters, news, ports, questions, runner
 from fuchsiahaven.routing import (
     configs,
     desks,
@@ -30,11 +29,6 @@
 #: Kept back from the time until the kill, to end what is left in order.
 GRACE_MARGIN_S: Final = 0.7
 CHECK_S: Final = 0.05
-FACTS_PATH: Final = '/v1/facts'
-READY_PATH: Final = '/ready'
-METRICS_PATH: Final = '/metrics'
-TEXT: Final = (('content-type', 'text/plain'),)
-JSON: Final = (('content-type', 'application/json'),)
 
 
 class Process:
@@ -51,8 +45,11 @@
         self.runner = runner.Runner(self.desk, self._tell)
         self.news = news.News(settings, log, self._learn)
         self.callers = self._make_port(self._take_request)
-        self.readiness = self._make_port(self._take_question)
-        self.peers = self._make_port(self._take_question)
+        asked = questions.Questions(
+            self.runner, self.news, self.meters, self.find_obstacle
+        )
+        self.readiness = self._make_port(asked.take)
+        self.peers = self._make_port(asked.take)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -107,7 +104,7 @@
         self.callers.stop()
         await asyncio.sleep(LAG_S)
         self.callers.close_idle()
-        while self.callers.count_busy() and time.monotonic() < last:
+        while self.runner.count_waiting() and time.monotonic() < last:
             await asyncio.sleep(CHECK_S)
             self.callers.close_idle()
         self.log.tell(
@@ -155,60 +152,27 @@
             revision=merged.ledger.revision,
             version=self.desk.index.configuration.version,
             targets=len(self.desk.directory.by_name),
-            hosts=self.desk.hosts,
+            hosts=self.desk.host_count,
             ready=self.find_obstacle() or 'yes',
         )
 
     def _count_hosts(self, ledger: facts.Ledger) -> None:
         # Until the hosts have entered themselves the seeds are all there is.
-        known = len(facts.list_hosts(ledger))
-        count = max(known, len(self.settings.seeds))
-        self.runner.learn(events.Counted(count))
+        known = tuple(facts.list_hosts(ledger))
+        count = max(len(known), len(self.settings.seeds))
+        self.runner.learn(events.Counted(count, known))
 
     def _take_request(
-        self, message: exchanges.Message, answer: ports.Answer
+        self, message: exchanges.Message, caller: ports.Caller
     ) -> Callable[[], None]:
         request = exchanges.read_request(message, time.monotonic())
 
         def reply(outcome: events.Outcome) -> None:
-            answer(exchanges.write_outcome(outcome))
+            caller.answer(exchanges.write_outcome(outcome))
 
         number = self.runner.ask(request, reply)
         return lambda: self.runner.abandon(number)
 
-    def _take_question(
-        self, message: exchanges.Message, answer: ports.Answer
-    ) -> None:
-        path, _, query = message.first.partition('?')
-        match path:
-            case '/ready':
-                answer(self._tell_readiness())
-            case '/v1/facts':
-                body = self.news.list_changes(query.partition('=')[2])
-                answer(exchanges.Written(HTTPStatus.OK, JSON, body))
-            case '/metrics':
-                answer(self._write_metrics())
-            case _:
-                missing = HTTPStatus.NOT_FOUND
-                answer(exchanges.Written(missing, TEXT, b'not found\n'))
-
-    def _tell_readiness(self) -> exchanges.Written:
-        obstacle = self.find_obstacle()
-        status = HTTPStatus.OK
-        if obstacle:
-            status = HTTPStatus.SERVICE_UNAVAILABLE
-        return exchanges.Written(
-            status, TEXT, f'{obstacle or "ready"}\n'.encode()
-        )
-
-    def _write_metrics(self) -> exchanges.Written:
-        known = self.meters
-        known.age.set(time.monotonic() - self.news.ledger.read)
-        known.calls.set(self.news.store.calls)
-        known.left_out.set(self.log.left_out)
-        known.take_runner(self.runner)
-        return exchanges.Written(HTTPStatus.OK, TEXT, known.write())
-
     def _tell(self, story: events.Story) -> None:
         self.meters.note(story)
         good = story.result in {'complete', 'partial', 'relayed 200'}
--- /dev/null
+++ b/fuchsiahaven/relay/questions.py
@@ -0,0 +1,86 @@
+"""Answer other hosts, the balancer and whoever scrapes the metrics."""
+
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final
+
+from fuchsiahaven.platform import exchanges
+from fuchsiahaven.relay import meters, news, ports, runner
+from fuchsiahaven.routing import assist_codecs, codecs, events
+
+TEXT: Final = (('content-type', 'text/plain'),)
+JSON: Final = (('content-type', 'application/json'),)
+STOPPING: Final = 'stopping'
+
+
+class Questions:
+    """Join what is asked to who knows the answer."""
+
+    def __init__(
+        self,
+        driven: runner.Runner,
+        known: news.News,
+        counted: meters.Meters,
+        find_obstacle: Callable[[], str],
+    ) -> None:
+        """Take whom to ask."""
+        self._runner = driven
+        self._news = known
+        self._meters = counted
+        self._find_obstacle = find_obstacle
+
+    def take(
+        self, message: exchanges.Message, caller: ports.Caller
+    ) -> Callable[[], None] | None:
+        """Take a question; return what to call if who asks leaves."""
+        path, _, query = message.first.partition('?')
+        match path:
+            case '/ready':
+                caller.answer(self._tell_readiness())
+            case '/v1/facts':
+                body = self._news.list_changes(query.partition('=')[2])
+                caller.answer(exchanges.Written(HTTPStatus.OK, JSON, body))
+            case '/v1/assist':
+                return self._assist(message, caller)
+            case '/metrics':
+                caller.answer(self._write_metrics())
+            case _:
+                missing = HTTPStatus.NOT_FOUND
+                caller.answer(exchanges.Written(missing, TEXT, b'not found\n'))
+        return None
+
+    def _assist(
+        self, message: exchanges.Message, caller: ports.Caller
+    ) -> Callable[[], None] | None:
+        if self._find_obstacle() == STOPPING:
+            caller.answer(_refuse(STOPPING))
+            return None
+        try:
+            assist = assist_codecs.read_assist(message.body, time.monotonic())
+        except codecs.Malformed as error:
+            caller.answer(_refuse(str(error)))
+            return None
+
+        def give(share: events.Share) -> None:
+            piece = assist_codecs.write_share(share)
+            caller.send_piece(piece, last=share.last)
+
+        number = self._runner.assist(assist, give)
+        return lambda: self._runner.abandon(number)
+
+    def _tell_readiness(self) -> exchanges.Written:
+        obstacle = self._find_obstacle()
+        if obstacle:
+            return _refuse(obstacle)
+        return exchanges.Written(HTTPStatus.OK, TEXT, b'ready\n')
+
+    def _write_metrics(self) -> exchanges.Written:
+        self._meters.take_runner(self._runner)
+        self._meters.take_news(self._news)
+        return exchanges.Written(HTTPStatus.OK, TEXT, self._meters.write())
+
+
+def _refuse(why: str) -> exchanges.Written:
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    return exchanges.Written(status, TEXT, f'{why}\n'.encode())
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -6,15 +6,8 @@
 from collections.abc import Callable
 from typing import Final
 
-from fuchsiahaven.relay import pools
-from fuchsiahaven.routing import (
-    desks,
-    events,
-    instances,
-    reaches,
-    seats,
-    states,
-)
+from fuchsiahaven.relay import assistants, fleets
+from fuchsiahaven.routing import desks, events, reaches, states
 
 #: How often connections are looked at for what takes too long.
 SWEEP_S: Final = 0.1
@@ -23,22 +16,24 @@
 TRY_S: Final = 0.4
 
 Reply = Callable[[events.Outcome], None]
+Give = Callable[[events.Share], None]
 Tell = Callable[[events.Story], None]
 
 
 class Runner:
-    """Own the decisions and the connections to targets."""
+    """Own the decisions and whom to tell what comes of them."""
 
     def __init__(self, desk: states.Desk, tell: Tell) -> None:
         """Start with nothing to do."""
         self.desk = desk
-        self.pools: dict[str, pools.Pool] = {}
+        self.fleet = fleets.Fleet(desk, self.post, time.monotonic)
+        self._assistants = assistants.Assistants(self.post, time.monotonic)
         self._tell = tell
         self._events: collections.deque[events.Event] = collections.deque()
         self._replies: dict[int, Reply] = {}
+        self._givers: dict[int, Give] = {}
         self._running = False
         self._last = 0
-        self._try_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
 
     def ask(self, request: events.Request, reply: Reply) -> int:
@@ -48,14 +43,22 @@
         self.post(events.Asked(self._last, request))
         return self._last
 
+    def assist(self, assist: events.Assist, give: Give) -> int:
+        """Take another host's request; `give` is called with each share."""
+        self._last += 1
+        self._givers[self._last] = give
+        self.post(events.Assisted(self._last, assist))
+        return self._last
+
     def abandon(self, ask: int) -> None:
-        """Take note that a caller has left."""
+        """Take note that a caller, or the host that asked, has left."""
         self._replies.pop(ask, None)
+        self._givers.pop(ask, None)
         self.post(events.Abandoned(ask))
 
     def count_waiting(self) -> int:
-        """Count the callers that have yet to get their reply."""
-        return len(self._replies)
+        """Count the callers and hosts that have yet to get their reply."""
+        return len(self._replies) + len(self._givers)
 
     def post(self, event: events.Event) -> None:
         """Take in an event and do what it asks for."""
@@ -75,42 +78,27 @@
     ) -> None:
         """Take news of what there is, and what follows for connections."""
         self.post(event)
-        for name in self.pools.keys() - self.desk.directory.by_name.keys():
-            # What is under way at a target that leaves may end there.
-            if self.pools[name].is_unused():
-                self.pools.pop(name).close()
-        self._deal()
-
-    def _deal(self) -> None:
-        """Work out how many connections each target has for this host."""
-        for pool in self.pools.values():
-            service = self.desk.index.services.get(pool.instance.service)
-            if service is not None:
-                pool.seats = seats.count_seats(
-                    service.connections, self.desk.hosts
-                )
+        self.fleet.prune()
+        self.fleet.deal()
 
     async def sweep(self) -> None:
         """Look at the connections from time to time, for ever."""
+        try_at = 0.0
         while True:
             await asyncio.sleep(SWEEP_S)
             now = time.monotonic()
-            for pool in tuple(self.pools.values()):
-                pool.sweep(now)
-            if now >= self._try_at and reaches.is_cut_off(self.desk, now):
-                self._try_at = now + TRY_S
-                # A host that is sent nothing would not notice its return.
-                for name in self.pools.keys() & reaches.list_doubtful(
-                    self.desk, now
-                ):
-                    self.pools[name].try_way()
+            self.fleet.sweep(now)
+            self._assistants.sweep(now)
+            if now >= try_at and reaches.is_cut_off(self.desk, now):
+                try_at = now + TRY_S
+                self.fleet.try_ways(now)
 
     def close(self) -> None:
-        """Close all connections to targets."""
+        """Close all connections."""
         if self._timer is not None:
             self._timer.cancel()
-        for pool in tuple(self.pools.values()):
-            pool.close()
+        self.fleet.close()
+        self._assistants.close()
 
     def _handle(self, event: events.Event) -> None:
         for action in desks.handle(self.desk, event, time.monotonic()):
@@ -119,30 +107,33 @@
     def _perform(self, action: events.Action) -> None:
         match action:
             case events.Send():
-                self._find_pool(action.instance).place(action)
+                self.fleet.place(action)
             case events.Withdraw(key):
-                self._stop(key, also_sent=False)
+                self.fleet.stop(key, also_sent=False)
             case events.Cancel(key):
-                self._stop(key, also_sent=True)
+                self.fleet.stop(key, also_sent=True)
+            case events.Delegate():
+                self._assistants.place(action)
+            case events.Dismiss(assistance):
+                self._assistants.dismiss(assistance)
+            case events.Give(ask, share):
+                self._give(ask, share)
             case events.Reply(ask, outcome):
-                reply = self._replies.pop(ask, None)
-                if reply is not None:
-                    reply(outcome)
+                self._reply(ask, outcome)
             case events.Story():
                 self._tell(action)
 
-    def _find_pool(self, instance: instances.Instance) -> pools.Pool:
-        pool = self.pools.get(instance.name)
-        if pool is None:
-            pool = pools.Pool(instance, self.post, time.monotonic)
-            self.pools[instance.name] = pool
-            self._deal()
-        return pool
-
-    def _stop(self, key: events.FlightKey, *, also_sent: bool) -> None:
-        aloft = self.desk.aloft.get(key)
-        if aloft is not None and aloft.instance in self.pools:
-            self.pools[aloft.instance].stop(key, also_sent=also_sent)
+    def _reply(self, ask: int, outcome: events.Outcome) -> None:
+        reply = self._replies.pop(ask, None)
+        if reply is not None:
+            reply(outcome)
+
+    def _give(self, ask: int, share: events.Share) -> None:
+        give = self._givers.get(ask)
+        if share.last:
+            self._givers.pop(ask, None)
+        if give is not None:
+            give(share)
 
     def _set_timer(self) -> None:
         wake = self.desk.next_wake()
--- a/fuchsiahaven/routing/arrivals.py
+++ b/fuchsiahaven/routing/arrivals.py
@@ -27,13 +27,13 @@
     answer = event.answer
     desk.standings.note_answered(aloft.instance, event.key, now, answer.load)
     _note_latency(desk, aloft, now)
-    ask = _find_open(desk, event.key)
+    ask = find_open(desk, event.key)
     if answer.status >= asks.FAILURES:
         desk.standings.note_failed(aloft.instance, now)
     if ask is None:
         return []
     service = event.key.service
-    part = _land(ask, event.key)
+    part = land(ask, event.key)
     if _is_failure(ask, answer):
         _note_try(ask, event.key, aloft, f'status {answer.status}')
         ask.parts[service] = part._replace(
@@ -41,7 +41,7 @@
             may_have_run=True,
             reason=coverage.Reason.REFUSED,
         )
-        return _go_on(desk, ask, service, now)
+        return go_on(desk, ask, service, now)
     ask.parts[service] = part._replace(answer=answer)
     ask.open.discard(service)
     beaten = [
@@ -66,13 +66,13 @@
         window = desk.windows.get(aloft.route, hedges.EMPTY)
         desk.windows[aloft.route] = hedges.note_refusal(window)
     reason = REFUSAL_REASONS.get(event.reason, coverage.Reason.REFUSED)
-    ask = _find_open(desk, event.key)
+    ask = find_open(desk, event.key)
     if ask is None:
         return []
     _note_try(ask, event.key, aloft, f'refused {event.reason}')
-    part = _land(ask, event.key)
+    part = land(ask, event.key)
     ask.parts[event.key.service] = part._replace(reason=reason)
-    return _go_on(desk, ask, event.key.service, now)
+    return go_on(desk, ask, event.key.service, now)
 
 
 def take_fault(desk: states.Desk, event: events.Broken, now: float) -> Actions:
@@ -81,16 +81,16 @@
     if aloft is None:
         return []
     desk.standings.note_broken(aloft.instance, event, now)
-    ask = _find_open(desk, event.key)
+    ask = find_open(desk, event.key)
     if ask is None:
         return []
     _note_try(ask, event.key, aloft, f'broken {event.fault}')
-    part = _land(ask, event.key)
+    part = land(ask, event.key)
     ask.parts[event.key.service] = part._replace(
         reason=FAULT_REASONS.get(event.fault, coverage.Reason.BROKEN_ANSWER),
         may_have_run=True,
     )
-    return _go_on(desk, ask, event.key.service, now)
+    return go_on(desk, ask, event.key.service, now)
 
 
 def take_unsent(desk: states.Desk, event: events.Unsent, now: float) -> Actions:
@@ -102,26 +102,28 @@
     desk.standings.note_unsent(aloft.instance, event, now)
     if aloft.extra:
         desk.find_budget(service).note_extra(now, -1)
-    ask = _find_open(desk, event.key)
+    ask = find_open(desk, event.key)
     if ask is None:
         return []
     _note_try(ask, event.key, aloft, 'not sent')
-    part = _land(ask, event.key)
+    part = land(ask, event.key)
     ask.parts[service] = part._replace(
         sent=part.sent - 1,
         reason=part.reason or coverage.Reason.UNREACHABLE,
     )
-    return _go_on(desk, ask, service, now)
+    return go_on(desk, ask, service, now)
 
 
-def _go_on(
+def go_on(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> Actions:
+    """Try a part again where that is allowed, and see whether this ends it."""
     actions = tries.send_again(desk, ask, service, now)
     return [*actions, *endings.settle(desk, ask, now)]
 
 
-def _find_open(desk: states.Desk, key: events.FlightKey) -> asks.Ask | None:
+def find_open(desk: states.Desk, key: events.FlightKey) -> asks.Ask | None:
+    """Find the ask that still waits for a part."""
     ask = desk.asks.get(key.ask)
     if ask is None or key.service not in ask.open:
         return None
@@ -134,7 +136,8 @@
     return answer.status >= asks.FAILURES
 
 
-def _land(ask: asks.Ask, key: events.FlightKey) -> asks.Part:
+def land(ask: asks.Ask, key: events.FlightKey) -> asks.Part:
+    """Return a part without a sending that has ended."""
     part = ask.parts[key.service]
     left = tuple(it for it in part.flights if it.number != key.number)
     return part._replace(flights=left)
--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -29,7 +29,10 @@
 
 
 class Flight(NamedTuple):
-    """Describe one sending that has not ended."""
+    """Describe one sending that has not ended.
+
+    `instance` is empty where another host sends it and has not told where.
+    """
 
     number: int
     instance: str
@@ -60,7 +63,9 @@
     """Hold one request under way.
 
     At `cut` what is in hand is worth more than what may still come; `ends` is
-    when the caller has to be told whatever there is.
+    when the caller has to be told whatever there is. Where another host asked
+    for assistance, `assists` is true and `told` holds the parts that it was
+    told of, and the empty name once it was told anything.
     """
 
     number: int
@@ -72,6 +77,8 @@
     parts: dict[str, Part]
     open: set[str]
     tries: list[str]
+    told: set[str]
+    assists: bool = False
 
     @property
     def gathers(self) -> bool:
@@ -99,9 +106,20 @@
         dict.fromkeys(services, Part()),
         set(services),
         [],
+        set(),
     )
 
 
+def list_flights(ask: Ask) -> list[events.FlightKey]:
+    """List the sendings to targets that have not ended."""
+    return [
+        events.FlightKey(ask.number, service, flight.number)
+        for service, part in ask.parts.items()
+        for flight in part.flights
+        if flight.instance
+    ]
+
+
 def count_missing(ask: Ask) -> int:
     """Count the parts that are not in."""
     return sum(1 for part in ask.parts.values() if part.answer is None)
--- /dev/null
+++ b/fuchsiahaven/routing/assist_codecs.py
@@ -0,0 +1,121 @@
+"""Write and read what hosts send each other to gather parts of a query."""
+
+import base64
+import json
+from typing import Final, TypedDict
+
+from fuchsiahaven.routing import codecs, events
+
+MILLISECONDS: Final = 1000
+
+
+class WrittenAssist(TypedDict):
+    """Hold a request for assistance; times are in milliseconds from now."""
+
+    id: str
+    method: str
+    target: str
+    fields: list[list[str]]
+    body: str
+    route: str
+    objective: int
+    limit: int
+    services: list[str]
+    wait: int
+
+
+class WrittenShare(TypedDict):
+    """Hold a share: parts with their signatures, and rows of a `PartOut`."""
+
+    parts: list[list[str]]
+    body: str
+    pending: list[list[str | bool]]
+    lost: list[list[str | bool]]
+    last: bool
+
+
+def write_assist(assist: events.Assist, now: float) -> bytes:
+    """Write a request for assistance."""
+    request = assist.request
+    written = WrittenAssist(
+        id=request.request_id,
+        method=request.method,
+        target=request.target,
+        fields=[list(field) for field in request.fields],
+        body=base64.b64encode(request.body).decode(),
+        route=assist.route,
+        objective=int(assist.objective * MILLISECONDS),
+        limit=assist.limit,
+        services=list(assist.services),
+        wait=int((assist.ends - now) * MILLISECONDS),
+    )
+    return _dump(written)
+
+
+def read_assist(text: bytes, now: float) -> events.Assist:
+    """Read a request for assistance; raises codecs.Malformed."""
+    try:
+        return _read_assist(json.loads(text), now)
+    except (ValueError, KeyError, TypeError) as error:
+        raise codecs.Malformed(repr(error)) from error
+
+
+def write_share(share: events.Share) -> bytes:
+    """Write a share as one line."""
+    written = WrittenShare(
+        parts=[list(part) for part in share.parts],
+        body=base64.b64encode(share.body).decode(),
+        pending=[list(part) for part in share.pending],
+        lost=[list(part) for part in share.lost],
+        last=share.last,
+    )
+    return b'%s\n' % _dump(written)
+
+
+def read_share(text: bytes) -> events.Share:
+    """Read a line that holds a share; raises codecs.Malformed."""
+    try:
+        return _read_share(json.loads(text))
+    except (ValueError, KeyError, TypeError) as error:
+        raise codecs.Malformed(repr(error)) from error
+
+
+def _dump(written: WrittenAssist | WrittenShare) -> bytes:
+    return json.dumps(written, separators=(',', ':')).encode()
+
+
+def _read_assist(row: WrittenAssist, now: float) -> events.Assist:
+    ends = now + row['wait'] / MILLISECONDS
+    request = events.Request(
+        row['id'],
+        row['method'],
+        row['target'],
+        '',
+        tuple((name, told) for name, told in row['fields']),
+        base64.b64decode(row['body']),
+        now,
+        ends,
+    )
+    return events.Assist(
+        request,
+        row['route'],
+        row['objective'] / MILLISECONDS,
+        int(row['limit']),
+        tuple(row['services']),
+        ends,
+    )
+
+
+def _read_share(row: WrittenShare) -> events.Share:
+    return events.Share(
+        tuple(events.PartIn(*part) for part in row['parts']),
+        base64.b64decode(row['body']),
+        tuple(_read_out(part) for part in row['pending']),
+        tuple(_read_out(part) for part in row['lost']),
+        bool(row['last']),
+    )
+
+
+def _read_out(row: list[str | bool]) -> events.PartOut:
+    service, instance, arrived = row
+    return events.PartOut(str(service), str(instance), bool(arrived))
--- /dev/null
+++ b/fuchsiahaven/routing/assists.py
@@ -0,0 +1,117 @@
+"""Gather parts of a query for another host that is farther from the targets.
+
+The other host decides: it sends again what is slow or fails, and it answers
+the caller. This host sends each part once, to a target near it.
+"""
+
+from typing import Final
+
+from fuchsiahaven.core import configurations
+from fuchsiahaven.routing import (
+    asks,
+    configs,
+    events,
+    merges,
+    states,
+    tries,
+)
+
+Actions = list[events.Action]
+
+#: Share of the objective after which what is in goes out at the latest, so
+#: that the other host can still send what lacks to other targets in time.
+LATEST_SHARE: Final = 0.3
+#: The empty name marks that something was told.
+BEGUN: Final = ''
+
+
+def take(desk: states.Desk, event: events.Assisted, now: float) -> Actions:
+    """Send the parts that another host asks for."""
+    ask = _begin(desk, event, now)
+    desk.asks[ask.number] = ask
+    actions: Actions = []
+    for service in tuple(ask.open):
+        actions.extend(tries.send_first(desk, ask, service, now))
+    for when in (ask.cut, ask.ends):
+        desk.set_timer(when, states.CutDue(ask.number))
+    return [*actions, *settle(desk, ask, now)]
+
+
+def settle(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
+    """Tell what is due to be told.
+
+    What is in when most should be goes out as one merged share; what comes
+    later goes out by itself, because the other host may have got that part
+    from another target by then and has to be able to leave it out.
+    """
+    over = not ask.open or now >= ask.ends
+    first = BEGUN not in ask.told
+    if first and not over and now < ask.cut:
+        return []
+    settled = ask.parts.keys() - ask.open - ask.told
+    if not (settled or first or over):
+        return []
+    ask.told.update(settled, (BEGUN,))
+    if not over:
+        return _give(ask, settled, first=first, over=False)
+    desk.asks.pop(ask.number, None)
+    withdrawn = [events.Withdraw(key) for key in asks.list_flights(ask)]
+    return [*_give(ask, settled, first=first, over=True), *withdrawn]
+
+
+def _begin(desk: states.Desk, event: events.Assisted, now: float) -> asks.Ask:
+    assist = event.assist
+    route = configs.Route(
+        assist.route,
+        '',
+        '',
+        configurations.Repeat.IDEMPOTENT,
+        assist.ends - now,
+        assist.objective,
+        1,
+        0,
+        configs.Gather(assist.services, assist.limit, 0),
+    )
+    version = desk.index.configuration.version
+    ask = asks.begin(event.ask, assist.request, route, version, assist.services)
+    hold = min(tries.find_delay(desk, ask), LATEST_SHARE * assist.objective)
+    return ask._replace(cut=now + hold, ends=assist.ends, assists=True)
+
+
+def _give(
+    ask: asks.Ask, settled: set[str], *, first: bool, over: bool
+) -> Actions:
+    answered = [it for it in settled if ask.parts[it].answer is not None]
+    lost = [_tell_part(ask, it) for it in settled if it not in answered]
+    waiting = [_tell_part(ask, it) for it in ask.open]
+    if over:
+        lost.extend(waiting)
+        waiting = []
+    if first:
+        share = _make_share(ask, answered, over)
+        share = share._replace(pending=tuple(waiting), lost=tuple(lost))
+        return [events.Give(ask.number, share)]
+    shares = [_make_share(ask, [service], last=False) for service in answered]
+    if lost or over:
+        share = _make_share(ask, [], over)
+        shares.append(share._replace(lost=tuple(lost)))
+    return [events.Give(ask.number, share) for share in shares]
+
+
+def _make_share(ask: asks.Ask, services: list[str], last: bool) -> events.Share:
+    parts = []
+    bodies = []
+    for service in services:
+        answer = ask.parts[service].answer
+        if answer is not None:
+            parts.append(events.PartIn(service, answer.signature))
+            bodies.append(answer.body)
+    assert isinstance(ask.route.way, configs.Gather)
+    body = merges.merge_records(bodies, ask.route.way.limit)
+    return events.Share(tuple(parts), body, (), (), last)
+
+
+def _tell_part(ask: asks.Ask, service: str) -> events.PartOut:
+    part = ask.parts[service]
+    tried = part.tried[-1] if part.tried else ''
+    return events.PartOut(service, tried, part.sent > 0)
--- a/fuchsiahaven/routing/choices.py
+++ b/fuchsiahaven/routing/choices.py
@@ -41,7 +41,7 @@
     least = float('inf')
     for one in clean or candidates:
         known = desk.standings.get(one.name)
-        cost = standings.estimate(known, one, desk.near, now)
+        cost = standings.estimate(known, one, desk.host.data_centre, now)
         cost *= 1 + SPREAD * desk.draw()
         if cost < least:
             least = cost
--- /dev/null
+++ b/fuchsiahaven/routing/delegations.py
@@ -0,0 +1,255 @@
+"""Have other hosts gather parts whose targets are near to them.
+
+A query sends one request to a helper in place of one to each target, and the
+helper sends back the greatest records of all parts instead of each part's.
+Between data centres that is a tenth of the bytes.
+"""
+
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import coverage
+from fuchsiahaven.routing import (
+    arrivals,
+    asks,
+    choices,
+    configs,
+    endings,
+    events,
+    places,
+    standings,
+    states,
+    tries,
+)
+
+Actions = list[events.Action]
+
+#: Fewer parts than this are asked for directly: the detour costs about as
+#: many bytes as it saves, and a hop more.
+FEWEST: Final = 4
+#: A helper that refused, because it stops, or broke off is left out for this
+#: long, in seconds; a stop takes longer, but the detour is no more than that.
+REFUSED_S: Final = 2.0
+#: When a part counts as sent that has to be sent elsewhere at once.
+OVERDUE: Final = float('-inf')
+
+
+class Plan(NamedTuple):
+    """Name a helper and the parts that it is to gather."""
+
+    helper: places.Host
+    services: tuple[str, ...]
+
+
+def plan(desk: states.Desk, ask: asks.Ask, now: float) -> list[Plan]:
+    """Plan which parts of a query go through which helper."""
+    if not ask.gathers:
+        return []
+    helpers = _list_helpers(desk, now)
+    centres = _list_centres(desk, ask, now)
+    left = set(ask.open)
+    plans = []
+    largest = sorted(centres, key=lambda it: len(centres[it]), reverse=True)
+    for centre in largest:
+        services = centres[centre] & left
+        if len(services) >= FEWEST and centre in helpers:
+            helper = _choose_helper(desk, helpers[centre], now)
+            plans.append(Plan(helper, tuple(services)))
+            left -= services
+    return plans
+
+
+def start(
+    desk: states.Desk, ask: asks.Ask, planned: Plan, now: float
+) -> events.Delegate:
+    """Ask a helper for parts."""
+    key = events.AssistKey(ask.number, desk.take_number())
+    flights = {}
+    for service in planned.services:
+        part = ask.parts[service]
+        number = part.number + 1
+        flights[service] = number
+        ask.parts[service] = part._replace(
+            flights=(*part.flights, asks.Flight(number, '', now)),
+            sent=part.sent + 1,
+            number=number,
+        )
+    left = set(planned.services)
+    helper = planned.helper
+    desk.assistance[key] = states.Assistance(helper, flights, left)
+    desk.helpers.note_sent(helper.name, _make_flight(key), now)
+    assert isinstance(ask.route.way, configs.Gather)
+    assist = events.Assist(
+        ask.request,
+        ask.route.name,
+        ask.route.objective,
+        ask.route.way.limit,
+        planned.services,
+        ask.ends,
+    )
+    return events.Delegate(key, helper, assist)
+
+
+def take_share(desk: states.Desk, event: events.Shared, now: float) -> Actions:
+    """Take in what a helper has gathered."""
+    known = desk.assistance.get(event.key)
+    if known is None:
+        return []
+    flight = _make_flight(event.key)
+    desk.helpers.note_answered(known.helper.name, flight, now, None)
+    if event.share.last:
+        desk.assistance.pop(event.key)
+    number = event.key.ask
+    actions = _take_parts(desk, number, known, event.share, now)
+    if event.share.last:
+        outs = _make_outs(known.left, arrived=True)
+        actions.extend(_lose_parts(desk, number, known, outs, now))
+    ask = desk.asks.get(number)
+    if ask is not None:
+        actions.extend(endings.settle(desk, ask, now))
+    return actions
+
+
+def take_failure(
+    desk: states.Desk, event: events.Unassisted, now: float
+) -> Actions:
+    """Send for the parts directly that a helper will not bring."""
+    known = desk.assistance.pop(event.key, None)
+    if known is None:
+        return []
+    flight = _make_flight(event.key)
+    desk.helpers.note_lost(known.helper.name, flight, now + REFUSED_S)
+    outs = _make_outs(known.left, arrived=event.asked)
+    return _lose_parts(desk, event.key.ask, known, outs, now)
+
+
+def _take_parts(
+    desk: states.Desk,
+    number: int,
+    known: states.Assistance,
+    share: events.Share,
+    now: float,
+) -> Actions:
+    ask = desk.asks.get(number)
+    services = [part.service for part in share.parts]
+    known.left.difference_update(services)
+    if ask is None:
+        return []
+    actions: Actions = []
+    if ask.open.issuperset(services):
+        _accept(ask, share)
+    else:
+        # The records of parts that came from elsewhere meanwhile cannot be
+        # told from the others; those parts are sent for again.
+        outs = _make_outs(services, arrived=True)
+        actions.extend(_lose_parts(desk, number, known, outs, now))
+    actions.extend(_lose_parts(desk, number, known, share.lost, now))
+    for waiting in share.pending:
+        _hurry(ask, known, waiting)
+    if share.pending and number in desk.asks:
+        actions.extend(tries.hedge(desk, ask, now, again=False))
+    return actions
+
+
+def _accept(ask: asks.Ask, share: events.Share) -> None:
+    body = share.body
+    for part in share.parts:
+        answer = events.Answer(asks.OK, (), part.signature, body)
+        before = ask.parts[part.service]
+        ask.parts[part.service] = before._replace(answer=answer)
+        ask.open.discard(part.service)
+        # The records of all of them stand in the body of the first.
+        body = b''
+
+
+def _hurry(
+    ask: asks.Ask, known: states.Assistance, waiting: events.PartOut
+) -> None:
+    """Have a part that the helper still waits for sent elsewhere as well."""
+    part = ask.parts[waiting.service]
+    number = known.flights[waiting.service]
+    ask.parts[waiting.service] = part._replace(
+        flights=tuple(
+            flight._replace(sent=OVERDUE) if flight.number == number else flight
+            for flight in part.flights
+        ),
+        tried=(*part.tried, waiting.instance),
+    )
+
+
+def _make_outs(
+    services: Iterable[str], *, arrived: bool
+) -> list[events.PartOut]:
+    return [events.PartOut(service, '', arrived) for service in services]
+
+
+def _lose_parts(
+    desk: states.Desk,
+    number: int,
+    known: states.Assistance,
+    outs: Iterable[events.PartOut],
+    now: float,
+) -> Actions:
+    actions: Actions = []
+    for out in outs:
+        known.left.discard(out.service)
+        flight = known.flights[out.service]
+        key = events.FlightKey(number, out.service, flight)
+        ask = arrivals.find_open(desk, key)
+        if ask is None:
+            continue
+        part = arrivals.land(ask, key)
+        ask.tries.append(f'{out.service} {out.instance} {known.helper.name}')
+        ask.parts[out.service] = part._replace(
+            sent=part.sent - (not out.arrived),
+            tried=(*part.tried, out.instance),
+            may_have_run=part.may_have_run or out.arrived,
+            reason=coverage.Reason.UNREACHABLE,
+        )
+        actions.extend(arrivals.go_on(desk, ask, out.service, now))
+    return actions
+
+
+def _list_helpers(
+    desk: states.Desk, now: float
+) -> dict[str, list[places.Host]]:
+    helpers: dict[str, list[places.Host]] = {}
+    for host in desk.hosts:
+        known = desk.helpers.get(host.name)
+        if not standings.is_dead(known, now):
+            helpers.setdefault(host.data_centre, []).append(host)
+    return helpers
+
+
+def _list_centres(
+    desk: states.Desk, ask: asks.Ask, now: float
+) -> dict[str, set[str]]:
+    """List the parts without a target near, by where they have targets."""
+    centres: dict[str, set[str]] = {}
+    for service in ask.open:
+        part = ask.parts[service]
+        found = choices.list_candidates(desk, service, part, now)
+        where = {one.data_centre for one in found}
+        if desk.host.data_centre not in where:
+            for centre in where:
+                centres.setdefault(centre, set()).add(service)
+    return centres
+
+
+def _choose_helper(
+    desk: states.Desk, helpers: list[places.Host], now: float
+) -> places.Host:
+    best = helpers[0]
+    least = float('inf')
+    for host in helpers:
+        known = desk.helpers.get(host.name)
+        cost = standings.estimate_helper(known, now)
+        cost *= 1 + choices.SPREAD * desk.draw()
+        if cost < least:
+            least = cost
+            best = host
+    return best
+
+
+def _make_flight(key: events.AssistKey) -> events.FlightKey:
+    return events.FlightKey(key.ask, '', key.number)
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -6,7 +6,9 @@
 from fuchsiahaven.routing import (
     arrivals,
     asks,
+    assists,
     configs,
+    delegations,
     endings,
     events,
     reaches,
@@ -36,6 +38,12 @@
             return arrivals.take_fault(desk, event, now)
         case events.Unsent():
             return arrivals.take_unsent(desk, event, now)
+        case events.Shared():
+            return delegations.take_share(desk, event, now)
+        case events.Unassisted():
+            return delegations.take_failure(desk, event, now)
+        case events.Assisted():
+            return assists.take(desk, event, now)
         case events.Abandoned(number):
             return endings.abandon(desk, number, now)
         case events.Ticked():
@@ -63,8 +71,9 @@
         case events.Directed(directory):
             desk.directory = directory
             desk.standings.keep_only(directory.by_name)
-        case events.Counted(hosts):
-            desk.hosts = max(1, hosts)
+        case events.Counted(total, hosts):
+            desk.host_count = max(1, total)
+            desk.hosts = tuple(it for it in hosts if it.name != desk.host.name)
         case events.Reached(instance):
             desk.standings.note_reached(instance)
 
@@ -84,8 +93,7 @@
     tries.foresee(desk, ask, now)
     actions: Actions = []
     if not asks.is_hopeless(ask):
-        for service in tuple(ask.open):
-            actions.extend(tries.send_first(desk, ask, service, now))
+        actions = _send_parts(desk, ask, now)
     # What cannot be served is refused before anything is sent, so that the
     # refusal can say that nothing has run.
     over = endings.settle(desk, ask, now)
@@ -94,6 +102,16 @@
     return [*actions, *over]
 
 
+def _send_parts(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
+    actions: Actions = []
+    for planned in delegations.plan(desk, ask, now):
+        actions.append(delegations.start(desk, ask, planned, now))
+    for service in tuple(ask.open):
+        if not ask.parts[service].flights:
+            actions.extend(tries.send_first(desk, ask, service, now))
+    return actions
+
+
 def _find_route(
     desk: states.Desk, request: events.Request
 ) -> configs.Route | errors.Failure:
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -1,13 +1,15 @@
 """End an ask: one reply to its caller, and an account of it for the log."""
 
 from fuchsiahaven.core import errors
-from fuchsiahaven.routing import asks, events, states
+from fuchsiahaven.routing import asks, assists, events, states
 
 Actions = list[events.Action]
 
 
 def settle(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
     """Reply if nothing that may still come is worth the wait."""
+    if ask.assists:
+        return assists.settle(desk, ask, now)
     if not asks.is_over(ask, now):
         return []
     return finish(desk, ask, now)
@@ -20,7 +22,7 @@
     return [
         events.Reply(ask.number, outcome),
         _tell(ask, name_result(outcome), now),
-        *[events.Withdraw(key) for key in list_flights(ask)],
+        *[events.Withdraw(key) for key in asks.list_flights(ask)],
     ]
 
 
@@ -33,10 +35,13 @@
     ask = desk.asks.pop(number, None)
     if ask is None:
         return []
-    flights = list_flights(ask)
+    flights = asks.list_flights(ask)
     actions: Actions = [events.Withdraw(key) for key in flights]
     if not ask.route.at_most_once:
         actions = [events.Cancel(key) for key in flights]
+        actions.extend(
+            events.Dismiss(key) for key in desk.assistance if key.ask == number
+        )
     return [*actions, _tell(ask, 'abandoned', now)]
 
 
@@ -56,15 +61,6 @@
     return [events.Reply(ask, failure), story]
 
 
-def list_flights(ask: asks.Ask) -> list[events.FlightKey]:
-    """List the sendings that have not ended."""
-    return [
-        events.FlightKey(ask.number, service, flight.number)
-        for service, part in ask.parts.items()
-        for flight in part.flights
-    ]
-
-
 def name_result(outcome: events.Outcome) -> str:
     """Name an outcome for the log."""
     match outcome:
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from fuchsiahaven.core import errors, messages
-from fuchsiahaven.routing import configs, instances
+from fuchsiahaven.routing import configs, instances, places
 
 Fields = tuple[tuple[str, str], ...]
 
@@ -125,9 +125,89 @@
 
 
 class Counted(NamedTuple):
-    """Bring how many hosts share the bounds on load."""
+    """Bring how many hosts share the bounds on load, and those known."""
 
-    hosts: int
+    total: int
+    hosts: tuple[places.Host, ...] = ()
+
+
+class Assist(NamedTuple):
+    """Ask another host to gather some parts of a query near it.
+
+    `route` names whose usual times to go by, `objective` is in seconds and
+    `limit` how many records the answer to the caller holds.
+    """
+
+    request: Request
+    route: str
+    objective: float
+    limit: int
+    services: tuple[str, ...]
+    ends: float
+
+
+class PartIn(NamedTuple):
+    """State that a part is in, with the signature of its answer."""
+
+    service: str
+    signature: str
+
+
+class PartOut(NamedTuple):
+    """State what became of a part that is not in.
+
+    `instance` is the target that was tried, if any; `arrived` tells whether
+    the request may have arrived there.
+    """
+
+    service: str
+    instance: str
+    arrived: bool
+
+
+class Share(NamedTuple):
+    """Bring some parts of a query from the host that gathers them.
+
+    `body` holds the greatest records of all parts that are in. The `pending`
+    ones may still come, the `lost` ones will not.
+    """
+
+    parts: tuple[PartIn, ...]
+    body: bytes
+    pending: tuple[PartOut, ...]
+    lost: tuple[PartOut, ...]
+    last: bool
+
+
+class AssistKey(NamedTuple):
+    """Identify one request for assistance: the ask, and which of its own."""
+
+    ask: int
+    number: int
+
+
+class Shared(NamedTuple):
+    """Bring what the host that assists has sent."""
+
+    key: AssistKey
+    share: Share
+
+
+class Unassisted(NamedTuple):
+    """Tell that assistance has broken off, or was never asked for.
+
+    `asked` tells whether the request may have reached the other host.
+    """
+
+    key: AssistKey
+    asked: bool
+
+
+class Assisted(NamedTuple):
+    """Bring another host's request for assistance under a new number."""
+
+    ask: int
+    assist: Assist
 
 
 class Send(NamedTuple):
@@ -144,6 +224,27 @@
     fresh: bool
 
 
+class Delegate(NamedTuple):
+    """Ask for assistance to be asked of another host."""
+
+    key: AssistKey
+    helper: places.Host
+    assist: Assist
+
+
+class Dismiss(NamedTuple):
+    """Ask for assistance to end: the caller has left."""
+
+    key: AssistKey
+
+
+class Give(NamedTuple):
+    """Send a share to the host that asked for assistance."""
+
+    ask: int
+    share: Share
+
+
 class Withdraw(NamedTuple):
     """Ask for a request not to be sent if it has not left yet."""
 
@@ -210,5 +311,8 @@
     | Configured
     | Directed
     | Counted
+    | Shared
+    | Unassisted
+    | Assisted
 )
-Action = Send | Withdraw | Cancel | Reply | Story
+Action = Delegate | Dismiss | Give | Send | Withdraw | Cancel | Reply | Story
--- a/fuchsiahaven/routing/standings.py
+++ b/fuchsiahaven/routing/standings.py
@@ -143,6 +143,12 @@
         if known.failures:
             self._known[name] = known._replace(failures=0, down=0)
 
+    def note_lost(self, name: str, key: events.FlightKey, until: float) -> None:
+        """Leave a host that broke off its assistance out for a while."""
+        known = _land(self.get(name), key)
+        stats = routes.note_ended(known.stats)
+        self._known[name] = known._replace(stats=stats, down=until)
+
     def note_gone(self, name: str, now: float) -> None:
         """Take in that another process has the address by now."""
         known = self.get(name)
@@ -198,6 +204,12 @@
     return cost
 
 
+def estimate_helper(known: Standing, now: float) -> float:
+    """Estimate the seconds until a host would have gathered parts."""
+    silence = measure_silence(known, now) or 0
+    return routes.estimate_cost(known.stats, now, 0) + silence
+
+
 def _leave_out(known: Standing, now: float) -> Standing:
     if now < known.down:
         return known
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -45,6 +45,18 @@
     extra: bool
 
 
+class Assistance(NamedTuple):
+    """Describe parts that another host gathers.
+
+    `flights` maps each service to the number of its sending; `left` are those
+    that have not been told of.
+    """
+
+    helper: places.Host
+    flights: Mapping[str, int]
+    left: set[str]
+
+
 class Asked(NamedTuple):
     """Hold how often a route was asked lately, as a sum that decays."""
 
@@ -63,14 +75,17 @@
         draw: Callable[[], float],
     ) -> None:
         """Start with no configuration and no targets."""
-        self.near = host.data_centre
+        self.host = host
         self.extra_load = extra_load
         self.draw = draw
-        self.hosts = 1
+        self.host_count = 1
+        self.hosts: tuple[places.Host, ...] = ()
         self.index = configs.build_index(configs.NOTHING)
         self.directory = instances.EMPTY
         self.standings = standings.Standings()
         self.asks: dict[int, asks.Ask] = {}
+        self.helpers = standings.Standings()
+        self.assistance: dict[events.AssistKey, Assistance] = {}
         self.aloft: dict[events.FlightKey, Aloft] = {}
         self.windows: dict[str, hedges.Window] = {}
         self.asked: dict[str, Asked] = {}
@@ -87,6 +102,10 @@
             self._budgets[service] = budget
         return budget
 
+    def take_number(self) -> int:
+        """Take a number that no other caller of this gets."""
+        return next(self._order)
+
     def set_timer(self, when: float, due: Due) -> None:
         """Have something looked at then."""
         heapq.heappush(self._timers, (when, next(self._order), due))
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -16,6 +16,9 @@
 UNKNOWN_SHARE: Final = 0.3
 #: Hedges later than this share of the objective are too late to help.
 LATEST_SHARE: Final = 0.6
+#: A helper tells what is in after 0.3 of the objective at the latest; one that
+#: has told nothing by then is taken for lost.
+HELPED_SHARE: Final = 0.45
 SHORTEST_HEDGE_S: Final = 0.006
 #: Repeats that hedges leave for what was refused or broke.
 KEPT_FOR_RETRIES: Final = 1.0
@@ -66,28 +69,39 @@
         return True
     if part.sent >= ask.route.attempts:
         return False
-    left = desk.find_budget(service).count_left(now, desk.hosts)
+    left = desk.find_budget(service).count_left(now, desk.host_count)
     return left >= 1 + kept
 
 
-def hedge(desk: states.Desk, ask: asks.Ask, now: float) -> list[events.Action]:
-    """Send what takes unusually long to a second target."""
+def hedge(
+    desk: states.Desk, ask: asks.Ask, now: float, *, again: bool = True
+) -> list[events.Action]:
+    """Send what takes unusually long to a second target.
+
+    With `again` the parts are looked at once more, a little later.
+    """
     if ask.route.at_most_once:
         return []
     delay = find_delay(desk, ask)
+    helped = max(delay, HELPED_SHARE * ask.route.objective)
     actions: list[events.Action] = []
     for service in tuple(ask.open):
-        if _is_slow(ask.parts[service], now - delay):
+        if _is_slow(ask.parts[service], now - delay, now - helped):
             actions.extend(_hedge_part(desk, ask, service, now))
-    if ask.open:
+    if ask.open and again:
         # What the budget did not allow now it may allow then, and a second
         # sending may be worth it for what was sent again meanwhile.
         desk.set_timer(now + delay / 2, states.HedgeDue(ask.number))
     return actions
 
 
-def _is_slow(part: asks.Part, since: float) -> bool:
-    return len(part.flights) == 1 and part.flights[0].sent <= since
+def _is_slow(part: asks.Part, since: float, helped_since: float) -> bool:
+    if len(part.flights) != 1:
+        return False
+    flight = part.flights[0]
+    if not flight.instance:
+        since = helped_since
+    return flight.sent <= since
 
 
 def find_delay(desk: states.Desk, ask: asks.Ask) -> float:
--- a/tests/relay/test_ports.py
+++ b/tests/relay/test_ports.py
@@ -24,19 +24,19 @@
         """Take nothing yet."""
         self.taken: list[exchanges.Message] = []
         self.left = 0
-        self.held: list[ports.Answer] | None = None
+        self.held: list[ports.Caller] | None = None
         self.port = ports.Port(ports.Terms(self.handle, lambda: LIMITS))
         self.address = ('', 0)
 
     def handle(
-        self, message: exchanges.Message, answer: ports.Answer
+        self, message: exchanges.Message, caller: ports.Caller
     ) -> Callable[[], None]:
         """Take a request."""
         self.taken.append(message)
         if self.held is None:
-            answer(exchanges.Written(200, (('x-a', 'b'),), message.body))
+            caller.answer(exchanges.Written(200, (('x-a', 'b'),), message.body))
         else:
-            self.held.append(answer)
+            self.held.append(caller)
         return self.leave
 
     def leave(self) -> None:
@@ -168,7 +168,7 @@
             writer.close()
             await peers.wait_for(lambda: host.left)
             # An answer that is ready now finds nobody.
-            host.held[0](exchanges.Written(200, (), b'late'))
+            host.held[0].answer(exchanges.Written(200, (), b'late'))
 
     peers.run(check())
 
@@ -189,7 +189,7 @@
             host.port.stop()
             host.port.close_idle()
             assert host.port.count_busy() == 1
-            host.held[0](exchanges.Written(200, (), b'whole'))
+            host.held[0].answer(exchanges.Written(200, (), b'whole'))
             answer = (await reader.read()).lower()
             assert b'connection: close' in answer
             assert answer.endswith(b'whole')
--- a/tools/build_archive.py
+++ b/tools/build_archive.py
@@ -12,6 +12,7 @@
     'absl-py',
     'cheroot',
     'fastjsonschema',
+    'h11',
     'jaraco.functools',
     'more-itertools',
     'prometheus_client',
