Hedge no sooner than 0.4 of the objective

Cause: hedges at the ninth decile of usual times brought answers sooner than counts, and were most of the bytes between data centres that are left; most of what is slow by then pauses and ends by itself.

--- a/fuchsiahaven/routing/assists.py
+++ b/fuchsiahaven/routing/assists.py
@@ -20,7 +20,7 @@
 
 #: Share of the objective after which what is in goes out at the latest, so
 #: that the other host can still send what lacks to other targets in time.
-LATEST_SHARE: Final = 0.3
+LATEST_SHARE: Final = 0.4
 #: The empty name marks that something was told.
 BEGUN: Final = ''
 
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -16,10 +16,12 @@
 UNKNOWN_SHARE: Final = 0.3
 #: Hedges later than this share of the objective are too late to help.
 LATEST_SHARE: Final = 0.6
-#: A helper tells what is in after 0.3 of the objective at the latest; one that
+#: A helper tells what is in after 0.4 of the objective at the latest; one that
 #: has told nothing by then is taken for lost.
-HELPED_SHARE: Final = 0.45
-SHORTEST_HEDGE_S: Final = 0.006
+HELPED_SHARE: Final = 0.5
+#: Hedges sooner than this share of the objective bring nothing that counts,
+#: and most of what is slow then, because its target pauses, ends by itself.
+EARLIEST_SHARE: Final = 0.4
 #: Repeats that hedges leave for what was refused or broke.
 KEPT_FOR_RETRIES: Final = 1.0
 
@@ -110,7 +112,8 @@
     window = desk.windows.get(ask.route.name, hedges.EMPTY)
     known = hedges.hedge_delay(window)
     delay = UNKNOWN_SHARE * objective if known is None else known
-    return max(SHORTEST_HEDGE_S, min(delay, LATEST_SHARE * objective))
+    delay = max(delay, EARLIEST_SHARE * objective)
+    return min(delay, LATEST_SHARE * objective)
 
 
 def _hedge_part(
