Read the store once for all data centres

The first host by name reads each 1.5 s, the first of each data centre asks it, the others ask that one; who asks is answered when there is something new, or that the store is lost, so the longer way costs milliseconds.

Ruled out: following a watch, which returns with each renewal of each target.

--- a/fuchsiahaven/relay/calls.py
+++ b/fuchsiahaven/relay/calls.py
@@ -19,7 +19,8 @@
     body: bytes
 
 
-IDLE_AGAIN: Final = 2
+#: A connection takes one round trip; a host that is gone takes for ever.
+CONNECT_S: Final = 0.3
 
 
 class Client:
@@ -88,6 +89,7 @@
         host, _, port = self.address.rpartition(':')
         loop = asyncio.get_running_loop()
         link = links.Link(self)
-        await loop.create_connection(lambda: link, host, int(port))
+        async with asyncio.timeout(CONNECT_S):
+            await loop.create_connection(lambda: link, host, int(port))
         self._link = link
         return link
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -1,6 +1,7 @@
 """Keep up with what the store holds, from it or from other hosts."""
 
 import asyncio
+import collections
 import random
 import time
 from collections.abc import Callable
@@ -11,15 +12,17 @@
 from fuchsiahaven.routing import codecs, facts, places, sources
 
 PART: Final = 'news'
-#: How often the reader of a data centre reads the store. A change has to be in
-#: force within 3 s, and a leaving target free of new work: the read, the
-#: others' question to the reader and one lost round of each fit in.
-READ_S: Final = 1.0
-#: How often the others ask the reader.
-ASK_S: Final = 0.5
+#: How often the reader reads the store. A change has to be in force within
+#: 3 s: it waits for half of that at most, and one lost call fits in.
+READ_S: Final = 1.5
+#: How long a host that asks is kept waiting where there is nothing new.
+HOLD_S: Final = 0.7
+#: How soon to ask again where nobody had an answer.
+AGAIN_S: Final = 0.25
 #: The store answers in 4 ms, and in 0.25 s when it is sixty times as slow.
 STORE_S: Final = 0.8
-PEER_S: Final = 0.4
+ANSWER_S: Final = 0.4
+PEER_S: Final = HOLD_S + ANSWER_S
 #: How long a store that did not answer is left alone, in seconds.
 STORE_DOUBT_S: Final = 0.7
 #: Sources tried in one round before the next round is waited for.
@@ -27,12 +30,6 @@
 #: News this old means that the store was away for all hosts, not for this one
 #: alone: the others would have passed theirs on.
 OUTAGE_S: Final = 2.5
-#: How long the entry of a host outlives it, and how often it is renewed: a
-#: store that is away for the difference does not lose it.
-LEASE_S: Final = 30.0
-RENEW_S: Final = 9.0
-#: How soon a host without an entry of its own tries to write one again.
-ENTER_S: Final = 2.0
 FACTS_PATH: Final = '/v1/facts?after='
 #: No two starts of a process have the same number, for all practical purposes.
 LIFE_BITS: Final = 48
@@ -47,6 +44,13 @@
     value: facts.Value
 
 
+class Held(NamedTuple):
+    """Hold a question that is answered when there is something new."""
+
+    cursor: facts.Cursor
+    tell: Callable[[bytes], None]
+
+
 class News:
     """Own the calls to the store and what they brought."""
 
@@ -63,10 +67,11 @@
         self._decoded: dict[facts.Key, Decoded] = {}
         self._cursors: dict[str, facts.Cursor] = {}
         self._doubted: dict[str, float] = {}
+        self._failures: collections.Counter[str] = collections.Counter()
+        self._held: dict[asyncio.TimerHandle, Held] = {}
         self._store_doubted = 0.0
-        self._store_lost = False
+        self.lost = False
         self._returned = float('-inf')
-        self._lease: int | None = None
 
     async def follow(self) -> None:
         """Keep up, for ever."""
@@ -74,26 +79,41 @@
             pause = await self._go_round()
             await asyncio.sleep(pause)
 
-    async def stay_entered(self) -> None:
-        """Keep the entry by which other hosts find this one, for ever."""
-        while True:
-            pause = ENTER_S
-            if self._store_lost or not self.ledger.revision:
-                await asyncio.sleep(ENTER_S / 4)
-                continue
-            try:
-                await self._enter()
-                pause = RENEW_S
-            except (calls.CallFailed, records.Malformed) as error:
-                self._log.tell(PART, 'no entry in the store', error=str(error))
-            await asyncio.sleep(pause)
+    def list_changes(
+        self, after: str, tell: Callable[[bytes], None]
+    ) -> Callable[[], None] | None:
+        """Tell what was learned after a place, at once or when there is any.
 
-    def list_changes(self, after: str) -> bytes:
-        """List what was learned after a place, for another host."""
-        now = time.monotonic()
+        Returns what to call if nobody waits for it any more.
+        """
         cursor = codecs.read_cursor(after)
-        report = facts.list_changes(self.ledger, cursor, now)
-        return codecs.write_report(report)
+        held = Held(cursor, tell)
+        if cursor != self.ledger.cursor or self.lost:
+            self._tell(held)
+            return None
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(HOLD_S, self._tell_held)
+        self._held[timer] = held
+
+        def forget() -> None:
+            timer.cancel()
+            self._held.pop(timer, None)
+
+        return forget
+
+    def _tell_held(self) -> None:
+        """Tell all who wait; most of them have waited about as long."""
+        held = self._held
+        self._held = {}
+        for timer, one in held.items():
+            timer.cancel()
+            self._tell(one)
+
+    def _tell(self, held: Held) -> None:
+        now = time.monotonic()
+        report = facts.list_changes(self.ledger, held.cursor, now)
+        report = report._replace(lost=self.lost)
+        held.tell(codecs.write_report(report))
 
     def close(self) -> None:
         """Close the connections."""
@@ -110,14 +130,15 @@
             pause = await self._ask_source(
                 sources.choose(self._view(), now, random.random())
             )
-        return ASK_S if pause is None else pause
+        return AGAIN_S if pause is None else pause
 
     async def _ask_source(self, source: sources.Source) -> float | None:
         match source:
             case sources.Store():
                 return READ_S if await self._read_store() else None
             case sources.Peer(address):
-                return ASK_S if await self._ask(address) else None
+                # The answer is held until there is something new.
+                return 0 if await self._ask(address) else None
 
     def _view(self) -> sources.View:
         return sources.View(
@@ -134,13 +155,14 @@
         except (calls.CallFailed, records.Malformed) as error:
             now = time.monotonic()
             self._store_doubted = now + STORE_DOUBT_S
-            if not self._store_lost:
+            if not self.lost:
                 self._log.tell(PART, 'the store is lost', error=str(error))
-            self._store_lost = True
+            self.lost = True
+            self._tell_held()
             return False
         now = time.monotonic()
-        if self._store_lost:
-            self._store_lost = False
+        if self.lost:
+            self.lost = False
             if now - self.ledger.read > OUTAGE_S:
                 # Nobody could read it, so targets could not renew either.
                 self._returned = now
@@ -199,13 +221,16 @@
         now = time.monotonic()
         self._cursors[address] = report.cursor
         self._take(report, now, None)
-        if now - self.ledger.read > sources.STALE_S:
+        if report.lost or now - self.ledger.read > sources.STALE_S:
             self._doubt(address, f'its news is {report.age:.1f} s old')
             return False
+        self._failures.pop(address, None)
         return True
 
     def _doubt(self, address: str, why: str) -> None:
-        self._doubted[address] = time.monotonic() + sources.DOUBT_S
+        self._failures[address] += 1
+        doubt = sources.count_doubt(self._failures[address])
+        self._doubted[address] = time.monotonic() + doubt
         self._log.tell(PART, 'a host is doubted', address=address, why=why)
 
     def _take(
@@ -214,23 +239,5 @@
         merged = facts.merge(self.ledger, report, now, returned=returned)
         self.ledger = merged.ledger
         if merged.changed:
+            self._tell_held()
             self._learn(merged)
-
-    async def _enter(self) -> None:
-        if self._lease is not None:
-            done = await self.store.call(
-                store.renew_lease(self._lease), STORE_S
-            )
-            own = facts.Key(facts.Subject.HOST, self.settings.host.name)
-            fact = self.ledger.facts.get(own)
-            if done.status == store.OK and fact and fact.value:
-                return
-            self._lease = None
-        done = await self.store.call(store.open_lease(LEASE_S), STORE_S)
-        lease = store.read_lease(done.body)
-        entry = store.enter_host(self.settings.host, lease)
-        done = await self.store.call(entry, STORE_S)
-        if done.status != store.OK:
-            raise calls.CallFailed(f'the entry is answered {done.status}')
-        self._lease = lease
-        self._log.tell(PART, 'entered', lease=lease)
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -11,7 +11,15 @@
 from fuchsiahaven.operate import exits
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.platform import settings as settings_files
-from fuchsiahaven.relay import journal, meters, news, ports, questions, runner
+from fuchsiahaven.relay import (
+    entries,
+    journal,
+    meters,
+    news,
+    ports,
+    questions,
+    runner,
+)
 from fuchsiahaven.routing import (
     configs,
     desks,
@@ -50,6 +58,7 @@
         )
         self.readiness = self._make_port(asked.take)
         self.peers = self._make_port(asked.take)
+        self._entry = entries.Entry(self.news, log)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -65,7 +74,7 @@
             async with asyncio.TaskGroup() as tasks:
                 running = [
                     tasks.create_task(self.news.follow()),
-                    tasks.create_task(self.news.stay_entered()),
+                    tasks.create_task(self._entry.stay()),
                     tasks.create_task(self.runner.sweep()),
                 ]
                 self.log.tell(PART, 'started', settings=self.settings)
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -39,8 +39,12 @@
             case '/ready':
                 caller.answer(self._tell_readiness())
             case '/v1/facts':
-                body = self._news.list_changes(query.partition('=')[2])
-                caller.answer(exchanges.Written(HTTPStatus.OK, JSON, body))
+                return self._news.list_changes(
+                    query.partition('=')[2],
+                    lambda body: caller.answer(
+                        exchanges.Written(HTTPStatus.OK, JSON, body)
+                    ),
+                )
             case '/v1/assist':
                 return self._assist(message, caller)
             case '/metrics':
--- a/fuchsiahaven/routing/codecs.py
+++ b/fuchsiahaven/routing/codecs.py
@@ -24,6 +24,7 @@
     """
 
     cursor: list[int]
+    lost: bool
     revision: int
     whole: bool
     age: float
@@ -38,6 +39,7 @@
     """Write a report."""
     written = WrittenReport(
         cursor=list(report.cursor),
+        lost=report.lost,
         revision=report.revision,
         whole=report.whole,
         age=round(report.age, 3),
@@ -112,6 +114,7 @@
         bool(written['whole']),
         float(written['age']),
         facts.Cursor(*[int(it) for it in written['cursor']]),
+        bool(written['lost']),
     )
 
 
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -72,7 +72,8 @@
     """Bring news: what has changed, or, if `whole`, everything there is.
 
     It is complete up to `revision`; `age` says how many seconds ago the store
-    itself was read. `cursor` is where to go on from the next time.
+    itself was read. `cursor` is where to go on from the next time. `lost`
+    tells that whoever reports cannot read the store just now.
     """
 
     revision: int
@@ -80,6 +81,7 @@
     whole: bool
     age: float
     cursor: Cursor = START
+    lost: bool = False
 
 
 class Ledger(NamedTuple):
--- a/fuchsiahaven/routing/sources.py
+++ b/fuchsiahaven/routing/sources.py
@@ -5,11 +5,14 @@
 
 from fuchsiahaven.routing import places
 
-#: News older than this is doubted. The reader reads once a second and is
-#: asked twice a second, so calm news is at most 1.6 s old.
-STALE_S: Final = 2.0
-#: How long a host that did not answer, or had old news, is passed over.
+#: News older than this is doubted: the reader reads each 1.5 s, and whoever
+#: asks is answered after 0.7 s at the latest, two times on the way.
+STALE_S: Final = 3.5
+#: How long a host that did not answer, or had lost the store, is passed over;
+#: doubled each time up to the longest, because a host that is gone stays in
+#: the list for half a minute and each try may cost a time-out.
 DOUBT_S: Final = 3.0
+LONGEST_DOUBT_S: Final = 24.0
 
 
 class Store(NamedTuple):
@@ -42,13 +45,23 @@
 def choose(view: View, now: float, draw: float) -> Source:
     """Choose where to ask next.
 
-    The reader of a data centre is its first host by name that is not in
-    doubt: all choose the same without having to agree. A host that cannot
-    read the store, in a data centre without a reader, asks any host at all.
+    The first host by name reads the store for all, the first one of each data
+    centre asks it, and the others ask that one: all choose the same without
+    having to agree. Where the reader is in doubt the first one of the data
+    centre reads for itself; where it cannot, it asks any host at all.
     """
-    reader = find_reader(view, now)
-    if reader.name != view.own.name:
-        return Peer(reader.address)
+    near = [
+        host
+        for host in view.hosts
+        if host.data_centre == view.own.data_centre
+        and _is_trusted(view, host, now)
+    ]
+    first_near = min((*near, view.own), key=_by_name)
+    if first_near.name != view.own.name:
+        return Peer(first_near.address)
+    first = min((*view.hosts, view.own), key=_by_name)
+    if first.name != view.own.name and _is_trusted(view, first, now):
+        return Peer(first.address)
     if now >= view.store_doubted:
         return Store()
     others = _list_others(view, now)
@@ -57,15 +70,13 @@
     return Peer(others[int(draw * len(others))])
 
 
-def find_reader(view: View, now: float) -> places.Host:
-    """Find the host of the own data centre that reads the store."""
-    near = [
-        host
-        for host in view.hosts
-        if host.data_centre == view.own.data_centre
-        and now >= view.doubted.get(host.address, 0)
-    ]
-    return min((*near, view.own), key=_by_name)
+def count_doubt(times: int) -> float:
+    """Return for how long a host is passed over that failed so many times."""
+    return float(min(LONGEST_DOUBT_S, DOUBT_S * 2 ** (times - 1)))
+
+
+def _is_trusted(view: View, host: places.Host, now: float) -> bool:
+    return now >= view.doubted.get(host.address, 0)
 
 
 def _list_others(view: View, now: float) -> list[str]:
