Tell what a host believes: in the log, to people, and why parts lack

Cause: the log told how a request ended but not which part it lacked, nor that a target was left out; nobody could ask a running host. No decision changes.

--- /dev/null
+++ b/fuchsiahaven/operate/command_inspect.py
@@ -0,0 +1,60 @@
+"""Show what a host on the platform believes."""
+
+import argparse
+import json
+import sys
+from typing import Any, Final
+
+from fuchsiahaven.operate import exits
+
+EPILOG = """examples:
+  fuchsiahaven inspect --at 10.1.0.9:8106
+  fuchsiahaven inspect --at 10.1.0.9:8106 --json
+"""
+TIMEOUT_S: Final = 3.0
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the arguments of the command."""
+    parser.epilog = EPILOG
+    parser.add_argument(
+        '--at',
+        required=True,
+        metavar='IP:PORT',
+        help='where the host answers other hosts',
+    )
+    parser.add_argument(
+        '--json', action='store_true', help='print one JSON object'
+    )
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Ask the host and print its answer."""
+    import urllib3
+
+    pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+    try:
+        answer = pool.request('GET', f'http://{arguments.at}/v1/state')
+        told = answer.json()
+    except (urllib3.exceptions.HTTPError, ValueError) as error:
+        print(f'{arguments.at}: {error}', file=sys.stderr)
+        return exits.UNREACHABLE
+    if arguments.json:
+        print(json.dumps(told))
+    else:
+        print('\n'.join(list_lines(told)))
+    return exits.DONE
+
+
+def list_lines(told: dict[str, Any]) -> list[str]:
+    """List what a host believes, a line for each thing."""
+    lines = [
+        f'{name}: {told[name]}'
+        for name in ('ready', 'version', 'news_age', 'store_lost', 'source')
+    ]
+    lines.append(f'hosts: {", ".join(sorted(told["hosts"]))}')
+    for service, targets in sorted(told['targets'].items()):
+        stands = ', '.join(f'{name} {how}' for name, how in targets.items())
+        left = told['budgets'][service]
+        lines.append(f'{service}: {stands}; {left} repeats left')
+    return lines
--- a/fuchsiahaven/operate/commands.py
+++ b/fuchsiahaven/operate/commands.py
@@ -93,6 +93,11 @@
         'fuchsiahaven.operate.command_status',
         'say which revision is in force where',
     ),
+    Entry(
+        'inspect',
+        'fuchsiahaven.operate.command_inspect',
+        'show what a host on the platform believes',
+    ),
     Entry(
         'recover',
         'fuchsiahaven.operate.command_recover',
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -71,6 +71,7 @@
         self._held: dict[asyncio.TimerHandle, Held] = {}
         self._store_doubted = 0.0
         self.lost = False
+        self.source = ''
         self._returned = float('-inf')
 
     async def follow(self) -> None:
@@ -133,10 +134,12 @@
         return AGAIN_S if pause is None else pause
 
     async def _ask_source(self, source: sources.Source) -> float | None:
+        self.source = 'the store'
         match source:
             case sources.Store():
                 return READ_S if await self._read_store() else None
             case sources.Peer(address):
+                self.source = address
                 # The answer is held until there is something new.
                 return 0 if await self._ask(address) else None
 
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -182,10 +182,27 @@
         number = self.runner.ask(request, reply)
         return lambda: self.runner.abandon(number)
 
-    def _tell(self, story: events.Story) -> None:
+    def _tell(self, told: events.Story | events.Belief) -> None:
+        match told:
+            case events.Story():
+                self._tell_story(told)
+            case events.Belief(target, text, why):
+                self.log.tell_request(
+                    'targets', text, good=False, target=target, why=why
+                )
+
+    def _tell_story(self, story: events.Story) -> None:
         self.meters.note(story)
+        age = time.monotonic() - self.news.ledger.read
         good = story.result in {'complete', 'partial', 'relayed 200'}
-        self.log.tell_request('request', 'ended', good=good, **story._asdict())
+        told = story._replace(took=round(story.took, 4))
+        self.log.tell_request(
+            'request',
+            'ended',
+            good=good,
+            news_age=round(age, 1),
+            **told._asdict(),
+        )
 
 
 def serve() -> int:
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -1,5 +1,6 @@
 """Answer other hosts, the balancer and whoever scrapes the metrics."""
 
+import json
 import time
 from collections.abc import Callable
 from http import HTTPStatus
@@ -7,7 +8,7 @@
 
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.relay import meters, news, ports, runner
-from fuchsiahaven.routing import assist_codecs, codecs, events
+from fuchsiahaven.routing import assist_codecs, codecs, events, standings
 
 TEXT: Final = (('content-type', 'text/plain'),)
 JSON: Final = (('content-type', 'application/json'),)
@@ -47,6 +48,8 @@
                 )
             case '/v1/assist':
                 return self._assist(message, caller)
+            case '/v1/state':
+                caller.answer(self._tell_state())
             case '/metrics':
                 caller.answer(self._write_metrics())
             case _:
@@ -79,6 +82,38 @@
             return _refuse(obstacle)
         return exchanges.Written(HTTPStatus.OK, TEXT, b'ready\n')
 
+    def _tell_state(self) -> exchanges.Written:
+        """Tell what this host believes, for people."""
+        now = time.monotonic()
+        desk = self._runner.desk
+        told = {
+            'ready': self._find_obstacle() or 'yes',
+            'version': desk.index.configuration.version,
+            'news_age': round(now - self._news.ledger.read, 2),
+            'store_lost': self._news.lost,
+            'source': self._news.source,
+            'hosts': {host.name: host.data_centre for host in desk.hosts},
+            'targets': {
+                service: {
+                    one.name: standings.describe(
+                        desk.standings.get(one.name), now
+                    )
+                    for one in found
+                }
+                for service, found in desk.directory.by_service.items()
+            },
+            'budgets': {
+                service: round(
+                    desk.find_budget(service).count_left(now, desk.host_count),
+                    1,
+                )
+                for service in desk.directory.by_service
+            },
+            'waiting': self._runner.count_waiting(),
+        }
+        body = json.dumps(told).encode()
+        return exchanges.Written(HTTPStatus.OK, JSON, body)
+
     def _write_metrics(self) -> exchanges.Written:
         self._meters.take_runner(self._runner)
         self._meters.take_news(self._news)
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -17,7 +17,7 @@
 
 Reply = Callable[[events.Outcome], None]
 Give = Callable[[events.Share], None]
-Tell = Callable[[events.Story], None]
+Tell = Callable[[events.Story | events.Belief], None]
 
 
 class Runner:
@@ -120,7 +120,7 @@
                 self._give(ask, share)
             case events.Reply(ask, outcome):
                 self._reply(ask, outcome)
-            case events.Story():
+            case events.Story() | events.Belief():
                 self._tell(action)
 
     def _reply(self, ask: int, outcome: events.Outcome) -> None:
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -27,6 +27,13 @@
 
 def handle(desk: states.Desk, event: events.Event, now: float) -> Actions:
     """Take in an event and return what is to be done."""
+    actions = _handle(desk, event, now)
+    actions.extend(desk.standings.take_changes())
+    actions.extend(desk.helpers.take_changes())
+    return actions
+
+
+def _handle(desk: states.Desk, event: events.Event, now: float) -> Actions:
     match event:
         case events.Asked():
             return _take_request(desk, event, now)
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -1,10 +1,15 @@
 """End an ask: one reply to its caller, and an account of it for the log."""
 
+from typing import Final
+
 from fuchsiahaven.core import errors
 from fuchsiahaven.routing import asks, assists, events, states
 
 Actions = list[events.Action]
 
+#: How many parts a line of the log tells of; a query may have hundreds.
+MOST_TOLD: Final = 6
+
 
 def settle(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
     """Reply if nothing that may still come is worth the wait."""
@@ -82,5 +87,20 @@
         len(ask.parts),
         asks.count_missing(ask),
         sum(max(0, part.number - 1) for part in ask.parts.values()),
-        tuple(ask.tries),
+        tuple(ask.tries[:MOST_TOLD]),
+        _list_lacking(ask, now),
     )
+
+
+def _list_lacking(ask: asks.Ask, now: float) -> tuple[str, ...]:
+    told: list[str] = []
+    for service, part in ask.parts.items():
+        if part.answer is None and len(told) < MOST_TOLD:
+            waits = [
+                f'waits at {flight.instance or "a helper"} '
+                f'for {now - flight.sent:.3f} s'
+                for flight in part.flights
+            ]
+            why = '; '.join(waits) or str(part.reason)
+            told.append(f'{service}: {why}')
+    return tuple(told)
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -285,7 +285,8 @@
     """Tell what was decided for one request, for the log.
 
     `tries` lists, for the parts that did not go as planned, what was tried:
-    service, target, purpose and how it ended.
+    service, target, purpose and how it ended. `lacking` lists what became of
+    the first few parts that are not in.
     """
 
     request_id: str
@@ -297,6 +298,15 @@
     missing: int
     hedges: int
     tries: tuple[str, ...]
+    lacking: tuple[str, ...] = ()
+
+
+class Belief(NamedTuple):
+    """Tell that a target is left out from now on, or used again, and why."""
+
+    target: str
+    text: str
+    why: str
 
 
 Event = (
@@ -315,4 +325,14 @@
     | Unassisted
     | Assisted
 )
-Action = Delegate | Dismiss | Give | Send | Withdraw | Cancel | Reply | Story
+Action = (
+    Delegate
+    | Dismiss
+    | Give
+    | Send
+    | Withdraw
+    | Cancel
+    | Reply
+    | Story
+    | Belief
+)
--- a/fuchsiahaven/routing/standings.py
+++ b/fuchsiahaven/routing/standings.py
@@ -31,6 +31,7 @@
 LONGEST_DOWN_S: Final = 0.8
 #: A time-out weighs as much as three other failures: it costs the caller most.
 TIMEOUT_BLAME: Final = 3
+MILLISECONDS: Final = 1000
 
 
 class Standing(NamedTuple):
@@ -57,11 +58,18 @@
     def __init__(self) -> None:
         """Start with no target seen."""
         self._known: dict[str, Standing] = {}
+        self._changes: list[events.Belief] = []
 
     def get(self, name: str) -> Standing:
         """Return the standing of a target."""
         return self._known.get(name, UNSEEN)
 
+    def take_changes(self) -> list[events.Belief]:
+        """Return which targets were left out or came back since last time."""
+        changes = self._changes
+        self._changes = []
+        return changes
+
     def keep_only(self, names: Mapping[str, object]) -> None:
         """Forget the targets that are gone and have nothing under way."""
         for name in self._known.keys() - names.keys():
@@ -93,17 +101,15 @@
         stats = routes.note_answered(known.stats, now, now - sent)
         if load is not None:
             stats = routes.note_load(stats, load, now)
-        self._known[name] = _land(known, key)._replace(
-            stats=stats, failures=0, down=0
-        )
+        landed = _land(known, key)
+        self._set(name, landed._replace(stats=stats, failures=0, down=0))
 
     def note_failed(self, name: str, now: float) -> None:
         """Take in that an answer told of a failure."""
         known = self.get(name)
         record = ejections.blame(known.stats.record, now, failures=1)
-        self._known[name] = known._replace(
-            stats=_judge(known.stats._replace(record=record), now)
-        )
+        stats = _judge(known.stats._replace(record=record), now)
+        self._set(name, known._replace(stats=stats), 'its answers fail')
 
     def note_refused(
         self, name: str, event: events.Refused, now: float
@@ -127,7 +133,7 @@
         known = _land(known, event.key)._replace(stats=_judge(stats, now))
         if event.fault is messages.Fault.TIMED_OUT:
             known = _leave_out(known, now)
-        self._known[name] = known
+        self._set(name, known, event.fault.value)
 
     def note_unsent(self, name: str, event: events.Unsent, now: float) -> None:
         """Take in that a request did not leave."""
@@ -135,24 +141,35 @@
         known = known._replace(stats=routes.note_ended(known.stats))
         if event.unreachable:
             known = _leave_out(known, now)
-        self._known[name] = known
+        self._set(name, known, 'no connection')
 
     def note_reached(self, name: str) -> None:
         """Take in that a connection was had: the way there is open."""
         known = self.get(name)
         if known.failures:
-            self._known[name] = known._replace(failures=0, down=0)
+            self._set(name, known._replace(failures=0, down=0))
 
     def note_lost(self, name: str, key: events.FlightKey, until: float) -> None:
         """Leave a host that broke off its assistance out for a while."""
         known = _land(self.get(name), key)
         stats = routes.note_ended(known.stats)
-        self._known[name] = known._replace(stats=stats, down=until)
+        self._set(name, known._replace(stats=stats, down=until), 'no help')
 
     def note_gone(self, name: str, now: float) -> None:
         """Take in that another process has the address by now."""
         known = self.get(name)
-        self._known[name] = known._replace(down=now + LONGEST_DOWN_S)
+        known = known._replace(down=now + LONGEST_DOWN_S)
+        self._set(name, known, 'another process has its address')
+
+    def _set(self, name: str, known: Standing, why: str = '') -> None:
+        before = self.get(name)
+        self._known[name] = known
+        if known.down > before.down and not before.down:
+            self._changes.append(events.Belief(name, 'left out', why))
+        elif known.stats.record.until > before.stats.record.until:
+            self._changes.append(events.Belief(name, 'ejected', why))
+        elif before.down and not known.down:
+            self._changes.append(events.Belief(name, 'used again', why))
 
 
 def measure_silence(known: Standing, now: float) -> float | None:
@@ -210,6 +227,17 @@
     return routes.estimate_cost(known.stats, now, 0) + silence
 
 
+def describe(known: Standing, now: float) -> str:
+    """Say in a few words how a target stands."""
+    if now < known.down:
+        return 'left out'
+    if now < known.stats.record.until:
+        return 'ejected'
+    if is_doubtful(known, now):
+        return 'silent'
+    return f'{known.stats.latency * MILLISECONDS:.0f} ms'
+
+
 def _leave_out(known: Standing, now: float) -> Standing:
     if now < known.down:
         return known
--- /dev/null
+++ b/tests/operate/test_command_inspect.py
@@ -0,0 +1,49 @@
+"""Test the commands that speak with hosts on the platform."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from fuchsiahaven.operate import command_inspect, commands, exits
+from tests.platform import test_settings
+
+TOLD = {
+    'ready': 'yes',
+    'version': 7,
+    'news_age': 0.4,
+    'store_lost': False,
+    'source': 'the store',
+    'hosts': {'host-2': 'north', 'host-1': 'south'},
+    'targets': {'records': {'i-1': '12 ms', 'i-2': 'left out'}},
+    'budgets': {'records': 5.5},
+    'waiting': 0,
+}
+
+
+def test_lists_what_a_host_believes() -> None:
+    """One line for each service says how its targets stand."""
+    lines = command_inspect.list_lines(json.loads(json.dumps(TOLD)))
+    assert 'version: 7' in lines
+    assert 'hosts: host-1, host-2' in lines
+    assert lines[-1] == 'records: i-1 12 ms, i-2 left out; 5.5 repeats left'
+
+
+def test_says_that_nobody_answers(capsys: pytest.CaptureFixture[str]) -> None:
+    """A host that is gone ends the command with the code for that."""
+    code = commands.main(['inspect', '--at', '127.0.0.1:1'])
+    assert code == exits.UNREACHABLE
+    assert '127.0.0.1:1' in capsys.readouterr().err
+
+
+def test_checks_a_settings_file_of_the_platform(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Every fault is named, each on a line of its own."""
+    path = tmp_path / 'boot.conf'
+    path.write_text(test_settings.TEXT)
+    words = ['check', '--platform', str(path)]
+    assert commands.main(words) == exits.DONE
+    path.write_text(test_settings.TEXT.replace('=56', '=many'))
+    assert commands.main(words) == exits.FAILED
+    assert "bounds.retry_slack 'many' is not" in capsys.readouterr().out
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -1,8 +1,9 @@
 """Test whole hosts against a store and targets on loopback."""
 
 import asyncio
-import signal
+import json
 import os
+import signal
 
 from fuchsiahaven.relay import process
 from tests.relay import peers, worlds
@@ -175,8 +176,8 @@
     peers.run(check())
 
 
-def test_shows_its_metrics() -> None:
-    """Counters and latencies stand on a port of their own."""
+def test_shows_its_metrics_and_what_it_believes() -> None:
+    """Counters stand on a port of their own, the state on the hosts' one."""
 
     async def check() -> None:
         async with worlds.make() as world:
@@ -185,5 +186,10 @@
             _, _, body = await worlds.fetch(host.settings.metrics, '/metrics')
             assert b'fuchsiahaven_relay_outcomes_total' in body
             assert b'fuchsiahaven_relay_configuration 3.0' in body
+            peer_port = host.settings.host.address
+            _, _, body = await worlds.fetch(peer_port, '/v1/state')
+            told = json.loads(body)
+            assert (told['ready'], told['version']) == ('yes', 3)
+            assert set(told['targets']) == {*worlds.SHARDS, 'records'}
 
     peers.run(check())
--- /dev/null
+++ b/tests/routing/test_standings.py
@@ -0,0 +1,102 @@
+"""Test how a host judges targets, and what it tells of that."""
+
+from fuchsiahaven.core import messages
+from fuchsiahaven.routing import configs, events, standings
+from tests.routing import desk_rig
+
+SINGLE = desk_rig.make_route(configs.Single('records'), prefix='/one/')
+
+
+def make_rig(count: int = 2) -> desk_rig.Rig:
+    """Make a host with some targets of one service."""
+    targets = desk_rig.make_instances(['records'], count)
+    return desk_rig.Rig([SINGLE], targets)
+
+
+def list_beliefs(rig: desk_rig.Rig) -> list[tuple[str, str]]:
+    """List what was told of targets."""
+    return [
+        (it.target, it.text)
+        for it in rig.others
+        if isinstance(it, events.Belief)
+    ]
+
+
+def test_leaves_a_target_out_that_refuses_connections() -> None:
+    """It is tried again soon, and longer and longer after each failure."""
+    rig = make_rig(1)
+    pauses = []
+    for _ in range(4):
+        rig.ask('/one/1')
+        (send,) = rig.take_sent()
+        rig.fail_to_send(send)
+        known = rig.desk.standings.get(send.instance.name)
+        pauses.append(round(known.down - rig.now, 3))
+        rig.pass_time(pauses[-1] + 0.01)
+    assert pauses == [0.2, 0.4, 0.8, 0.8]
+
+
+def test_tells_once_that_a_target_is_left_out_and_back() -> None:
+    """The log has a line for each change of what the host believes."""
+    rig = make_rig(1)
+    rig.ask('/one/1')
+    (send,) = rig.take_sent()
+    rig.fail_to_send(send)
+    rig.pass_time(0.3)
+    rig.ask('/one/1')
+    (send,) = rig.take_sent()
+    rig.answer(send)
+    name = send.instance.name
+    assert list_beliefs(rig) == [(name, 'left out'), (name, 'used again')]
+
+
+def test_avoids_a_target_whose_answers_fail() -> None:
+    """Symptom: a third of all requests fail at a target that looks healthy."""
+    rig = make_rig(2)
+    failing = 'records-0'
+    failed = 0
+    for _ in range(30):
+        rig.ask('/one/1')
+        (first,) = rig.take_sent()
+        if first.instance.name == failing:
+            failed += 1
+            rig.answer(first, status=500)
+            (first,) = rig.take_sent()
+        rig.now += 0.01
+        rig.answer(first)
+    assert failed <= 5
+
+
+def test_waits_longer_for_targets_that_take_long() -> None:
+    """Symptom: slow but sound targets are taken for dead.
+
+    A request that usually takes 300 ms is out for 500 ms: that is no silence.
+    """
+    rig = make_rig(1)
+    rig.ask('/one/1')
+    (send,) = rig.take_sent()
+    rig.now += 0.3
+    rig.answer(send)
+    rig.ask('/one/1')
+    rig.take_sent()
+    rig.now += 0.5
+    known = rig.desk.standings.get('records-0')
+    assert not standings.is_doubtful(known, rig.now)
+    rig.now += 2
+    assert standings.is_doubtful(known, rig.now)
+
+
+def test_describes_how_a_target_stands() -> None:
+    """People see latency, or why a target gets nothing."""
+    rig = make_rig(1)
+    rig.ask('/one/1')
+    (send,) = rig.take_sent()
+    rig.now += 0.012
+    rig.answer(send)
+    known = rig.desk.standings.get('records-0')
+    assert standings.describe(known, rig.now) == '12 ms'
+    rig.ask('/one/1')
+    (send,) = rig.take_sent()
+    rig.break_off(send, messages.Fault.TIMED_OUT)
+    known = rig.desk.standings.get('records-0')
+    assert standings.describe(known, rig.now) == 'left out'
