Count no failure as a fast answer

A failure now leaves the latency alone and costs 50 ms each, fading by half in 2 s.

Ruled out: ejection alone, which needs three failures that no answer has made good.

--- a/fuchsiahaven/routing/arrivals.py
+++ b/fuchsiahaven/routing/arrivals.py
@@ -25,11 +25,13 @@
     if aloft is None:
         return []
     answer = event.answer
-    desk.standings.note_answered(aloft.instance, event.key, now, answer.load)
-    _note_latency(desk, aloft, now)
-    ask = find_open(desk, event.key)
+    known = desk.standings
     if answer.status >= asks.FAILURES:
-        desk.standings.note_failed(aloft.instance, now)
+        known.note_failed(aloft.instance, event.key, now)
+    else:
+        known.note_answered(aloft.instance, event.key, now, answer.load)
+        _note_latency(desk, aloft, now)
+    ask = find_open(desk, event.key)
     if ask is None:
         return []
     service = event.key.service
--- a/fuchsiahaven/routing/standings.py
+++ b/fuchsiahaven/routing/standings.py
@@ -29,6 +29,9 @@
 #: further one up to the longest, so that its return is noticed within that.
 DOWN_S: Final = 0.2
 LONGEST_DOWN_S: Final = 0.8
+#: What a target costs for each failure of late, which fade by half in 2 s: a
+#: failure makes a request wait for a second target, some tens of milliseconds.
+FAILURE_S: Final = 0.05
 #: A time-out weighs as much as three other failures: it costs the caller most.
 TIMEOUT_BLAME: Final = 3
 MILLISECONDS: Final = 1000
@@ -104,12 +107,16 @@
         landed = _land(known, key)
         self._set(name, landed._replace(stats=stats, failures=0, down=0))
 
-    def note_failed(self, name: str, now: float) -> None:
-        """Take in that an answer told of a failure."""
-        known = self.get(name)
-        record = ejections.blame(known.stats.record, now, failures=1)
-        stats = _judge(known.stats._replace(record=record), now)
-        self._set(name, known._replace(stats=stats), 'its answers fail')
+    def note_failed(self, name: str, key: events.FlightKey, now: float) -> None:
+        """Take in that an answer told of a failure.
+
+        How soon it came is left out: what fails at once would look like the
+        fastest target of all, and draw ever more requests.
+        """
+        known = _land(self.get(name), key)
+        stats = _judge(routes.note_broken(known.stats, now), now)
+        known = known._replace(stats=stats, failures=0, down=0)
+        self._set(name, known, 'its answers fail')
 
     def note_refused(
         self, name: str, event: events.Refused, now: float
@@ -214,6 +221,8 @@
         cost *= COLD_FACTOR
     if instance.data_centre != near:
         cost += CROSSING_S
+    if known.stats.record is not ejections.CLEAN:
+        cost += FAILURE_S * ejections.weigh(known.stats.record, now)
     silence = measure_silence(known, now)
     if silence is not None:
         # What has been silent for long will most likely be so for as long.
