Hold back removals only where many targets vanish without a word

The test failed first.

Ruled out: late readings; each was in time and did not hold the entry any more.

--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -18,9 +18,9 @@
 #: Without the wait, a store that returns empties every host's directory for
 #: two seconds, and all requests are refused.
 RETURN_S: Final = 2.3
-#: More of the targets than this do not leave between two readings: it is
-#: the store that has lost their entries.
-SUSPICIOUS_SHARE: Final = 0.25
+#: More of the targets than this do not vanish between two readings without a
+#: word before: it is the store that has lost their entries.
+SUSPICIOUS_SHARE: Final = 0.5
 SUSPICIOUS_COUNT: Final = 4
 
 
@@ -232,12 +232,18 @@
     """Say until when what is gone may come back."""
     if returned is None:
         return now
-    total = sum(1 for fact in known.values() if fact.value is not None)
-    if len(gone) > max(SUSPICIOUS_COUNT, SUSPICIOUS_SHARE * total):
+    total = sum(1 for fact in known.values() if _is_expected(fact))
+    vanished = sum(1 for key in gone if _is_expected(known[key]))
+    if vanished > max(SUSPICIOUS_COUNT, SUSPICIOUS_SHARE * total):
         return now + RETURN_S
     return max(now, returned + RETURN_S)
 
 
+def _is_expected(fact: Fact) -> bool:
+    """Tell whether a fact is of a target that has not said that it leaves."""
+    return isinstance(fact.value, instances.Instance) and not fact.value.leaving
+
+
 def _remove_missing(
     known: dict[Key, Fact],
     missing: dict[Key, float],
--- a/tests/routing/test_facts.py
+++ b/tests/routing/test_facts.py
@@ -75,6 +75,21 @@
     assert len(list_names(ledger)) == 2
 
 
+def test_removes_at_once_what_goes_beside_many_that_drained() -> None:
+    """Symptom: a target gets work 3.2 s after it has left.
+
+    Thirty shards are replaced: their old targets have drained, and all their
+    entries go between two readings. One target leaves without a word in that
+    time. So many removals at once are no sign that the store lost entries,
+    because those that drained were to go.
+    """
+    drained = [make_fact(f'old-{n}', n, leaving=True) for n in range(29)]
+    left = [make_fact(f'new-{n}', 40 + n) for n in range(40)]
+    ledger = take(facts.begin(1), read(99, *drained, *left), 0)
+    ledger = take(ledger, read(130, *left[1:]), 1.5)
+    assert 'new-0' not in list_names(ledger)
+
+
 def test_passes_on_a_removal_that_was_held_back() -> None:
     """Symptom: a host sends requests to a target that left seconds ago.
 
