--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -44,12 +44,21 @@
     actions: Actions = [events.Withdraw(key) for key in flights]
     if not ask.route.at_most_once:
         actions = [events.Cancel(key) for key in flights]
-        actions.extend(
-            events.Dismiss(key) for key in desk.assistance if key.ask == number
-        )
+        actions.extend(_dismiss(desk, number))
     return [*actions, _tell(ask, 'abandoned', now)]
 
 
+def _dismiss(desk: states.Desk, number: int) -> Actions:
+    """End the assistance for an ask, without blame for whoever gives it."""
+    keys = [key for key in desk.assistance if key.ask == number]
+    for key in keys:
+        helper = desk.assistance.pop(key).helper
+        flight = events.FlightKey(key.ask, '', key.number)
+        unsent = events.Unsent(flight, unreachable=False)
+        desk.helpers.note_unsent(helper.name, unsent, 0)
+    return [events.Dismiss(key) for key in keys]
+
+
 def refuse(
     ask: int,
     request: events.Request,
--- a/tests/routing/test_delegations.py
+++ b/tests/routing/test_delegations.py
@@ -132,6 +132,22 @@
     assert events.Dismiss(delegate.key) in rig.others
 
 
+def test_thinks_no_worse_of_a_helper_that_it_dismissed() -> None:
+    """Symptom: while callers leave, far parts cross one by one for seconds.
+
+    The end of the connection to the dismissed helper looked like a helper
+    that breaks off, which is left out for two seconds.
+    """
+    rig = make_entry()
+    number = rig.ask()
+    delegate = take_delegate(rig)
+    rig.post(events.Abandoned(number))
+    rig.post(events.Unassisted(delegate.key, asked=True))
+    rig.others = []
+    rig.ask()
+    assert take_delegate(rig).helper == HELPER
+
+
 def test_asks_no_help_for_a_few_parts() -> None:
     """The detour pays only for many parts."""
     few = delegations.FEWEST - 1
