--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -1,5 +1,7 @@
 """End an ask: one reply to its caller, and an account of it for the log."""
 
+import itertools
+import math
 from typing import Final
 
 from fuchsiahaven.core import errors
@@ -56,7 +58,7 @@
         flight = events.FlightKey(key.ask, '', key.number)
         unsent = events.Unsent(flight, unreachable=False)
         desk.helpers.note_unsent(helper.name, unsent, 0)
-    return [events.Dismiss(key) for key in keys]
+    return [events.Dismiss(dismissed) for dismissed in keys]
 
 
 def refuse(
@@ -102,14 +104,27 @@
 
 
 def _list_lacking(ask: asks.Ask, now: float) -> tuple[str, ...]:
-    told: list[str] = []
-    for service, part in ask.parts.items():
-        if part.answer is None and len(told) < MOST_TOLD:
-            waits = [
-                f'waits at {flight.instance or "a helper"} '
-                f'for {now - flight.sent:.3f} s'
-                for flight in part.flights
-            ]
-            why = '; '.join(waits) or str(part.reason)
-            told.append(f'{service}: {why}')
-    return tuple(told)
+    """List what became of the first few parts that lack."""
+    lacking = {
+        service: part
+        for service, part in ask.parts.items()
+        if part.answer is None and (part.flights or part.reason)
+    }
+    return tuple(
+        f'{service}: {_describe(part, now)}'
+        for service, part in itertools.islice(lacking.items(), MOST_TOLD)
+    )
+
+
+def _describe(part: asks.Part, now: float) -> str:
+    waits = [
+        f'waits at {flight.instance or "a helper"}{_tell_wait(flight, now)}'
+        for flight in part.flights
+    ]
+    return '; '.join(waits) or str(part.reason)
+
+
+def _tell_wait(flight: asks.Flight, now: float) -> str:
+    waited = now - flight.sent
+    # A part that was to be hurried counts as sent long ago.
+    return f' for {waited:.3f} s' if math.isfinite(waited) else ''
