Wait for changes of the store in place of listing it (trial)

Cause: entries that are renewed without a change do not count as changes, so a call that waits returns with real changes only, while a listing of 350 entries takes 7 calls. Everything is listed at the start, after each outage and each 20 s. A target that goes and returns between two readings stays, with its test.

--- a/fuchsiahaven/platform/store.py
+++ b/fuchsiahaven/platform/store.py
@@ -11,6 +11,8 @@
 OK: Final = 200
 NOT_FOUND: Final = 404
 CONFLICT: Final = 412
+#: The store has forgotten what has changed since then.
+FORGOTTEN: Final = 410
 MILLISECONDS: Final = 1000
 
 #: Decodes a value, or returns it as decoded before.
@@ -64,6 +66,31 @@
     )
 
 
+def watch_everything(after: int, wait: float) -> Call:
+    """Ask for what has changed after a revision, or wait until something has.
+
+    `wait` is in seconds.
+    """
+    query = {
+        'prefix': '',
+        'after': after,
+        'wait_ms': int(wait * MILLISECONDS),
+    }
+    return Call('GET', f'/kv-watch?{urllib.parse.urlencode(query)}')
+
+
+def read_events(body: bytes, decode: Decode) -> Page:
+    """Read what has changed; raises records.Malformed."""
+    try:
+        read = json.loads(body)
+        found = [_read_event(row, decode) for row in read['events']]
+        revision = int(read['store_revision'])
+    except (ValueError, KeyError, TypeError) as error:
+        raise records.Malformed(repr(error)) from error
+    kept = tuple(fact for fact in found if fact is not None)
+    return Page(revision, kept, None)
+
+
 def open_lease(seconds: float) -> Call:
     """Ask for a lease."""
     body = json.dumps({'ttl_ms': int(seconds * MILLISECONDS)})
@@ -101,6 +128,15 @@
     return Call('DELETE', f'/kv-lease-end/{lease}')
 
 
+def _read_event(row: Mapping[str, Any], decode: Decode) -> facts.Fact | None:
+    if not row.get('deleted'):
+        return _read_item(row, decode)
+    key = records.name_key(row['key'])
+    if key is None:
+        return None
+    return facts.Fact(key, int(row['revision']), None)
+
+
 def _read_item(row: Mapping[str, Any], decode: Decode) -> facts.Fact | None:
     key = records.name_key(row['key'])
     if key is None:
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -8,13 +8,18 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.platform import records, store
-from fuchsiahaven.relay import calls, journal
+from fuchsiahaven.relay import calls, decoders, journal
 from fuchsiahaven.routing import codecs, facts, places, sources
 
 PART: Final = 'news'
-#: How often the reader reads the store. A change has to be in force within
-#: 3 s: it waits for half of that at most, and one lost call fits in.
-READ_S: Final = 1.5
+#: How long the reader waits for changes in one call. Changes come at once, and
+#: a connection that has fallen silent is noticed after this and one time-out:
+#: a change has to be in force within 3 s.
+WATCH_S: Final = 1.5
+#: The least time between two such calls: many changes come in one answer.
+GATHER_S: Final = 0.25
+#: How often the reader lists everything, in case that changes were missed.
+LIST_S: Final = 20.0
 #: How long a host that asks is kept waiting where there is nothing new.
 HOLD_S: Final = 0.7
 #: How soon to ask again where nobody had an answer.
@@ -37,13 +42,6 @@
 Learn = Callable[[facts.Merged], None]
 
 
-class Decoded(NamedTuple):
-    """Hold a value as it was decoded at a revision."""
-
-    revision: int
-    value: facts.Value
-
-
 class Held(NamedTuple):
     """Hold a question that is answered when there is something new."""
 
@@ -64,12 +62,13 @@
         self._log = log
         self._learn = learn
         self._peers: dict[str, calls.Client] = {}
-        self._decoded: dict[facts.Key, Decoded] = {}
+        self._decoder = decoders.Decoder(log)
         self._cursors: dict[str, facts.Cursor] = {}
         self._doubted: dict[str, float] = {}
         self._failures: collections.Counter[str] = collections.Counter()
         self._held: dict[asyncio.TimerHandle, Held] = {}
         self._store_doubted = 0.0
+        self._list_at = 0.0
         self.lost = False
         self.source = ''
         self._returned = float('-inf')
@@ -137,9 +136,12 @@
         self.source = 'the store'
         match source:
             case sources.Store():
-                return READ_S if await self._read_store() else None
+                return GATHER_S if await self._read_store() else None
             case sources.Peer(address):
                 self.source = address
+                # What this host has heard from others may lack removals that
+                # they held back, so it lists before it watches.
+                self._list_at = 0
                 # The answer is held until there is something new.
                 return 0 if await self._ask(address) else None
 
@@ -154,10 +156,11 @@
 
     async def _read_store(self) -> bool:
         try:
-            report = await self._read_pages()
+            report = await self._read_report()
         except (calls.CallFailed, records.Malformed) as error:
             now = time.monotonic()
             self._store_doubted = now + STORE_DOUBT_S
+            self._list_at = 0
             if not self.lost:
                 self._log.tell(PART, 'the store is lost', error=str(error))
             self.lost = True
@@ -173,6 +176,20 @@
         self._take(report, now, self._returned)
         return True
 
+    async def _read_report(self) -> facts.Report:
+        now = time.monotonic()
+        if now < self._list_at:
+            call = store.watch_everything(self.ledger.revision, WATCH_S)
+            done = await self.store.call(call, WATCH_S + STORE_S)
+            if done.status == store.OK:
+                page = store.read_events(done.body, self._decoder.decode)
+                return facts.Report(page.revision, page.items, False, 0)
+            if done.status != store.FORGOTTEN:
+                raise calls.CallFailed(f'the store answers {done.status}')
+        report = await self._read_pages()
+        self._list_at = now + LIST_S
+        return report
+
     async def _read_pages(self) -> facts.Report:
         began = time.monotonic()
         found: list[facts.Fact] = []
@@ -183,7 +200,7 @@
             done = await self.store.call(call, STORE_S)
             if done.status != store.OK:
                 raise calls.CallFailed(f'the store answers {done.status}')
-            page = store.read_page(done.body, self._decode)
+            page = store.read_page(done.body, self._decoder.decode)
             found.extend(page.items)
             # Pages are not a snapshot: only the first one's revision holds
             # for all of them.
@@ -193,20 +210,6 @@
                 age = time.monotonic() - began
                 return facts.Report(revision, tuple(found), True, age)
 
-    def _decode(
-        self, key: facts.Key, revision: int, encoded: str
-    ) -> facts.Value | None:
-        known = self._decoded.get(key)
-        if known is not None and known.revision == revision:
-            return known.value
-        try:
-            read = records.read_value(key, encoded)
-        except records.Malformed as error:
-            self._log.tell(PART, 'a record is malformed', error=str(error))
-            return known.value if known is not None else None
-        self._decoded[key] = Decoded(revision, read)
-        return read
-
     async def _ask(self, address: str) -> bool:
         now = time.monotonic()
         client = self._peers.get(address)
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -195,25 +195,26 @@
         if fact.value is None:
             continue
         missing.pop(fact.key, None)
-        if _is_news(known.get(fact.key), fact):
+        before = known.get(fact.key, Fact(fact.key, 0, None))
+        if fact.revision > before.revision:
             known[fact.key] = fact
-            changed.add(fact.key)
+            # What was written again and says the same is not passed on.
+            changed.update([fact.key] if before.value != fact.value else ())
     return changed
 
 
-def _is_news(before: Fact | None, fact: Fact) -> bool:
-    if before is None:
-        return True
-    # A renewed entry that says the same keeps its old revision, so that it
-    # is not passed on to other hosts once a second for each target.
-    return fact.revision > before.revision and before.value != fact.value
-
-
 def _find_gone(known: Mapping[Key, Fact], report: Report) -> set[Key]:
-    gone = {fact.key for fact in report.facts if fact.value is None}
+    # A target may go and return between two readings: what is gone by then is
+    # what was written before its removal.
+    gone = {it.key: it.revision for it in report.facts if it.value is None}
     if report.whole:
-        gone |= known.keys() - {fact.key for fact in report.facts}
-    return {key for key in gone if _stands(known.get(key), report.revision)}
+        absent = known.keys() - {fact.key for fact in report.facts}
+        gone.update(dict.fromkeys(absent, report.revision))
+    return {
+        key
+        for key, revision in gone.items()
+        if _stands(known.get(key), revision)
+    }
 
 
 def _stands(fact: Fact | None, revision: int) -> bool:
--- a/tests/relay/worlds.py
+++ b/tests/relay/worlds.py
@@ -61,6 +61,7 @@
     def __init__(self) -> None:
         """Hold nothing."""
         self.items: dict[str, dict[str, Any]] = {}
+        self.events: list[dict[str, Any]] = []
         self.revision = 1
         self.down = False
         self.calls: collections.Counter[str] = collections.Counter()
@@ -69,16 +70,17 @@
         """Write a key."""
         text = base64.b64encode(json.dumps(told).encode()).decode()
         self.revision += 1
-        self.items[key] = {
-            'key': key,
-            'value': text,
-            'revision': self.revision,
-        }
+        row = {'key': key, 'value': text, 'revision': self.revision}
+        self.items[key] = row
+        self.events.append(row)
 
     def remove(self, key: str) -> None:
         """Remove a key."""
         self.revision += 1
         self.items.pop(key)
+        self.events.append(
+            {'key': key, 'revision': self.revision, 'deleted': True}
+        )
 
     def put_target(self, name: str, service: str, address: str) -> None:
         """Enter a target."""
@@ -108,6 +110,8 @@
                     'has_more': False,
                     'store_revision': self.revision,
                 }
+            case '/kv-watch':
+                told = await self._wait_for_events(query)
             case '/kv-lease':
                 told = {'lease': 7, 'ttl_ms': 30000}
             case _:
@@ -132,10 +136,21 @@
                 await self.answer(head, writer)
                 await writer.drain()
 
+    async def _wait_for_events(self, query: str) -> dict[str, Any]:
+        asked = urllib.parse.parse_qs(query)
+        after = int(asked['after'][0])
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(asked['wait_ms'][0]) / 1000):
+                await peers.wait_for(lambda: self.revision > after or self.down)
+        found = [it for it in self.events if it['revision'] > after]
+        return {'events': found, 'store_revision': self.revision}
+
     def _write(self, call: dict[str, Any]) -> None:
         for row in call['puts']:
             self.revision += 1
-            self.items[row['key']] = {**row, 'revision': self.revision}
+            entered = {**row, 'revision': self.revision}
+            self.items[row['key']] = entered
+            self.events.append(entered)
 
     def _list(self, query: str) -> list[dict[str, Any]]:
         prefix = urllib.parse.parse_qs(query).get('prefix', [''])[0]
--- a/tests/routing/test_facts.py
+++ b/tests/routing/test_facts.py
@@ -128,6 +128,20 @@
     assert list_names(ledger) == {'b'}
 
 
+def test_keeps_what_went_and_returned_between_two_readings() -> None:
+    """A target that entered again after its removal stays."""
+    ledger = take(facts.begin(1), read(5, make_fact('a', 2)), 0)
+    events = (facts.Fact(make_key('a'), 6, None), make_fact('a', 7))
+    ledger = take(ledger, facts.Report(7, events, False, 0), 1)
+    assert list_names(ledger) == {'a'}
+    events = (
+        make_fact('a', 8, leaving=True),
+        facts.Fact(make_key('a'), 9, None),
+    )
+    ledger = take(ledger, facts.Report(9, events, False, 0), 2)
+    assert not list_names(ledger)
+
+
 def test_keeps_the_configuration_that_was_accepted() -> None:
     """Operators' word does not lapse, whatever a listing lacks."""
     key = facts.Key(facts.Subject.CONFIGURATION, '')
