--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -190,12 +190,12 @@
 def _take_values(
     known: dict[Key, Fact], missing: dict[Key, float], report: Report
 ) -> set[Key]:
-    changed = set()
+    changed: set[Key] = set()
     for fact in report.facts:
         if fact.value is None:
             continue
         missing.pop(fact.key, None)
-        before = known.get(fact.key, Fact(fact.key, 0, None))
+        before = known.get(fact.key, Fact(fact.key, -1, None))
         if fact.revision > before.revision:
             known[fact.key] = fact
             # What was written again and says the same is not passed on.
