Share wide queries among hosts, and read the store at the start through seeds (trial)

Cause: one host of half a core spent 40 ms of processor time on a query over 90 shards, every host opened connections to every target, and each of 78 hosts read the store for itself at the start.

Not measured yet.

--- a/fuchsiahaven/relay/fleets.py
+++ b/fuchsiahaven/relay/fleets.py
@@ -3,7 +3,14 @@
 from collections.abc import Callable
 
 from fuchsiahaven.relay import pools
-from fuchsiahaven.routing import events, instances, reaches, seats, states
+from fuchsiahaven.routing import (
+    duties,
+    events,
+    instances,
+    reaches,
+    seats,
+    states,
+)
 
 
 class Fleet:
@@ -42,11 +49,7 @@
     def deal(self) -> None:
         """Work out how many connections each target has for this host."""
         for pool in self._pools.values():
-            service = self._desk.index.services.get(pool.instance.service)
-            if service is not None:
-                pool.seats = seats.count_seats(
-                    service.connections, self._desk.host_count
-                )
+            self._seat(pool)
 
     def try_ways(self, now: float) -> None:
         """Open connections to targets that may not be reached any more.
@@ -80,5 +83,16 @@
         if pool is None:
             pool = pools.Pool(instance, self._report, self._clock)
             self._pools[instance.name] = pool
-            self.deal()
+            self._seat(pool)
         return pool
+
+    def _seat(self, pool: pools.Pool) -> None:
+        desk = self._desk
+        service = desk.index.services.get(pool.instance.service)
+        if service is None:
+            return
+        hosts = (*desk.hosts, desk.host)
+        sharers = duties.count_sharers(
+            service.name, desk.index.wide, hosts, desk.host_count
+        )
+        pool.seats = seats.count_seats(service.connections, sharers)
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -88,7 +88,8 @@
         """
         cursor = codecs.read_cursor(after)
         held = Held(cursor, tell)
-        if cursor != self.ledger.cursor or self.lost:
+        changed = cursor != self.ledger.cursor and self.ledger.revision > 0
+        if changed or self.lost:
             self._tell(held)
             return None
         loop = asyncio.get_running_loop()
@@ -227,7 +228,8 @@
         now = time.monotonic()
         self._cursors[address] = report.cursor
         self._take(report, now, None)
-        if report.lost or now - self.ledger.read > sources.STALE_S:
+        old = now - self.ledger.read > sources.STALE_S
+        if report.lost or old or not report.revision:
             self._doubt(address, f'its news is {report.age:.1f} s old')
             return False
         self._failures.pop(address, None)
@@ -242,8 +244,9 @@
     def _take(
         self, report: facts.Report, now: float, returned: float | None
     ) -> None:
+        begun = not self.ledger.revision
         merged = facts.merge(self.ledger, report, now, returned=returned)
         self.ledger = merged.ledger
-        if merged.changed:
+        if merged.changed or begun:
             self._tell_held()
             self._learn(merged)
--- a/fuchsiahaven/routing/assist_codecs.py
+++ b/fuchsiahaven/routing/assist_codecs.py
@@ -21,6 +21,7 @@
     objective: int
     limit: int
     services: list[str]
+    avoid: list[str]
     wait: int
 
 
@@ -47,6 +48,7 @@
         objective=int(assist.objective * MILLISECONDS),
         limit=assist.limit,
         services=list(assist.services),
+        avoid=list(assist.avoid),
         wait=int((assist.ends - now) * MILLISECONDS),
     )
     return _dump(written)
@@ -103,6 +105,7 @@
         int(row['limit']),
         tuple(row['services']),
         ends,
+        tuple(row['avoid']),
     )
 
 
--- a/fuchsiahaven/routing/assists.py
+++ b/fuchsiahaven/routing/assists.py
@@ -75,7 +75,12 @@
     version = desk.index.configuration.version
     ask = asks.begin(event.ask, assist.request, route, version, assist.services)
     hold = min(tries.find_delay(desk, ask), LATEST_SHARE * assist.objective)
-    return ask._replace(cut=now + hold, ends=assist.ends, assists=True)
+    ask = ask._replace(cut=now + hold, ends=assist.ends, assists=True)
+    if assist.avoid:
+        ask.told.add(BEGUN)
+        part = asks.Part(tried=assist.avoid)
+        ask.parts.update(dict.fromkeys(ask.parts, part))
+    return ask
 
 
 def _give(
--- a/fuchsiahaven/routing/configs.py
+++ b/fuchsiahaven/routing/configs.py
@@ -2,11 +2,16 @@
 
 import functools
 from collections.abc import Mapping
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from fuchsiahaven.core import configurations
 
 
+#: A query over no more shards than this is gathered by the host that takes
+#: it: 30 shards cost 8 ms of half a core, and a hop more costs as many.
+DIRECT_MOST: Final = 40
+
+
 class Single(NamedTuple):
     """Send each request to one target of one service."""
 
@@ -94,11 +99,15 @@
 
 
 class Index(NamedTuple):
-    """Hold a configuration so that requests find their route quickly."""
+    """Hold a configuration so that requests find their route quickly.
+
+    `wide` are the shards of queries whose cost is shared among hosts.
+    """
 
     configuration: Configuration
     routes: Mapping[str, Mapping[str, Route]]
     services: Mapping[str, Service]
+    wide: frozenset[str]
 
 
 def build_index(configuration: Configuration) -> Index:
@@ -107,7 +116,19 @@
     for route in configuration.routes:
         routes.setdefault(route.host, {})[route.prefix] = route
     services = {service.name: service for service in configuration.services}
-    return Index(configuration, routes, services)
+    ways = {one.way for one in configuration.routes}
+    wide = frozenset(
+        shard
+        for way in ways
+        if isinstance(way, Gather) and is_wide(way)
+        for shard in way.shards
+    )
+    return Index(configuration, routes, services, wide)
+
+
+def is_wide(gather: Gather) -> bool:
+    """Tell whether the cost of a query is shared among hosts."""
+    return len(gather.shards) > DIRECT_MOST
 
 
 def find_route(index: Index, host: str, path: str) -> Route | None:
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -5,6 +5,7 @@
 Between data centres that is a tenth of the bytes.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -14,6 +15,7 @@
     asks,
     choices,
     configs,
+    duties,
     endings,
     events,
     places,
@@ -43,30 +45,58 @@
 
 def plan(desk: states.Desk, ask: asks.Ask, now: float) -> list[Plan]:
     """Plan which parts of a query go through which helper."""
-    if not ask.gathers:
+    way = ask.route.way
+    if not isinstance(way, configs.Gather):
         return []
-    helpers = _list_helpers(desk, now)
-    centres = _list_centres(desk, ask, now)
-    left = set(ask.open)
+    centres = _list_centres(desk, ask, ask.open, now)
     plans = []
-    largest = sorted(centres, key=lambda it: len(centres[it]), reverse=True)
-    for centre in largest:
-        services = centres[centre] & left
-        if len(services) >= FEWEST and centre in helpers:
-            helper = _choose_helper(desk, helpers[centre], now)
+    for duty, services in _share_out(desk, way, centres).items():
+        if len(services) < FEWEST:
+            continue
+        helper = _find_helper(desk, duty, now, wide=configs.is_wide(way))
+        if helper is not None:
             plans.append(Plan(helper, tuple(services)))
-            left -= services
     return plans
 
 
+def hedge(
+    desk: states.Desk, ask: asks.Ask, slow: list[str], now: float
+) -> Actions:
+    """Have slow parts of a wide query sent to another target by helpers.
+
+    Only the hosts on duty hold connections to a chunk's targets, and they
+    know best which of them answer just now.
+    """
+    assert isinstance(ask.route.way, configs.Gather)
+    chunks = duties.find_chunks(ask.route.way)
+    by_chunk: dict[str, list[str]] = {}
+    for service in slow:
+        if tries.may_hedge(desk, ask, service, now):
+            by_chunk.setdefault(chunks[service], []).append(service)
+    actions: Actions = []
+    for chunk, services in by_chunk.items():
+        duty = duties.Duty(desk.host.data_centre, chunk)
+        helper = _find_helper(desk, duty, now, wide=True)
+        if helper is None:
+            actions.extend(tries.hedge_all(desk, ask, services, now))
+        else:
+            planned = Plan(helper, tuple(services))
+            actions.append(start(desk, ask, planned, now))
+    return actions
+
+
 def start(
     desk: states.Desk, ask: asks.Ask, planned: Plan, now: float
 ) -> events.Delegate:
     """Ask a helper for parts."""
     key = events.AssistKey(ask.number, desk.take_number())
     flights = {}
+    avoid: list[str] = []
     for service in planned.services:
         part = ask.parts[service]
+        avoid.extend(name for name in part.tried if name)
+        if part.sent:
+            desk.find_budget(service).note_extra(now)
         number = part.number + 1
         flights[service] = number
         ask.parts[service] = part._replace(
@@ -86,6 +116,7 @@
         ask.route.way.limit,
         planned.services,
         ask.ends,
+        tuple(avoid),
     )
     return events.Delegate(key, helper, assist)
 
@@ -146,8 +177,9 @@
     actions.extend(_lose_parts(desk, number, known, share.lost, now))
     for waiting in share.pending:
         _hurry(ask, known, waiting)
-    if share.pending and number in desk.asks:
-        actions.extend(tries.hedge(desk, ask, now, again=False))
+    if share.pending:
+        # They are looked at as soon as this is done with.
+        desk.set_timer(now, states.HedgeDue(number, again=False))
     return actions
 
 
@@ -210,32 +242,79 @@
     return actions
 
 
-def _list_helpers(
-    desk: states.Desk, now: float
-) -> dict[str, list[places.Host]]:
-    helpers: dict[str, list[places.Host]] = {}
-    for host in desk.hosts:
-        known = desk.helpers.get(host.name)
-        if not standings.is_dead(known, now):
-            helpers.setdefault(host.data_centre, []).append(host)
-    return helpers
-
-
 def _list_centres(
-    desk: states.Desk, ask: asks.Ask, now: float
+    desk: states.Desk, ask: asks.Ask, services: Iterable[str], now: float
 ) -> dict[str, set[str]]:
-    """List the parts without a target near, by where they have targets."""
+    """List in which data centres each part has targets that may be asked."""
     centres: dict[str, set[str]] = {}
-    for service in ask.open:
+    for service in services:
         part = ask.parts[service]
         found = choices.list_candidates(desk, service, part, now)
-        where = {one.data_centre for one in found}
-        if desk.host.data_centre not in where:
-            for centre in where:
-                centres.setdefault(centre, set()).add(service)
+        centres[service] = {one.data_centre for one in found}
     return centres
 
 
+def _share_out(
+    desk: states.Desk, way: configs.Gather, centres: dict[str, set[str]]
+) -> dict[duties.Duty, list[str]]:
+    """Share parts out among duties; a few far ones go with the near ones."""
+    near = desk.host.data_centre
+    wide = configs.is_wide(way)
+    chunks = duties.find_chunks(way)
+    sizes = collections.Counter(
+        centre for found in centres.values() for centre in found
+    )
+    shared: dict[duties.Duty, list[str]] = {}
+    for service, found in centres.items():
+        centre = near
+        if near not in found:
+            centre = _find_largest(sizes, found, near)
+        elif not wide:
+            continue
+        duty = duties.Duty(centre, chunks[service] if wide else '')
+        shared.setdefault(duty, []).append(service)
+    if wide:
+        _join_few(near, shared)
+    return shared
+
+
+def _find_largest(
+    sizes: collections.Counter[str], found: set[str], near: str
+) -> str:
+    return max(found, key=lambda it: (sizes[it], it), default=near)
+
+
+def _join_few(near: str, shared: dict[duties.Duty, list[str]]) -> None:
+    for duty in tuple(shared):
+        own = duties.Duty(near, duty.chunk)
+        if duty != own and len(shared[duty]) < FEWEST and own in shared:
+            shared[own].extend(shared.pop(duty))
+
+
+def _find_helper(
+    desk: states.Desk, duty: duties.Duty, now: float, *, wide: bool
+) -> places.Host | None:
+    """Find the host to ask; None where this one is to send for itself."""
+    alive = [
+        host
+        for host in desk.hosts
+        if not standings.is_dead(desk.helpers.get(host.name), now)
+    ]
+    if wide:
+        ranked = duties.rank_hosts(duty, [*alive, desk.host])
+        on_duty = ranked[: duties.ON_DUTY] or [desk.host]
+        late = [it for it in on_duty if _is_late(desk, it, now)]
+        chosen = next((it for it in on_duty if it not in late), on_duty[0])
+        return None if chosen.name == desk.host.name else chosen
+    near = [host for host in alive if host.data_centre == duty.data_centre]
+    return _choose_helper(desk, near, now) if near else None
+
+
+def _is_late(desk: states.Desk, host: places.Host, now: float) -> bool:
+    known = desk.helpers.get(host.name)
+    return standings.measure_silence(known, now) is not None
+
+
 def _choose_helper(
     desk: states.Desk, helpers: list[places.Host], now: float
 ) -> places.Host:
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -165,8 +165,23 @@
         if ask is None:
             continue
         match due:
-            case states.HedgeDue():
-                actions.extend(tries.hedge(desk, ask, now))
+            case states.HedgeDue(_, again):
+                actions.extend(_hedge(desk, ask, now, again=again))
             case states.CutDue():
                 actions.extend(endings.settle(desk, ask, now))
     return actions
+
+
+def _hedge(
+    desk: states.Desk, ask: asks.Ask, now: float, *, again: bool
+) -> Actions:
+    way = ask.route.way
+    slow = tries.list_slow(desk, ask, now)
+    if again and ask.open:
+        # What the budget did not allow now it may allow then, and a second
+        # sending may be worth it for what was sent again meanwhile.
+        pause = tries.find_delay(desk, ask) / 2
+        desk.set_timer(now + pause, states.HedgeDue(ask.number))
+    if isinstance(way, configs.Gather) and configs.is_wide(way):
+        return delegations.hedge(desk, ask, slow, now)
+    return tries.hedge_all(desk, ask, slow, now)
--- /dev/null
+++ b/fuchsiahaven/routing/duties.py
@@ -0,0 +1,65 @@
+"""Say which hosts gather which shards of a query over many.
+
+A query over many shards costs the host that takes it a fraction of a
+millisecond for each. Shards are cut into chunks, and each data centre has a
+host for each chunk, so that the cost is shared, few hosts hold connections to
+a target, and each of them sees enough of a target's answers to notice a pause.
+"""
+
+import functools
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import rendezvous
+from fuchsiahaven.routing import configs, places
+
+#: Shards of a chunk: a helper spends some 4 ms of half a core on them.
+CHUNK: Final = 15
+#: Hosts of a data centre that may hold connections to the targets of a chunk:
+#: the one on duty and the one that takes over from it.
+ON_DUTY: Final = 2
+#: A version in force and the one before it name a few gathers each, and each
+#: has a chunk for fifteen shards and data centre.
+_GATHERS: Final = 64
+_RANKS: Final = 4096
+
+
+class Duty(NamedTuple):
+    """Name a chunk in a data centre."""
+
+    data_centre: str
+    chunk: str
+
+
+@functools.lru_cache(maxsize=_GATHERS)
+def find_chunks(gather: configs.Gather) -> dict[str, str]:
+    """Map each shard to its chunk, which is named by its first shard."""
+    chunks = {}
+    for place, shard in enumerate(gather.shards):
+        chunks[shard] = gather.shards[place - place % CHUNK]
+    return chunks
+
+
+def rank_hosts(duty: Duty, hosts: Sequence[places.Host]) -> list[places.Host]:
+    """Order the hosts of a data centre for a chunk, the one on duty first."""
+    by_name = {
+        host.name: host
+        for host in hosts
+        if host.data_centre == duty.data_centre
+    }
+    return [by_name[name] for name in _rank(duty.chunk, tuple(by_name))]
+
+
+def count_sharers(
+    service: str, wide: frozenset[str], hosts: Sequence[places.Host], total: int
+) -> int:
+    """Count the hosts that share the connections to a service's targets."""
+    if service not in wide:
+        return total
+    centres = {host.data_centre for host in hosts}
+    return min(total, ON_DUTY * max(1, len(centres)))
+
+
+@functools.lru_cache(maxsize=_RANKS)
+def _rank(key: str, names: tuple[str, ...]) -> tuple[str, ...]:
+    return rendezvous.rank(key, names)
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -135,7 +135,9 @@
     """Ask another host to gather some parts of a query near it.
 
     `route` names whose usual times to go by, `objective` is in seconds and
-    `limit` how many records the answer to the caller holds.
+    `limit` how many records the answer to the caller holds. The targets to
+    `avoid` have been asked before; where there are any, each part is wanted
+    as soon as it comes.
     """
 
     request: Request
@@ -144,6 +146,7 @@
     limit: int
     services: tuple[str, ...]
     ends: float
+    avoid: tuple[str, ...] = ()
 
 
 class PartIn(NamedTuple):
--- a/fuchsiahaven/routing/sources.py
+++ b/fuchsiahaven/routing/sources.py
@@ -50,6 +50,8 @@
     having to agree. Where the reader is in doubt the first one of the data
     centre reads for itself; where it cannot, it asks any host at all.
     """
+    if not view.hosts:
+        return _choose_seed(view, now, draw)
     near = [
         host
         for host in view.hosts
@@ -70,6 +72,19 @@
     return Peer(others[int(draw * len(others))])
 
 
+def _choose_seed(view: View, now: float, draw: float) -> Source:
+    """Choose at the start, when no host is known yet.
+
+    If each of many hosts that start at once read the store, the reads would
+    be most of a quiet day's calls; so only the seeds do, and others that find
+    no seed.
+    """
+    seeds = [it for it in view.seeds if now >= view.doubted.get(it, 0)]
+    if not seeds or view.own.address in view.seeds:
+        return Store()
+    return Peer(seeds[int(draw * len(seeds))])
+
+
 def count_doubt(times: int) -> float:
     """Return for how long a host is passed over that failed so many times."""
     return float(min(LONGEST_DOUBT_S, DOUBT_S * 2 ** (times - 1)))
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -18,9 +18,13 @@
 
 
 class HedgeDue(NamedTuple):
-    """Look at which parts of an ask are worth a second sending."""
+    """Look at which parts of an ask are worth a second sending.
+
+    With `again` they are looked at once more, a little later.
+    """
 
     ask: int
+    again: bool = True
 
 
 class CutDue(NamedTuple):
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -75,25 +75,34 @@
     return left >= 1 + kept
 
 
-def hedge(
-    desk: states.Desk, ask: asks.Ask, now: float, *, again: bool = True
-) -> list[events.Action]:
-    """Send what takes unusually long to a second target.
-
-    With `again` the parts are looked at once more, a little later.
-    """
+def list_slow(desk: states.Desk, ask: asks.Ask, now: float) -> list[str]:
+    """List the parts that take unusually long."""
     if ask.route.at_most_once:
         return []
     delay = find_delay(desk, ask)
     helped = max(delay, HELPED_SHARE * ask.route.objective)
+    return [
+        service
+        for service in ask.open
+        if _is_slow(ask.parts[service], now - delay, now - helped)
+    ]
+
+
+def may_hedge(
+    desk: states.Desk, ask: asks.Ask, service: str, now: float
+) -> bool:
+    """Tell whether a part may be sent a second time before the first ends."""
+    return may_repeat(desk, ask, service, now, kept=KEPT_FOR_RETRIES)
+
+
+def hedge_all(
+    desk: states.Desk, ask: asks.Ask, services: list[str], now: float
+) -> list[events.Action]:
+    """Send parts that this host sends itself to a second target."""
     actions: list[events.Action] = []
-    for service in tuple(ask.open):
-        if _is_slow(ask.parts[service], now - delay, now - helped):
+    for service in services:
+        if may_hedge(desk, ask, service, now):
             actions.extend(_hedge_part(desk, ask, service, now))
-    if ask.open and again:
-        # What the budget did not allow now it may allow then, and a second
-        # sending may be worth it for what was sent again meanwhile.
-        desk.set_timer(now + delay / 2, states.HedgeDue(ask.number))
     return actions
 
 
@@ -119,8 +128,6 @@
 def _hedge_part(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> list[events.Action]:
-    if not may_repeat(desk, ask, service, now, kept=KEPT_FOR_RETRIES):
-        return []
     found = choices.list_candidates(desk, service, ask.parts[service], now)
     chosen = choices.choose(desk, found, now, once=False)
     if chosen is None:
--- a/tests/routing/test_delegations.py
+++ b/tests/routing/test_delegations.py
@@ -68,6 +68,7 @@
     waiting = events.PartOut(SHARDS[0], f'{SHARDS[0]}-0', arrived=True)
     share = make_share(SHARDS[1:])._replace(pending=(waiting,))
     rig.post(events.Shared(delegate.key, share))
+    rig.pass_time(0)
     (hedge,) = rig.take_sent()
     assert hedge.instance.name == f'{SHARDS[0]}-1'
     rig.answer(hedge, record('z'))
--- a/tests/routing/test_sources.py
+++ b/tests/routing/test_sources.py
@@ -57,3 +57,16 @@
     """A host that is gone is tried less and less often."""
     doubts = [sources.count_doubt(times) for times in (1, 2, 3, 9)]
     assert doubts == [3, 6, 12, 24]
+
+
+def test_asks_a_seed_at_the_start() -> None:
+    """Symptom: hosts that all start at once each list the whole store."""
+    assert sources.choose(make_view(), 1, 0) == sources.Peer('10.0.9.9:1')
+    view = make_view(doubted={'10.0.9.9:1': 5})
+    assert sources.choose(view, 1, 0) == sources.Store()
+
+
+def test_reads_the_store_at_the_start_if_it_is_a_seed() -> None:
+    """Somebody has to know something."""
+    view = make_view()._replace(seeds=(OWN.address, '10.0.9.9:1'))
+    assert sources.choose(view, 1, 0) == sources.Store()
