Let the hosts on duty keep account of repeats of wide queries (trial)

Cause: of 78 hosts each may use a 78th of the slack, which allows one repeat in ten seconds for each shard; half of all answers lacked a part that was never sent a second time. A host on duty sees all requests of its data centre for its shards, so 0.6 of the slack is shared by those on duty and the rest by all.

Not measured yet.

--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -13,11 +13,12 @@
 
 PART: Final = 'news'
 #: How long the reader waits for changes in one call. Changes come at once, and
-#: a connection that has fallen silent is noticed after this and one time-out:
-#: a change has to be in force within 3 s.
-WATCH_S: Final = 1.5
+#: a connection that has fallen silent is noticed after this and the time for
+#: the answer: a change has to be in force within 3 s.
+WATCH_S: Final = 1.8
+WATCH_ANSWER_S: Final = 0.6
 #: The least time between two such calls: many changes come in one answer.
-GATHER_S: Final = 0.25
+GATHER_S: Final = 0.4
 #: How often the reader lists everything, in case that changes were missed.
 LIST_S: Final = 20.0
 #: How long a host that asks is kept waiting where there is nothing new.
@@ -181,7 +182,7 @@
         now = time.monotonic()
         if now < self._list_at:
             call = store.watch_everything(self.ledger.revision, WATCH_S)
-            done = await self.store.call(call, WATCH_S + STORE_S)
+            done = await self.store.call(call, WATCH_S + WATCH_ANSWER_S)
             if done.status == store.OK:
                 page = store.read_events(done.body, self._decoder.decode)
                 return facts.Report(page.revision, page.items, False, 0)
--- a/fuchsiahaven/routing/assist_codecs.py
+++ b/fuchsiahaven/routing/assist_codecs.py
@@ -22,6 +22,7 @@
     limit: int
     services: list[str]
     avoid: list[str]
+    counts: bool
     wait: int
 
 
@@ -49,6 +50,7 @@
         limit=assist.limit,
         services=list(assist.services),
         avoid=list(assist.avoid),
+        counts=assist.counts,
         wait=int((assist.ends - now) * MILLISECONDS),
     )
     return _dump(written)
@@ -106,6 +108,7 @@
         tuple(row['services']),
         ends,
         tuple(row['avoid']),
+        bool(row['counts']),
     )
 
 
--- a/fuchsiahaven/routing/assists.py
+++ b/fuchsiahaven/routing/assists.py
@@ -31,7 +31,8 @@
     desk.asks[ask.number] = ask
     actions: Actions = []
     for service in tuple(ask.open):
-        actions.extend(tries.send_first(desk, ask, service, now))
+        if not event.assist.counts or tries.count_in(desk, ask, service, now):
+            actions.extend(tries.send_first(desk, ask, service, now))
     for when in (ask.cut, ask.ends):
         desk.set_timer(when, states.CutDue(ask.number))
     return [*actions, *settle(desk, ask, now)]
--- a/fuchsiahaven/routing/budgets.py
+++ b/fuchsiahaven/routing/budgets.py
@@ -40,8 +40,8 @@
         """Count arrivals beyond the first of a request; -1 takes one back."""
         self._add(now, extra=count)
 
-    def count_left(self, now: float, hosts: int) -> float:
-        """Count how many repeats may still be sent now."""
+    def count_left(self, now: float, hosts: float) -> float:
+        """Count how many repeats may be sent now by one of so many hosts."""
         self._trim(now)
         requests = sum(step.requests for step in self._steps)
         extra = sum(step.extra for step in self._steps)
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -71,7 +71,8 @@
     chunks = duties.find_chunks(ask.route.way)
     by_chunk: dict[str, list[str]] = {}
     for service in slow:
-        if tries.may_hedge(desk, ask, service, now):
+        # The helper sees to the shared bound on repeats.
+        if ask.parts[service].sent < ask.route.attempts:
             by_chunk.setdefault(chunks[service], []).append(service)
     actions: Actions = []
     for chunk, services in by_chunk.items():
@@ -89,14 +90,14 @@
     desk: states.Desk, ask: asks.Ask, planned: Plan, now: float
 ) -> events.Delegate:
     """Ask a helper for parts."""
+    assert isinstance(ask.route.way, configs.Gather)
+    wide = configs.is_wide(ask.route.way)
     key = events.AssistKey(ask.number, desk.take_number())
     flights = {}
     avoid: list[str] = []
     for service in planned.services:
         part = ask.parts[service]
         avoid.extend(name for name in part.tried if name)
-        if part.sent:
-            desk.find_budget(service).note_extra(now)
         number = part.number + 1
         flights[service] = number
         ask.parts[service] = part._replace(
@@ -104,11 +105,12 @@
             sent=part.sent + 1,
             number=number,
         )
+        if not wide:
+            desk.find_budget(service).note_request(now)
     left = set(planned.services)
     helper = planned.helper
     desk.assistance[key] = states.Assistance(helper, flights, left)
     desk.helpers.note_sent(helper.name, _make_flight(key), now)
-    assert isinstance(ask.route.way, configs.Gather)
     assist = events.Assist(
         ask.request,
         ask.route.name,
@@ -117,6 +119,7 @@
         planned.services,
         ask.ends,
         tuple(avoid),
+        wide,
     )
     return events.Delegate(key, helper, assist)
 
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -115,6 +115,7 @@
         actions.append(delegations.start(desk, ask, planned, now))
     for service in tuple(ask.open):
         if not ask.parts[service].flights:
+            desk.find_budget(service).note_request(now)
             actions.extend(tries.send_first(desk, ask, service, now))
     return actions
 
--- a/fuchsiahaven/routing/duties.py
+++ b/fuchsiahaven/routing/duties.py
@@ -18,6 +18,8 @@
 #: Hosts of a data centre that may hold connections to the targets of a chunk:
 #: the one on duty and the one that takes over from it.
 ON_DUTY: Final = 2
+#: Part of the slack of repeats that the hosts on duty share.
+DUTY_SLACK: Final = 0.6
 #: A version in force and the one before it name a few gathers each, and each
 #: has a chunk for fifteen shards and data centre.
 _GATHERS: Final = 64
@@ -50,6 +52,20 @@
     return [by_name[name] for name in _rank(duty.chunk, tuple(by_name))]
 
 
+def count_slack_sharers(
+    hosts: Sequence[places.Host], total: int, *, on_duty: bool
+) -> float:
+    """Count who shares the slack of repeats at the targets of wide queries.
+
+    Those on duty have the larger part among them; the rest is for hosts that
+    send directly because none on duty is left.
+    """
+    if not on_duty:
+        return total / (1 - DUTY_SLACK)
+    centres = {host.data_centre for host in hosts}
+    return ON_DUTY * max(1, len(centres)) / DUTY_SLACK
+
+
 def count_sharers(
     service: str, wide: frozenset[str], hosts: Sequence[places.Host], total: int
 ) -> int:
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -137,7 +137,9 @@
     `route` names whose usual times to go by, `objective` is in seconds and
     `limit` how many records the answer to the caller holds. The targets to
     `avoid` have been asked before; where there are any, each part is wanted
-    as soon as it comes.
+    as soon as it comes. With `counts` the host that assists keeps account of
+    requests and repeats: it sees all those of its data centre for its shards,
+    so its share of what is allowed is worth more than everybody's.
     """
 
     request: Request
@@ -147,6 +149,7 @@
     services: tuple[str, ...]
     ends: float
     avoid: tuple[str, ...] = ()
+    counts: bool = False
 
 
 class PartIn(NamedTuple):
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -3,7 +3,15 @@
 from typing import Final
 
 from fuchsiahaven.core import coverage, hedges
-from fuchsiahaven.routing import asks, choices, events, instances, states
+from fuchsiahaven.routing import (
+    asks,
+    choices,
+    configs,
+    duties,
+    events,
+    instances,
+    states,
+)
 
 #: Nine of ten sub-requests are back by then, so that hedges take up a tenth
 #: of the load or the pauses of targets, whichever is more.
@@ -22,19 +30,37 @@
 #: Hedges sooner than this share of the objective bring nothing that counts,
 #: and most of what is slow then, because its target pauses, ends by itself.
 EARLIEST_SHARE: Final = 0.4
-#: Repeats that hedges leave for what was refused or broke.
-KEPT_FOR_RETRIES: Final = 1.0
+#: Part of a host's slack that hedges leave for what was refused or broke.
+KEPT_FOR_RETRIES: Final = 0.1
 
 
 def foresee(desk: states.Desk, ask: asks.Ask, now: float) -> None:
     """Mark the parts that no target can take as lost."""
     for service in tuple(ask.open):
-        desk.find_budget(service).note_request(now)
         part = ask.parts[service]
         if not choices.list_candidates(desk, service, part, now):
             _lose(desk, ask, service)
 
 
+def count_in(
+    desk: states.Desk, ask: asks.Ask, service: str, now: float
+) -> bool:
+    """Count a part that another host asks for; False if it has to be lost.
+
+    A part that was sent before, to a target that is to be avoided, counts as
+    a repeat.
+    """
+    budget = desk.find_budget(service)
+    if not ask.parts[service].tried:
+        budget.note_request(now)
+        return True
+    if budget.count_left(now, _count_sharers(desk, ask, service)) < 1:
+        _lose(desk, ask, service)
+        return False
+    budget.note_extra(now)
+    return True
+
+
 def send_first(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> list[events.Action]:
@@ -71,8 +97,23 @@
         return True
     if part.sent >= ask.route.attempts:
         return False
-    left = desk.find_budget(service).count_left(now, desk.host_count)
-    return left >= 1 + kept
+    sharers = _count_sharers(desk, ask, service)
+    left = desk.find_budget(service).count_left(now, sharers)
+    return left >= 1 + kept * desk.extra_load.slack / sharers
+
+
+def _count_sharers(desk: states.Desk, ask: asks.Ask, service: str) -> float:
+    way = ask.route.way
+    if not isinstance(way, configs.Gather) or service not in desk.index.wide:
+        return desk.host_count
+    hosts = (*desk.hosts, desk.host)
+    on_duty = ask.assists
+    if not on_duty:
+        chunk = duties.find_chunks(way).get(service, service)
+        duty = duties.Duty(desk.host.data_centre, chunk)
+        first = duties.rank_hosts(duty, hosts)[: duties.ON_DUTY]
+        on_duty = desk.host in first
+    return duties.count_slack_sharers(hosts, desk.host_count, on_duty=on_duty)
 
 
 def list_slow(desk: states.Desk, ask: asks.Ask, now: float) -> list[str]:
