--- a/fuchsiahaven/routing/assist_codecs.py
+++ b/fuchsiahaven/routing/assist_codecs.py
@@ -23,6 +23,7 @@
     services: list[str]
     avoid: list[str]
     counts: bool
+    again: bool
     wait: int
 
 
@@ -51,6 +52,7 @@
         services=list(assist.services),
         avoid=list(assist.avoid),
         counts=assist.counts,
+        again=assist.again,
         wait=int((assist.ends - now) * MILLISECONDS),
     )
     return _dump(written)
@@ -109,6 +111,7 @@
         ends,
         tuple(row['avoid']),
         bool(row['counts']),
+        bool(row['again']),
     )
 
 
--- a/fuchsiahaven/routing/assists.py
+++ b/fuchsiahaven/routing/assists.py
@@ -31,13 +31,23 @@
     desk.asks[ask.number] = ask
     actions: Actions = []
     for service in tuple(ask.open):
-        if not event.assist.counts or tries.count_in(desk, ask, service, now):
+        if not event.assist.counts or _count_in(desk, event, service, now):
             actions.extend(tries.send_first(desk, ask, service, now))
     for when in (ask.cut, ask.ends):
         desk.set_timer(when, states.CutDue(ask.number))
     return [*actions, *settle(desk, ask, now)]
 
 
+def _count_in(
+    desk: states.Desk, event: events.Assisted, service: str, now: float
+) -> bool:
+    ask = desk.asks[event.ask]
+    if event.assist.again:
+        return tries.count_repeat(desk, ask, service, now)
+    desk.find_budget(service).note_request(now)
+    return True
+
+
 def settle(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
     """Tell what is due to be told.
 
@@ -77,7 +87,7 @@
     ask = asks.begin(event.ask, assist.request, route, version, assist.services)
     hold = min(tries.find_delay(desk, ask), LATEST_SHARE * assist.objective)
     ask = ask._replace(cut=now + hold, ends=assist.ends, assists=True)
-    if assist.avoid:
+    if assist.again:
         ask.told.add(BEGUN)
         part = asks.Part(tried=assist.avoid)
         ask.parts.update(dict.fromkeys(ask.parts, part))
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -69,48 +69,43 @@
     """
     assert isinstance(ask.route.way, configs.Gather)
     chunks = duties.find_chunks(ask.route.way)
-    by_chunk: dict[str, list[str]] = {}
+    shared: dict[places.Host, list[str]] = {}
     for service in slow:
-        # The helper sees to the shared bound on repeats.
         if ask.parts[service].sent < ask.route.attempts:
-            by_chunk.setdefault(chunks[service], []).append(service)
-    actions: Actions = []
-    for chunk, services in by_chunk.items():
-        duty = duties.Duty(desk.host.data_centre, chunk)
-        helper = _find_helper(desk, duty, now, wide=True)
-        if helper is None:
-            actions.extend(tries.hedge_all(desk, ask, services, now))
-        else:
-            planned = Plan(helper, tuple(services))
-            actions.append(start(desk, ask, planned, now))
+            duty = duties.Duty(desk.host.data_centre, chunks[service])
+            silent = _find_silent(desk, ask, service)
+            helper = _find_helper(desk, duty, now, wide=True, silent=silent)
+            shared.setdefault(helper or desk.host, []).append(service)
+    own = shared.pop(desk.host, [])
+    actions = tries.hedge_all(desk, ask, own, now)
+    for helper, services in shared.items():
+        # The helper sees to the shared bound on repeats.
+        planned = Plan(helper, tuple(services))
+        actions.append(start(desk, ask, planned, now))
     return actions
 
 
+def _find_silent(
+    desk: states.Desk, ask: asks.Ask, service: str
+) -> places.Host | None:
+    """Find the host that was asked for a part and has told nothing of it."""
+    flight = ask.parts[service].flights[0]
+    if flight.instance or flight.sent == OVERDUE:
+        return None
+    helpers = [
+        known.helper
+        for key, known in desk.assistance.items()
+        if key.ask == ask.number and service in known.left
+    ]
+    return helpers[0] if helpers else None
+
+
 def start(
     desk: states.Desk, ask: asks.Ask, planned: Plan, now: float
 ) -> events.Delegate:
     """Ask a helper for parts."""
     assert isinstance(ask.route.way, configs.Gather)
-    wide = configs.is_wide(ask.route.way)
     key = events.AssistKey(ask.number, desk.take_number())
-    flights = {}
-    avoid: list[str] = []
-    for service in planned.services:
-        part = ask.parts[service]
-        avoid.extend(name for name in part.tried if name)
-        number = part.number + 1
-        flights[service] = number
-        ask.parts[service] = part._replace(
-            flights=(*part.flights, asks.Flight(number, '', now)),
-            sent=part.sent + 1,
-            number=number,
-        )
-        if not wide:
-            desk.find_budget(service).note_request(now)
-    left = set(planned.services)
-    helper = planned.helper
-    desk.assistance[key] = states.Assistance(helper, flights, left)
-    desk.helpers.note_sent(helper.name, _make_flight(key), now)
     assist = events.Assist(
         ask.request,
         ask.route.name,
@@ -118,9 +113,19 @@
         ask.route.way.limit,
         planned.services,
         ask.ends,
-        tuple(avoid),
-        wide,
+        tuple(_list_tried(ask, planned.services)),
+        counts=configs.is_wide(ask.route.way),
+        again=any(ask.parts[it].sent for it in planned.services),
     )
+    flights = {}
+    for service in planned.services:
+        flights[service] = _launch(ask, service, now)
+        if not assist.counts:
+            desk.find_budget(service).note_request(now)
+    left = set(planned.services)
+    helper = planned.helper
+    desk.assistance[key] = states.Assistance(helper, flights, left)
+    desk.helpers.note_sent(helper.name, _make_flight(key), now)
     return events.Delegate(key, helper, assist)
 
 
@@ -186,6 +191,21 @@
     return actions
 
 
+def _list_tried(ask: asks.Ask, services: Iterable[str]) -> list[str]:
+    return [name for it in services for name in ask.parts[it].tried if name]
+
+
+def _launch(ask: asks.Ask, service: str, now: float) -> int:
+    part = ask.parts[service]
+    number = part.number + 1
+    ask.parts[service] = part._replace(
+        flights=(*part.flights, asks.Flight(number, '', now)),
+        sent=part.sent + 1,
+        number=number,
+    )
+    return number
+
+
 def _accept(ask: asks.Ask, share: events.Share) -> None:
     body = share.body
     for part in share.parts:
@@ -295,7 +315,12 @@
 
 
 def _find_helper(
-    desk: states.Desk, duty: duties.Duty, now: float, *, wide: bool
+    desk: states.Desk,
+    duty: duties.Duty,
+    now: float,
+    *,
+    wide: bool,
+    silent: places.Host | None = None,
 ) -> places.Host | None:
     """Find the host to ask; None where this one is to send for itself."""
     alive = [
@@ -305,7 +330,8 @@
     ]
     if wide:
         ranked = duties.rank_hosts(duty, [*alive, desk.host])
-        on_duty = ranked[: duties.ON_DUTY] or [desk.host]
+        on_duty = [it for it in ranked[: duties.ON_DUTY] if it != silent]
+        on_duty.append(desk.host)
         late = [it for it in on_duty if _is_late(desk, it, now)]
         chosen = next((it for it in on_duty if it not in late), on_duty[0])
         return None if chosen.name == desk.host.name else chosen
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -135,8 +135,8 @@
     """Ask another host to gather some parts of a query near it.
 
     `route` names whose usual times to go by, `objective` is in seconds and
-    `limit` how many records the answer to the caller holds. The targets to
-    `avoid` have been asked before; where there are any, each part is wanted
+    `limit` how many records the answer to the caller holds. With `again` the
+    parts were sent before, maybe to the targets to `avoid`, and each is wanted
     as soon as it comes. With `counts` the host that assists keeps account of
     requests and repeats: it sees all those of its data centre for its shards,
     so its share of what is allowed is worth more than everybody's.
@@ -150,6 +150,7 @@
     ends: float
     avoid: tuple[str, ...] = ()
     counts: bool = False
+    again: bool = False
 
 
 class PartIn(NamedTuple):
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -42,18 +42,14 @@
             _lose(desk, ask, service)
 
 
-def count_in(
+def count_repeat(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> bool:
-    """Count a part that another host asks for; False if it has to be lost.
+    """Count a repeat that another host asks for; False if it is one too many.
 
-    A part that was sent before, to a target that is to be avoided, counts as
-    a repeat.
+    The part is lost then, and nothing is sent.
     """
     budget = desk.find_budget(service)
-    if not ask.parts[service].tried:
-        budget.note_request(now)
-        return True
     if budget.count_left(now, _count_sharers(desk, ask, service)) < 1:
         _lose(desk, ask, service)
         return False
--- /dev/null
+++ b/tests/routing/test_duties.py
@@ -0,0 +1,166 @@
+"""Test how hosts share the cost of queries over many shards."""
+
+from hypothesis import given, strategies
+
+from fuchsiahaven.routing import configs, duties, events, places
+from tests.routing import desk_rig
+
+SHARDS = tuple(f'shard-{number:03}' for number in range(90))
+GATHER = configs.Gather(SHARDS, 2, 0.9)
+SEARCH = desk_rig.make_route(GATHER)
+NORTH = tuple(
+    places.Host(f'north-{number}', f'10.0.2.{number}:1', 'north')
+    for number in range(8)
+)
+SOUTH = tuple(
+    places.Host(f'south-{number}', f'10.0.3.{number}:1', 'south')
+    for number in range(8)
+)
+
+
+def make_rig(hosts: tuple[places.Host, ...] = NORTH) -> desk_rig.Rig:
+    """Make a host among others, with a near and a far target for each shard."""
+    near = desk_rig.make_instances(SHARDS, 1)
+    both = desk_rig.make_instances(SHARDS, 2, 'south')
+    far = [one for one in both if one.name.endswith('-1')]
+    rig = desk_rig.Rig([SEARCH], [*near, *far])
+    total = len(hosts) + 1
+    rig.post(events.Counted(total, (desk_rig.HOST, *hosts)))
+    return rig
+
+
+def list_delegates(rig: desk_rig.Rig) -> list[events.Delegate]:
+    """Return the requests for assistance since the last time."""
+    found = [it for it in rig.others if isinstance(it, events.Delegate)]
+    rig.others = []
+    return found
+
+
+def test_shares_a_wide_query_among_the_hosts_on_duty() -> None:
+    """Symptom: one host of half a core takes 65 ms for a query of 90 shards.
+
+    Six chunks of fifteen go to the hosts on duty; what this host is on duty
+    for it sends itself.
+    """
+    rig = make_rig()
+    rig.ask()
+    delegates = list_delegates(rig)
+    asked = [it for one in delegates for it in one.assist.services]
+    asked.extend(send.key.service for send in rig.take_sent())
+    assert sorted(asked) == list(SHARDS)
+    assert all(len(one.assist.services) == 15 for one in delegates)
+    assert len(delegates) >= 4
+
+
+def test_asks_the_same_hosts_from_everywhere() -> None:
+    """Few hosts hold connections to a target: two of each data centre."""
+    duty = duties.Duty('north', SHARDS[0])
+    ranked = duties.rank_hosts(duty, [*NORTH, *SOUTH])
+    assert {host.data_centre for host in ranked} == {'north'}
+    again = duties.rank_hosts(duty, list(reversed([*NORTH, *SOUTH])))
+    assert ranked == again
+    wide = frozenset(SHARDS)
+    hosts = [*NORTH, *SOUTH]
+    assert duties.count_sharers(SHARDS[0], wide, hosts, 16) == 4
+    assert duties.count_sharers('other', wide, hosts, 16) == 16
+
+
+def test_passes_over_a_host_on_duty_that_is_silent() -> None:
+    """Symptom: each query waits for a paused host.
+
+    The host on duty has said nothing for half the objective: the parts go to
+    the one that takes over, which has not been asked yet.
+    """
+    rig = make_rig()
+    rig.ask()
+    first = list_delegates(rig)
+    rig.pass_time(0.06)
+    second = list_delegates(rig)
+    by_services = {one.assist.services[0]: one.helper for one in first}
+    assert second
+    for one in second:
+        assert one.assist.again
+        assert by_services.get(one.assist.services[0]) != one.helper
+
+
+def test_moves_few_duties_when_a_host_goes() -> None:
+    """Only the chunks of the host that goes get another one."""
+    for shard in SHARDS[::15]:
+        duty = duties.Duty('north', shard)
+        before = duties.rank_hosts(duty, NORTH)
+        after = duties.rank_hosts(duty, NORTH[1:])
+        assert [it for it in before if it != NORTH[0]] == after
+
+
+@given(strategies.integers(1, 120), strategies.integers(1, 6))
+def test_shares_no_more_slack_than_there_is(total: int, centres: int) -> None:
+    """All hosts together stay within the slack, on duty or not."""
+    hosts = [
+        places.Host(f'host-{number}', '', f'centre-{number % centres}')
+        for number in range(total)
+    ]
+    used = len({host.data_centre for host in hosts})
+    on_duty = duties.count_slack_sharers(hosts, total, on_duty=True)
+    others = duties.count_slack_sharers(hosts, total, on_duty=False)
+    assert duties.ON_DUTY * used / on_duty + total / others <= 1.000001
+
+
+class Helping:
+    """Own a host on duty for a chunk, all of whose targets are slow."""
+
+    def __init__(self) -> None:
+        """Know the other hosts."""
+        self.rig = make_rig()
+        self._last = 100
+
+    def assist(self, avoid: tuple[str, ...] = ()) -> list[events.Send]:
+        """Take a request for one part; return what is sent."""
+        self._last += 1
+        now = self.rig.now
+        request = events.Request(
+            f'id-{self._last}', 'GET', '/', '', (), b'', now, now + 0.8
+        )
+        assist = events.Assist(
+            request,
+            'route',
+            0.1,
+            2,
+            SHARDS[:1],
+            now + 0.8,
+            avoid,
+            counts=True,
+            again=bool(avoid),
+        )
+        self.rig.post(events.Assisted(self._last, assist))
+        return self.rig.take_sent()
+
+    def take_shares(self) -> list[events.Share]:
+        """Return what was given to the other host."""
+        found = [it for it in self.rig.others if isinstance(it, events.Give)]
+        self.rig.others = []
+        return [give.share for give in found]
+
+
+def test_sends_a_repeat_to_another_target_and_tells_it_at_once() -> None:
+    """The other host is short of time: nothing is held to be merged."""
+    helping = Helping()
+    (first,) = helping.assist()
+    (second,) = helping.assist((first.instance.name,))
+    assert second.instance != first.instance
+    helping.rig.answer(second, b'x' * 16)
+    assert b'x' * 16 in [share.body for share in helping.take_shares()]
+
+
+def test_refuses_repeats_beyond_its_share_of_the_slack() -> None:
+    """Symptom: a slow shard gets so many repeats that it never recovers.
+
+    Of a slack of 40 for all, a host on duty of two in one data centre has
+    0.3, with a margin; beyond that, and a fifth of its requests, nothing is
+    sent, and the host that asked is told that nothing arrived.
+    """
+    helping = Helping()
+    (first,) = helping.assist()
+    sent = [helping.assist((first.instance.name,)) for _ in range(30)]
+    assert sum(1 for it in sent if it) == 10
+    lost = helping.take_shares()[-1].lost
+    assert not any(out.arrived for out in lost)
