--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Final
 
 from fuchsiahaven.operate import exits
@@ -37,6 +38,8 @@
 #: Kept back from the time until the kill, to end what is left in order.
 GRACE_MARGIN_S: Final = 0.7
 CHECK_S: Final = 0.05
+#: How often the settings file is looked at.
+SETTINGS_S: Final = 2.0
 
 
 class Process:
@@ -76,6 +79,7 @@
                     tasks.create_task(self.news.follow()),
                     tasks.create_task(self._entry.stay()),
                     tasks.create_task(self.runner.sweep()),
+                    tasks.create_task(self._watch_settings()),
                 ]
                 self.log.tell(PART, 'started', settings=self.settings)
                 await self._stopping.wait()
@@ -123,17 +127,29 @@
             waiting=self.runner.count_waiting(),
         )
 
+    async def _watch_settings(self) -> None:
+        """Notice changes of the settings file that no signal tells."""
+        path = settings_files.find_path()
+        read = _find_time(path)
+        while path is not None:
+            await asyncio.sleep(SETTINGS_S)
+            changed = _find_time(path)
+            if changed != read:
+                read = changed
+                self._reload()
+
     def _reload(self) -> None:
         path = settings_files.find_path()
         if path is None:
             return
         reading = settings_files.read_file(path)
         if reading.settings is None:
+            # What was in force stays; a file may be seen half written.
             self.log.tell(PART, 'settings are wrong', faults=reading.faults)
             return
         self.settings = reading.settings
         self.news.settings = reading.settings
-        self.desk.extra_load = reading.settings.extra_load
+        self.desk.change_extra_load(reading.settings.extra_load)
         self.log.tell(PART, 'reloaded', settings=self.settings)
 
     def _make_port(self, handle: ports.Handler) -> ports.Port:
@@ -205,6 +221,14 @@
         )
 
 
+def _find_time(path: Path | None) -> int:
+    """Find when a file was written, in nanoseconds; 0 if it is not there."""
+    try:
+        return path.stat().st_mtime_ns if path is not None else 0
+    except OSError:
+        return 0
+
+
 def serve() -> int:
     """Serve with the settings file that the platform names."""
     path = settings_files.find_path()
--- a/fuchsiahaven/routing/budgets.py
+++ b/fuchsiahaven/routing/budgets.py
@@ -29,7 +29,7 @@
 
     def __init__(self, terms: places.ExtraLoad) -> None:
         """Start with nothing counted."""
-        self._terms = terms
+        self.terms = terms
         self._steps: collections.deque[Step] = collections.deque()
 
     def note_request(self, now: float) -> None:
@@ -45,8 +45,8 @@
         self._trim(now)
         requests = sum(step.requests for step in self._steps)
         extra = sum(step.extra for step in self._steps)
-        slack = self._terms.slack / max(1, hosts)
-        return MARGIN * (self._terms.share * requests + slack) - extra
+        slack = self.terms.slack / max(1, hosts)
+        return MARGIN * (self.terms.share * requests + slack) - extra
 
     def _add(self, now: float, *, requests: int = 0, extra: int = 0) -> None:
         number = self._number(now)
@@ -63,4 +63,4 @@
             self._steps.popleft()
 
     def _number(self, now: float) -> int:
-        return int(now * STEPS / self._terms.window)
+        return int(now * STEPS / self.terms.window)
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -110,6 +110,12 @@
         """Take a number that no other caller of this gets."""
         return next(self._order)
 
+    def change_extra_load(self, extra_load: places.ExtraLoad) -> None:
+        """Take another bound on repeats, for what was counted as well."""
+        self.extra_load = extra_load
+        for budget in self._budgets.values():
+            budget.terms = extra_load
+
     def set_timer(self, when: float, due: Due) -> None:
         """Have something looked at then."""
         heapq.heappush(self._timers, (when, next(self._order), due))
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -4,8 +4,13 @@
 import json
 import os
 import signal
+from pathlib import Path
 
+import pytest
+
+from fuchsiahaven.platform import settings
 from fuchsiahaven.relay import process
+from tests.platform import test_settings
 from tests.relay import peers, worlds
 
 
@@ -161,6 +166,30 @@
     peers.run(check())
 
 
+def test_takes_changed_settings_without_a_signal(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The bound on repeats follows the file; a wrong file changes nothing."""
+    path = tmp_path / 'boot.conf'
+    path.write_text(test_settings.TEXT)
+    monkeypatch.setenv(settings.VARIABLE, str(path))
+    monkeypatch.setattr(process, 'SETTINGS_S', 0.01)
+
+    async def check() -> None:
+        async with worlds.make() as world:
+            host = await world.add_host('host-1')
+            await search(host)
+            path.write_text(test_settings.TEXT.replace('=56', '=7'))
+            await peers.wait_for(lambda: host.desk.extra_load.slack == 7)
+            budget = host.desk.find_budget(worlds.SHARDS[0])
+            assert budget.terms.slack == 7
+            path.write_text('node=')
+            await asyncio.sleep(0.05)
+            assert host.desk.extra_load.slack == 7
+
+    peers.run(check())
+
+
 def test_tells_its_balancer_whether_it_is_ready() -> None:
     """200 while requests may come, 503 once it was asked to stop."""
 
