--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -99,7 +99,8 @@
         after = int(asked['after'][0])
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(asked['wait_ms'][0]) / 1000):
-                await peers.wait_for(lambda: self.revision > after or self.down)
+                while self.revision <= after and not self.down:
+                    await asyncio.sleep(STEP_S)
         found = [it for it in self.events if it['revision'] > after]
         return {'events': found, 'store_revision': self.revision}
 
