Add a soak of real hosts under faults from outside

Hosts run as processes against this repository's store and targets; they are killed, stopped, paused, and what passes on loopback is delayed, silenced, cut one way, refused or reset; what callers and targets see is checked. Each check is shown to fail in its test.

--- /dev/null
+++ b/bench/soak/hosts.py
@@ -0,0 +1,111 @@
+"""Start hosts as processes of their own, and signal them by their ids."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Final
+
+from bench.soak import proxies
+
+LOOPBACK: Final = '127.0.0.1'
+#: A host that has not ended so long after it was asked to is killed, as the
+#: platform does it.
+GRACE_S: Final = 6.0
+
+
+class Host:
+    """Own one process and its way to the store."""
+
+    def __init__(self, name: str, centre: str, folder: Path) -> None:
+        """Choose ports; nothing runs yet."""
+        self.name = name
+        self.centre = centre
+        self.stopping = False
+        self.hurt = False
+        self.ports = [find_port() for _ in range(4)]
+        self.store: proxies.Proxy | None = None
+        self._folder = folder
+        self._process: asyncio.subprocess.Process | None = None
+
+    def name_address(self, place: int) -> str:
+        """Name one of the addresses: hosts, callers, readiness, metrics."""
+        return f'{LOOPBACK}:{self.ports[place]}'
+
+    async def start(self, seeds: list[str]) -> None:
+        """Start the process."""
+        assert self.store is not None
+        path = self._folder / f'{self.name}.conf'
+        path.write_text(self._write_settings(seeds, self.store.address))
+        log = (self._folder / f'{self.name}.log').open('ab')
+        with contextlib.closing(log):
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'fuchsiahaven',
+                'serve',
+                '--platform',
+                stdout=log,
+                stderr=log,
+                env={**os.environ, 'FUCHSIAHAVEN_SETTINGS': str(path)},
+            )
+        self.stopping = False
+        self.hurt = False
+
+    def signal(self, number: signal.Signals) -> None:
+        """Signal the process, if it runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def kill(self) -> None:
+        """Kill the process."""
+        self.hurt = True
+        self.signal(signal.SIGKILL)
+        await self._wait()
+
+    async def stop(self) -> bool:
+        """Ask the process to stop; False if it had to be killed."""
+        self.stopping = True
+        self.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await self._wait()
+        except TimeoutError:
+            await self.kill()
+            return False
+        return True
+
+    async def _wait(self) -> None:
+        if self._process is not None:
+            await self._process.wait()
+
+    def _write_settings(self, seeds: list[str], store: str) -> str:
+        ports = ','.join(str(port) for port in self.ports[2:])
+        lines = (
+            f'node={self.name}',
+            f'zone={self.centre}',
+            f'ip={LOOPBACK}',
+            f'listen.control={self.name_address(0)}',
+            f'listen.front={self.name_address(1)}',
+            f'listen.ready={self.name_address(2)}',
+            f'internal_ports={ports}',
+            f'seeds={",".join(seeds)}',
+            f'platform.address={store}',
+            'heartbeat_ms=1200',
+            'bounds.retry_budget_ratio=0.2',
+            'bounds.retry_slack=56',
+            'bounds.retry_window_s=10',
+            f'bounds.grace_s={GRACE_S}',
+            '',
+        )
+        return '\n'.join(lines)
+
+
+def find_port() -> int:
+    """Find a port that nobody listens at."""
+    with socket.socket() as sock:
+        sock.bind((LOOPBACK, 0))
+        return int(sock.getsockname()[1])
--- /dev/null
+++ b/bench/soak/proxies.py
@@ -0,0 +1,89 @@
+"""Stand between processes on loopback and spoil what passes, by order."""
+
+import asyncio
+import contextlib
+import enum
+from typing import Final
+
+CHUNK: Final = 65_536
+DELAY_S: Final = 0.2
+#: How often a held connection looks whether it may go on.
+STEP_S: Final = 0.02
+
+
+class Mode(enum.StrEnum):
+    """List what a proxy does with bytes."""
+
+    PASS = 'pass'
+    DELAY = 'delay'
+    SILENT = 'silent'
+    ONE_WAY = 'one_way'
+    REFUSE = 'refuse'
+
+
+class Proxy:
+    """Own one address that stands for another."""
+
+    def __init__(self, host: str, target: str) -> None:
+        """Prepare without listening; `target` is `ip:port`."""
+        self.address = ''
+        self.mode = Mode.PASS
+        self._host = host
+        self._target = target
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self) -> None:
+        """Listen at a free port."""
+        self._server = await asyncio.start_server(self._serve, self._host, 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    def reset(self) -> None:
+        """Reset every connection."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def close(self) -> None:
+        """Stop listening and reset every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.mode is Mode.REFUSE:
+            writer.transport.abort()
+            return
+        host, _, port = self._target.rpartition(':')
+        with contextlib.suppress(OSError):
+            far_reader, far_writer = await asyncio.open_connection(
+                host, int(port)
+            )
+            self._writers |= {writer, far_writer}
+            await asyncio.gather(
+                self._copy(reader, far_writer, back=False),
+                self._copy(far_reader, writer, back=True),
+            )
+            self._writers -= {writer, far_writer}
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        back: bool,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK):
+                while self._holds(back=back):
+                    await asyncio.sleep(STEP_S)
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(DELAY_S)
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+    def _holds(self, *, back: bool) -> bool:
+        return self.mode is Mode.SILENT or (back and self.mode is Mode.ONE_WAY)
--- /dev/null
+++ b/bench/soak/targets.py
@@ -0,0 +1,122 @@
+"""Stand in for targets that keep account of what they ran."""
+
+import asyncio
+import collections
+import contextlib
+import hashlib
+import random
+import time
+from typing import Final, NamedTuple
+
+END_OF_HEAD: Final = b'\r\n\r\n'
+RECORDS: Final = 4
+RECORD_BYTES: Final = 16
+WORK_S: Final = 0.004
+
+
+class Run(NamedTuple):
+    """State that a target ran a request, and when."""
+
+    request_id: str
+    target: str
+    when: float
+
+
+class Ledger:
+    """Own what all targets ran."""
+
+    def __init__(self) -> None:
+        """Start with nothing run."""
+        self.runs: list[Run] = []
+        self.counts: collections.Counter[str] = collections.Counter()
+
+
+def make_records(request_id: str, service: str) -> list[bytes]:
+    """Make the records that every target of a service answers a request."""
+    return [
+        hashlib.sha256(f'{request_id} {service} {number}'.encode()).digest()[
+            :RECORD_BYTES
+        ]
+        for number in range(RECORDS)
+    ]
+
+
+class Target:
+    """Own one target process's port; it can be told to misbehave."""
+
+    def __init__(self, name: str, service: str, ledger: Ledger) -> None:
+        """Prepare without listening."""
+        self.name = name
+        self.service = service
+        self.address = ''
+        self.slow = 1.0
+        self.spoils = 0.0
+        self._ledger = ledger
+        self._random = random.Random(name)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def listen(self, host: str) -> None:
+        """Listen at a free port."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+
+    def crash(self) -> None:
+        """End as a killed process does."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(END_OF_HEAD)
+                fields = read_fields(head)
+                length = int(fields.get('content-length', '0'))
+                await reader.readexactly(length)
+                await self._answer(fields, writer)
+        self._writers.discard(writer)
+
+    async def _answer(
+        self, fields: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        request_id = fields['fuchsiahaven-request-id']
+        if fields.get('fuchsiahaven-target-instance') != self.name:
+            writer.write(
+                b'HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n'
+            )
+            return
+        self._ledger.runs.append(Run(request_id, self.name, time.monotonic()))
+        self._ledger.counts[request_id] += 1
+        await asyncio.sleep(WORK_S * self.slow)
+        body = b''.join(make_records(request_id, self.service))
+        head = (
+            'HTTP/1.1 200 OK\r\n'
+            f'Content-Length: {len(body)}\r\n'
+            f'Fuchsiahaven-Request-Id: {request_id}\r\n'
+            f'Fuchsiahaven-Response-Signature: {request_id}.{self.service}\r\n'
+            '\r\n'
+        )
+        whole = head.encode() + body
+        if self._random.random() < self.spoils:
+            # Half of an answer, twice an answer, or none at all.
+            spoilt = (whole[:-20], whole * 2, b'')
+            writer.write(self._random.choice(spoilt))
+            writer.close()
+            return
+        writer.write(whole)
+        await writer.drain()
+
+
+def read_fields(head: bytes) -> dict[str, str]:
+    """Read the header fields of a message."""
+    fields = {}
+    for line in head.decode('latin-1').split('\r\n')[1:]:
+        name, _, told = line.partition(':')
+        fields[name.lower()] = told.strip()
+    return fields
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -84,7 +84,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer one connection."""
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(
+            OSError, asyncio.IncompleteReadError, asyncio.CancelledError
+        ):
             while True:
                 head = await reader.readuntil(END_OF_HEAD)
                 length = _find_length(head)
--- /dev/null
+++ b/tests/bench/test_soak_checks.py
@@ -0,0 +1,93 @@
+"""Test that each check of the soak fails where its promise is broken."""
+
+import pytest
+
+from bench.soak import checks, targets
+
+SETS = (('a1', 'a2', 'a3'), ('b1', 'b2'))
+
+
+def make_search(
+    services: tuple[str, ...], missing: int, **changed: object
+) -> checks.Seen:
+    """Make an answer over shards that keeps every promise, then change it."""
+    records = [
+        it for name in services for it in targets.make_records('id-1', name)
+    ]
+    fields = {
+        'fuchsiahaven-part-signatures': ', '.join(
+            f'id-1.{name}' for name in services
+        ),
+        'fuchsiahaven-missing-parts': str(missing),
+    }
+    body = b''.join(sorted(records, reverse=True)[: checks.LIMIT])
+    seen = checks.Seen(
+        'id-1',
+        'search',
+        checks.OK,
+        fields,
+        body,
+        1.0,
+        1.1,
+        stopping=False,
+        read=True,
+    )
+    return seen._replace(**changed)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ('services', 'missing'),
+    [(('a1', 'a2', 'a3'), 0), (('a1', 'a3'), 1), (('b2',), 1)],
+)
+def test_finds_nothing_in_a_true_answer(
+    services: tuple[str, ...], missing: int
+) -> None:
+    """Whole answers and honest parts pass."""
+    seen = make_search(services, missing)
+    assert not checks.check(seen, SETS, targets.Ledger())
+
+
+@pytest.mark.parametrize(
+    ('seen', 'fault'),
+    [
+        (make_search(('a1', 'b1'), 1), 'no single version'),
+        (make_search(('a1', 'a2'), 0), 'no single version'),
+        (make_search(('a1', 'a1', 'a2'), 0), 'a part twice'),
+        (make_search(('a1',), 2, body=b'x' * 48), 'greatest records'),
+        (make_search(('a1',), 2, request_id='id-2'), 'another request'),
+        (make_search(('a1',), 2, status=0, stopping=True), 'planned stop'),
+    ],
+)
+def test_finds_a_broken_promise(seen: checks.Seen, fault: str) -> None:
+    """Mixed versions, false counts, doubled parts, other records, cuts."""
+    faults = checks.check(seen, SETS, targets.Ledger())
+    assert any(fault in it for it in faults)
+
+
+def test_finds_what_ran_twice_or_in_spite_of_a_refusal() -> None:
+    """A request that may run once ran two times; a refused one ran."""
+    ledger = targets.Ledger()
+    ledger.counts['id-1'] = 2
+    seen = make_search(('a1',), 2, kind='once', status=502)
+    assert checks.check(seen, SETS, ledger) == ['ran 2 times']
+    ledger.counts['id-1'] = 1
+    refused = seen._replace(status=503)
+    assert checks.check(refused, SETS, ledger) == ['told 503 and has run']
+
+
+def test_finds_work_at_a_target_that_has_left() -> None:
+    """Work soon after the word is allowed, later work is not."""
+    ledger = targets.Ledger()
+    ledger.runs.append(targets.Run('id-1', 'i-1', 12.0))
+    assert not checks.check_leaving(ledger, {'i-1': 9.0}, 4.0)
+    assert checks.check_leaving(ledger, {'i-1': 7.0}, 4.0)
+
+
+def test_finds_another_answer_to_a_single_request() -> None:
+    """The signature and the body have to be those of the request."""
+    body = b''.join(targets.make_records('id-1', 'c1'))
+    fields = {'fuchsiahaven-response-signature': 'id-1.c1'}
+    seen = make_search(('a1',), 2, kind='one', fields=fields, body=body)
+    assert not checks.check(seen, SETS, targets.Ledger())
+    other = seen._replace(request_id='id-9')
+    assert checks.check(other, SETS, targets.Ledger())
