--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -55,6 +55,7 @@
         self.targets: dict[str, targets.Target] = {}
         self.ways: dict[str, proxies.Proxy] = {}
         self.left: dict[str, float] = {}
+        self.chosen: set[str] = set()
         self.faults: list[str] = []
         self.version = 0
         self._last = 0
@@ -185,7 +186,8 @@
 
 async def lose_target(field: Field, lasts: float) -> None:
     """Have a target leave, with a word or without, and another one come."""
-    name = field.random.choice(sorted(set(field.targets) - set(field.left)))
+    name = field.random.choice(sorted(set(field.targets) - field.chosen))
+    field.chosen.add(name)
     service = field.targets[name].service
     await field.add_target(service)
     field.store.remove(f'servers/{name}')
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -85,6 +85,8 @@
     async def _answer(
         self, fields: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
+        if 'fuchsiahaven-request-id' not in fields:
+            print('NOID', repr(fields), flush=True)
         request_id = fields['fuchsiahaven-request-id']
         if fields.get('fuchsiahaven-target-instance') != self.name:
             writer.write(
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -89,8 +89,10 @@
         """
         cursor = codecs.read_cursor(after)
         held = Held(cursor, tell)
-        changed = cursor != self.ledger.cursor and self.ledger.revision > 0
-        if changed or self.lost:
+        known = self.ledger.revision > 0
+        age = time.monotonic() - self.ledger.read
+        changed = cursor != self.ledger.cursor or age > sources.STALE_S
+        if (known and changed) or self.lost:
             self._tell(held)
             return None
         loop = asyncio.get_running_loop()
@@ -231,7 +233,10 @@
         self._take(report, now, None)
         old = now - self.ledger.read > sources.STALE_S
         if report.lost or old or not report.revision:
-            self._doubt(address, f'its news is {report.age:.1f} s old')
+            self._doubted[address] = now + sources.STALE_DOUBT_S
+            self._log.tell(
+                PART, 'a host is behind', address=address, age=report.age
+            )
             return False
         self._failures.pop(address, None)
         return True
--- a/fuchsiahaven/routing/sources.py
+++ b/fuchsiahaven/routing/sources.py
@@ -13,6 +13,11 @@
 #: the list for half a minute and each try may cost a time-out.
 DOUBT_S: Final = 3.0
 LONGEST_DOUBT_S: Final = 24.0
+#: How long a host is passed over that had old news: it tries the store itself.
+STALE_DOUBT_S: Final = 1.0
+#: Hosts of a data centre that are asked before the store is. Each that is out
+#: of date costs most of a second, and there may be dozens.
+DEPUTIES: Final = 2
 
 
 class Store(NamedTuple):
@@ -54,13 +59,14 @@
         return _choose_seed(view, now, draw)
     near = [
         host
-        for host in view.hosts
+        for host in (*view.hosts, view.own)
         if host.data_centre == view.own.data_centre
-        and _is_trusted(view, host, now)
     ]
-    first_near = min((*near, view.own), key=_by_name)
-    if first_near.name != view.own.name:
-        return Peer(first_near.address)
+    for host in sorted(set(near), key=_by_name)[:DEPUTIES]:
+        if host.name == view.own.name:
+            break
+        if _is_trusted(view, host, now):
+            return Peer(host.address)
     first = min((*view.hosts, view.own), key=_by_name)
     if first.name != view.own.name and _is_trusted(view, first, now):
         return Peer(first.address)
--- a/tests/routing/test_sources.py
+++ b/tests/routing/test_sources.py
@@ -45,6 +45,20 @@
     assert sources.choose(view, 1, 0) == sources.Store()
 
 
+def test_reads_the_store_after_two_of_its_data_centre() -> None:
+    """Symptom: hosts are at an old version for ten seconds after an outage.
+
+    All hosts of a data centre are out of date. Asking them one after the
+    other takes most of a second each, and the store is back meanwhile.
+    """
+    near = [places.Host(f'a{n}', f'10.0.2.{n}:1', 'north') for n in range(9)]
+    doubted = {near[0].address: 5.0, near[1].address: 5.0}
+    view = make_view(OWN, *near, doubted=doubted)
+    assert sources.choose(view, 1, 0) == sources.Store()
+    doubted.pop(near[1].address)
+    assert sources.choose(view, 1, 0) == sources.Peer(near[1].address)
+
+
 def test_asks_any_host_where_the_store_turns_it_away() -> None:
     """Symptom: one host stays at an old version while the others move on."""
     later = places.Host('c', '10.0.1.3:1', 'south')
