--- a/bench/soak/hosts.py
+++ b/bench/soak/hosts.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import random
 import signal
 import socket
 import sys
@@ -12,6 +13,7 @@
 from bench.soak import proxies
 
 LOOPBACK: Final = '127.0.0.1'
+PORTS: Final = range(18_000, 32_000)
 #: A host that has not ended so long after it was asked to is killed, as the
 #: platform does it.
 GRACE_S: Final = 6.0
@@ -105,7 +107,13 @@
 
 
 def find_port() -> int:
-    """Find a port that nobody listens at."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return int(sock.getsockname()[1])
+    """Find a port that nobody listens at, and that nobody is given.
+
+    A port of a host that is down would go to a target or a proxy that asks
+    for any free one; these are above the range that is searched here.
+    """
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind((LOOPBACK, port))
+            return port
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -318,6 +318,8 @@
     for one in seen:
         for fault in checks.check(one, SETS, field.ledger):
             faults.append(f'{one.kind} {one.request_id}: {fault}')
+    for stray in field.ledger.strays:
+        faults.append(f'a request without an id: {stray}')
     faults.extend(_judge_end(field, seen, settled))
     return faults
 
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -28,6 +28,7 @@
     def __init__(self) -> None:
         """Start with nothing run."""
         self.runs: list[Run] = []
+        self.strays: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
 
 
@@ -85,9 +86,13 @@
     async def _answer(
         self, fields: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
-        if 'fuchsiahaven-request-id' not in fields:
-            print('NOID', repr(fields), flush=True)
-        request_id = fields['fuchsiahaven-request-id']
+        request_id = fields.get('fuchsiahaven-request-id', '')
+        if not request_id:
+            self._ledger.strays.append(str(fields))
+            writer.write(
+                b'HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n'
+            )
+            return
         if fields.get('fuchsiahaven-target-instance') != self.name:
             writer.write(
                 b'HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n'
