--- a/fuchsiahaven/routing/configs.py
+++ b/fuchsiahaven/routing/configs.py
@@ -6,7 +6,6 @@
 
 from fuchsiahaven.core import configurations
 
-
 #: A query over no more shards than this is gathered by the host that takes
 #: it: 30 shards cost 8 ms of half a core, and a hop more costs as many.
 DIRECT_MOST: Final = 40
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -11,6 +11,7 @@
     delegations,
     endings,
     events,
+    plans,
     reaches,
     splits,
     states,
@@ -111,7 +112,7 @@
 
 def _send_parts(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
     actions: Actions = []
-    for planned in delegations.plan(desk, ask, now):
+    for planned in plans.plan(desk, ask, now):
         actions.append(delegations.start(desk, ask, planned, now))
     for service in asks.list_open(ask):
         if not ask.parts[service].flights:
--- a/tests/routing/test_delegations.py
+++ b/tests/routing/test_delegations.py
@@ -5,9 +5,9 @@
 from fuchsiahaven.routing import (
     assist_codecs,
     configs,
-    delegations,
     events,
     places,
+    plans,
 )
 from tests.routing import desk_rig
 
@@ -151,7 +151,7 @@
 
 def test_asks_no_help_for_a_few_parts() -> None:
     """The detour pays only for many parts."""
-    few = delegations.FEWEST - 1
+    few = plans.FEWEST - 1
     near = desk_rig.make_instances(SHARDS[few:])
     far = desk_rig.make_instances(SHARDS[:few], 2, 'south')
     rig = desk_rig.Rig([SEARCH], [*near, *far])
