--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = fuchsiahaven standins bench tools tests
 BIN = $(VENV)/bin
 
-.PHONY: setup format format-check lint type unit test build demo clean
+.PHONY: setup format format-check lint type unit test build demo soak clean
 
 # The check compares installed versions with the lock, so a complete
 # environment is used as it is and a stale one is brought up to date.
@@ -43,3 +43,9 @@
 
 clean:
 	rm -rf build dist .mypy_cache .pytest_cache .ruff_cache .hypothesis
+
+# A soak by hand: make soak SEEDS="1 2 3" SECONDS=60
+SEEDS ?= 1
+SECONDS ?= 20
+soak: setup
+	$(BIN)/python -m bench.soak $(addprefix --seed ,$(SEEDS)) --seconds $(SECONDS)
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -4,6 +4,7 @@
 import collections
 import random
 import time
+import urllib.parse
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -36,7 +37,7 @@
 #: News this old means that the store was away for all hosts, not for this one
 #: alone: the others would have passed theirs on.
 OUTAGE_S: Final = 2.5
-FACTS_PATH: Final = '/v1/facts?after='
+FACTS_PATH: Final = '/v1/facts?'
 #: No two starts of a process have the same number, for all practical purposes.
 LIFE_BITS: Final = 48
 
@@ -47,6 +48,7 @@
     """Hold a question that is answered when there is something new."""
 
     cursor: facts.Cursor
+    known: int
     tell: Callable[[bytes], None]
 
 
@@ -87,8 +89,10 @@
 
         Returns what to call if nobody waits for it any more.
         """
-        cursor = codecs.read_cursor(after)
-        held = Held(cursor, tell)
+        asked = urllib.parse.parse_qs(after)
+        cursor = codecs.read_cursor(asked.get('after', [''])[0])
+        told = asked.get('known', ['0'])[0]
+        held = Held(cursor, int(told) if told.isdigit() else 0, tell)
         known = self.ledger.revision > 0
         age = time.monotonic() - self.ledger.read
         changed = cursor != self.ledger.cursor or age > sources.STALE_S
@@ -115,7 +119,9 @@
 
     def _tell(self, held: Held) -> None:
         now = time.monotonic()
-        report = facts.list_changes(self.ledger, held.cursor, now)
+        report = facts.list_changes(
+            self.ledger, held.cursor, now, known=held.known
+        )
         report = report._replace(lost=self.lost)
         held.tell(codecs.write_report(report))
 
@@ -221,7 +227,11 @@
             client = calls.Client(address)
             self._peers[address] = client
         cursor = self._cursors.get(address, facts.START)
-        target = f'{FACTS_PATH}{codecs.write_cursor(cursor)}'
+        asked = {
+            'after': codecs.write_cursor(cursor),
+            'known': self.ledger.revision,
+        }
+        target = f'{FACTS_PATH}{urllib.parse.urlencode(asked)}'
         try:
             done = await client.call(store.Call('GET', target), PEER_S)
             report = codecs.read_report(done.body)
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -41,7 +41,7 @@
                 caller.answer(self._tell_readiness())
             case '/v1/facts':
                 return self._news.list_changes(
-                    query.partition('=')[2],
+                    query,
                     lambda body: caller.answer(
                         exchanges.Written(HTTPStatus.OK, JSON, body)
                     ),
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -145,9 +145,19 @@
     return Merged(_forget(merged, now), subjects)
 
 
-def list_changes(ledger: Ledger, after: Cursor, now: float) -> Report:
-    """List what has been learned after a place, for another host."""
+def list_changes(
+    ledger: Ledger, after: Cursor, now: float, *, known: int = 0
+) -> Report:
+    """List what has been learned after a place, for another host.
+
+    A host that asks for the first time gets everything, unless it knows as
+    high a revision from elsewhere: everything is 50 kB where there are 350
+    entries, and in an outage each host asks many others.
+    """
     cursor = ledger.cursor
+    if after.life != cursor.life and known >= ledger.revision:
+        age = now - ledger.read
+        return Report(ledger.revision, (), whole=False, age=age, cursor=cursor)
     whole = after.life != cursor.life or after.place < ledger.floor
     if whole:
         found = [it for it in ledger.facts.values() if it.value is not None]
--- a/fuchsiahaven/routing/sources.py
+++ b/fuchsiahaven/routing/sources.py
@@ -101,6 +101,16 @@
 
 
 def _list_others(view: View, now: float) -> list[str]:
+    """List whom else to ask: near hosts as long as there are any."""
+    near = [
+        host.address
+        for host in view.hosts
+        if host.data_centre == view.own.data_centre
+        and host.name != view.own.name
+        and _is_trusted(view, host, now)
+    ]
+    if near:
+        return near
     known = [host.address for host in view.hosts]
     addresses = _unique((*known, *view.seeds))
     return [
--- a/tests/routing/test_facts.py
+++ b/tests/routing/test_facts.py
@@ -164,6 +164,19 @@
     assert [fact.key.name for fact in report.facts] == ['a']
 
 
+def test_gives_nothing_to_a_host_that_knows_as_much() -> None:
+    """Symptom: narrow links between data centres are full during an outage.
+
+    Every host asks one after the other for news, each for the first time, and
+    there is none: the revision that the host knows tells so.
+    """
+    ledger = take(facts.begin(7), read(5, make_fact('a', 2)), 0)
+    report = facts.list_changes(ledger, facts.START, 1, known=5)
+    assert not report.facts
+    assert (report.whole, report.cursor) == (False, ledger.cursor)
+    assert facts.list_changes(ledger, facts.START, 1, known=4).whole
+
+
 def test_gives_everything_after_a_restart() -> None:
     """A place in the order of an earlier life means nothing in this one."""
     ledger = take(facts.begin(7), read(5, make_fact('a', 2)), 0)
--- a/tests/routing/test_sources.py
+++ b/tests/routing/test_sources.py
@@ -65,6 +65,9 @@
     view = make_view(OWN, later, store_doubted=5)
     assert sources.choose(view, 1, 0) == sources.Peer(later.address)
     assert sources.choose(view, 1, 0.9) == sources.Peer('10.0.9.9:1')
+    near = places.Host('d', '10.0.2.7:1', 'north')
+    view = make_view(OWN, later, near, store_doubted=5)
+    assert sources.choose(view, 1, 0) == sources.Peer(near.address)
 
 
 def test_doubts_for_longer_what_fails_again() -> None:
