Ask other hosts by a digest, and leave removals to whoever tells the news

A host that had listed the store itself, or restarted then, lacked targets that were back unchanged; for the host that it asked they were no change, and by revision it knew as much, so they never came. Tests failed first.

Ruled out: load; the refusals were 'no replica' at once.

--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -183,6 +183,9 @@
                 # Nobody could read it, so targets could not renew either.
                 self._returned = now
             self._log.tell(PART, 'the store is back', revision=report.revision)
+        # What was learned here may differ from what others know by now, and
+        # they would tell only what changes for them.
+        self._cursors.clear()
         self._take(report, now, self._returned)
         return True
 
@@ -229,7 +232,7 @@
         cursor = self._cursors.get(address, facts.START)
         asked = {
             'after': codecs.write_cursor(cursor),
-            'known': self.ledger.revision,
+            'known': 0 if cursor.life else facts.digest(self.ledger),
         }
         target = f'{FACTS_PATH}{urllib.parse.urlencode(asked)}'
         try:
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import zlib
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
@@ -125,7 +126,8 @@
     can be back. It is None for a report of another host, which has waited.
     """
     known = dict(ledger.facts)
-    missing = dict(ledger.missing)
+    # A host that tells the news also tells when what it misses is gone.
+    missing = {} if returned is None else dict(ledger.missing)
     changed = _take_values(known, missing, report)
     gone = _find_gone(known, report) - missing.keys()
     until = _find_return(known, gone, now, returned)
@@ -150,13 +152,13 @@
 ) -> Report:
     """List what has been learned after a place, for another host.
 
-    A host that asks for the first time gets everything, unless it knows as
-    high a revision from elsewhere: everything is 50 kB where there are 350
-    entries, and in an outage each host asks many others.
+    A host that asks for the first time gets everything, unless the digest of
+    what it has `known` from elsewhere is the same: everything is 50 kB where
+    there are 350 entries, and in an outage each host asks many others.
     """
     cursor = ledger.cursor
-    if after.life != cursor.life and known >= ledger.revision:
-        age = now - ledger.read
+    age = now - ledger.read
+    if after.life != cursor.life and known and known == digest(ledger):
         return Report(ledger.revision, (), whole=False, age=age, cursor=cursor)
     whole = after.life != cursor.life or after.place < ledger.floor
     if whole:
@@ -167,10 +169,19 @@
             for key, fact in ledger.facts.items()
             if ledger.places[key] > after.place
         ]
-    age = now - ledger.read
     return Report(ledger.revision, tuple(found), whole, age, cursor)
 
 
+def digest(ledger: Ledger) -> int:
+    """Sum up what is known, whatever revisions it was written at."""
+    lines = [
+        f'{fact.key} {fact.value}'
+        for fact in ledger.facts.values()
+        if fact.value is not None
+    ]
+    return zlib.crc32('\n'.join(sorted(lines)).encode())
+
+
 def find_configuration(ledger: Ledger) -> configs.Configuration:
     """Return the configuration, or none yet."""
     for fact in ledger.facts.values():
--- a/tests/routing/test_facts.py
+++ b/tests/routing/test_facts.py
@@ -164,17 +164,50 @@
     assert [fact.key.name for fact in report.facts] == ['a']
 
 
-def test_gives_nothing_to_a_host_that_knows_as_much() -> None:
+def test_gives_nothing_to_a_host_that_knows_the_same() -> None:
     """Symptom: narrow links between data centres are full during an outage.
 
     Every host asks one after the other for news, each for the first time, and
-    there is none: the revision that the host knows tells so.
+    there is none: the digest of what the host knows tells so.
     """
     ledger = take(facts.begin(7), read(5, make_fact('a', 2)), 0)
-    report = facts.list_changes(ledger, facts.START, 1, known=5)
+    same = take(facts.begin(8), read(9, make_fact('a', 6)), 0)
+    known = facts.digest(same)
+    report = facts.list_changes(ledger, facts.START, 1, known=known)
     assert not report.facts
     assert (report.whole, report.cursor) == (False, ledger.cursor)
-    assert facts.list_changes(ledger, facts.START, 1, known=4).whole
+
+
+def test_gives_everything_to_a_host_that_lacks_something() -> None:
+    """Symptom: a host that restarts in an outage refuses requests for ever.
+
+    It has listed a store that had lost entries, at a high revision. The
+    entries are back unchanged, so they are no change for the host that it
+    asks, and by revision it knows as much.
+    """
+    whole = read(5, make_fact('a', 2), make_fact('b', 3))
+    other = take(facts.begin(7), whole, 0)
+    fresh = take(facts.begin(8), read(9, make_fact('a', 8)), 0)
+    known = facts.digest(fresh)
+    report = facts.list_changes(other, facts.START, 1, known=known)
+    assert list_names(take(fresh, report, 1, None)) == {'a', 'b'}
+
+
+def test_leaves_removals_to_the_host_that_it_asks() -> None:
+    """Symptom: after an outage some hosts refuse requests for half a minute.
+
+    A host reads the store itself, which has lost entries, and holds their
+    removal back. It goes on by what another host tells, for which the entries
+    were back unchanged, so nothing about them comes; its own removal must not
+    take place then.
+    """
+    whole = read(5, make_fact('a', 2), make_fact('b', 3))
+    ledger = take(facts.begin(8), whole, 0)
+    ledger = take(ledger, read(6, make_fact('a', 2)), 10, returned=10)
+    nothing = facts.Report(8, (), False, 0)
+    ledger = take(ledger, nothing, 10.5, None)
+    ledger = take(ledger, nothing, 13, None)
+    assert list_names(ledger) == {'a', 'b'}
 
 
 def test_gives_everything_after_a_restart() -> None:
