--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -5,8 +5,8 @@
 
 from bench.soak import play
 
-#: Kills, a planned stop, a version and a spoilt way to the store fall into
-#: this seed's first seconds.
+#: In a run of this seed a spoilt way to the store, a planned stop, a kill, a
+#: pause and a spoilt way to targets fell into these seconds.
 SEED = 4
 SECONDS = 3.0
 HOSTS = 3
