--- a/bench/callers.py
+++ b/bench/callers.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from bench import checks, exchanges, mixes, records, worlds
-from fuchsiahaven.core import configurations, selectors
+from fuchsiahaven.core.configuration import configurations, selectors
 from standins import layouts
 
 START_S: Final = 30.0
--- a/bench/changes.py
+++ b/bench/changes.py
@@ -16,8 +16,14 @@
 from typing import Any, Final, NamedTuple
 
 from bench import worlds
-from fuchsiahaven.core import changes, configurations, manifests, proposals
-from fuchsiahaven.core import rates, request_ids, transactions
+from fuchsiahaven.core import rates, request_ids
+from fuchsiahaven.core.configuration import (
+    changes,
+    configurations,
+    manifests,
+    proposals,
+    transactions,
+)
 from fuchsiahaven.edge import editor, store
 from standins import wire
 
--- a/bench/checks.py
+++ b/bench/checks.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from bench import mixes
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 from standins import catalogue, wire
 
 SINGLE: Final = configurations.Repeat.AT_MOST_ONCE
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -20,7 +20,8 @@
 import urllib3
 
 from bench import worlds
-from fuchsiahaven.core import messages, request_ids
+from fuchsiahaven.core import request_ids
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import claim_members, claims, store
 
 DEADLINE_S: Final = 0.8
--- a/bench/control_host.py
+++ b/bench/control_host.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import Any
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import control, openings
 from fuchsiahaven.operate import logs, settings_reader
 
--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -21,7 +21,12 @@
 
 import urllib3
 
-from fuchsiahaven.core import audits, configurations, manifests, trees
+from fuchsiahaven.core.configuration import (
+    audits,
+    configurations,
+    manifests,
+    trees,
+)
 from fuchsiahaven.edge import store
 
 CENTRE: Final = 'Quilicura'
--- a/bench/deals.py
+++ b/bench/deals.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import seats
+from fuchsiahaven.core.targets import seats
 
 SHARDS: Final = 270
 ROUNDS: Final = 5
--- a/bench/fanout.py
+++ b/bench/fanout.py
@@ -21,7 +21,8 @@
 
 import urllib3
 
-from fuchsiahaven.core import messages, states
+from fuchsiahaven.core.queries import states
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import loop
 from standins import layouts
 
--- a/bench/footprint.py
+++ b/bench/footprint.py
@@ -12,13 +12,9 @@
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import (
-    configurations,
-    dispatch,
-    messages,
-    snapshots,
-    states,
-)
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.queries import dispatch, states
+from fuchsiahaven.core.targets import messages, snapshots
 
 CENTRE: Final = 'Quilicura'
 REPLICAS: Final = 12
--- a/bench/mixes.py
+++ b/bench/mixes.py
@@ -4,7 +4,8 @@
 import time
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import configurations, request_ids
+from fuchsiahaven.core import request_ids
+from fuchsiahaven.core.configuration import configurations
 from standins import catalogue, wire
 
 LIMIT: Final = 20
--- a/bench/scripts.py
+++ b/bench/scripts.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from bench import callers, scenarios, worlds
-from fuchsiahaven.core import manifests
+from fuchsiahaven.core.configuration import manifests
 from standins import layouts, wire
 
 HOST_LIST_LAG_S: Final = 3.0
--- a/bench/silent_partners.py
+++ b/bench/silent_partners.py
@@ -8,7 +8,7 @@
 import random
 import statistics
 
-from fuchsiahaven.core import member_states
+from fuchsiahaven.core.members import member_states
 from tests.core import networks
 
 
--- a/fuchsiahaven/core/claim_calls.py
+++ b/fuchsiahaven/core/claims/claim_calls.py
@@ -3,7 +3,8 @@
 import enum
 from typing import NamedTuple
 
-from fuchsiahaven.core import claims, messages
+from fuchsiahaven.core.claims import claims
+from fuchsiahaven.core.targets import messages
 
 
 class Doubt(enum.IntFlag):
--- a/fuchsiahaven/core/claim_rows.py
+++ b/fuchsiahaven/core/claims/claim_rows.py
@@ -5,7 +5,9 @@
 
 import fastjsonschema
 
-from fuchsiahaven.core import claim_calls, claims, json_texts, messages
+from fuchsiahaven.core import json_texts
+from fuchsiahaven.core.claims import claim_calls, claims
+from fuchsiahaven.core.targets import messages
 
 _ROW: Final = {
     'type': 'object',
--- a/fuchsiahaven/core/commits.py
+++ b/fuchsiahaven/core/claims/commits.py
@@ -13,7 +13,8 @@
 import math
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import claim_calls, claims, messages
+from fuchsiahaven.core.claims import claim_calls, claims
+from fuchsiahaven.core.targets import messages
 
 BATCH_LIMIT: Final = 2000
 # For so many writes after a conflict others are taken to write the key too.
--- /dev/null
+++ b/fuchsiahaven/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the configuration: what is accepted, how it changes and is stored."""
--- a/fuchsiahaven/core/audits.py
+++ b/fuchsiahaven/core/configuration/audits.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
-from fuchsiahaven.core import trees
+from fuchsiahaven.core.configuration import trees
 
 
 class Entry(NamedTuple):
--- a/fuchsiahaven/core/changes.py
+++ b/fuchsiahaven/core/configuration/changes.py
@@ -2,7 +2,7 @@
 
 from typing import Any, NamedTuple
 
-from fuchsiahaven.core import configurations, trees
+from fuchsiahaven.core.configuration import configurations, trees
 
 Pairs = tuple[tuple[str, Any], ...]
 
--- a/fuchsiahaven/core/checks.py
+++ b/fuchsiahaven/core/configuration/checks.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import configurations, parts, selectors
+from fuchsiahaven.core.configuration import configurations, parts, selectors
 
 #: An at-most-once request may reach one group: each one it reaches runs it.
 ONE_GROUP: Final = 1
--- a/fuchsiahaven/core/manifests.py
+++ b/fuchsiahaven/core/configuration/manifests.py
@@ -8,10 +8,10 @@
 from collections.abc import Collection, Iterator, Mapping
 from typing import Any, Final, NamedTuple
 
-from fuchsiahaven.core import (
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
     audits,
     configurations,
-    errors,
     manifest_schemas,
     parts,
     texts,
--- a/fuchsiahaven/core/needs.py
+++ b/fuchsiahaven/core/configuration/needs.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Collection, Iterable, Mapping
 
-from fuchsiahaven.core import changes, manifests, parts, trees
+from fuchsiahaven.core.configuration import changes, manifests, parts, trees
 
 
 def list_places(
--- a/fuchsiahaven/core/parts.py
+++ b/fuchsiahaven/core/configuration/parts.py
@@ -14,9 +14,9 @@
 from collections.abc import Iterator, Mapping
 from typing import Any, Final, NamedTuple
 
-from fuchsiahaven.core import (
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
     configurations,
-    errors,
     manifest_schemas,
     texts,
     trees,
--- a/fuchsiahaven/core/patches.py
+++ b/fuchsiahaven/core/configuration/patches.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple, TypeVar
 
-from fuchsiahaven.core import configurations, trees
+from fuchsiahaven.core.configuration import configurations, trees
 
 _DIGEST_BYTES: Final = 10
 
--- a/fuchsiahaven/core/proposals.py
+++ b/fuchsiahaven/core/configuration/proposals.py
@@ -3,12 +3,12 @@
 import json
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import (
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
     audits,
     changes,
     checks,
     configurations,
-    errors,
     manifests,
     selectors,
     trees,
--- a/fuchsiahaven/core/reaches.py
+++ b/fuchsiahaven/core/configuration/reaches.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from fuchsiahaven.core import manifests
+from fuchsiahaven.core.configuration import manifests
 
 
 def narrow(head: manifests.Head, data_centre: str) -> manifests.Head:
--- a/fuchsiahaven/core/readings.py
+++ b/fuchsiahaven/core/configuration/readings.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import audits, errors, manifests, store_calls
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import audits, manifests, store_calls
 
 #: How often a manifest is read again whose parts are being replaced.
 READ_TRIES: Final = 5
--- a/fuchsiahaven/core/revision_messages.py
+++ b/fuchsiahaven/core/configuration/revision_messages.py
@@ -3,7 +3,7 @@
 import enum
 from typing import NamedTuple
 
-from fuchsiahaven.core import configurations, patches
+from fuchsiahaven.core.configuration import configurations, patches
 
 
 class Fault(enum.StrEnum):
--- a/fuchsiahaven/core/revisions.py
+++ b/fuchsiahaven/core/configuration/revisions.py
@@ -10,8 +10,9 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import patches, rendezvous
-from fuchsiahaven.core import revision_messages as messages
+from fuchsiahaven.core import rendezvous
+from fuchsiahaven.core.configuration import patches
+from fuchsiahaven.core.configuration import revision_messages as messages
 
 #: The key under which hosts are ranked; the first two watch.
 RANK_KEY: Final = 'configuration'
--- a/fuchsiahaven/core/selectors.py
+++ b/fuchsiahaven/core/configuration/selectors.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 
 MAX_EXPRESSION: Final = 4096
 MAX_NAME: Final = 63
--- a/fuchsiahaven/core/shapes.py
+++ b/fuchsiahaven/core/configuration/shapes.py
@@ -4,7 +4,8 @@
 from collections.abc import Collection, Iterator, Mapping
 from typing import Any, Final
 
-from fuchsiahaven.core import addresses, manifest_schemas, selectors, trees
+from fuchsiahaven.core import addresses
+from fuchsiahaven.core.configuration import manifest_schemas, selectors, trees
 
 _NAME: Final = re.compile(manifest_schemas.NAME)
 _TARGET: Final = re.compile(manifest_schemas.TARGET)
--- a/fuchsiahaven/core/texts.py
+++ b/fuchsiahaven/core/configuration/texts.py
@@ -5,7 +5,8 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from fuchsiahaven.core import errors, json_texts, manifest_schemas
+from fuchsiahaven.core import errors, json_texts
+from fuchsiahaven.core.configuration import manifest_schemas
 
 #: The highest format that this program writes and reads. A new field needs a
 #: higher one; a writer uses the lowest that can say what it has to.
--- a/fuchsiahaven/core/transactions.py
+++ b/fuchsiahaven/core/configuration/transactions.py
@@ -3,10 +3,10 @@
 import functools
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import (
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
     audits,
     changes,
-    errors,
     manifests,
     needs,
     parts,
--- a/fuchsiahaven/core/trees.py
+++ b/fuchsiahaven/core/configuration/trees.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, Final, NamedTuple
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 
 #: The fields of a group that bound what its targets take.
 CAPS: Final = ('slots', 'connections', 'connect_ms')
--- a/fuchsiahaven/core/writes.py
+++ b/fuchsiahaven/core/configuration/writes.py
@@ -8,7 +8,13 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
-from fuchsiahaven.core import changes, configurations, errors, shapes, trees
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
+    changes,
+    configurations,
+    shapes,
+    trees,
+)
 
 SOURCE: Final = 'changes'
 #: The source of failures that no other change can be the reason for.
--- a/fuchsiahaven/core/gossip_rows.py
+++ b/fuchsiahaven/core/members/gossip_rows.py
@@ -7,9 +7,11 @@
 
 import fastjsonschema
 
-from fuchsiahaven.core import addresses, json_texts, members, patches
-from fuchsiahaven.core import member_messages as messages
-from fuchsiahaven.core import member_tables as tables
+from fuchsiahaven.core import addresses, json_texts
+from fuchsiahaven.core.configuration import patches
+from fuchsiahaven.core.members import member_messages as messages
+from fuchsiahaven.core.members import member_tables as tables
+from fuchsiahaven.core.members import members
 
 #: Names stand in logs and metrics, so their letters are few.
 NAME: Final = r'^[A-Za-z0-9]([-A-Za-z0-9_./]{0,62}[A-Za-z0-9])?\Z'
--- a/fuchsiahaven/core/member_messages.py
+++ b/fuchsiahaven/core/members/member_messages.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from fuchsiahaven.core import members, patches
+from fuchsiahaven.core.configuration import patches
+from fuchsiahaven.core.members import members
 
 
 class Gossip(NamedTuple):
--- a/fuchsiahaven/core/member_states.py
+++ b/fuchsiahaven/core/members/member_states.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable, Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import member_messages as messages
-from fuchsiahaven.core import member_tables as tables
-from fuchsiahaven.core import members, patches
+from fuchsiahaven.core.configuration import patches
+from fuchsiahaven.core.members import member_messages as messages
+from fuchsiahaven.core.members import member_tables as tables
+from fuchsiahaven.core.members import members
 
 MAX_HEALTH: Final = 8
 #: A slow host waits longer for others, up to this many times as long.
--- a/fuchsiahaven/core/member_tables.py
+++ b/fuchsiahaven/core/members/member_tables.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import members, rendezvous
+from fuchsiahaven.core import rendezvous
+from fuchsiahaven.core.members import members
 
 #: Each host talks to its successor in so many rings. Few partners keep few
 #: connections open, and hosts that each talk to three others at random spread
--- a/fuchsiahaven/core/membership.py
+++ b/fuchsiahaven/core/members/membership.py
@@ -8,10 +8,10 @@
 
 from typing import Final
 
-from fuchsiahaven.core import member_messages as messages
-from fuchsiahaven.core import member_states as states
-from fuchsiahaven.core import member_tables as tables
-from fuchsiahaven.core import members, probes
+from fuchsiahaven.core.members import member_messages as messages
+from fuchsiahaven.core.members import member_states as states
+from fuchsiahaven.core.members import member_tables as tables
+from fuchsiahaven.core.members import members, probes
 
 MAX_SEEDS: Final = 256
 #: Seeds tried at a time while nobody is known.
--- a/fuchsiahaven/core/patch_rows.py
+++ b/fuchsiahaven/core/members/patch_rows.py
@@ -7,8 +7,10 @@
 
 import fastjsonschema
 
-from fuchsiahaven.core import gossip_rows, json_texts, patches, trees
-from fuchsiahaven.core import manifest_schemas as schemas
+from fuchsiahaven.core import json_texts
+from fuchsiahaven.core.configuration import manifest_schemas as schemas
+from fuchsiahaven.core.configuration import patches, trees
+from fuchsiahaven.core.members import gossip_rows
 
 _NAMES: Final = {'type': 'array', 'items': {'type': 'string'}}
 _REMOVED: Final = {
--- a/fuchsiahaven/core/probes.py
+++ b/fuchsiahaven/core/members/probes.py
@@ -9,10 +9,10 @@
 import math
 from typing import Final
 
-from fuchsiahaven.core import member_messages as messages
-from fuchsiahaven.core import member_states as states
-from fuchsiahaven.core import member_tables as tables
-from fuchsiahaven.core import members
+from fuchsiahaven.core.members import member_messages as messages
+from fuchsiahaven.core.members import member_states as states
+from fuchsiahaven.core.members import member_tables as tables
+from fuchsiahaven.core.members import members
 
 HELPERS: Final = 3
 #: After a word from a member this many periods pass before it is accused,
--- /dev/null
+++ b/fuchsiahaven/core/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Decide what becomes of each query, from its arrival to its one answer."""
--- a/fuchsiahaven/core/admission.py
+++ b/fuchsiahaven/core/queries/admission.py
@@ -9,7 +9,8 @@
 from types import MappingProxyType
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import errors, queues
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.queries import queues
 
 SOURCE: Final = 'admission'
 # A query may spend this share of its time in the queue. A longer queue starts
--- a/fuchsiahaven/core/deals.py
+++ b/fuchsiahaven/core/queries/deals.py
@@ -9,17 +9,9 @@
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import (
-    cells,
-    configurations,
-    grants,
-    limits,
-    messages,
-    seats,
-    states,
-    tables,
-    views,
-)
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.queries import states, tables, views
+from fuchsiahaven.core.targets import cells, grants, limits, messages, seats
 
 #: Pairs of host and target that are dealt at once; some milliseconds' work.
 SLICE_PAIRS: Final = 4000
--- a/fuchsiahaven/core/dispatch.py
+++ b/fuchsiahaven/core/queries/dispatch.py
@@ -4,18 +4,18 @@
 updated in place, so a state that was handed in must not be used again.
 """
 
-from fuchsiahaven.core import (
+from fuchsiahaven.core.queries import (
     deals,
     endings,
     gather,
-    messages,
     repeats,
     scatter,
     states,
     submissions,
     tables,
-    targets,
+    target_events,
 )
+from fuchsiahaven.core.targets import messages
 
 Result = tuple[states.State, list[messages.Action]]
 
@@ -66,18 +66,18 @@
     actions: list[messages.Action] = []
     match event:
         case messages.Probed():
-            targets.take_report(state, event, now)
+            target_events.take_report(state, event, now)
         case messages.Configured(configuration):
-            state, actions = targets.configure(state, configuration, now)
+            state, actions = target_events.configure(state, configuration, now)
             submissions.forget_idle(state)
         case messages.MembersChanged(hosts, own):
             state = state._replace(hosts=hosts, own=own)
             deals.plan_all(state)
             actions = deals.go_on(state, now)
         case messages.HostListed():
-            targets.take_list(state, event, now)
+            target_events.take_list(state, event, now)
         case messages.ConnectionsChanged():
-            targets.take_connections(state, event)
+            target_events.take_connections(state, event)
         case messages.StopAsked():
             state = state._replace(stopping=True)
     return state, actions
@@ -96,7 +96,7 @@
 ) -> list[messages.Action]:
     match due:
         case tables.ProbeDue(name):
-            return targets.probe(state, name, now)
+            return target_events.probe(state, name, now)
         case tables.RunDue(number):
             return endings.take_deadline(state, number, now)
         case tables.HedgeDue():
--- a/fuchsiahaven/core/endings.py
+++ b/fuchsiahaven/core/queries/endings.py
@@ -2,11 +2,10 @@
 
 from typing import Final
 
-from fuchsiahaven.core import (
+from fuchsiahaven.core import coverage
+from fuchsiahaven.core.queries import (
     admission,
-    coverage,
     flights,
-    messages,
     outcomes,
     queries,
     repeats,
@@ -14,6 +13,7 @@
     starts,
     states,
 )
+from fuchsiahaven.core.targets import messages
 
 MAX_RESTARTS: Final = 3
 #: Why a part was refused or lost where there was too much to do.
--- a/fuchsiahaven/core/flights.py
+++ b/fuchsiahaven/core/queries/flights.py
@@ -1,15 +1,7 @@
 """Keep account of each attempt from its sending to its one last event."""
 
-from fuchsiahaven.core import (
-    ejections,
-    hedges,
-    limits,
-    messages,
-    queries,
-    routes,
-    states,
-    tables,
-)
+from fuchsiahaven.core.queries import hedges, queries, states, tables
+from fuchsiahaven.core.targets import ejections, limits, messages, routes
 
 
 def take_off(
--- a/fuchsiahaven/core/gather.py
+++ b/fuchsiahaven/core/queries/gather.py
@@ -2,18 +2,18 @@
 
 from typing import Final
 
-from fuchsiahaven.core import (
-    coverage,
+from fuchsiahaven.core import coverage
+from fuchsiahaven.core.queries import (
     endings,
     flights,
-    messages,
     queries,
     repeats,
     scatter,
     states,
     tables,
-    targets,
+    target_events,
 )
+from fuchsiahaven.core.targets import messages
 
 REFUSAL_REASONS: Final = {
     messages.RefusalReason.SHED: coverage.Reason.OVERLOADED,
@@ -41,8 +41,8 @@
     if flying is None:
         return []
     told = event.state
-    targets.take_state(state, event.target, told, flying.sent, now)
-    targets.note_version(state, event.target, event.health_version, now)
+    target_events.take_state(state, event.target, told, flying.sent, now)
+    target_events.note_version(state, event.target, event.health_version, now)
     actions: list[messages.Action] = []
     run = state.tables.runs.get(event.part.query)
     losers = run and queries.accept(run, event.part, event.rows)
@@ -68,12 +68,12 @@
         return []
     if event.reason is messages.RefusalReason.LEAVING:
         leaving = messages.TargetState.LEAVING
-        targets.take_state(state, event.target, leaving, flying.sent, now)
+        target_events.take_state(state, event.target, leaving, flying.sent, now)
     run = state.tables.runs.get(event.part.query)
     gone = event.reason is messages.RefusalReason.SNAPSHOT_GONE
     if run is not None and gone:
         snapshot = run.snapshots[event.part.group]
-        targets.drop_snapshot(state, event.target, snapshot)
+        target_events.drop_snapshot(state, event.target, snapshot)
     reason = REFUSAL_REASONS[event.reason]
     may_have_run = event.may_have_run
     return _end_attempt(state, event, reason, now, may_have_run=may_have_run)
--- a/fuchsiahaven/core/outcomes.py
+++ b/fuchsiahaven/core/queries/outcomes.py
@@ -2,7 +2,9 @@
 
 from typing import Final
 
-from fuchsiahaven.core import coverage, errors, merges, messages, queries
+from fuchsiahaven.core import coverage, errors
+from fuchsiahaven.core.queries import merges, queries
+from fuchsiahaven.core.targets import messages
 
 SOURCE: Final = 'outcomes'
 DEFAULT_LIMIT: Final = 100
--- a/fuchsiahaven/core/queries.py
+++ b/fuchsiahaven/core/queries/queries.py
@@ -10,7 +10,9 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from fuchsiahaven.core import configurations, coverage, errors, messages
+from fuchsiahaven.core import coverage, errors
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import messages
 
 Rows = tuple[Mapping[str, object], ...]
 #: A part of a run is a shard of a group.
--- a/fuchsiahaven/core/records.py
+++ b/fuchsiahaven/core/queries/records.py
@@ -6,7 +6,8 @@
 
 import fastjsonschema
 
-from fuchsiahaven.core import coverage, json_texts, messages
+from fuchsiahaven.core import coverage, json_texts
+from fuchsiahaven.core.targets import messages
 
 _COUNT: Final = {'type': 'integer', 'minimum': 0}
 #: A group, a shard and a range.
--- a/fuchsiahaven/core/repeats.py
+++ b/fuchsiahaven/core/queries/repeats.py
@@ -2,17 +2,16 @@
 
 from typing import Final
 
-from fuchsiahaven.core import (
+from fuchsiahaven.core import coverage, policies
+from fuchsiahaven.core.queries import (
     budgets,
-    coverage,
     hedges,
-    messages,
-    policies,
     queries,
     scatter,
     states,
     tables,
 )
+from fuchsiahaven.core.targets import messages
 
 #: More attempts than this at one part point to something that no further
 #: attempt will mend.
--- a/fuchsiahaven/core/replies.py
+++ b/fuchsiahaven/core/queries/replies.py
@@ -2,14 +2,9 @@
 
 from typing import Final
 
-from fuchsiahaven.core import (
-    errors,
-    messages,
-    outcomes,
-    records,
-    states,
-    tables,
-)
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.queries import outcomes, records, states, tables
+from fuchsiahaven.core.targets import messages
 
 SOURCE: Final = 'claims'
 RETRY_S: Final = 1.0
--- a/fuchsiahaven/core/scatter.py
+++ b/fuchsiahaven/core/queries/scatter.py
@@ -4,16 +4,9 @@
 from collections.abc import Sequence
 from typing import Final
 
-from fuchsiahaven.core import (
-    flights,
-    limits,
-    messages,
-    policies,
-    queries,
-    routes,
-    states,
-    tables,
-)
+from fuchsiahaven.core import policies
+from fuchsiahaven.core.queries import flights, queries, states, tables
+from fuchsiahaven.core.targets import limits, messages, routes
 
 #: Time kept back from the deadline to merge and send the answer, in seconds
 #: and as a part of the deadline, whichever is less.
--- a/fuchsiahaven/core/starts.py
+++ b/fuchsiahaven/core/queries/starts.py
@@ -2,17 +2,10 @@
 
 from typing import NamedTuple
 
-from fuchsiahaven.core import (
-    configurations,
-    coverage,
-    messages,
-    queries,
-    scatter,
-    snapshots,
-    states,
-    tables,
-    views,
-)
+from fuchsiahaven.core import coverage
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.queries import queries, scatter, states, tables, views
+from fuchsiahaven.core.targets import messages, snapshots
 
 
 class Layout(NamedTuple):
--- a/fuchsiahaven/core/states.py
+++ b/fuchsiahaven/core/queries/states.py
@@ -8,7 +8,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from fuchsiahaven.core import configurations, policies, tables
+from fuchsiahaven.core import policies
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.queries import tables
 
 
 class State(NamedTuple):
--- a/fuchsiahaven/core/submissions.py
+++ b/fuchsiahaven/core/queries/submissions.py
@@ -2,14 +2,12 @@
 
 from typing import Final
 
-from fuchsiahaven.core import (
+from fuchsiahaven.core import errors, policies
+from fuchsiahaven.core.claims import claims
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.queries import (
     admission,
-    claims,
-    configurations,
     endings,
-    errors,
-    messages,
-    policies,
     queues,
     replies,
     scatter,
@@ -18,6 +16,7 @@
     tables,
     views,
 )
+from fuchsiahaven.core.targets import messages
 
 SOURCE: Final = 'submissions'
 MILLISECONDS: Final = 1000
--- a/fuchsiahaven/core/tables.py
+++ b/fuchsiahaven/core/queries/tables.py
@@ -9,19 +9,15 @@
 import itertools
 from typing import NamedTuple
 
-from fuchsiahaven.core import (
-    admission,
-    budgets,
+from fuchsiahaven.core.configuration import configurations, selectors
+from fuchsiahaven.core.queries import admission, budgets, hedges, queries
+from fuchsiahaven.core.targets import (
     cells,
-    configurations,
     drains,
     grants,
-    hedges,
     limits,
     messages,
-    queries,
     routes,
-    selectors,
     snapshots,
 )
 
--- a/fuchsiahaven/core/targets.py
+++ b/fuchsiahaven/core/queries/target_events.py
@@ -3,17 +3,14 @@
 import math
 from typing import Final
 
-from fuchsiahaven.core import (
-    configurations,
-    deals,
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.queries import deals, states, tables, views
+from fuchsiahaven.core.targets import (
     drains,
     limits,
     messages,
     routes,
     snapshots,
-    states,
-    tables,
-    views,
 )
 
 PROBE_JITTER: Final = 0.2
--- a/fuchsiahaven/core/views.py
+++ b/fuchsiahaven/core/queries/views.py
@@ -2,13 +2,9 @@
 
 from collections.abc import Iterable, Iterator
 
-from fuchsiahaven.core import (
-    configurations,
-    selectors,
-    snapshots,
-    states,
-    tables,
-)
+from fuchsiahaven.core.configuration import configurations, selectors
+from fuchsiahaven.core.queries import states, tables
+from fuchsiahaven.core.targets import snapshots
 
 
 def reach(
--- /dev/null
+++ b/fuchsiahaven/core/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Know the targets: what they hold, how they do, what they may be sent."""
--- a/fuchsiahaven/core/cells.py
+++ b/fuchsiahaven/core/targets/cells.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
-from fuchsiahaven.core import snapshots
+from fuchsiahaven.core.targets import snapshots
 
 #: The replicas of some shards, no target of which holds a shard outside.
 Component = tuple[tuple[str, ...], ...]
--- a/fuchsiahaven/core/drains.py
+++ b/fuchsiahaven/core/targets/drains.py
@@ -11,7 +11,7 @@
 import math
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 
 # How far the host list may lag. A list read within this time after a restart
 # was learned may still mean the process before it, and a `live` read within
--- a/fuchsiahaven/core/messages.py
+++ b/fuchsiahaven/core/targets/messages.py
@@ -9,7 +9,9 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from fuchsiahaven.core import configurations, coverage, errors, snapshots
+from fuchsiahaven.core import coverage, errors
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import snapshots
 
 
 class Query(NamedTuple):
--- a/fuchsiahaven/core/routes.py
+++ b/fuchsiahaven/core/targets/routes.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import ejections, messages
+from fuchsiahaven.core.targets import ejections, messages
 
 LATENCY_WEIGHT: Final = 0.2
 # One random slow answer must not condemn a target, so a sample counts at most
--- a/fuchsiahaven/core/snapshots.py
+++ b/fuchsiahaven/core/targets/snapshots.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator, Mapping, Sequence, Set
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import shardmaps
+from fuchsiahaven.core.targets import shardmaps
 
 Holding = shardmaps.Holding
 
--- a/fuchsiahaven/edge/answers.py
+++ b/fuchsiahaven/edge/answers.py
@@ -4,7 +4,8 @@
 import math
 from typing import Any, Final, NamedTuple
 
-from fuchsiahaven.core import coverage, errors, messages
+from fuchsiahaven.core import coverage, errors
+from fuchsiahaven.core.targets import messages
 
 OK: Final = 200
 MILLISECONDS: Final = 1000
--- a/fuchsiahaven/edge/callers.py
+++ b/fuchsiahaven/edge/callers.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Final, Protocol
 
-from fuchsiahaven.core import errors, messages, request_ids
+from fuchsiahaven.core import errors, request_ids
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import answers, loop, ports, requests
 
 SEARCH: Final = ('POST', '/v1/search')
--- a/fuchsiahaven/edge/claim_members.py
+++ b/fuchsiahaven/edge/claim_members.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import claim_calls, claim_rows, rendezvous
+from fuchsiahaven.core import rendezvous
+from fuchsiahaven.core.claims import claim_calls, claim_rows
 
 # A member that has not answered is asked again after this long, in seconds.
 AGAIN_S: Final = 5.0
--- a/fuchsiahaven/edge/claim_platform.py
+++ b/fuchsiahaven/edge/claim_platform.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import claim_calls, claims
+from fuchsiahaven.core.claims import claim_calls, claims
 from fuchsiahaven.edge import store
 from fuchsiahaven.operate import logs
 
--- a/fuchsiahaven/edge/claim_workers.py
+++ b/fuchsiahaven/edge/claim_workers.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import claim_calls, claims, commits, messages
+from fuchsiahaven.core.claims import claim_calls, claims, commits
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import (
     claim_members,
     claim_platform,
--- a/fuchsiahaven/edge/claims.py
+++ b/fuchsiahaven/edge/claims.py
@@ -7,14 +7,9 @@
 from collections.abc import Callable
 from typing import Final
 
-from fuchsiahaven.core import (
-    claim_calls,
-    claim_rows,
-    claims,
-    messages,
-    rates,
-    request_ids,
-)
+from fuchsiahaven.core import rates, request_ids
+from fuchsiahaven.core.claims import claim_calls, claim_rows, claims
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import (
     claim_members,
     claim_platform,
--- a/fuchsiahaven/edge/connectors.py
+++ b/fuchsiahaven/edge/connectors.py
@@ -12,7 +12,7 @@
 import urllib3.connection
 import urllib3.exceptions
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.edge import tls
 
 #: A target that swallows connects holds a thread up to the timeout.
--- a/fuchsiahaven/edge/control.py
+++ b/fuchsiahaven/edge/control.py
@@ -6,18 +6,20 @@
 from collections.abc import Callable, Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import (
-    addresses,
+from fuchsiahaven.core import addresses
+from fuchsiahaven.core.configuration import (
+    patches,
+    revision_messages,
+    revisions,
+)
+from fuchsiahaven.core.members import (
     member_messages,
     member_tables,
     members,
     membership,
-    messages,
     patch_rows,
-    patches,
-    revision_messages,
-    revisions,
 )
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import (
     claim_members,
     gossip,
--- a/fuchsiahaven/edge/editor.py
+++ b/fuchsiahaven/edge/editor.py
@@ -10,8 +10,13 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, TypeVar
 
-from fuchsiahaven.core import proposals, errors, readings, store_calls
-from fuchsiahaven.core import transactions
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
+    proposals,
+    readings,
+    store_calls,
+    transactions,
+)
 from fuchsiahaven.edge import store
 
 #: The first wait before a call is made again, in seconds; it doubles.
--- a/fuchsiahaven/edge/exchanges.py
+++ b/fuchsiahaven/edge/exchanges.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from fuchsiahaven.core import configurations, messages
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import frames, searchers
 
 
--- a/fuchsiahaven/edge/fleets.py
+++ b/fuchsiahaven/edge/fleets.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-from fuchsiahaven.core import configurations, messages
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import connectors, exchanges, pools
 
 #: How long after its deadline a sub-request may still bring its refusal.
--- a/fuchsiahaven/edge/frames.py
+++ b/fuchsiahaven/edge/frames.py
@@ -13,7 +13,7 @@
 
 import urllib3.connection
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 
 HEAD_LIMIT: Final = 16_384
 END_OF_HEAD: Final = b'\r\n\r\n'
--- a/fuchsiahaven/edge/gossip.py
+++ b/fuchsiahaven/edge/gossip.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import gossip_rows, membership
-from fuchsiahaven.core import member_messages as messages
-from fuchsiahaven.core import member_states as states
+from fuchsiahaven.core.members import gossip_rows, membership
+from fuchsiahaven.core.members import member_messages as messages
+from fuchsiahaven.core.members import member_states as states
 from fuchsiahaven.edge import peer_calls, workers
 from fuchsiahaven.operate import logs
 
--- a/fuchsiahaven/edge/hostlist.py
+++ b/fuchsiahaven/edge/hostlist.py
@@ -5,7 +5,7 @@
 
 from typing import NamedTuple
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import store, store_answers
 
 
--- a/fuchsiahaven/edge/loop.py
+++ b/fuchsiahaven/edge/loop.py
@@ -12,7 +12,9 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import dispatch, errors, messages, states, tables
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.queries import dispatch, states, tables
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import connectors, fleets, links, pools, tls
 
 SWEEP_S: Final = 0.25
--- a/fuchsiahaven/edge/manifest_reader.py
+++ b/fuchsiahaven/edge/manifest_reader.py
@@ -1,7 +1,8 @@
 """Read the manifest and its parts from the platform's service."""
 
-from fuchsiahaven.core import audits, errors, manifests, reaches
-from fuchsiahaven.core import revision_messages as messages
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import audits, manifests, reaches
+from fuchsiahaven.core.configuration import revision_messages as messages
 from fuchsiahaven.edge import store
 
 
--- a/fuchsiahaven/edge/meters.py
+++ b/fuchsiahaven/edge/meters.py
@@ -5,7 +5,9 @@
 from collections import Counter
 from typing import Final
 
-from fuchsiahaven.core import coverage, errors, messages, tables
+from fuchsiahaven.core import coverage, errors
+from fuchsiahaven.core.queries import tables
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import loop
 from fuchsiahaven.operate import metrics
 
--- a/fuchsiahaven/edge/openings.py
+++ b/fuchsiahaven/edge/openings.py
@@ -9,7 +9,8 @@
 
 from cheroot import wsgi
 
-from fuchsiahaven.core import addresses, member_states
+from fuchsiahaven.core import addresses
+from fuchsiahaven.core.members import member_states
 from fuchsiahaven.edge import peer_calls, peers, revisions, store, tls
 from fuchsiahaven.operate import settings
 
--- a/fuchsiahaven/edge/patch_calls.py
+++ b/fuchsiahaven/edge/patch_calls.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 from typing import Final
 
-from fuchsiahaven.core import json_texts, patch_rows, patches
-from fuchsiahaven.core import revision_messages as messages
+from fuchsiahaven.core import json_texts
+from fuchsiahaven.core.configuration import patches
+from fuchsiahaven.core.configuration import revision_messages as messages
+from fuchsiahaven.core.members import patch_rows
 from fuchsiahaven.edge import peer_calls
 
 PATH: Final = '/v1/configuration'
--- a/fuchsiahaven/edge/peer_calls.py
+++ b/fuchsiahaven/edge/peer_calls.py
@@ -7,7 +7,7 @@
 
 import urllib3
 
-from fuchsiahaven.core import claims
+from fuchsiahaven.core.claims import claims
 from fuchsiahaven.edge import tls
 
 JSON_HEADERS: Final = {'Content-Type': 'application/json'}
--- a/fuchsiahaven/edge/peers.py
+++ b/fuchsiahaven/edge/peers.py
@@ -8,14 +8,9 @@
 
 from cheroot import wsgi
 
-from fuchsiahaven.core import (
-    addresses,
-    errors,
-    gossip_rows,
-    member_messages,
-    patch_rows,
-    patches,
-)
+from fuchsiahaven.core import addresses, errors
+from fuchsiahaven.core.configuration import patches
+from fuchsiahaven.core.members import gossip_rows, member_messages, patch_rows
 from fuchsiahaven.edge import ports, requests, tls
 
 JSON: Final = 'application/json'
--- a/fuchsiahaven/edge/pools.py
+++ b/fuchsiahaven/edge/pools.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable, Collection, Iterable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import configurations, messages
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import connectors, exchanges, frames, links
 
 BACK_OFF_S: Final = 0.1
--- a/fuchsiahaven/edge/requests.py
+++ b/fuchsiahaven/edge/requests.py
@@ -7,7 +7,8 @@
 
 import fastjsonschema
 
-from fuchsiahaven.core import errors, json_texts, messages
+from fuchsiahaven.core import errors, json_texts
+from fuchsiahaven.core.targets import messages
 
 SOURCE: Final = 'callers'
 MILLISECONDS: Final = 1000
--- a/fuchsiahaven/edge/revisions.py
+++ b/fuchsiahaven/edge/revisions.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
-from fuchsiahaven.core import patches, revisions
-from fuchsiahaven.core import revision_messages as wording
+from fuchsiahaven.core.configuration import patches, revisions
+from fuchsiahaven.core.configuration import revision_messages as wording
 from fuchsiahaven.edge import manifest_reader, store, workers
 from fuchsiahaven.operate import logs
 
--- a/fuchsiahaven/edge/searchers.py
+++ b/fuchsiahaven/edge/searchers.py
@@ -10,7 +10,8 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from fuchsiahaven.core import json_texts, messages, snapshots
+from fuchsiahaven.core import json_texts
+from fuchsiahaven.core.targets import messages, snapshots
 from fuchsiahaven.edge import frames
 
 SEARCH_PATH: Final = '/v1/search'
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -12,7 +12,9 @@
 
 from cheroot import wsgi
 
-from fuchsiahaven.core import messages, policies, states
+from fuchsiahaven.core import policies
+from fuchsiahaven.core.queries import states
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import (
     callers,
     claims,
--- a/fuchsiahaven/operate/command_class.py
+++ b/fuchsiahaven/operate/command_class.py
@@ -4,7 +4,7 @@
 import sys
 from typing import Final
 
-from fuchsiahaven.core import changes, configurations, trees
+from fuchsiahaven.core.configuration import changes, configurations, trees
 from fuchsiahaven.operate import exits, lookups, submissions, verbs, words
 
 EPILOG: Final = f"""examples:
--- a/fuchsiahaven/operate/command_group.py
+++ b/fuchsiahaven/operate/command_group.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-from fuchsiahaven.core import changes, configurations
+from fuchsiahaven.core.configuration import changes, configurations
 from fuchsiahaven.operate import (
     exits,
     lookups,
--- a/fuchsiahaven/operate/command_history.py
+++ b/fuchsiahaven/operate/command_history.py
@@ -8,7 +8,8 @@
 from collections.abc import Iterable
 from typing import Final
 
-from fuchsiahaven.core import audits, errors
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import audits
 from fuchsiahaven.operate import connections, exits, lookups, submissions
 
 Found = Iterable[audits.Entry | errors.Failure]
--- a/fuchsiahaven/operate/command_plan.py
+++ b/fuchsiahaven/operate/command_plan.py
@@ -7,9 +7,9 @@
 from pathlib import Path
 from typing import Final
 
-from fuchsiahaven.core import changes, errors, manifests, proposals
-from fuchsiahaven.operate import descriptions, exits, lookups
-from fuchsiahaven.operate import submissions
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import changes, manifests, proposals
+from fuchsiahaven.operate import descriptions, exits, lookups, submissions
 
 EPILOG: Final = """examples:
   fuchsiahaven plan santiago.ini
--- a/fuchsiahaven/operate/command_recover.py
+++ b/fuchsiahaven/operate/command_recover.py
@@ -7,11 +7,22 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
-from fuchsiahaven.core import changes, configurations, errors, patch_rows
-from fuchsiahaven.core import patches, trees
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
+    changes,
+    configurations,
+    patches,
+    trees,
+)
+from fuchsiahaven.core.members import patch_rows
 from fuchsiahaven.edge import editor
-from fuchsiahaven.operate import connections, exchanges, exits, statuses
-from fuchsiahaven.operate import submissions
+from fuchsiahaven.operate import (
+    connections,
+    exchanges,
+    exits,
+    statuses,
+    submissions,
+)
 
 TIMEOUT_S: Final = 10.0
 PATH: Final = '/v1/configuration?above=0'
--- a/fuchsiahaven/operate/command_selector.py
+++ b/fuchsiahaven/operate/command_selector.py
@@ -3,7 +3,7 @@
 import argparse
 from typing import Final
 
-from fuchsiahaven.core import changes, configurations, selectors
+from fuchsiahaven.core.configuration import changes, configurations, selectors
 from fuchsiahaven.operate import lookups, submissions, verbs, words
 
 EPILOG: Final = f"""examples:
--- a/fuchsiahaven/operate/command_status.py
+++ b/fuchsiahaven/operate/command_status.py
@@ -5,7 +5,8 @@
 import json
 from typing import Final
 
-from fuchsiahaven.core import errors, readings
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import readings
 from fuchsiahaven.edge import editor
 from fuchsiahaven.operate import connections, exits, statuses, tables
 
--- a/fuchsiahaven/operate/command_target.py
+++ b/fuchsiahaven/operate/command_target.py
@@ -4,7 +4,7 @@
 import sys
 from typing import Final
 
-from fuchsiahaven.core import changes
+from fuchsiahaven.core.configuration import changes
 from fuchsiahaven.operate import exits, submissions, words
 
 EPILOG: Final = f"""examples:
--- a/fuchsiahaven/operate/command_undo.py
+++ b/fuchsiahaven/operate/command_undo.py
@@ -4,7 +4,8 @@
 import contextlib
 from typing import Final
 
-from fuchsiahaven.core import changes, errors
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import changes
 from fuchsiahaven.operate import connections, exits, lookups, submissions
 
 EPILOG: Final = f"""examples:
--- a/fuchsiahaven/operate/command_watch.py
+++ b/fuchsiahaven/operate/command_watch.py
@@ -7,10 +7,15 @@
 import time
 from typing import Final
 
-from fuchsiahaven.core import audits, errors, manifests, readings
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import audits, manifests, readings
 from fuchsiahaven.edge import editor, store
-from fuchsiahaven.operate import command_history, connections, exits
-from fuchsiahaven.operate import submissions
+from fuchsiahaven.operate import (
+    command_history,
+    connections,
+    exits,
+    submissions,
+)
 
 WAIT_S: Final = 20.0
 PAUSE_S: Final = 1.0
--- a/fuchsiahaven/operate/descriptions.py
+++ b/fuchsiahaven/operate/descriptions.py
@@ -25,7 +25,7 @@
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
-from fuchsiahaven.core import configurations, shapes, trees
+from fuchsiahaven.core.configuration import configurations, shapes, trees
 from fuchsiahaven.operate import settings_reader, words
 
 SECTION_HELP: Final = (
--- a/fuchsiahaven/operate/logs.py
+++ b/fuchsiahaven/operate/logs.py
@@ -12,8 +12,7 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
-from absl import flags
-from absl import logging
+from absl import flags, logging
 
 from fuchsiahaven.operate import settings
 
--- a/fuchsiahaven/operate/lookups.py
+++ b/fuchsiahaven/operate/lookups.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
-from fuchsiahaven.core import (
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
     audits,
     configurations,
-    errors,
     manifests,
     readings,
 )
--- a/fuchsiahaven/operate/submissions.py
+++ b/fuchsiahaven/operate/submissions.py
@@ -11,12 +11,11 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from fuchsiahaven.core import (
+from fuchsiahaven.core import errors, request_ids
+from fuchsiahaven.core.configuration import (
     audits,
     changes,
-    errors,
     proposals,
-    request_ids,
     transactions,
     trees,
 )
--- a/fuchsiahaven/operate/verbs.py
+++ b/fuchsiahaven/operate/verbs.py
@@ -3,7 +3,7 @@
 import argparse
 from typing import Protocol, TypeAlias
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.operate import connections, lookups, submissions
 
 Verbs: TypeAlias = 'argparse._SubParsersAction[argparse.ArgumentParser]'
--- a/fuchsiahaven/operate/words.py
+++ b/fuchsiahaven/operate/words.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 
 Pairs = tuple[tuple[str, Any], ...]
 
--- a/fuchsiahaven/platform/exchanges.py
+++ b/fuchsiahaven/platform/exchanges.py
@@ -5,7 +5,8 @@
 from http import HTTPStatus
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import errors, messages
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import headers
 from fuchsiahaven.routing import events
 
--- a/fuchsiahaven/platform/records.py
+++ b/fuchsiahaven/platform/records.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.routing import configs, facts, instances, places
 
 CONFIGURATION: Final = 'op/config'
--- a/fuchsiahaven/relay/calls.py
+++ b/fuchsiahaven/relay/calls.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import exchanges, store
 from fuchsiahaven.relay import links
 
--- a/fuchsiahaven/relay/idles.py
+++ b/fuchsiahaven/relay/idles.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.relay import links
 
 #: An answer so recent proves that a connection works.
--- a/fuchsiahaven/relay/links.py
+++ b/fuchsiahaven/relay/links.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.routing import events
 
--- a/fuchsiahaven/relay/pools.py
+++ b/fuchsiahaven/relay/pools.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.relay import idles, links, openers
 from fuchsiahaven.routing import events, instances
--- a/fuchsiahaven/routing/arrivals.py
+++ b/fuchsiahaven/routing/arrivals.py
@@ -2,7 +2,9 @@
 
 from typing import Final
 
-from fuchsiahaven.core import coverage, hedges, messages
+from fuchsiahaven.core import coverage
+from fuchsiahaven.core.queries import hedges
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import asks, endings, events, states, tries
 
 Actions = list[events.Action]
--- a/fuchsiahaven/routing/assists.py
+++ b/fuchsiahaven/routing/assists.py
@@ -6,7 +6,7 @@
 
 from typing import Final
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.routing import (
     asks,
     configs,
--- a/fuchsiahaven/routing/configs.py
+++ b/fuchsiahaven/routing/configs.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 
 #: A query over no more shards than this is gathered by the host that takes
 #: it: 30 shards cost 8 ms of half a core, and a hop more costs as many.
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -7,7 +7,8 @@
 import enum
 from typing import NamedTuple
 
-from fuchsiahaven.core import errors, messages
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import configs, instances, places
 
 Fields = tuple[tuple[str, str], ...]
--- a/fuchsiahaven/routing/standings.py
+++ b/fuchsiahaven/routing/standings.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import ejections, messages, routes
+from fuchsiahaven.core.targets import ejections, messages, routes
 from fuchsiahaven.routing import events, instances
 
 #: Added to the expected wait at a target in another data centre, in seconds.
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from fuchsiahaven.core import hedges
+from fuchsiahaven.core.queries import hedges
 from fuchsiahaven.routing import (
     asks,
     budgets,
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-from fuchsiahaven.core import coverage, hedges
+from fuchsiahaven.core import coverage
+from fuchsiahaven.core.queries import hedges
 from fuchsiahaven.routing import (
     asks,
     choices,
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -5,7 +5,7 @@
 import random
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import snapshots
+from fuchsiahaven.core.targets import snapshots
 from standins import catalogue, wire
 
 OVERSIZE: Final = 4 << 20
--- a/standins/layouts.py
+++ b/standins/layouts.py
@@ -6,7 +6,8 @@
 
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import configurations, manifests, snapshots
+from fuchsiahaven.core.configuration import configurations, manifests
+from fuchsiahaven.core.targets import snapshots
 
 POSITIONS: Final = 65_536
 # The first ports of a range control the processes that share the targets.
--- a/standins/searchers.py
+++ b/standins/searchers.py
@@ -14,7 +14,8 @@
 import zlib
 from typing import Final
 
-from fuchsiahaven.core import configurations, snapshots
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import snapshots
 from standins import answers, layouts, slots, wire
 
 REPORT_LAG_S: Final = 1.0
--- a/tests/bench/test_checks.py
+++ b/tests/bench/test_checks.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench import checks, mixes
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 from standins import catalogue, wire
 
 HALF = 1 << 15
--- /dev/null
+++ b/tests/core/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package claims of the core."""
--- a/tests/core/test_claims.py
+++ b/tests/core/claims/test_claims.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from fuchsiahaven.core import claim_calls, claims, commits, messages
+from fuchsiahaven.core.claims import claim_calls, claims, commits
+from fuchsiahaven.core.targets import messages
 
 ID = '01936d3a-5001-7abc-8def-0123456789ab'
 TIME = 0x1936D3A5001 / 1000
--- a/tests/core/test_commits.py
+++ b/tests/core/claims/test_commits.py
@@ -5,7 +5,8 @@
 from hypothesis import settings, stateful
 from hypothesis import strategies as some
 
-from fuchsiahaven.core import claim_calls, claims, commits, messages
+from fuchsiahaven.core.claims import claim_calls, claims, commits
+from fuchsiahaven.core.targets import messages
 
 KEY = 'claims/0/0'
 IDS = ('id-a', 'id-b')
--- a/tests/core/test_checks.py
+++ b/tests/core/configuration/test_checks.py
@@ -2,8 +2,13 @@
 
 import pytest
 
-from fuchsiahaven.core import changes, proposals, configurations, errors
-from fuchsiahaven.core import manifests
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
+    changes,
+    configurations,
+    manifests,
+    proposals,
+)
 
 Target = configurations.Target
 HERE = tuple(Target(f'h/{k}', f'10.0.0.1:{k + 1}', 'Odori') for k in range(2))
--- a/tests/core/test_manifests.py
+++ b/tests/core/configuration/test_manifests.py
@@ -5,10 +5,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import (
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
     audits,
     configurations,
-    errors,
     manifests,
     texts,
     trees,
--- a/tests/core/test_needs.py
+++ b/tests/core/configuration/test_needs.py
@@ -5,9 +5,17 @@
 
 import pytest
 
-from fuchsiahaven.core import changes, configurations, errors, manifests
-from fuchsiahaven.core import parts, proposals, readings, store_calls
-from fuchsiahaven.core import transactions
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
+    changes,
+    configurations,
+    manifests,
+    parts,
+    proposals,
+    readings,
+    store_calls,
+    transactions,
+)
 from tests.core import model_store
 
 Target = configurations.Target
--- a/tests/core/test_patches.py
+++ b/tests/core/configuration/test_patches.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import configurations, patches
+from fuchsiahaven.core.configuration import configurations, patches
 
 NAMES = st.sampled_from(('a', 'b', 'c'))
 TARGETS = st.builds(
--- a/tests/core/test_revisions.py
+++ b/tests/core/configuration/test_revisions.py
@@ -2,8 +2,8 @@
 
 import random
 
-from fuchsiahaven.core import configurations, patches, revisions
-from fuchsiahaven.core import revision_messages as messages
+from fuchsiahaven.core.configuration import configurations, patches, revisions
+from fuchsiahaven.core.configuration import revision_messages as messages
 
 RULES = revisions.Rules()
 
--- a/tests/core/test_selectors.py
+++ b/tests/core/configuration/test_selectors.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, strategies
 
-from fuchsiahaven.core import configurations, selectors
+from fuchsiahaven.core.configuration import configurations, selectors
 
 LABELS = {'tier': 'gold', 'region': 'a', 'empty': ''}
 NAMES = strategies.from_regex(
--- a/tests/core/test_transactions.py
+++ b/tests/core/configuration/test_transactions.py
@@ -7,9 +7,19 @@
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import audits, changes, proposals, configurations
-from fuchsiahaven.core import errors, manifests, parts, readings
-from fuchsiahaven.core import store_calls, transactions, trees
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
+    audits,
+    changes,
+    configurations,
+    manifests,
+    parts,
+    proposals,
+    readings,
+    store_calls,
+    transactions,
+    trees,
+)
 from tests.core import model_store
 
 GROUPS = ('g0', 'g1')
--- a/tests/core/deliveries.py
+++ b/tests/core/deliveries.py
@@ -5,8 +5,8 @@
 import random
 from collections.abc import Callable
 
-from fuchsiahaven.core import configurations, patches, revisions
-from fuchsiahaven.core import revision_messages as messages
+from fuchsiahaven.core.configuration import configurations, patches, revisions
+from fuchsiahaven.core.configuration import revision_messages as messages
 
 DELAY_S = 0.005
 TICK_S = 0.1
--- /dev/null
+++ b/tests/core/members/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package members of the core."""
--- a/tests/core/test_membership.py
+++ b/tests/core/members/test_membership.py
@@ -4,9 +4,9 @@
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import member_messages as messages
-from fuchsiahaven.core import member_tables as tables
-from fuchsiahaven.core import members, membership
+from fuchsiahaven.core.members import member_messages as messages
+from fuchsiahaven.core.members import member_tables as tables
+from fuchsiahaven.core.members import members, membership
 from tests.core import networks
 
 SETTLE_S = 90.0
--- a/tests/core/test_probes.py
+++ b/tests/core/members/test_probes.py
@@ -1,6 +1,7 @@
 """Test how seldom a target is asked for its health."""
 
-from fuchsiahaven.core import configurations, messages
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import messages
 from tests.core import rig
 
 SEARCH = configurations.RequestClass('search')
--- a/tests/core/model_store.py
+++ b/tests/core/model_store.py
@@ -3,8 +3,7 @@
 import enum
 from typing import Any
 
-from fuchsiahaven.core import store_calls
-
+from fuchsiahaven.core.configuration import store_calls
 
 Steps = store_calls.Steps[Any]
 
--- a/tests/core/networks.py
+++ b/tests/core/networks.py
@@ -9,9 +9,9 @@
 import random
 from collections.abc import Callable
 
-from fuchsiahaven.core import member_messages as messages
-from fuchsiahaven.core import member_states as states
-from fuchsiahaven.core import members, membership
+from fuchsiahaven.core.members import member_messages as messages
+from fuchsiahaven.core.members import member_states as states
+from fuchsiahaven.core.members import members, membership
 
 DELAY_S = 0.002
 TICK_S = 0.25
--- a/tests/core/test_admission.py
+++ b/tests/core/queries/test_admission.py
@@ -5,7 +5,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import admission, errors, queues
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.queries import admission, queues
 
 NOW = 100.0
 STRONGEST = 0
--- a/tests/core/test_budgets.py
+++ b/tests/core/queries/test_budgets.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import budgets
+from fuchsiahaven.core.queries import budgets
 
 ROUNDING = 1e-6
 SHARES = st.floats(0, 0.5)
--- a/tests/core/test_deals.py
+++ b/tests/core/queries/test_deals.py
@@ -6,15 +6,9 @@
 import pytest
 from hypothesis import given, settings, strategies
 
-from fuchsiahaven.core import (
-    configurations,
-    dispatch,
-    grants,
-    messages,
-    seats,
-    snapshots,
-    states,
-)
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.queries import dispatch, states
+from fuchsiahaven.core.targets import grants, messages, seats, snapshots
 from tests.core import rig
 
 CAP: Final = 5
--- a/tests/core/test_dispatch.py
+++ b/tests/core/queries/test_dispatch.py
@@ -2,14 +2,10 @@
 
 import pytest
 
-from fuchsiahaven.core import (
-    budgets,
-    configurations,
-    coverage,
-    errors,
-    messages,
-    tables,
-)
+from fuchsiahaven.core import coverage, errors
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.queries import budgets, tables
+from fuchsiahaven.core.targets import messages
 from tests.core import rig
 
 PARTIAL = configurations.RequestClass('price-check')
--- a/tests/core/test_hedges.py
+++ b/tests/core/queries/test_hedges.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import hedges
+from fuchsiahaven.core.queries import hedges
 
 QUICK_S = 0.01
 SLOW_S = 0.2
--- a/tests/core/test_merges.py
+++ b/tests/core/queries/test_merges.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, strategies
 
-from fuchsiahaven.core import merges
+from fuchsiahaven.core.queries import merges
 
 ROWS = strategies.fixed_dictionaries(
     {'rank': strategies.integers(0, 3), 'id': strategies.sampled_from('abcd')}
--- a/tests/core/rig.py
+++ b/tests/core/rig.py
@@ -1,15 +1,9 @@
 """Drive the decisions of one host by hand, without sockets or clocks."""
 
-from fuchsiahaven.core import (
-    configurations,
-    dispatch,
-    hedges,
-    messages,
-    policies,
-    snapshots,
-    states,
-    tables,
-)
+from fuchsiahaven.core import policies
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.queries import dispatch, hedges, states, tables
+from fuchsiahaven.core.targets import messages, snapshots
 
 CENTRE = 'Quilicura'
 LIVE = messages.TargetState.LIVE
--- /dev/null
+++ b/tests/core/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package targets of the core."""
--- a/tests/core/test_drains.py
+++ b/tests/core/targets/test_drains.py
@@ -7,7 +7,7 @@
     rule,
 )
 
-from fuchsiahaven.core import drains, messages
+from fuchsiahaven.core.targets import drains, messages
 
 LIVE = messages.TargetState.LIVE
 LEAVING = messages.TargetState.LEAVING
--- a/tests/core/test_limits.py
+++ b/tests/core/targets/test_limits.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import limits
+from fuchsiahaven.core.targets import limits
 
 NOW = 100.0
 EVENTS = st.lists(
--- a/tests/core/test_routes.py
+++ b/tests/core/targets/test_routes.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import ejections, messages, routes
+from fuchsiahaven.core.targets import ejections, messages, routes
 
 NOW = 100.0
 DRAWS = (0.3, 0.7)
--- a/tests/core/test_seats.py
+++ b/tests/core/targets/test_seats.py
@@ -6,7 +6,7 @@
 
 from hypothesis import assume, given, settings, strategies
 
-from fuchsiahaven.core import seats
+from fuchsiahaven.core.targets import seats
 
 MOST_HOSTS = 120
 SALTS = strategies.integers(0, 10**6)
--- a/tests/core/test_shardmaps.py
+++ b/tests/core/targets/test_shardmaps.py
@@ -6,7 +6,7 @@
 from hypothesis import settings, strategies
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from fuchsiahaven.core import shardmaps, snapshots
+from fuchsiahaven.core.targets import shardmaps, snapshots
 
 TARGETS = tuple('abcdef')
 USABLE = frozenset('abcd')
--- a/tests/core/test_snapshots.py
+++ b/tests/core/targets/test_snapshots.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given, strategies
 
-from fuchsiahaven.core import shardmaps, snapshots
+from fuchsiahaven.core.targets import shardmaps, snapshots
 
 USABLE = frozenset(('t0', 't1', 't2', 't3', 'late', 'wrong'))
 
--- a/tests/core/test_change_races.py
+++ b/tests/core/test_change_races.py
@@ -5,9 +5,18 @@
 
 import pytest
 
-from fuchsiahaven.core import audits, changes, proposals, configurations
-from fuchsiahaven.core import errors, manifests, parts, readings
-from fuchsiahaven.core import store_calls, transactions
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
+    audits,
+    changes,
+    configurations,
+    manifests,
+    parts,
+    proposals,
+    readings,
+    store_calls,
+    transactions,
+)
 from tests.core import model_store
 
 Fate = model_store.Fate
--- a/tests/core/test_dispatch_model.py
+++ b/tests/core/test_dispatch_model.py
@@ -12,7 +12,9 @@
     rule,
 )
 
-from fuchsiahaven.core import configurations, errors, messages
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import messages
 from tests.core import rig
 
 PRICE: Final = configurations.RequestClass('price-check')
--- a/tests/core/test_revision_spread.py
+++ b/tests/core/test_revision_spread.py
@@ -4,8 +4,8 @@
 from hypothesis import settings, stateful
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import configurations, patches, revisions
-from fuchsiahaven.core import revision_messages as messages
+from fuchsiahaven.core.configuration import configurations, patches, revisions
+from fuchsiahaven.core.configuration import revision_messages as messages
 from tests.core import deliveries
 
 #: A check falls due within this time on every host.
--- a/tests/edge/test_claims.py
+++ b/tests/edge/test_claims.py
@@ -11,7 +11,9 @@
 
 import pytest
 
-from fuchsiahaven.core import claims, messages, request_ids
+from fuchsiahaven.core import request_ids
+from fuchsiahaven.core.claims import claims
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import claim_members, claim_platform, store
 from fuchsiahaven.edge import claims as claim_tasks
 from standins import platform as standin
--- a/tests/edge/test_loop.py
+++ b/tests/edge/test_loop.py
@@ -5,7 +5,10 @@
 
 import pytest
 
-from fuchsiahaven.core import configurations, errors, messages, states
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.queries import states
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import loop
 
 REFUND = configurations.RequestClass(
--- a/tests/edge/test_peers.py
+++ b/tests/edge/test_peers.py
@@ -10,14 +10,10 @@
 import pytest
 from cheroot import wsgi
 
-from fuchsiahaven.core import (
-    addresses,
-    member_messages,
-    members,
-    patch_rows,
-    patches,
-)
-from fuchsiahaven.core import gossip_rows as rows
+from fuchsiahaven.core import addresses
+from fuchsiahaven.core.configuration import patches
+from fuchsiahaven.core.members import gossip_rows as rows
+from fuchsiahaven.core.members import member_messages, members, patch_rows
 from fuchsiahaven.edge import peer_calls, peers, tls
 from tests import certificates
 
--- a/tests/edge/test_pools.py
+++ b/tests/edge/test_pools.py
@@ -7,7 +7,8 @@
 import pytest
 import urllib3.connection
 
-from fuchsiahaven.core import configurations, messages
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import connectors, exchanges, links, pools
 
 ANSWER = b'HTTP/1.1 503 -\r\nContent-Length: 2\r\n\r\n{}'
--- a/tests/edge/test_searchers.py
+++ b/tests/edge/test_searchers.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from fuchsiahaven.core import configurations, messages
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import frames, searchers
 
 TARGET: Final = configurations.Target('web-3/1', '10.0.0.1:1', 'Quilicura')
--- a/tests/edge/test_store.py
+++ b/tests/edge/test_store.py
@@ -9,7 +9,8 @@
 import pytest
 import urllib3
 
-from fuchsiahaven.core import messages, rates
+from fuchsiahaven.core import rates
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import hostlist, store
 
 JSON = b'HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n%b'
--- a/tests/edge/test_untrusted.py
+++ b/tests/edge/test_untrusted.py
@@ -19,13 +19,32 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiahaven.core import claim_rows, claims, configurations, coverage
-from fuchsiahaven.core import errors, gossip_rows, manifests, member_messages
-from fuchsiahaven.core import member_states, members, membership, messages
-from fuchsiahaven.core import patch_rows, patches, records
-from fuchsiahaven.core import revision_messages, revisions
-from fuchsiahaven.edge import answers, frames, requests, searchers
-from fuchsiahaven.edge import store_answers
+from fuchsiahaven.core import coverage, errors
+from fuchsiahaven.core.claims import claim_rows, claims
+from fuchsiahaven.core.configuration import (
+    configurations,
+    manifests,
+    patches,
+    revision_messages,
+    revisions,
+)
+from fuchsiahaven.core.members import (
+    gossip_rows,
+    member_messages,
+    member_states,
+    members,
+    membership,
+    patch_rows,
+)
+from fuchsiahaven.core.queries import records
+from fuchsiahaven.core.targets import messages
+from fuchsiahaven.edge import (
+    answers,
+    frames,
+    requests,
+    searchers,
+    store_answers,
+)
 from tests.core import rig
 
 ID: Final = '017f22e2-79b0-7cc3-98c4-dc0c0c07398f'
--- a/tests/operate/test_operators.py
+++ b/tests/operate/test_operators.py
@@ -10,8 +10,14 @@
 
 import pytest
 
-from fuchsiahaven.core import configurations, errors, manifests
-from fuchsiahaven.core import patch_rows, patches, readings
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.configuration import (
+    configurations,
+    manifests,
+    patches,
+    readings,
+)
+from fuchsiahaven.core.members import patch_rows
 from fuchsiahaven.edge import editor, store
 from fuchsiahaven.operate import command_watch, commands, exits
 from standins import platform, wire
@@ -362,7 +368,9 @@
     more changes are accepted between two looks than the manifest carries.
     Cause: only the last changes in the manifest are printed.
     """
-    monkeypatch.setattr('fuchsiahaven.core.proposals.KEPT_CHANGES', 2)
+    monkeypatch.setattr(
+        'fuchsiahaven.core.configuration.proposals.KEPT_CHANGES', 2
+    )
     for word in ('w', 'x', 'y', 'z'):
         filled.change('group', 'label', 'g', f'a={word}')
     opened = store.Store(f'http://{filled.address}')
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from fuchsiahaven.core import errors, messages
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import exchanges, headers
 from fuchsiahaven.routing import events
 from tests.routing import desk_rig
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.platform import records, store
 from fuchsiahaven.routing import configs, facts, instances, places
 
--- a/tests/relay/test_pools.py
+++ b/tests/relay/test_pools.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.relay import pools
 from fuchsiahaven.routing import events
 from tests.relay import peers
--- a/tests/routing/desk_rig.py
+++ b/tests/routing/desk_rig.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 from typing import Final
 
-from fuchsiahaven.core import configurations, messages
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import (
     configs,
     desks,
--- a/tests/routing/load_rig.py
+++ b/tests/routing/load_rig.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import events
 from tests.routing import desk_rig
 
--- a/tests/routing/test_desks.py
+++ b/tests/routing/test_desks.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from fuchsiahaven.core import errors, messages
+from fuchsiahaven.core import errors
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import configs, events
 from tests.routing import desk_rig
 
--- a/tests/routing/test_facts.py
+++ b/tests/routing/test_facts.py
@@ -1,6 +1,6 @@
 """Test how news is kept and passed on."""
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.routing import codecs, configs, facts, instances, places
 
 NEVER = float('-inf')
--- a/tests/routing/test_loads.py
+++ b/tests/routing/test_loads.py
@@ -6,7 +6,7 @@
 
 import zlib
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.routing import asks, configs, places
 from tests.routing import desk_rig, load_rig
 
--- a/tests/routing/test_reaches.py
+++ b/tests/routing/test_reaches.py
@@ -1,6 +1,6 @@
 """Test when a host tells its balancer that it is cut off."""
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import configs, desks, events
 from tests.routing import desk_rig
 
--- a/tests/routing/test_standings.py
+++ b/tests/routing/test_standings.py
@@ -1,6 +1,6 @@
 """Test how a host judges targets, and what it tells of that."""
 
-from fuchsiahaven.core import messages
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import configs, events, standings
 from tests.routing import desk_rig
 
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -9,7 +9,8 @@
 import pytest
 from pytest_bdd import given, parsers, when
 
-from fuchsiahaven.core import changes, configurations, messages, proposals
+from fuchsiahaven.core.configuration import changes, configurations, proposals
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import searchers
 from tests.scenarios import fakes, world
 
--- a/tests/scenarios/fakes.py
+++ b/tests/scenarios/fakes.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
-from fuchsiahaven.core import configurations, messages, snapshots
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.targets import messages, snapshots
 from fuchsiahaven.edge import frames
 from tests.core import networks
 
--- a/tests/scenarios/hosts.py
+++ b/tests/scenarios/hosts.py
@@ -5,11 +5,20 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
-from fuchsiahaven.core import dispatch, member_messages, messages
-from fuchsiahaven.core import patches, revisions, states
-from fuchsiahaven.core import revision_messages as wording
-from fuchsiahaven.edge import claim_platform, claims, frames, hostlist
-from fuchsiahaven.edge import manifest_reader, searchers, store
+from fuchsiahaven.core.configuration import patches, revisions
+from fuchsiahaven.core.configuration import revision_messages as wording
+from fuchsiahaven.core.members import member_messages
+from fuchsiahaven.core.queries import dispatch, states
+from fuchsiahaven.core.targets import messages
+from fuchsiahaven.edge import (
+    claim_platform,
+    claims,
+    frames,
+    hostlist,
+    manifest_reader,
+    searchers,
+    store,
+)
 from tests.core import networks
 from tests.scenarios import fakes, lines
 
--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -5,14 +5,10 @@
 
 from pytest_bdd import scenarios, then
 
-from fuchsiahaven.core import (
-    configurations,
-    coverage,
-    errors,
-    messages,
-    outcomes,
-    proposals,
-)
+from fuchsiahaven.core import coverage, errors
+from fuchsiahaven.core.configuration import configurations, proposals
+from fuchsiahaven.core.queries import outcomes
+from fuchsiahaven.core.targets import messages
 from tests.scenarios import conftest, fakes, world
 
 scenarios('features')
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -10,8 +10,14 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import changes, configurations, messages
-from fuchsiahaven.core import proposals, request_ids, transactions
+from fuchsiahaven.core import request_ids
+from fuchsiahaven.core.configuration import (
+    changes,
+    configurations,
+    proposals,
+    transactions,
+)
+from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import editor
 from standins import platform
 from tests.core import networks
--- a/tests/standins/test_searchers.py
+++ b/tests/standins/test_searchers.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from fuchsiahaven.core import configurations
+from fuchsiahaven.core.configuration import configurations
 from standins import layouts, searchers, wire
 
 SERVICE = layouts.Service(
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,72 @@
+"""Hold the packages to imports in one direction."""
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Final
+
+import fuchsiahaven
+
+ROOT: Final = Path(fuchsiahaven.__file__).parent
+NAME: Final = 'fuchsiahaven'
+#: What each package may import of the others, besides itself.
+ALLOWED: Final = {
+    'core': set(),
+    'core.configuration': {'core'},
+    'core.members': {'core', 'core.configuration'},
+    'core.targets': {'core', 'core.configuration'},
+    'core.claims': {'core', 'core.targets'},
+    'core.queries': {
+        'core',
+        'core.configuration',
+        'core.targets',
+        'core.claims',
+    },
+    'routing': {'core', 'core.configuration', 'core.queries', 'core.targets'},
+    'platform': {'core', 'core.configuration', 'core.targets', 'routing'},
+}
+
+
+def list_imports(path: Path) -> Iterator[str]:
+    """List the modules of this project that a module imports."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module:
+            if node.module.split('.')[0] == NAME:
+                yield from (
+                    f'{node.module}.{alias.name}' for alias in node.names
+                )
+
+
+def find_package(module: str) -> str:
+    """Find the package of a module, without the project's name."""
+    parts = module.split('.')[1:]
+    folder = ROOT.joinpath(*parts)
+    inside = parts if folder.is_dir() else parts[:-1]
+    return '.'.join(inside)
+
+
+def list_crossings(package: str) -> Iterator[tuple[str, str]]:
+    """List which other packages the modules of a package import."""
+    for path in sorted(ROOT.joinpath(*package.split('.')).glob('*.py')):
+        for module in list_imports(path):
+            if find_package(module) != package:
+                yield path.name, find_package(module)
+
+
+def test_imports_go_one_way() -> None:
+    """Symptom: to read one module a newcomer has to read all of them."""
+    wrong = [
+        (package, *crossing)
+        for package, allowed in ALLOWED.items()
+        for crossing in list_crossings(package)
+        if crossing[1] not in allowed
+    ]
+    assert not wrong
+
+
+def test_each_package_of_the_core_is_held_to_a_direction() -> None:
+    """A new package must say what it may import."""
+    packages = {
+        f'core.{path.parent.name}' for path in ROOT.glob('core/*/__init__.py')
+    }
+    assert packages < ALLOWED.keys()
