--- a/bench/soak/hosts.py
+++ b/bench/soak/hosts.py
@@ -19,6 +19,9 @@
 GRACE_S: Final = 6.0
 
 
+_FOUND: Final[set[int]] = set()
+
+
 class Host:
     """Own one process and its way to the store."""
 
@@ -62,6 +65,11 @@
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
+    def find_id(self) -> int:
+        """Find the id of the process that runs."""
+        assert self._process is not None
+        return self._process.pid
+
     async def kill(self) -> None:
         """Kill the process."""
         self.hurt = True
@@ -110,10 +118,14 @@
     """Find a port that nobody listens at, and that nobody is given.
 
     A port of a host that is down would go to a target or a proxy that asks
-    for any free one; these are above the range that is searched here.
+    for any free one; these are above the range that is searched here. A port
+    is found before its host listens, so each is found once only: two hosts of
+    eight would have one port in common in one start of thirty.
     """
     while True:
-        port = random.SystemRandom().choice(PORTS)
+        left = [port for port in PORTS if port not in _FOUND]
+        port = random.SystemRandom().choice(left)
         with contextlib.suppress(OSError), socket.socket() as sock:
             sock.bind((LOOPBACK, port))
+            _FOUND.add(port)
             return port
--- a/fuchsiahaven/relay/assistants.py
+++ b/fuchsiahaven/relay/assistants.py
@@ -86,14 +86,16 @@
         # What has ended with its last share is known as ended; otherwise the
         # parts that are left are sent for directly.
         asked = message.status == OK
-        self._report(events.Unassisted(busy.delegate.key, asked))
+        why = 'incomplete' if asked else f'status {message.status}'
+        self._report(events.Unassisted(busy.delegate.key, asked, why))
 
     def take_end(self, link: links.Link, fault: messages.Fault) -> None:
         """Take the end of a connection."""
         self._idle.drop(link)
         busy = self._busy.pop(link, None)
         if busy is not None:
-            self._report(events.Unassisted(busy.delegate.key, asked=True))
+            key = busy.delegate.key
+            self._report(events.Unassisted(key, True, fault.value))
 
     def _start(self, link: links.Link, delegate: events.Delegate) -> None:
         now = self._clock()
@@ -141,7 +143,8 @@
         waiting = self._waiting
         self._waiting = []
         for delegate in waiting:
-            self._report(events.Unassisted(delegate.key, asked=False))
+            key = delegate.key
+            self._report(events.Unassisted(key, False, 'no connection'))
 
 
 class Assistants:
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -131,7 +131,8 @@
     if known is None:
         return []
     flight = _make_flight(event.key)
-    desk.helpers.note_lost(known.helper.name, flight, now + REFUSED_S)
+    until = now + REFUSED_S
+    desk.helpers.note_lost(known.helper.name, flight, until, event.why)
     outs = _make_outs(known.left, arrived=event.asked)
     return _lose_parts(desk, event.key.ask, known, outs, now)
 
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -204,11 +204,13 @@
 class Unassisted(NamedTuple):
     """Tell that assistance has broken off, or was never asked for.
 
-    `asked` tells whether the request may have reached the other host.
+    `asked` tells whether the request may have reached the other host, `why`
+    what was seen, for the log.
     """
 
     key: AssistKey
     asked: bool
+    why: str
 
 
 class Assisted(NamedTuple):
--- a/fuchsiahaven/routing/standings.py
+++ b/fuchsiahaven/routing/standings.py
@@ -156,11 +156,14 @@
         if known.failures:
             self._set(name, known._replace(failures=0, down=0))
 
-    def note_lost(self, name: str, key: events.FlightKey, until: float) -> None:
+    def note_lost(
+        self, name: str, key: events.FlightKey, until: float, why: str
+    ) -> None:
         """Leave a host that broke off its assistance out for a while."""
         known = _land(self.get(name), key)
         stats = routes.note_ended(known.stats)
-        self._set(name, known._replace(stats=stats, down=until), 'no help')
+        known = known._replace(stats=stats, down=until)
+        self._set(name, known, f'no help: {why}')
 
     def note_gone(self, name: str, now: float) -> None:
         """Take in that another process has the address by now."""
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -3,7 +3,9 @@
 import asyncio
 from pathlib import Path
 
-from bench.soak import play
+import pytest
+
+from bench.soak import hosts, play
 
 #: In a run of this seed a spoilt way to the store, a planned stop, a kill, a
 #: pause and a spoilt way to targets fell into these seconds.
@@ -17,3 +19,16 @@
     result = asyncio.run(play.play(SEED, SECONDS, HOSTS, tmp_path))
     assert not result.faults
     assert result.served > 0
+
+
+def test_gives_each_port_to_one_host_only(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: in some starts one host never becomes ready.
+
+    Ports are chosen before the hosts listen. Two hosts were given one port,
+    and the second could not listen at it.
+    """
+    monkeypatch.setattr(hosts, 'PORTS', range(18_000, 18_040))
+    found = [hosts.find_port() for _ in range(20)]
+    assert len(set(found)) == 20
--- a/tests/routing/test_delegations.py
+++ b/tests/routing/test_delegations.py
@@ -89,7 +89,7 @@
     rig = make_entry()
     rig.ask()
     delegate = take_delegate(rig)
-    rig.post(events.Unassisted(delegate.key, asked))
+    rig.post(events.Unassisted(delegate.key, asked, 'status 503'))
     sent = rig.take_sent()
     assert {send.key.service for send in sent} == set(SHARDS)
     for send in sent:
@@ -100,6 +100,20 @@
     assert not any(isinstance(it, events.Delegate) for it in rig.others)
 
 
+def test_says_why_a_helper_is_left_out() -> None:
+    """Symptom: the log says that a host did not help, and not why.
+
+    One that is stopping, one that is cut off and one that answers nonsense
+    looked alike.
+    """
+    rig = make_entry()
+    rig.ask()
+    delegate = take_delegate(rig)
+    rig.post(events.Unassisted(delegate.key, False, 'status 503'))
+    whys = [it.why for it in rig.others if isinstance(it, events.Belief)]
+    assert whys == ['no help: status 503']
+
+
 def test_sends_parts_directly_where_a_helper_is_silent() -> None:
     """Symptom: queries wait for a host that is paused or cut off.
 
@@ -143,7 +157,7 @@
     number = rig.ask()
     delegate = take_delegate(rig)
     rig.post(events.Abandoned(number))
-    rig.post(events.Unassisted(delegate.key, asked=True))
+    rig.post(events.Unassisted(delegate.key, True, 'connection_lost'))
     rig.others = []
     rig.ask()
     assert take_delegate(rig).helper == HELPER
