--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -56,8 +56,7 @@
     for key in keys:
         helper = desk.assistance.pop(key).helper
         flight = events.FlightKey(key.ask, '', key.number)
-        unsent = events.Unsent(flight, unreachable=False)
-        desk.helpers.note_unsent(helper.name, unsent, 0)
+        desk.helpers.note_dropped(helper.name, flight)
     return [events.Dismiss(dismissed) for dismissed in keys]
 
 
--- a/fuchsiahaven/routing/standings.py
+++ b/fuchsiahaven/routing/standings.py
@@ -150,6 +150,11 @@
             known = _leave_out(known, now)
         self._set(name, known, 'no connection')
 
+    def note_dropped(self, name: str, key: events.FlightKey) -> None:
+        """Take in that this host gave a request up; nobody is to blame."""
+        known = _land(self.get(name), key)
+        self._known[name] = known._replace(stats=routes.note_ended(known.stats))
+
     def note_reached(self, name: str) -> None:
         """Take in that a connection was had: the way there is open."""
         known = self.get(name)
