--- a/tests/routing/test_reaches.py
+++ b/tests/routing/test_reaches.py
@@ -70,3 +70,53 @@
     for _ in range(5):
         rig.ask('/one/1')
     assert not desks.find_obstacle(rig.desk, rig.now)
+
+
+def test_is_not_ready_at_once_where_no_other_data_centre_answers() -> None:
+    """Symptom: callers of a data centre that is cut off fail until it heals.
+
+    Sixteen hosts saw one search in two seconds each, so the last of them
+    noticed five seconds after the first, and the balancer takes all hosts of
+    a data centre while few are ready. All lose the store at once, and no host
+    elsewhere answers: that is enough, though nothing was asked here.
+    """
+    rig = make_rig()
+    rig.pass_time(2)
+    rig.post(events.Isolated(True))
+    assert desks.find_obstacle(rig.desk, rig.now)
+    rig.post(events.Isolated(False))
+    assert not desks.find_obstacle(rig.desk, rig.now)
+
+
+def test_counts_searches_alone_where_no_other_data_centre_answers() -> None:
+    """What one near target serves is served elsewhere as well."""
+    rig = make_rig()
+    for _ in range(3):
+        rig.ask('/one/1')
+        rig.answer(rig.take_sent()[0])
+    cut_far(rig)
+    rig.pass_time(0.2)
+    rig.post(events.Isolated(True))
+    assert desks.find_obstacle(rig.desk, rig.now)
+
+
+def test_stays_ready_while_far_targets_answer() -> None:
+    """Symptom: a host cut off from hosts alone sends its callers away."""
+    rig = make_rig()
+    rig.ask()
+    for send in rig.take_sent():
+        rig.answer(send)
+    rig.post(events.Isolated(True))
+    assert not desks.find_obstacle(rig.desk, rig.now)
+
+
+def test_stays_ready_where_near_targets_are_enough() -> None:
+    """A data centre that is cut off serves what it can."""
+    near = desk_rig.make_instances((*SHARDS, 'records'))
+    far = [
+        one._replace(name=f'far-{one.name}')
+        for one in desk_rig.make_instances(SHARDS[6:], 2, 'south')
+    ]
+    rig = desk_rig.Rig([SEARCH, SINGLE], [*near, *far])
+    rig.post(events.Isolated(True))
+    assert not desks.find_obstacle(rig.desk, rig.now)
