--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -17,7 +17,6 @@
     journal,
     meters,
     news,
-    outlooks,
     ports,
     questions,
     runner,
@@ -63,7 +62,6 @@
         self.readiness = self._make_port(asked.take)
         self.peers = self._make_port(asked.take)
         self._entry = entries.Entry(self.news, log)
-        self.outlook = outlooks.Outlook(self.news, log, self._take_outlook)
         self._stopping = asyncio.Event()
 
     async def run(self) -> None:
@@ -80,7 +78,6 @@
                 running = [
                     tasks.create_task(self.news.follow()),
                     tasks.create_task(self._entry.stay()),
-                    tasks.create_task(self.outlook.watch()),
                     tasks.create_task(self.runner.sweep()),
                     tasks.create_task(self._watch_settings()),
                 ]
@@ -184,9 +181,6 @@
             ready=self.find_obstacle() or 'yes',
         )
 
-    def _take_outlook(self, isolated: bool) -> None:
-        self.runner.learn(events.Isolated(isolated))
-
     def _count_hosts(self, ledger: facts.Ledger) -> None:
         # Until the hosts have entered themselves the seeds are all there is.
         known = tuple(facts.list_hosts(ledger))
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -73,7 +73,9 @@
             self._running = False
         self._set_timer()
 
-    def learn(self, event: events.Learned) -> None:
+    def learn(
+        self, event: events.Configured | events.Directed | events.Counted
+    ) -> None:
         """Take news of what there is, and what follows for connections."""
         self.post(event)
         self.fleet.prune()
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -82,8 +82,6 @@
         case events.Counted(total, hosts):
             desk.host_count = max(1, total)
             desk.hosts = tuple(it for it in hosts if it.name != desk.host.name)
-        case events.Isolated(isolated):
-            desk.outlook.isolated = isolated
         case events.Reached(instance):
             desk.standings.note_reached(instance)
 
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -132,12 +132,6 @@
     hosts: tuple[places.Host, ...] = ()
 
 
-class Isolated(NamedTuple):
-    """Tell whether no host of any other data centre can be reached."""
-
-    isolated: bool
-
-
 class Assist(NamedTuple):
     """Ask another host to gather some parts of a query near it.
 
@@ -325,7 +319,6 @@
     why: str
 
 
-Learned = Configured | Directed | Counted | Isolated
 Event = (
     Asked
     | Abandoned
@@ -338,7 +331,6 @@
     | Configured
     | Directed
     | Counted
-    | Isolated
     | Shared
     | Unassisted
     | Assisted
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -69,18 +69,6 @@
     noted: float
 
 
-class Outlook:
-    """Own what tells whether this host can serve what it is asked.
-
-    `isolated` tells that no host of another data centre can be reached.
-    """
-
-    def __init__(self) -> None:
-        """Start with nothing asked and all in reach."""
-        self.asked: dict[str, Asked] = {}
-        self.isolated = False
-
-
 class Desk:
     """Own all that one host decides by."""
 
@@ -104,7 +92,7 @@
         self.assistance: dict[events.AssistKey, Assistance] = {}
         self.aloft: dict[events.FlightKey, Aloft] = {}
         self.windows: dict[str, hedges.Window] = {}
-        self.outlook = Outlook()
+        self.asked: dict[str, Asked] = {}
         self.credits: dict[str, Mapping[str, float]] = {}
         self._budgets: dict[str, budgets.Budget] = {}
         self._timers: list[tuple[float, int, Due]] = []
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -93,42 +93,6 @@
     peers.run(check())
 
 
-def test_is_not_ready_where_neither_store_nor_far_hosts_answer() -> None:
-    """Symptom: a data centre that is cut off takes callers until it heals.
-
-    Its hosts noticed one by one, by the few requests that each was sent.
-    """
-
-    async def check() -> None:
-        async with worlds.make() as world:
-            host = await world.add_host('host-1', 'north')
-            world.put_host('host-2', f'127.0.0.1:{worlds.find_port()}', 'south')
-            await peers.wait_for(lambda: len(host.desk.hosts) == 1)
-            world.store.down = True
-            await peers.wait_for(host.find_obstacle)
-            assert host.news.lost
-            world.store.down = False
-            await peers.wait_for(lambda: not host.find_obstacle())
-
-    peers.run(check())
-
-
-def test_stays_ready_where_a_far_host_answers() -> None:
-    """The store is away for all: nobody else could serve better."""
-
-    async def check() -> None:
-        async with worlds.make() as world:
-            host = await world.add_host('host-1', 'north')
-            await world.add_host('host-2', 'south')
-            await peers.wait_for(lambda: len(host.desk.hosts) == 1)
-            world.store.down = True
-            await peers.wait_for(lambda: host.news.lost)
-            assert not await host.outlook.look()
-            assert not host.find_obstacle()
-
-    peers.run(check())
-
-
 def test_serves_on_while_the_store_is_down() -> None:
     """What was known before an outage is served by all through it."""
 
--- a/tests/relay/worlds.py
+++ b/tests/relay/worlds.py
@@ -89,11 +89,6 @@
         self.store.put_target(name, service, server.address)
         return server
 
-    def put_host(self, name: str, address: str, data_centre: str) -> None:
-        """Enter a host that nobody runs."""
-        entry = {'address': address, 'zone': data_centre}
-        self.store.put(f'fuchsiahaven/hosts/{name}', entry)
-
     async def add_host(
         self, name: str, data_centre: str = 'south'
     ) -> process.Process:
