Tell the starts of a target apart, and read its entry strictly

Cause: a target may start again under the id that it had, and an entry may be written by something else than a target. Everything known of a target was kept by its id, the higher revision of the store won, and fields of another type were taken as they came.

Change: a start has a name of its own (id and time of birth), by which connections, latencies and failures are kept; of two entries the later start wins, then the revision, also where another host tells it; what was under way at the earlier start ends at once as possibly run. An entry is read strictly; one that is malformed makes its target a leaving one and never a vanished one, and is logged once, shortened.

Ruled out: ordering by the count in the entry, which begins anew at a start; keeping the last good entry of a target in use, which names a target that the store does not name any more.

--- a/fuchsiahaven/platform/exchanges.py
+++ b/fuchsiahaven/platform/exchanges.py
@@ -93,7 +93,7 @@
     return (
         *request.fields,
         (headers.DEADLINE, str(left)),
-        (headers.INSTANCE, send.instance.name),
+        (headers.INSTANCE, send.instance.id),
         *_write_length(request),
     )
 
--- a/fuchsiahaven/platform/records.py
+++ b/fuchsiahaven/platform/records.py
@@ -1,6 +1,7 @@
 """Decode what operators, targets and hosts keep in the platform's store."""
 
 import base64
+import ipaddress
 import json
 from collections.abc import Mapping
 from typing import Any, Final
@@ -12,6 +13,24 @@
 INSTANCES: Final = 'servers/'
 HOSTS: Final = 'fuchsiahaven/hosts/'
 MILLISECONDS: Final = 1000
+#: What a target says of itself, and whether it is leaving then. Any other
+#: word is not known, and an entry with it names no target to use.
+STATES: Final = {'ready': False, 'draining': True}
+#: JSON readers agree on whole numbers up to here.
+LARGEST_WHOLE: Final = 9_007_199_254_740_991
+LAST_PORT: Final = 65_535
+#: What reading a value raises where its bytes or its shape are wrong. Text
+#: nested too deeply ends in the last.
+FAULTS: Final = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+#: Characters of a reason that are kept: it may quote what was written.
+LONGEST_REASON: Final = 200
 REPEATS: Final = {
     'idempotent': configurations.Repeat.IDEMPOTENT,
     'non_idempotent': configurations.Repeat.AT_MOST_ONCE,
@@ -38,8 +57,9 @@
     try:
         row = json.loads(base64.b64decode(encoded, validate=True))
         return _read_value(key, row)
-    except (ValueError, KeyError, TypeError) as error:
-        raise Malformed(f'{key.subject} {key.name}: {error!r}') from error
+    except FAULTS as error:
+        reason = f'{key.subject} {key.name}: {error!r}'
+        raise Malformed(reason[:LONGEST_REASON]) from error
 
 
 def write_host(host: places.Host) -> tuple[str, str]:
@@ -115,14 +135,46 @@
 
 
 def _read_instance(name: str, row: Mapping[str, Any]) -> instances.Instance:
+    """Read a target's entry strictly: anybody may have written it.
+
+    A value of another type that is taken as it comes would fail only when
+    the target is chosen, as an error in the middle of a query.
+    """
+    born = _read_whole(row.get('born', 0))
+    slots = _read_whole(row['slots'])
+    if not slots:
+        raise ValueError('no slots')
     return instances.Instance(
+        instances.name_start(name, born),
         name,
-        row['service'],
-        row['address'],
-        row['zone'],
-        int(row.get('slots', 1)),
-        # Also true of a state that these pages do not name.
-        row['state'] != 'ready',
+        _read_text(row['service']),
+        _read_address(row['address']),
+        _read_text(row['zone']),
+        slots,
+        STATES[row['state']],
         # The figure counts down; only whether it is over matters here.
-        row.get('warmup_left_ms', 0) > 0,
+        _read_whole(row['warmup_left_ms']) > 0,
+        born,
     )
+
+
+def _read_text(told: object) -> str:
+    if isinstance(told, str) and told:
+        return told
+    raise ValueError(f'no text: {told!r}')
+
+
+def _read_whole(told: object) -> int:
+    # A truth value is a number in this language, but not in an entry.
+    whole = isinstance(told, int) and not isinstance(told, bool)
+    if whole and 0 <= told <= LARGEST_WHOLE:
+        return told
+    raise ValueError(f'no whole number: {told!r}')
+
+
+def _read_address(told: object) -> str:
+    ip, _, port = _read_text(told).rpartition(':')
+    ipaddress.IPv4Address(ip)
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= LAST_PORT):
+        raise ValueError(f'no port: {told!r}')
+    return f'{ip}:{port}'
--- a/fuchsiahaven/relay/decoders.py
+++ b/fuchsiahaven/relay/decoders.py
@@ -4,16 +4,19 @@
 
 from fuchsiahaven.platform import records
 from fuchsiahaven.relay import journal
-from fuchsiahaven.routing import facts
+from fuchsiahaven.routing import facts, instances
 
 PART: Final = 'news'
+#: Keys of which the last value is kept. Whoever writes under ever new keys
+#: would fill the memory; decoding all of them once more costs 0.1 s.
+MOST_KEPT: Final = 8192
 
 
 class Decoded(NamedTuple):
     """Hold a value as it was decoded at a revision."""
 
     revision: int
-    value: facts.Value
+    value: facts.Value | None
 
 
 class Decoder:
@@ -27,14 +30,27 @@
     def decode(
         self, key: facts.Key, revision: int, encoded: str
     ) -> facts.Value | None:
-        """Decode a value; of a malformed one the last good one stays."""
+        """Decode a value; of a malformed one the last good one stays.
+
+        A target whose entry is malformed counts as leaving until it writes
+        a good one: whether it still takes requests is not known. It is not
+        taken for vanished, because an entry that somebody spoilt says
+        nothing of the store.
+        """
         known = self._decoded.get(key)
         if known is not None and known.revision == revision:
             return known.value
+        read: facts.Value | None
         try:
             read = records.read_value(key, encoded)
         except records.Malformed as error:
-            self._log.tell(PART, 'a record is malformed', error=str(error))
-            return known.value if known is not None else None
+            self._log.tell_request(
+                PART, 'a record is malformed', good=False, error=str(error)
+            )
+            read = known.value if known is not None else None
+            if isinstance(read, instances.Instance):
+                read = read._replace(leaving=True)
+        if len(self._decoded) >= MOST_KEPT:
+            self._decoded.clear()
         self._decoded[key] = Decoded(revision, read)
         return read
--- a/fuchsiahaven/relay/fleets.py
+++ b/fuchsiahaven/relay/fleets.py
@@ -39,11 +39,18 @@
             self._pools[aloft.instance].stop(key, also_sent=also_sent)
 
     def prune(self) -> None:
-        """Close the pools of targets that are gone, once they are unused."""
+        """Close the pools of targets that are gone, once they are unused.
+
+        What is under way at a target that leaves may end there. One that has
+        started again under its id has lost all that was under way: waiting
+        for it would cost callers their deadline where the connections were
+        not reset.
+        """
         known = self._desk.directory.by_name
+        started = {one.id for one in known.values()}
         for name in self._pools.keys() - known.keys():
-            # What is under way at a target that leaves may end there.
-            if self._pools[name].is_unused():
+            pool = self._pools[name]
+            if pool.is_unused() or pool.instance.id in started:
                 self._pools.pop(name).close()
 
     def deal(self) -> None:
--- a/fuchsiahaven/routing/codecs.py
+++ b/fuchsiahaven/routing/codecs.py
@@ -15,6 +15,7 @@
     name: str
     revision: int
     value: Mapping[str, Any] | None
+    born: int
 
 
 class WrittenReport(TypedDict):
@@ -75,6 +76,7 @@
         name=fact.key.name,
         revision=fact.revision,
         value=None if fact.value is None else _write_value(fact.value),
+        born=fact.born,
     )
 
 
@@ -122,7 +124,7 @@
     key = facts.Key(facts.Subject(row['subject']), row['name'])
     written = row['value']
     read = None if written is None else _read_value(key.subject, written)
-    return facts.Fact(key, int(row['revision']), read)
+    return facts.Fact(key, int(row['revision']), read, int(row['born']))
 
 
 def _read_value(
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -46,12 +46,14 @@
 class Fact(NamedTuple):
     """State one fact; without a value it is gone.
 
-    `revision` is the store's when the fact last changed its meaning.
+    `revision` is the store's when the fact last changed its meaning. `born`
+    is the start of a target that a removal is about; 0 where it is of any.
     """
 
     key: Key
     revision: int
     value: Value | None
+    born: int = 0
 
 
 class Cursor(NamedTuple):
@@ -217,7 +219,7 @@
             continue
         missing.pop(fact.key, None)
         before = known.get(fact.key, Fact(fact.key, -1, None))
-        if fact.revision > before.revision:
+        if _rank(fact) > _rank(before):
             known[fact.key] = fact
             # What was written again and says the same is not passed on.
             changed.update([fact.key] if before.value != fact.value else ())
@@ -227,22 +229,43 @@
 def _find_gone(known: Mapping[Key, Fact], report: Report) -> set[Key]:
     # A target may go and return between two readings: what is gone by then is
     # what was written before its removal.
-    gone = {it.key: it.revision for it in report.facts if it.value is None}
+    gone = {it.key: it for it in report.facts if it.value is None}
     if report.whole:
         absent = known.keys() - {fact.key for fact in report.facts}
-        gone.update(dict.fromkeys(absent, report.revision))
+        gone.update({it: Fact(it, report.revision, None) for it in absent})
     return {
         key
-        for key, revision in gone.items()
-        if _stands(known.get(key), revision)
+        for key, removal in gone.items()
+        if _is_removed(known.get(key), removal)
     }
 
 
-def _stands(fact: Fact | None, revision: int) -> bool:
-    """Tell whether a removal by that revision would be of this fact."""
+def _is_removed(fact: Fact | None, removal: Fact) -> bool:
+    """Tell whether a removal is of this fact."""
     if fact is None or fact.value is None:
         return False
-    return fact.revision <= revision
+    # A host that has not heard of a target's new start tells of the end of
+    # the one before, maybe under a later revision.
+    if removal.born and removal.born < _find_born(fact):
+        return False
+    return fact.revision <= removal.revision
+
+
+def _find_born(fact: Fact) -> int:
+    if isinstance(fact.value, instances.Instance):
+        return fact.value.born
+    return fact.born
+
+
+def _rank(fact: Fact) -> tuple[int, int]:
+    """Rank what is told of a key: the later start first, then the revision.
+
+    A target may start again under its id. The last entry of its earlier
+    start can reach the store after the first of the new one, and hosts that
+    heard of one of them only pass it on; by revision alone the dead start
+    would win, and requests would go to connections that are gone.
+    """
+    return (_find_born(fact), fact.revision)
 
 
 def _find_return(
@@ -280,7 +303,8 @@
         # What operators accepted never goes away again.
         kept = key.subject is Subject.CONFIGURATION
         if fact is not None and fact.value is not None and not kept:
-            known[key] = Fact(key, max(revision, fact.revision + 1), None)
+            last = max(revision, fact.revision + 1)
+            known[key] = Fact(key, last, None, _find_born(fact))
             changed.add(key)
     return changed
 
--- a/fuchsiahaven/routing/instances.py
+++ b/fuchsiahaven/routing/instances.py
@@ -7,18 +7,28 @@
 class Instance(NamedTuple):
     """Describe one start of a target.
 
-    `name` is new at each start, so that a request can name the process it is
-    meant for: an address can pass to a target of another service. `cold`
-    tells that it has just started and is still slow.
+    `id` is what a request names it by, because an address can pass to a
+    target of another service. A target may start again under the same id;
+    `born`, in milliseconds of its own clock, tells the starts apart, and
+    `name` belongs to one start alone: whatever is kept by name (connections,
+    latencies, failures) starts anew with the target. `cold` tells that it has
+    just started and is still slow.
     """
 
     name: str
+    id: str
     service: str
     address: str
     data_centre: str
     slots: int
     leaving: bool
     cold: bool
+    born: int = 0
+
+
+def name_start(target_id: str, born: int) -> str:
+    """Name one start of a target; `born` is 0 where that is not known."""
+    return f'{target_id}@{born}' if born else target_id
 
 
 class Directory(NamedTuple):
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -1,10 +1,12 @@
 """Test how records of the platform's store are decoded."""
 
 import base64
+import contextlib
 import json
 from typing import Any
 
 import pytest
+from hypothesis import given, strategies
 
 from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.platform import records, store
@@ -12,6 +14,16 @@
 
 CONFIGURATION = facts.Key(facts.Subject.CONFIGURATION, '')
 INSTANCE = facts.Key(facts.Subject.INSTANCE, 'i-1')
+ENTRY: dict[str, Any] = {
+    'service': 'one',
+    'address': '10.0.0.9:80',
+    'zone': 'north',
+    'version': 'v1',
+    'slots': 2,
+    'state': 'ready',
+    'warmup_left_ms': 0,
+    'seq': 4,
+}
 
 
 def encode(row: Any) -> str:
@@ -70,22 +82,102 @@
 
 def test_reads_an_instance() -> None:
     """A target that says anything but ready is leaving."""
-    row = {
-        'service': 'one',
-        'address': '10.0.0.9:80',
-        'zone': 'north',
-        'version': 'v1',
-        'slots': 2,
-        'state': 'draining',
-        'warmup_left_ms': 12,
-        'seq': 4,
-    }
+    row = {**ENTRY, 'state': 'draining', 'warmup_left_ms': 12}
     read = records.read_value(INSTANCE, encode(row))
     assert read == instances.Instance(
-        'i-1', 'one', '10.0.0.9:80', 'north', 2, leaving=True, cold=True
+        'i-1', 'i-1', 'one', '10.0.0.9:80', 'north', 2, leaving=True, cold=True
     )
 
 
+def test_names_each_start_of_a_target() -> None:
+    """A target starts again under its id; requests still name it by that."""
+    first = records.read_value(INSTANCE, encode({**ENTRY, 'born': 1_000}))
+    second = records.read_value(INSTANCE, encode({**ENTRY, 'born': 2_000}))
+    assert isinstance(first, instances.Instance)
+    assert isinstance(second, instances.Instance)
+    assert first.name != second.name
+    assert first.id == second.id == 'i-1'
+
+
+@pytest.mark.parametrize(
+    ('field', 'told'),
+    [
+        ('service', None),
+        ('service', ''),
+        ('service', ['one']),
+        ('address', '10.0.0.9'),
+        ('address', '10.0.0.9:0'),
+        ('address', '10.0.0.9:99999'),
+        ('address', 'localhost:80'),
+        ('address', {'ip': '10.0.0.9'}),
+        ('zone', 7),
+        ('slots', 0),
+        ('slots', '2'),
+        ('slots', True),
+        ('slots', float('nan')),
+        ('state', 'asleep'),
+        ('state', ['ready']),
+        ('warmup_left_ms', -1),
+        ('warmup_left_ms', None),
+        ('born', 1.5),
+        ('born', '1000'),
+        ('born', 10**30),
+    ],
+)
+def test_refuses_an_entry_of_another_writer(field: str, told: object) -> None:
+    """Symptom: a query ends with an error while it chooses a target.
+
+    Something else than a target wrote an entry whose fields are of another
+    type; it was taken as it came, and failed only when it was used.
+    """
+    with pytest.raises(records.Malformed):
+        records.read_value(INSTANCE, encode({**ENTRY, field: told}))
+
+
+@pytest.mark.parametrize(
+    'field', ['service', 'address', 'zone', 'slots', 'state', 'warmup_left_ms']
+)
+def test_refuses_an_entry_that_lacks_a_field(field: str) -> None:
+    """An entry names a target only where all of it is there."""
+    row = {name: told for name, told in ENTRY.items() if name != field}
+    with pytest.raises(records.Malformed):
+        records.read_value(INSTANCE, encode(row))
+
+
+@given(
+    strategies.recursive(
+        strategies.none()
+        | strategies.booleans()
+        | strategies.integers()
+        | strategies.floats()
+        | strategies.text(),
+        lambda inner: (
+            strategies.lists(inner)
+            | strategies.dictionaries(
+                strategies.sampled_from([*ENTRY, 'born', 'other']),
+                inner,
+            )
+        ),
+    ),
+    strategies.sampled_from(facts.Subject),
+)
+def test_reads_or_refuses_any_value(told: object, about: facts.Subject) -> None:
+    """Whatever an entry holds ends as a value or in one kind of error."""
+    if isinstance(told, dict):
+        told = {**ENTRY, **told}
+    with contextlib.suppress(records.Malformed):
+        records.read_value(facts.Key(about, 'i-1'), encode(told))
+
+
+@given(strategies.binary())
+def test_reads_or_refuses_any_bytes(told: bytes) -> None:
+    """Bytes that cannot be read end in the same error."""
+    encoded = base64.b64encode(told).decode()
+    for text in (encoded, told.decode('latin-1'), '[' * 100_000):
+        with contextlib.suppress(records.Malformed):
+            records.read_value(INSTANCE, text)
+
+
 @pytest.mark.parametrize('text', ['%', encode([]), encode({'version': 1})])
 def test_refuses_what_is_no_record(text: str) -> None:
     """Wrong base64, wrong JSON and missing fields end in one error."""
--- a/tests/relay/peers.py
+++ b/tests/relay/peers.py
@@ -48,6 +48,7 @@
     def as_instance(self, service: str = 'records') -> instances.Instance:
         """Describe the server as a target."""
         return instances.Instance(
+            f'at {self.address}',
             f'at {self.address}',
             service,
             self.address,
--- /dev/null
+++ b/tests/relay/test_fleets.py
@@ -0,0 +1,61 @@
+"""Test which connections to targets are kept when the targets change."""
+
+import asyncio
+import time
+
+from fuchsiahaven.core.targets import messages
+from fuchsiahaven.relay import fleets
+from fuchsiahaven.routing import events, instances, places, states
+from tests.relay import peers
+
+HOST = places.Host('host-1', '10.0.0.1:7000', 'north')
+FIELDS = (('host', 'shop.example'),)
+EXTRA = places.ExtraLoad(0.2, 40.0, 10.0)
+
+
+async def be_silent(head: bytes, writer: asyncio.StreamWriter) -> None:
+    """Take requests and answer none."""
+
+
+def test_gives_up_what_waits_at_an_earlier_start_of_a_target() -> None:
+    """Symptom: a request waits until its deadline at a process that is gone.
+
+    A target is restarted under its id behind a cut that resets nothing. Its
+    new entry tells that the process before has ended, and that the outcome
+    of what was sent there is not known.
+    """
+
+    async def run() -> list[events.Event]:
+        reported: list[events.Event] = []
+        async with peers.listen(be_silent) as server:
+            first = server.as_instance()
+            desk = states.Desk(HOST, EXTRA, float)
+            desk.directory = instances.build_directory([first])
+            fleet = fleets.Fleet(desk, reported.append, time.monotonic)
+            now = time.monotonic()
+            request = events.Request(
+                'id-1',
+                'GET',
+                '/a/1',
+                'shop.example',
+                FIELDS,
+                b'',
+                now,
+                now + 30,
+            )
+            key = events.FlightKey(1, 'records', 1)
+            fleet.place(events.Send(key, first, request, now + 30, False))
+            await peers.wait_for(lambda: bool(server.heads))
+            second = first._replace(
+                name=instances.name_start(first.id, 2), born=2
+            )
+            desk.directory = instances.build_directory([second])
+            fleet.prune()
+            # Closing all of it would tell the same.
+            told = list(reported)
+            fleet.close()
+        return told
+
+    reported = asyncio.run(run())
+    lost = messages.Fault.CONNECTION_LOST
+    assert events.Broken(events.FlightKey(1, 'records', 1), lost) in reported
--- a/tests/routing/desk_rig.py
+++ b/tests/routing/desk_rig.py
@@ -47,6 +47,7 @@
     """Make targets named `service-0` and so on, in one data centre."""
     return [
         instances.Instance(
+            f'{service}-{number}',
             f'{service}-{number}',
             service,
             f'10.0.1.{number}:80',
--- a/tests/routing/test_facts.py
+++ b/tests/routing/test_facts.py
@@ -11,10 +11,20 @@
     return facts.Key(facts.Subject.INSTANCE, name)
 
 
-def make_fact(name: str, revision: int, *, leaving: bool = False) -> facts.Fact:
+def make_fact(
+    name: str, revision: int, *, leaving: bool = False, born: int = 0
+) -> facts.Fact:
     """State that a target is there."""
     one = instances.Instance(
-        name, 'search', '10.0.0.1:80', 'north', 2, leaving, cold=False
+        instances.name_start(name, born),
+        name,
+        'search',
+        '10.0.0.1:80',
+        'north',
+        2,
+        leaving,
+        cold=False,
+        born=born,
     )
     return facts.Fact(make_key(name), revision, one)
 
@@ -255,3 +265,46 @@
         cursor=facts.Cursor(3, 4),
     )
     assert codecs.read_report(codecs.write_report(report)) == report
+
+
+def test_keeps_the_later_start_of_a_target() -> None:
+    """Symptom: requests go to a start of a target that is dead.
+
+    A target starts again under its id and writes its entry; then the last
+    entry of its earlier start, which was on the way, reaches the store under
+    a later revision.
+    """
+    ledger = take(facts.begin(1), read(5, make_fact('a', 5, born=2)), 0)
+    ledger = take(ledger, read(6, make_fact('a', 6, born=1)), 1)
+    assert list_names(ledger) == {'a@2'}
+
+
+def test_takes_the_later_start_from_whoever_tells_it() -> None:
+    """Each of two hosts heard of one start; both end with the later one."""
+    earlier = take(facts.begin(1), read(6, make_fact('a', 6, born=1)), 0)
+    later = take(facts.begin(2), read(5, make_fact('a', 5, born=2)), 0)
+    told = facts.list_changes(later, facts.START, 1)
+    earlier = take(earlier, told, 1, None)
+    assert list_names(earlier) == {'a@2'}
+    told = facts.list_changes(
+        take(facts.begin(3), read(7, make_fact('a', 7, born=1)), 0),
+        facts.START,
+        1,
+    )
+    assert list_names(take(later, told, 1, None)) == {'a@2'}
+
+
+def test_keeps_a_new_start_where_the_end_of_the_earlier_is_told() -> None:
+    """Symptom: a target that has just started again gets no requests.
+
+    Another host tells that the earlier start is gone, under a revision that
+    is later than the entry of the new one.
+    """
+    teller = take(facts.begin(1), read(5, make_fact('a', 5, born=1)), 0)
+    before = teller.cursor
+    teller = take(teller, read(9), 1)
+    told = facts.list_changes(teller, before, 1)
+    ledger = take(facts.begin(2), read(8, make_fact('a', 8, born=2)), 0)
+    text = codecs.write_report(told)
+    ledger = take(ledger, codecs.read_report(text), 2, None)
+    assert list_names(ledger) == {'a@2'}
