--- a/fuchsiahaven/platform/records.py
+++ b/fuchsiahaven/platform/records.py
@@ -166,9 +166,9 @@
 
 def _read_whole(told: object) -> int:
     # A truth value is a number in this language, but not in an entry.
-    whole = isinstance(told, int) and not isinstance(told, bool)
-    if whole and 0 <= told <= LARGEST_WHOLE:
-        return told
+    if isinstance(told, int) and not isinstance(told, bool):
+        if 0 <= told <= LARGEST_WHOLE:
+            return told
     raise ValueError(f'no whole number: {told!r}')
 
 
