--- a/fuchsiahaven/platform/settings.py
+++ b/fuchsiahaven/platform/settings.py
@@ -9,6 +9,7 @@
 
 VARIABLE: Final = 'FUCHSIAHAVEN_SETTINGS'
 MILLISECONDS: Final = 1000
+BYTES_OF_MEGABIT: Final = 125_000
 #: Names that every settings file has.
 REQUIRED: Final = (
     'node',
@@ -111,4 +112,13 @@
         ),
         numbers['heartbeat_ms'] / MILLISECONDS,
         numbers['bounds.grace_s'],
+        _read_link(lines.get('limits.link_mbps', '')),
     )
+
+
+def _read_link(told: str) -> float:
+    """Read what a host's link carries; one that is not told is not known."""
+    try:
+        return max(0.0, float(told)) * BYTES_OF_MEGABIT
+    except ValueError:
+        return 0.0
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -55,6 +55,7 @@
         self.desk = states.Desk(
             settings.host, settings.extra_load, random.random
         )
+        self.desk.link = settings.link
         self.runner = runner.Runner(self.desk, self._tell)
         self.news = news.News(settings, log, self._learn)
         self.readiness = readiness.Readiness(self._find_obstacle, log)
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -118,15 +118,16 @@
                 self._assistants.dismiss(assistance)
             case events.Give(ask, share):
                 self._give(ask, share)
-            case events.Reply(ask, outcome):
-                self._reply(ask, outcome)
+            case events.Reply():
+                self._reply(action)
             case events.Story() | events.Belief():
                 self._tell(action)
 
-    def _reply(self, ask: int, outcome: events.Outcome) -> None:
-        reply = self._replies.pop(ask, None)
+    def _reply(self, told: events.Reply) -> None:
+        reply = self._replies.pop(told.ask, None)
         if reply is not None:
-            reply(outcome)
+            reply(told.outcome)
+            desks.note_replied(self.desk, told, time.monotonic())
 
     def _give(self, ask: int, share: events.Share) -> None:
         give = self._givers.get(ask)
--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -7,13 +7,9 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import coverage, errors
-from fuchsiahaven.routing import configs, events, merges
+from fuchsiahaven.routing import configs, events, margins, merges
 
 SOURCE: Final = 'asks'
-#: Kept back from the objective and the deadline, beside the caller's way, for
-#: merging and writing (1 ms for 20 parts) and for timers that fire late while
-#: the host is busy, in seconds.
-MARGIN_S: Final = 0.004
 #: The way to a caller that is taken into account at most: what a caller with
 #: a slow line loses there is its own, and its answer may not go out at once
 #: with hardly anything in it.
@@ -97,10 +93,15 @@
     route: configs.Route,
     version: int,
     services: tuple[str, ...],
+    own: float = margins.START_S,
 ) -> Ask:
-    """Begin an ask that reaches the services given."""
+    """Begin an ask that reaches the services given.
+
+    `own` is how many seconds before the objective this host has to decide on
+    the answer, beside the caller's way.
+    """
     arrived = request.arrived
-    margin = MARGIN_S + min(request.away, LONGEST_AWAY_S)
+    margin = own + min(request.away, LONGEST_AWAY_S)
     ends = min(arrived + route.timeout, request.deadline - margin)
     return Ask(
         number,
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -11,6 +11,7 @@
     delegations,
     endings,
     events,
+    margins,
     plans,
     reaches,
     splits,
@@ -60,6 +61,12 @@
     return []
 
 
+def note_replied(desk: states.Desk, reply: events.Reply, now: float) -> None:
+    """Take in when a reply was written that waited for its last moment."""
+    if reply.due:
+        desk.delay = margins.note(desk.delay, now - reply.due)
+
+
 def find_obstacle(desk: states.Desk, now: float) -> str:
     """Say why no new work should come to this host; empty if it may."""
     if not desk.index.configuration.version:
@@ -96,7 +103,9 @@
         return endings.refuse(event.ask, request, route, version, now)
     services = _list_services(desk, route)
     reaches.note_asked(desk, route, now)
-    ask = asks.begin(event.ask, request, route, version, services)
+    own = margins.estimate(desk.delay)
+    own += margins.estimate_transfer(route.way, desk.link)
+    ask = asks.begin(event.ask, request, route, version, services, own)
     desk.asks[ask.number] = ask
     tries.foresee(desk, ask, now)
     actions: Actions = []
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -9,6 +9,8 @@
 
 Actions = list[events.Action]
 
+#: An answer decided later than this after its moment had waited for a part.
+LONGEST_DELAY_S: Final = 0.03
 #: How many parts a line of the log tells of; a query may have hundreds.
 MOST_TOLD: Final = 6
 
@@ -26,8 +28,12 @@
     """Reply to the caller; what waits to be sent is not needed any more."""
     outcome = asks.build_outcome(ask)
     desk.asks.pop(ask.number, None)
+    due = ask.cut if ask.open and isinstance(outcome, events.Merged) else 0
+    if now > ask.cut + LONGEST_DELAY_S:
+        # It waited for parts, not for its moment.
+        due = 0
     return [
-        events.Reply(ask.number, outcome),
+        events.Reply(ask.number, outcome, due),
         _tell(ask, name_result(outcome), now),
         *[events.Withdraw(key) for key in asks.list_flights(ask)],
     ]
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -143,7 +143,9 @@
     parts were sent before, maybe to the targets to `avoid`, and each is wanted
     as soon as it comes. With `counts` the host that assists keeps account of
     requests and repeats: it sees all those of its data centre for its shards,
-    so its share of what is allowed is worth more than everybody's.
+    so its share of what is allowed is worth more than everybody's. With
+    `hedges` it sends what is slow to a second target by itself, and tells so
+    before it does.
     """
 
     request: Request
@@ -155,6 +157,7 @@
     avoid: tuple[str, ...] = ()
     counts: bool = False
     again: bool = False
+    hedges: bool = False
 
 
 class PartIn(NamedTuple):
@@ -168,12 +171,14 @@
     """State what became of a part that is not in.
 
     `instance` is the target that was tried, if any; `arrived` tells whether
-    the request may have arrived there.
+    the request may have arrived there, `again` whether it was also sent to a
+    second one.
     """
 
     service: str
     instance: str
     arrived: bool
+    again: bool = False
 
 
 class Share(NamedTuple):
@@ -288,10 +293,14 @@
 
 
 class Reply(NamedTuple):
-    """Give a caller its one outcome."""
+    """Give a caller its one outcome.
+
+    `due` is when it was to be decided, where that moment was waited for.
+    """
 
     ask: int
     outcome: Outcome
+    due: float = 0.0
 
 
 class Story(NamedTuple):
--- /dev/null
+++ b/fuchsiahaven/routing/margins.py
@@ -0,0 +1,64 @@
+"""Work out how long before the objective an answer has to be decided.
+
+An answer that is decided at the last moment reaches its caller after the
+objective, and is worth a tenth, if the host is slow to merge and write it: its
+timer fires late while it is busy, and a small link takes milliseconds for what
+90 shards sign. How much that is differs by host and by moment, so each host
+goes by what it sees of its own answers.
+"""
+
+from typing import Final, NamedTuple
+
+from fuchsiahaven.routing import configs
+
+#: What is kept back before anything was seen, in seconds: 1 ms for merging 20
+#: parts and as much as timers fire late on a host that is a tenth busy.
+START_S: Final = 0.004
+#: Never less than a timer's own slack, nor so much that one stall of the host
+#: would empty the answers after it.
+LEAST_S: Final = 0.002
+MOST_S: Final = 0.02
+#: Weights of a new figure, as usual for round trips (RFC 6298), and how many
+#: deviations beyond the mean are kept back: a late answer costs nine tenths,
+#: a millisecond less some hundredths.
+MEAN_WEIGHT: Final = 0.125
+DEVIATION_WEIGHT: Final = 0.25
+DEVIATIONS: Final = 2.0
+#: Bytes of an answer beside its records, and of a part's signature in it.
+HEAD_BYTES: Final = 250
+SIGNATURE_BYTES: Final = 30
+RECORD_BYTES: Final = 16
+
+
+class Delay(NamedTuple):
+    """Hold how late this host's answers left after they were due, in seconds."""
+
+    mean: float = START_S / 2
+    deviation: float = START_S / 4
+
+
+def note(delay: Delay, late: float) -> Delay:
+    """Take in by how much one answer left after it was due."""
+    gap = late - delay.mean
+    return Delay(
+        delay.mean + MEAN_WEIGHT * gap,
+        delay.deviation + DEVIATION_WEIGHT * (abs(gap) - delay.deviation),
+    )
+
+
+def estimate(delay: Delay) -> float:
+    """Return what to keep back for this host's own delay, in seconds."""
+    wanted = delay.mean + DEVIATIONS * delay.deviation
+    return min(MOST_S, max(LEAST_S, wanted))
+
+
+def estimate_transfer(way: configs.Way, link: float) -> float:
+    """Return how long an answer takes on this host's link, in seconds.
+
+    `link` is in bytes a second; 0 where it is not known.
+    """
+    if not isinstance(way, configs.Gather) or not link:
+        return 0.0
+    signatures = SIGNATURE_BYTES * len(way.shards)
+    size = HEAD_BYTES + signatures + RECORD_BYTES * way.limit
+    return size / link
--- a/fuchsiahaven/routing/places.py
+++ b/fuchsiahaven/routing/places.py
@@ -28,7 +28,8 @@
 
     Addresses are `ip:port`, times in seconds. `data_centres` are all of the
     deployment. `heartbeat` is how often a target renews its entry, `grace`
-    the time from the signal to stop to the kill.
+    the time from the signal to stop to the kill, `link` the bytes a second
+    that the host's own link carries (0 if that is not told).
     """
 
     host: Host
@@ -41,3 +42,4 @@
     extra_load: ExtraLoad
     heartbeat: float
     grace: float
+    link: float = 0.0
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -12,6 +12,7 @@
     configs,
     events,
     instances,
+    margins,
     places,
     standings,
 )
@@ -83,6 +84,8 @@
         self.extra_load = extra_load
         self.draw = draw
         self.host_count = 1
+        self.link = 0.0
+        self.delay = margins.Delay()
         self.hosts: tuple[places.Host, ...] = ()
         self.index = configs.build_index(configs.NOTHING)
         self.directory = instances.EMPTY
