--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -127,7 +127,13 @@
         reply = self._replies.pop(told.ask, None)
         if reply is not None:
             reply(told.outcome)
-            desks.note_replied(self.desk, told, time.monotonic())
+            if told.due:
+                # What this turn costs shows on the clock at the next one.
+                loop = asyncio.get_running_loop()
+                loop.call_soon(self._note_replied, told)
+
+    def _note_replied(self, told: events.Reply) -> None:
+        desks.note_replied(self.desk, told, time.monotonic())
 
     def _give(self, ask: int, share: events.Share) -> None:
         give = self._givers.get(ask)
--- a/fuchsiahaven/routing/assist_codecs.py
+++ b/fuchsiahaven/routing/assist_codecs.py
@@ -24,7 +24,6 @@
     avoid: list[str]
     counts: bool
     again: bool
-    hedges: bool
     wait: int
 
 
@@ -54,7 +53,6 @@
         avoid=list(assist.avoid),
         counts=assist.counts,
         again=assist.again,
-        hedges=assist.hedges,
         wait=int((assist.ends - now) * MILLISECONDS),
     )
     return _dump(written)
@@ -114,7 +112,6 @@
         tuple(row['avoid']),
         bool(row['counts']),
         bool(row['again']),
-        bool(row['hedges']),
     )
 
 
@@ -129,7 +126,5 @@
 
 
 def _read_out(row: list[str | bool]) -> events.PartOut:
-    service, instance, arrived, again = row
-    return events.PartOut(
-        str(service), str(instance), bool(arrived), bool(again)
-    )
+    service, instance, arrived = row
+    return events.PartOut(str(service), str(instance), bool(arrived))
--- a/fuchsiahaven/routing/assists.py
+++ b/fuchsiahaven/routing/assists.py
@@ -1,10 +1,7 @@
 """Gather parts of a query for another host that is farther from the targets.
 
-The other host decides what fails is worth and answers the caller. This host
-sends each part to a target near it, and what is slow to a second one: it sees
-most of what goes to those targets and knows first which of them stand still.
-The other host is told before, so that no part is at more targets than allowed
-even where this host falls silent then.
+The other host decides: it sends again what is slow or fails, and it answers
+the caller. This host sends each part once, to a target near it.
 """
 
 from typing import Final
@@ -24,8 +21,6 @@
 #: Share of the objective after which what is in goes out at the latest, so
 #: that the other host can still send what lacks to other targets in time.
 LATEST_SHARE: Final = 0.4
-#: Targets that a part may be at where the other host allows a hedge.
-HEDGED_ATTEMPTS: Final = 2
 #: The empty name marks that something was told.
 BEGUN: Final = ''
 
@@ -73,22 +68,12 @@
         return []
     ask.told.update(settled, (BEGUN,))
     if not over:
-        hedged = _hedge(desk, ask, now) if first else []
-        given = _give(ask, settled, first=first, over=False)
-        return [*given, *hedged]
+        return _give(ask, settled, first=first, over=False)
     desk.asks.pop(ask.number, None)
     withdrawn = [events.Withdraw(key) for key in asks.list_flights(ask)]
     return [*_give(ask, settled, first=first, over=True), *withdrawn]
 
 
-def _hedge(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
-    """Send what is slow to a second target, where the other host allows it."""
-    if ask.route.attempts < HEDGED_ATTEMPTS:
-        return []
-    slow = [it for it in asks.list_open(ask) if len(ask.parts[it].flights) == 1]
-    return tries.hedge_all(desk, ask, slow, now)
-
-
 def _begin(desk: states.Desk, event: events.Assisted, now: float) -> asks.Ask:
     assist = event.assist
     route = configs.Route(
@@ -98,7 +83,7 @@
         configurations.Repeat.IDEMPOTENT,
         assist.ends - now,
         assist.objective,
-        HEDGED_ATTEMPTS if assist.hedges and not assist.again else 1,
+        1,
         0,
         configs.Gather(assist.services, assist.limit, 0),
     )
@@ -149,4 +134,4 @@
 def _tell_part(ask: asks.Ask, service: str) -> events.PartOut:
     part = ask.parts[service]
     tried = part.tried[-1] if part.tried else ''
-    return events.PartOut(service, tried, part.sent > 0, part.sent > 1)
+    return events.PartOut(service, tried, part.sent > 0)
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -90,7 +90,6 @@
         tuple(_list_tried(ask, planned.services)),
         counts=configs.is_wide(ask.route.way),
         again=any(ask.parts[it].sent for it in planned.services),
-        hedges=ask.route.attempts > 1,
     )
     flights = {}
     for service in planned.services:
@@ -199,10 +198,6 @@
     """Have a part that the helper still waits for sent elsewhere as well."""
     part = ask.parts[waiting.service]
     number = known.flights[waiting.service]
-    if waiting.again:
-        # The helper has sent it to a second target, which is on its account.
-        ask.parts[waiting.service] = part._replace(sent=part.sent + 1)
-        return
     ask.parts[waiting.service] = part._replace(
         flights=tuple(
             flight._replace(sent=OVERDUE) if flight.number == number else flight
@@ -236,7 +231,7 @@
         part = arrivals.land(ask, key)
         ask.tries.append(f'{out.service} {out.instance} {known.helper.name}')
         ask.parts[out.service] = part._replace(
-            sent=part.sent - (not out.arrived) + out.again,
+            sent=part.sent - (not out.arrived),
             tried=(*part.tried, out.instance),
             may_have_run=part.may_have_run or out.arrived,
             reason=coverage.Reason.UNREACHABLE,
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -63,8 +63,7 @@
 
 def note_replied(desk: states.Desk, reply: events.Reply, now: float) -> None:
     """Take in when a reply was written that waited for its last moment."""
-    if reply.due:
-        desk.delay = margins.note(desk.delay, now - reply.due)
+    desk.delay = margins.note(desk.delay, now - reply.due)
 
 
 def find_obstacle(desk: states.Desk, now: float) -> str:
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -143,9 +143,7 @@
     parts were sent before, maybe to the targets to `avoid`, and each is wanted
     as soon as it comes. With `counts` the host that assists keeps account of
     requests and repeats: it sees all those of its data centre for its shards,
-    so its share of what is allowed is worth more than everybody's. With
-    `hedges` it sends what is slow to a second target by itself, and tells so
-    before it does.
+    so its share of what is allowed is worth more than everybody's.
     """
 
     request: Request
@@ -157,7 +155,6 @@
     avoid: tuple[str, ...] = ()
     counts: bool = False
     again: bool = False
-    hedges: bool = False
 
 
 class PartIn(NamedTuple):
@@ -171,14 +168,12 @@
     """State what became of a part that is not in.
 
     `instance` is the target that was tried, if any; `arrived` tells whether
-    the request may have arrived there, `again` whether it was also sent to a
-    second one.
+    the request may have arrived there.
     """
 
     service: str
     instance: str
     arrived: bool
-    again: bool = False
 
 
 class Share(NamedTuple):
--- a/fuchsiahaven/routing/margins.py
+++ b/fuchsiahaven/routing/margins.py
@@ -13,10 +13,10 @@
 
 #: What is kept back before anything was seen, in seconds: 1 ms for merging 20
 #: parts and as much as timers fire late on a host that is a tenth busy.
-START_S: Final = 0.004
+START_S: Final = 0.006
 #: Never less than a timer's own slack, nor so much that one stall of the host
 #: would empty the answers after it.
-LEAST_S: Final = 0.002
+LEAST_S: Final = 0.006
 MOST_S: Final = 0.02
 #: Weights of a new figure, as usual for round trips (RFC 6298), and how many
 #: deviations beyond the mean are kept back: a late answer costs nine tenths,
@@ -24,6 +24,9 @@
 MEAN_WEIGHT: Final = 0.125
 DEVIATION_WEIGHT: Final = 0.25
 DEVIATIONS: Final = 2.0
+#: What no host sees of its own answers: the kernel on both sides and the
+#: caller's reading of it.
+UNSEEN_S: Final = 0.002
 #: Bytes of an answer beside its records, and of a part's signature in it.
 HEAD_BYTES: Final = 250
 SIGNATURE_BYTES: Final = 30
@@ -48,7 +51,7 @@
 
 def estimate(delay: Delay) -> float:
     """Return what to keep back for this host's own delay, in seconds."""
-    wanted = delay.mean + DEVIATIONS * delay.deviation
+    wanted = UNSEEN_S + delay.mean + DEVIATIONS * delay.deviation
     return min(MOST_S, max(LEAST_S, wanted))
 
 
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -72,10 +72,8 @@
     part = ask.parts[service]
     if part.flights:
         return []
-    # A helper has told the other host of one target only; what may have run
-    # there is that host's to send again.
-    once = ask.route.at_most_once or ask.assists
-    if (once and part.may_have_run) or not may_repeat(desk, ask, service, now):
+    once = ask.route.at_most_once and part.may_have_run
+    if once or not may_repeat(desk, ask, service, now):
         _lose(desk, ask, service)
         return []
     return _send_or_lose(desk, ask, service, now, events.Purpose.RETRY)
