Leave out a data centre that falls silent, all of it at once

Hypothesis: where a data centre is cut off without a word, each target there is found out by itself, which takes 0.8 to 1.4 s until the host reports not ready.

Change: three hosts or targets of another data centre that were sent something and of whom nobody was heard for 0.3 s, or whose connections broke, leave all of it out; a few connections try the way again.

--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -89,10 +89,16 @@
             now = time.monotonic()
             self.fleet.sweep(now)
             self._assistants.sweep(now)
-            if now >= try_at and reaches.is_cut_off(self.desk, now):
+            self.post(events.Reviewed())
+            if now >= try_at and self._misses_targets(now):
                 try_at = now + TRY_S
                 self.fleet.try_ways(now)
 
+    def _misses_targets(self, now: float) -> bool:
+        # What is left out is sent nothing, and would not be heard of again.
+        silent = self.desk.centres.list_silent()
+        return bool(silent) or reaches.is_cut_off(self.desk, now)
+
     def close(self) -> None:
         """Close all connections."""
         if self._timer is not None:
--- a/fuchsiahaven/routing/arrivals.py
+++ b/fuchsiahaven/routing/arrivals.py
@@ -26,6 +26,7 @@
     aloft = desk.aloft.pop(event.key, None)
     if aloft is None:
         return []
+    desk.centres.note_heard(aloft.data_centre)
     answer = event.answer
     known = desk.standings
     if answer.status >= asks.FAILURES:
@@ -62,6 +63,7 @@
     aloft = desk.aloft.pop(event.key, None)
     if aloft is None:
         return []
+    desk.centres.note_heard(aloft.data_centre)
     desk.standings.note_refused(aloft.instance, event, now)
     if event.reason is messages.RefusalReason.LEAVING:
         # Another process answers at this address, or this one is leaving.
@@ -84,6 +86,8 @@
     aloft = desk.aloft.pop(event.key, None)
     if aloft is None:
         return []
+    if event.fault is messages.Fault.CONNECTION_LOST:
+        desk.centres.note_failed(aloft.data_centre, aloft.instance)
     desk.standings.note_broken(aloft.instance, event, now)
     ask = find_open(desk, event.key)
     if ask is None:
@@ -103,6 +107,8 @@
     if aloft is None:
         return []
     service = event.key.service
+    if event.unreachable:
+        desk.centres.note_failed(aloft.data_centre, aloft.instance)
     desk.standings.note_unsent(aloft.instance, event, now)
     if aloft.extra:
         desk.find_budget(service).note_extra(now, -1)
--- /dev/null
+++ b/fuchsiahaven/routing/centres.py
@@ -0,0 +1,100 @@
+"""Notice that a whole data centre has fallen silent.
+
+A data centre that is cut off without a word leaves each target there to be
+found out by itself: each costs queries a timeout, and this host goes on taking
+callers that it cannot serve. Where several hosts and targets of one data centre
+were sent something, and nothing at all has come from there since, it is the
+way there that is lost, and all of it is left out at once.
+"""
+
+from typing import Final, NamedTuple
+
+#: Silence after which a data centre counts as lost, in seconds: pauses of
+#: targets take 0.2 s, and never all of them at once.
+SILENT_S: Final = 0.3
+#: So many hosts or targets have to be silent: one or two may have crashed.
+FEWEST_SILENT: Final = 3
+#: A review that comes later than this after the one before tells of this host:
+#: it stood still, and what others sent meanwhile has yet to be read.
+LATE_REVIEW_S: Final = 0.25
+
+
+class Centre(NamedTuple):
+    """Hold what was sent to a data centre since the last sign of life.
+
+    `since` is when the first of it was sent. `failed` are those to whom
+    connections could not be had or broke.
+    """
+
+    since: float = 0.0
+    asked: frozenset[str] = frozenset()
+    failed: frozenset[str] = frozenset()
+
+
+ALIVE: Final = Centre()
+
+
+class Centres:
+    """Own what is known of the way to each other data centre."""
+
+    def __init__(self, own: str) -> None:
+        """Start with all of them reached."""
+        self._own = own
+        self._known: dict[str, Centre] = {}
+        self._silent: frozenset[str] = frozenset()
+        self._reviewed = 0.0
+
+    def note_sent(self, name: str, peer: str, now: float) -> None:
+        """Take in that something was sent to a host or target there."""
+        if name == self._own:
+            return
+        known = self._known.get(name, ALIVE)
+        if peer in known.asked:
+            return
+        since = known.since if known.asked else now
+        self._known[name] = Centre(since, known.asked | {peer}, known.failed)
+
+    def note_heard(self, name: str) -> None:
+        """Take in a sign of life from anybody there."""
+        self._known.pop(name, None)
+        if name in self._silent:
+            self._silent -= {name}
+
+    def note_failed(self, name: str, peer: str) -> None:
+        """Take in that a connection there broke or could not be had."""
+        known = self._known.get(name)
+        if known is not None:
+            failed = known.failed | {peer}
+            self._known[name] = known._replace(failed=failed)
+
+    def review(self, now: float) -> frozenset[str]:
+        """See which have fallen silent; return those that have just done so."""
+        late = now - self._reviewed > LATE_REVIEW_S
+        self._reviewed = now
+        if late:
+            self._known = {
+                name: known._replace(since=now)
+                for name, known in self._known.items()
+            }
+            return frozenset()
+        before = self._silent
+        self._silent |= {
+            name
+            for name, known in self._known.items()
+            if _is_silent(known, now)
+        }
+        return self._silent - before
+
+    def is_silent(self, name: str) -> bool:
+        """Tell whether a data centre is taken to be out of reach."""
+        return name in self._silent
+
+    def list_silent(self) -> frozenset[str]:
+        """List the data centres that are taken to be out of reach."""
+        return self._silent
+
+
+def _is_silent(known: Centre, now: float) -> bool:
+    if len(known.failed) >= FEWEST_SILENT:
+        return True
+    return len(known.asked) >= FEWEST_SILENT and now - known.since > SILENT_S
--- a/fuchsiahaven/routing/choices.py
+++ b/fuchsiahaven/routing/choices.py
@@ -18,6 +18,7 @@
         one
         for one in desk.directory.by_service.get(service, ())
         if one.name not in part.tried
+        and not desk.centres.is_silent(one.data_centre)
         and not standings.is_dead(desk.standings.get(one.name), now)
     ]
 
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -100,6 +100,7 @@
     helper = planned.helper
     desk.assistance[key] = states.Assistance(helper, flights, left)
     desk.helpers.note_sent(helper.name, _make_flight(key), now)
+    desk.centres.note_sent(helper.data_centre, helper.name, now)
     return events.Delegate(key, helper, assist)
 
 
@@ -110,6 +111,7 @@
         return []
     flight = _make_flight(event.key)
     desk.helpers.note_answered(known.helper.name, flight, now, None)
+    desk.centres.note_heard(known.helper.data_centre)
     if event.share.last:
         desk.assistance.pop(event.key)
     number = event.key.ask
@@ -130,6 +132,7 @@
     known = desk.assistance.pop(event.key, None)
     if known is None:
         return []
+    desk.centres.note_failed(known.helper.data_centre, known.helper.name)
     flight = _make_flight(event.key)
     until = now + REFUSED_S
     desk.helpers.note_lost(known.helper.name, flight, until, event.why)
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -57,6 +57,8 @@
             return endings.abandon(desk, number, now)
         case events.Ticked():
             return _tick(desk, now)
+        case events.Reviewed():
+            return _review(desk, now)
     _learn(desk, event)
     return []
 
@@ -77,6 +79,13 @@
     return ''
 
 
+def _review(desk: states.Desk, now: float) -> Actions:
+    return [
+        events.Belief(name, 'left out', 'the data centre is silent')
+        for name in desk.centres.review(now)
+    ]
+
+
 def _learn(desk: states.Desk, event: events.Event) -> None:
     match event:
         case events.Configured(configuration):
@@ -90,6 +99,9 @@
             desk.hosts = tuple(it for it in hosts if it.name != desk.host.name)
         case events.Reached(instance):
             desk.standings.note_reached(instance)
+            known = desk.directory.by_name.get(instance)
+            if known is not None:
+                desk.centres.note_heard(known.data_centre)
 
 
 def _take_request(
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -116,6 +116,10 @@
     """Bring the passing of time."""
 
 
+class Reviewed(NamedTuple):
+    """Tell that it is time to see which data centres have fallen silent."""
+
+
 class Configured(NamedTuple):
     """Bring a configuration; a lower version changes nothing."""
 
@@ -337,6 +341,7 @@
     | Unsent
     | Reached
     | Ticked
+    | Reviewed
     | Configured
     | Directed
     | Counted
--- a/fuchsiahaven/routing/plans.py
+++ b/fuchsiahaven/routing/plans.py
@@ -104,6 +104,7 @@
         host
         for host in desk.hosts
         if not standings.is_dead(desk.helpers.get(host.name), now)
+        and not desk.centres.is_silent(host.data_centre)
     ]
     if wide:
         ranked = duties.rank_hosts(duty, [*alive, desk.host])
--- a/fuchsiahaven/routing/reaches.py
+++ b/fuchsiahaven/routing/reaches.py
@@ -7,7 +7,7 @@
 
 from typing import Final
 
-from fuchsiahaven.routing import configs, standings, states
+from fuchsiahaven.routing import configs, instances, standings, states
 
 #: Requests on a route count half after so many seconds: a host sees some of
 #: each frequent kind in that time.
@@ -15,6 +15,8 @@
 #: A host that cannot serve more than this share of what it is asked sends
 #: the rest of it to others as well: they can serve all of it.
 BLOCKED_SHARE: Final = 0.5
+#: Targets of a silent data centre to which connections are tried at a time.
+TRIED: Final = 4
 
 
 def note_asked(desk: states.Desk, route: configs.Route, now: float) -> None:
@@ -39,12 +41,26 @@
 
 
 def list_doubtful(desk: states.Desk, now: float) -> set[str]:
-    """List the targets to which the way is in doubt, to try it again."""
-    return {
+    """List the targets to which the way is in doubt, to try it again.
+
+    Of a silent data centre it takes some, others each time: one connection
+    proves the way to all of it.
+    """
+    found = {
         name
         for name in desk.directory.by_name
         if standings.is_doubtful(desk.standings.get(name), now)
     }
+    for centre in desk.centres.list_silent():
+        there = [
+            name
+            for name, one in desk.directory.by_name.items()
+            if one.data_centre == centre
+        ]
+        found.difference_update(there)
+        first = int(desk.draw() * len(there))
+        found.update((there[first:] + there[:first])[:TRIED])
+    return found
 
 
 def _is_blocked(desk: states.Desk, way: configs.Way, now: float) -> bool:
@@ -62,10 +78,15 @@
     requests elsewhere.
     """
     found = desk.directory.by_service.get(service, ())
-    return bool(found) and all(
-        standings.is_doubtful(desk.standings.get(one.name), now)
-        for one in found
-    )
+    return bool(found) and all(_is_doubtful(desk, one, now) for one in found)
+
+
+def _is_doubtful(
+    desk: states.Desk, one: instances.Instance, now: float
+) -> bool:
+    if desk.centres.is_silent(one.data_centre):
+        return True
+    return standings.is_doubtful(desk.standings.get(one.name), now)
 
 
 def _decay(age: float) -> float:
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -9,6 +9,7 @@
 from fuchsiahaven.routing import (
     asks,
     budgets,
+    centres,
     configs,
     events,
     instances,
@@ -48,6 +49,7 @@
     sent: float
     route: str
     extra: bool
+    data_centre: str = ''
 
 
 class Assistance(NamedTuple):
@@ -84,6 +86,7 @@
         self.extra_load = extra_load
         self.draw = draw
         self.host_count = 1
+        self.centres = centres.Centres(host.data_centre)
         self.link = 0.0
         self.delay = margins.Delay()
         self.hosts: tuple[places.Host, ...] = ()
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -223,7 +223,10 @@
     )
     key = events.FlightKey(ask.number, service, number)
     route = ask.route.name
-    desk.aloft[key] = states.Aloft(chosen.name, purpose, now, route, extra)
+    desk.aloft[key] = states.Aloft(
+        chosen.name, purpose, now, route, extra, chosen.data_centre
+    )
+    desk.centres.note_sent(chosen.data_centre, chosen.name, now)
     desk.standings.note_sent(chosen.name, key, now)
     return events.Send(
         key, chosen, ask.request, ask.ends, ask.route.at_most_once
