Tell refused callers when the balancer has moved them

Hypothesis: callers that a cut-off host refuses come back half a second later, mostly to the same host, and are refused again.

Change: while a host is not ready, Retry-After is the time until its balancer has asked twice, from when it asked last and how often it does.

--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -55,7 +55,7 @@
         self.desk = states.Desk(
             settings.host, settings.extra_load, random.random
         )
-        self.desk.link = settings.link
+        self.desk.margin.link = settings.link
         self.runner = runner.Runner(self.desk, self._tell)
         self.news = news.News(settings, log, self._learn)
         self.readiness = readiness.Readiness(self._find_obstacle, log)
@@ -67,9 +67,13 @@
             )
         )
         asked = questions.Questions(
-            self.runner, self.news, self.meters, self.find_obstacle
+            self.runner,
+            self.news,
+            self.meters,
+            self.find_obstacle,
+            self.readiness.tell_balancer,
         )
-        self.balancer = self._make_port(asked.take)
+        self.balancer = self._make_port(asked.take_probe)
         self.peers = self._make_port(asked.take)
         self._entry = entries.Entry(self.news, log)
         self._stopping = asyncio.Event()
@@ -210,7 +214,8 @@
         )
 
         def reply(outcome: events.Outcome) -> None:
-            caller.answer(exchanges.write_outcome(outcome))
+            advised = self.readiness.advise(outcome)
+            caller.answer(exchanges.write_outcome(advised))
 
         number = self.runner.ask(request, reply)
         return lambda: self.runner.abandon(number)
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -28,12 +28,14 @@
         known: news.News,
         counted: meters.Meters,
         find_obstacle: Callable[[], str],
+        note_probe: Callable[[], object],
     ) -> None:
         """Take whom to ask."""
         self._runner = driven
         self._news = known
         self._meters = counted
         self._find_obstacle = find_obstacle
+        self._note_probe = note_probe
 
     def take(
         self, message: exchanges.Message, caller: ports.Caller
@@ -61,6 +63,14 @@
                 caller.answer(exchanges.Written(missing, TEXT, b'not found\n'))
         return None
 
+    def take_probe(
+        self, message: exchanges.Message, caller: ports.Caller
+    ) -> Callable[[], object] | None:
+        """Take a question of the balancer, which decides by the answer."""
+        if message.first == exchanges.READINESS_PATH:
+            self._note_probe()
+        return self.take(message, caller)
+
     def _assist(
         self, message: exchanges.Message, caller: ports.Caller
     ) -> Callable[[], None] | None:
--- a/fuchsiahaven/relay/readiness.py
+++ b/fuchsiahaven/relay/readiness.py
@@ -4,12 +4,15 @@
 from collections.abc import Callable
 from typing import Final
 
+from fuchsiahaven.core import errors
 from fuchsiahaven.relay import journal
+from fuchsiahaven.routing import events, rotations
 
 PART: Final = 'readiness'
 #: How long an obstacle that was worked out counts, in seconds. It is asked for
 #: with each answer and costs some 0.1 ms where there are 20 shards.
 FRESH_S: Final = 0.1
+RETRY_DIGITS: Final = 2
 
 
 class Readiness:
@@ -23,6 +26,7 @@
         self._log = log
         self._obstacle = ''
         self._until = float('-inf')
+        self._rotation = rotations.Rotation()
 
     def find_obstacle(self) -> str:
         """Say why callers should go elsewhere; empty if they should not."""
@@ -42,6 +46,23 @@
         """
         return bool(self.find_obstacle())
 
+    def tell_balancer(self) -> str:
+        """Take a question of the balancer; return the obstacle, if any."""
+        obstacle = self.find_obstacle()
+        self._rotation = rotations.note_asked(
+            self._rotation, time.monotonic(), ready=not obstacle
+        )
+        return obstacle
+
+    def advise(self, outcome: events.Outcome) -> events.Outcome:
+        """Have a caller that is refused come back when others take it."""
+        if not isinstance(outcome, errors.Failure) or not self.is_obstructed():
+            return outcome
+        if outcome.retry_after is None:
+            return outcome
+        when = rotations.estimate_departure(self._rotation, time.monotonic())
+        return outcome._replace(retry_after=round(when, RETRY_DIGITS))
+
     def _change(self, obstacle: str) -> None:
         if obstacle == self._obstacle:
             return
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -90,15 +90,10 @@
             self.fleet.sweep(now)
             self._assistants.sweep(now)
             self.post(events.Reviewed())
-            if now >= try_at and self._misses_targets(now):
+            if now >= try_at and reaches.misses_targets(self.desk, now):
                 try_at = now + TRY_S
                 self.fleet.try_ways(now)
 
-    def _misses_targets(self, now: float) -> bool:
-        # What is left out is sent nothing, and would not be heard of again.
-        silent = self.desk.centres.list_silent()
-        return bool(silent) or reaches.is_cut_off(self.desk, now)
-
     def close(self) -> None:
         """Close all connections."""
         if self._timer is not None:
@@ -136,10 +131,11 @@
             if told.due:
                 # What this turn costs shows on the clock at the next one.
                 loop = asyncio.get_running_loop()
-                loop.call_soon(self._note_replied, told)
-
-    def _note_replied(self, told: events.Reply) -> None:
-        desks.note_replied(self.desk, told, time.monotonic())
+                loop.call_soon(
+                    lambda: desks.note_replied(
+                        self.desk, told, time.monotonic()
+                    )
+                )
 
     def _give(self, ask: int, share: events.Share) -> None:
         give = self._givers.get(ask)
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -11,7 +11,6 @@
     delegations,
     endings,
     events,
-    margins,
     plans,
     reaches,
     splits,
@@ -65,7 +64,7 @@
 
 def note_replied(desk: states.Desk, reply: events.Reply, now: float) -> None:
     """Take in when a reply was written that waited for its last moment."""
-    desk.delay = margins.note(desk.delay, now - reply.due)
+    desk.margin.note(now - reply.due)
 
 
 def find_obstacle(desk: states.Desk, now: float) -> str:
@@ -114,8 +113,7 @@
         return endings.refuse(event.ask, request, route, version, now)
     services = _list_services(desk, route)
     reaches.note_asked(desk, route, now)
-    own = margins.estimate(desk.delay)
-    own += margins.estimate_transfer(route.way, desk.link)
+    own = desk.margin.estimate(route.way)
     ask = asks.begin(event.ask, request, route, version, services, own)
     desk.asks[ask.number] = ask
     tries.foresee(desk, ask, now)
--- a/fuchsiahaven/routing/margins.py
+++ b/fuchsiahaven/routing/margins.py
@@ -32,12 +32,29 @@
 
 
 class Delay(NamedTuple):
-    """Hold how late this host's answers left after they were due, in seconds."""
+    """Hold by how many seconds this host's answers left too late."""
 
     mean: float = 0.002
     deviation: float = 0.001
 
 
+class Margin:
+    """Own what this host has seen of its own answers."""
+
+    def __init__(self) -> None:
+        """Start with nothing seen; the link is in bytes a second if known."""
+        self.link = 0.0
+        self._delay = Delay()
+
+    def note(self, late: float) -> None:
+        """Take in by how many seconds an answer left after it was due."""
+        self._delay = note(self._delay, late)
+
+    def estimate(self, way: configs.Way) -> float:
+        """Return how many seconds to keep back for an answer on this way."""
+        return estimate(self._delay) + estimate_transfer(way, self.link)
+
+
 def note(delay: Delay, late: float) -> Delay:
     """Take in by how much one answer left after it was due."""
     gap = late - delay.mean
--- a/fuchsiahaven/routing/reaches.py
+++ b/fuchsiahaven/routing/reaches.py
@@ -40,6 +40,14 @@
     return blocked > BLOCKED_SHARE * total
 
 
+def misses_targets(desk: states.Desk, now: float) -> bool:
+    """Tell whether ways should be tried that no request takes just now.
+
+    What is left out is sent nothing, and would not be heard of again.
+    """
+    return bool(desk.centres.list_silent()) or is_cut_off(desk, now)
+
+
 def list_doubtful(desk: states.Desk, now: float) -> set[str]:
     """List the targets to which the way is in doubt, to try it again.
 
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -86,9 +86,6 @@
         self.extra_load = extra_load
         self.draw = draw
         self.host_count = 1
-        self.centres = centres.Centres(host.data_centre)
-        self.link = 0.0
-        self.delay = margins.Delay()
         self.hosts: tuple[places.Host, ...] = ()
         self.index = configs.build_index(configs.NOTHING)
         self.directory = instances.EMPTY
@@ -103,6 +100,18 @@
         self._budgets: dict[str, budgets.Budget] = {}
         self._timers: list[tuple[float, int, Due]] = []
         self._order = itertools.count()
+        self._centres = centres.Centres(host.data_centre)
+        self._margin = margins.Margin()
+
+    @property
+    def centres(self) -> centres.Centres:
+        """Return what is known of the way to other data centres."""
+        return self._centres
+
+    @property
+    def margin(self) -> margins.Margin:
+        """Return what this host keeps back from the objective."""
+        return self._margin
 
     def find_budget(self, service: str) -> budgets.Budget:
         """Find the budget of repeats at a service."""
