End the parts of a query soon after its objective

Change: a part ends 1.1 of the objective after its query came, at the least 0.3 from now; the last sending of a part 1.5 of the objective from now. A target that answers that the time is over is slow and does not fail.

--- a/fuchsiahaven/routing/arrivals.py
+++ b/fuchsiahaven/routing/arrivals.py
@@ -9,6 +9,8 @@
 
 Actions = list[events.Action]
 
+#: Targets are told whole milliseconds, and may be a little early.
+EARLY_S: Final = 0.005
 REFUSAL_REASONS: Final = {
     messages.RefusalReason.SHED: coverage.Reason.OVERLOADED,
     messages.RefusalReason.DEADLINE: coverage.Reason.TIMED_OUT,
@@ -29,7 +31,11 @@
     desk.centres.note_heard(aloft.data_centre)
     answer = event.answer
     known = desk.standings
-    if answer.status >= asks.FAILURES:
+    if answer.status >= asks.FAILURES and _is_overdue(aloft, now):
+        # It ran out of the time that it was given, which says how slow it is
+        # and not that it fails.
+        known.note_overdue(aloft.instance, event.key, now)
+    elif answer.status >= asks.FAILURES:
         known.note_failed(aloft.instance, event.key, now)
     else:
         known.note_answered(aloft.instance, event.key, now, answer.load)
@@ -64,6 +70,9 @@
     if aloft is None:
         return []
     desk.centres.note_heard(aloft.data_centre)
+    if event.reason is messages.RefusalReason.SHED and _is_overdue(aloft, now):
+        # It waited in the queue until its time was over.
+        event = event._replace(reason=messages.RefusalReason.DEADLINE)
     desk.standings.note_refused(aloft.instance, event, now)
     if event.reason is messages.RefusalReason.LEAVING:
         # Another process answers at this address, or this one is leaving.
@@ -140,6 +149,10 @@
     return ask
 
 
+def _is_overdue(aloft: states.Aloft, now: float) -> bool:
+    return now >= aloft.ends - EARLY_S
+
+
 def _is_failure(ask: asks.Ask, answer: events.Answer) -> bool:
     if ask.gathers:
         return answer.status != asks.OK
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -80,13 +80,14 @@
     """Ask a helper for parts."""
     assert isinstance(ask.route.way, configs.Gather)
     key = events.AssistKey(ask.number, desk.take_number())
+    sent = max(ask.parts[it].sent for it in planned.services)
     assist = events.Assist(
         ask.request,
         ask.route.name,
         ask.route.objective,
         ask.route.way.limit,
         planned.services,
-        ask.ends,
+        tries.find_end(ask, sent, now),
         tuple(_list_tried(ask, planned.services)),
         counts=configs.is_wide(ask.route.way),
         again=any(ask.parts[it].sent for it in planned.services),
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -41,7 +41,8 @@
 class Aloft(NamedTuple):
     """Describe a sending that has not ended, also after its ask has.
 
-    `extra` tells that it was charged to the budget of repeats.
+    `extra` tells that it was charged to the budget of repeats, `ends` is the
+    deadline that the target was given.
     """
 
     instance: str
@@ -50,6 +51,7 @@
     route: str
     extra: bool
     data_centre: str = ''
+    ends: float = float('inf')
 
 
 class Assistance(NamedTuple):
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -31,10 +31,33 @@
 #: Hedges sooner than this share of the objective bring nothing that counts,
 #: and most of what is slow then, because its target pauses, ends by itself.
 EARLIEST_SHARE: Final = 0.4
+#: Shares of the objective: from the query's arrival until its parts end, what
+#: a part has at the least, and what the last sending of it has.
+PART_SHARE: Final = 1.1
+LEAST_SHARE: Final = 0.3
+LAST_SHARE: Final = 1.5
 #: Part of a host's slack that hedges leave for what was refused or broke.
 KEPT_FOR_RETRIES: Final = 0.1
 
 
+def find_end(ask: asks.Ask, sent: int, now: float) -> float:
+    """Return until when a part that was sent so often before may take.
+
+    At a target that is slow, work whose query was answered long ago fills
+    the slots and the queue, and whatever comes after it is late too. So a part
+    ends soon after the objective, with some time left for one sent late; the
+    last sending has longer, because a query that still lacks too much can
+    only be answered by it.
+    """
+    if not ask.gathers:
+        return ask.ends
+    objective = ask.route.objective
+    if sent + 1 < ask.route.attempts:
+        usual = ask.request.arrived + PART_SHARE * objective
+        return min(ask.ends, max(usual, now + LEAST_SHARE * objective))
+    return min(ask.ends, now + LAST_SHARE * objective)
+
+
 def foresee(desk: states.Desk, ask: asks.Ask, now: float) -> None:
     """Mark the parts that no target can take as lost."""
     for service in asks.list_open(ask):
@@ -222,12 +245,16 @@
         number=number,
     )
     key = events.FlightKey(ask.number, service, number)
-    route = ask.route.name
+    ends = find_end(ask, part.sent, now)
     desk.aloft[key] = states.Aloft(
-        chosen.name, purpose, now, route, extra, chosen.data_centre
+        chosen.name,
+        purpose,
+        now,
+        ask.route.name,
+        extra,
+        chosen.data_centre,
+        ends,
     )
     desk.centres.note_sent(chosen.data_centre, chosen.name, now)
     desk.standings.note_sent(chosen.name, key, now)
-    return events.Send(
-        key, chosen, ask.request, ask.ends, ask.route.at_most_once
-    )
+    return events.Send(key, chosen, ask.request, ends, ask.route.at_most_once)
