--- a/fuchsiahaven/relay/links.py
+++ b/fuchsiahaven/relay/links.py
@@ -27,9 +27,12 @@
 #: up; a target sends one more than it should, not many.
 MOST_STRAY: Final = 3
 OK: Final = 200
-#: Where the kernel's account of a connection holds its smoothed round trip,
-#: in microseconds: after 8 bytes and 15 words.
-ROUND_TRIP: Final = struct.Struct('68xI')
+#: The kernel's account of a connection: its state in the first byte, and the
+#: smoothed round trip, in microseconds, after 8 bytes and 15 words.
+TCP_INFO: Final = struct.Struct('B67xI')
+#: States of a connection whose peer has closed it, by the kernel's numbers:
+#: TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK and CLOSING.
+LEFT_STATES: Final = frozenset((6, 7, 8, 9, 11))
 MICROSECONDS: Final = 1_000_000
 
 
@@ -235,18 +238,26 @@
     return machine.their_state is h11.DONE and not unsent
 
 
-def measure_round_trip(sock: socket.socket | None) -> float:
-    """Return the round trip to a peer as the kernel measured it, in seconds.
+class Way(NamedTuple):
+    """Hold what the kernel knows of a connection.
 
-    0 where it is not known.
+    `left` tells whether the peer has closed it, read here or not yet; the
+    round trip is in seconds, 0 where it is not known.
     """
+
+    left: bool
+    round_trip: float
+
+
+def inspect(sock: socket.socket | None) -> Way:
+    """Return what the kernel knows of a connection."""
     if sock is None:
-        return 0.0
-    told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, ROUND_TRIP.size)
-    if len(told) < ROUND_TRIP.size:
-        return 0.0
-    (microseconds,) = ROUND_TRIP.unpack(told)
-    return float(microseconds / MICROSECONDS)
+        return Way(left=False, round_trip=0.0)
+    told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
+    if len(told) < TCP_INFO.size:
+        return Way(left=False, round_trip=0.0)
+    state, microseconds = TCP_INFO.unpack(told)
+    return Way(state in LEFT_STATES, microseconds / MICROSECONDS)
 
 
 def set_options(sock: socket.socket | None) -> None:
--- a/fuchsiahaven/relay/ports.py
+++ b/fuchsiahaven/relay/ports.py
@@ -17,8 +17,8 @@
 class Caller(Protocol):
     """State how a request is answered: at once or in pieces."""
 
-    def measure_away(self) -> float:
-        """Return the seconds that its request and answer are on their way."""
+    def inspect(self) -> links.Way:
+        """Tell whether it still waits, and how far away it is."""
 
     def answer(self, written: exchanges.Written) -> None:
         """Send the whole answer."""
@@ -126,18 +126,20 @@
         if leave is not None:
             leave()
 
-    def measure_away(self) -> float:
-        """Return the seconds that its request and answer are on their way.
+    def inspect(self) -> links.Way:
+        """Tell whether the caller still waits, and how far away it is.
 
-        A caller's time runs from before it opens its connection, which takes
+        The end of a connection is read after the request that came before it;
+        a host that was busy or stood still would work for nobody first. A
+        caller's time runs from before it opens its connection, which takes
         one round trip more. Without this, answers given at the last moment
         reach a caller who is 3 ms away after its objective.
         """
-        if self._transport is None:
-            return 0.0
-        sock = self._transport.get_extra_info('socket')
+        if self._transport is None or self._transport.is_closing():
+            return links.Way(left=True, round_trip=0.0)
+        way = links.inspect(self._transport.get_extra_info('socket'))
         trips = 2 if self._taken == 1 else 1
-        return trips * links.measure_round_trip(sock)
+        return way._replace(round_trip=trips * way.round_trip)
 
     def answer(self, written: exchanges.Written) -> None:
         """Send the whole answer."""
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -210,7 +210,7 @@
         self, message: exchanges.Message, caller: ports.Caller
     ) -> Callable[[], None]:
         request = exchanges.read_request(
-            message, time.monotonic(), caller.measure_away()
+            message, time.monotonic(), caller.inspect().round_trip
         )
 
         def reply(outcome: events.Outcome) -> None:
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -77,6 +77,10 @@
         if self._find_obstacle() == STOPPING:
             caller.answer(_refuse(STOPPING))
             return None
+        if caller.inspect().left:
+            # The search was answered while this host did not come to read.
+            caller.answer(_refuse('nobody waits'))
+            return None
         try:
             assist = assist_codecs.read_assist(message.body, time.monotonic())
         except codecs.Malformed as error:
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from fuchsiahaven.core import errors
-from fuchsiahaven.routing import asks, assists, events, states
+from fuchsiahaven.routing import asks, assists, events, standings, states
 
 Actions = list[events.Action]
 
@@ -36,9 +36,29 @@
         events.Reply(ask.number, outcome, due),
         _tell(ask, name_result(outcome), now),
         *[events.Withdraw(key) for key in asks.list_flights(ask)],
+        *_dismiss_silent(desk, ask.number, now),
     ]
 
 
+def _dismiss_silent(desk: states.Desk, number: int, now: float) -> Actions:
+    """End the assistance of hosts that have told nothing by the end.
+
+    One that is paused or overloaded would send all parts of the search when
+    it comes to them, long after its answer.
+    """
+    keys = [
+        key
+        for key, known in desk.assistance.items()
+        if key.ask == number and len(known.left) == len(known.flights)
+    ]
+    for key in keys:
+        helper = desk.assistance.pop(key).helper
+        flight = events.FlightKey(key.ask, '', key.number)
+        until = now + standings.TRIAL_S
+        desk.helpers.note_lost(helper.name, flight, until, 'silent')
+    return [events.Dismiss(dismissed) for dismissed in keys]
+
+
 def abandon(desk: states.Desk, number: int, now: float) -> Actions:
     """End the work for a caller that has left.
 
--- a/tests/routing/test_delegations.py
+++ b/tests/routing/test_delegations.py
@@ -263,3 +263,22 @@
     line = assist_codecs.write_share(share)
     assert line.count(b'\n') == 1
     assert assist_codecs.read_share(line) == share
+
+
+def test_dismisses_a_helper_that_has_told_nothing_by_the_end() -> None:
+    """Symptom: targets get parts of searches that were answered long ago.
+
+    A helper that stood still comes to its questions when all of them have
+    been answered without it, and sends their parts.
+    """
+    rig = make_entry()
+    rig.ask()
+    delegate = take_delegate(rig)
+    rig.pass_time(0.07)
+    for send in rig.take_sent():
+        rig.answer(send)
+    assert rig.replies
+    assert events.Dismiss(delegate.key) in rig.others
+    rig.replies = []
+    rig.ask()
+    assert not any(isinstance(it, events.Delegate) for it in rig.others)
