Send a part to no more targets than its route allows, refused or not

Cause, found in reading the change: with three replicas a part that two targets refused went to the third, where the route allows two. The bound is on targets that a request is sent to, also where they do not run it.

Change: targets are counted apart from sendings; only one that refused is asked again. The new test failed before, with three targets.

--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -45,6 +45,7 @@
 
     `tried` are the targets not to be asked again, `sent` counts the sendings
     that reached a target, `refusers` are those that refused to run it,
+    `asked_again` counts the sendings to one of them once more,
     `number` is the last one's number. `failed` is a
     target's own answer that tells of a failure. `lost` says why the part is
     missing for good.
@@ -60,6 +61,12 @@
     lost: bool = False
     may_have_run: bool = False
     refusers: tuple[str, ...] = ()
+    asked_again: int = 0
+
+    @property
+    def targets(self) -> int:
+        """Count the targets to which it was sent."""
+        return self.sent - self.asked_again
 
     @property
     def attempts(self) -> int:
--- a/fuchsiahaven/routing/choices.py
+++ b/fuchsiahaven/routing/choices.py
@@ -25,10 +25,11 @@
     They are asked again where no other is left: a target may refuse some
     requests and take others, and a part that is lost counts in each answer.
     """
-    if not part.refusers:
-        return []
-    ran = tuple(it for it in part.tried if it not in part.refusers)
-    return _list_alive(desk, service, (*ran, part.refusers[-1]), now)
+    return [
+        one
+        for one in _list_alive(desk, service, part.refusers[-1:], now)
+        if one.name in part.refusers
+    ]
 
 
 def _list_alive(
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -197,13 +197,27 @@
 def _hedge_part(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> list[events.Action]:
-    found = choices.list_candidates(desk, service, ask.parts[service], now)
+    found = _list_new(desk, ask, service, now)
     chosen = choices.choose(desk, found, now, once=False)
     if chosen is None:
         return []
     return [_send(desk, ask, service, chosen, now, events.Purpose.HEDGE)]
 
 
+def _list_new(
+    desk: states.Desk, ask: asks.Ask, service: str, now: float
+) -> list[instances.Instance]:
+    """List the targets that may be asked next to those that were.
+
+    A route bounds to how many targets a request is sent, also where some of
+    them refuse it.
+    """
+    part = ask.parts[service]
+    if part.targets >= ask.route.attempts:
+        return []
+    return choices.list_candidates(desk, service, part, now)
+
+
 def _send_or_lose(
     desk: states.Desk,
     ask: asks.Ask,
@@ -212,7 +226,7 @@
     purpose: events.Purpose,
 ) -> list[events.Action]:
     part = ask.parts[service]
-    found = choices.list_candidates(desk, service, part, now)
+    found = _list_new(desk, ask, service, now)
     if not found and ask.gathers:
         found = choices.list_refusers(desk, service, part, now)
     once = ask.route.at_most_once
@@ -252,6 +266,7 @@
         flights=(*part.flights, asks.Flight(number, chosen.name, now)),
         tried=(*part.tried, chosen.name),
         sent=part.sent + 1,
+        asked_again=part.asked_again + (chosen.name in part.tried),
         number=number,
     )
     key = events.FlightKey(ask.number, service, number)
--- a/tests/routing/test_desks.py
+++ b/tests/routing/test_desks.py
@@ -446,3 +446,17 @@
         for it in rig.others
         if isinstance(it, events.Belief)
     )
+
+
+def test_asks_no_third_target_after_refusals() -> None:
+    """Three replicas and two attempts: a refusal opens the way to no third."""
+    route = desk_rig.make_route(configs.Gather(('shard',), 10, 0.85))
+    rig = desk_rig.Rig([route], desk_rig.make_instances(('shard',), 3))
+    rig.ask()
+    names = set()
+    while sent := rig.take_sent():
+        for send in sent:
+            names.add(send.instance.name)
+            rig.refuse(send)
+    assert len(names) == 2
+    assert rig.replies
