--- /dev/null
+++ b/tests/relay/test_readiness.py
@@ -0,0 +1,75 @@
+"""Test what callers and the balancer are told by a host that is not ready."""
+
+import time
+
+from fuchsiahaven.core import errors
+from fuchsiahaven.relay import journal, readiness
+
+FAILURE = errors.make_failure(
+    errors.Kind.INCOMPLETE, 'test', 'too few', retry_after=7.0
+)
+
+
+class Log(journal.Journal):
+    """Keep what is told in place of writing it."""
+
+    def __init__(self) -> None:
+        """Start with nothing told."""
+        self.told: list[str] = []
+
+    def tell(self, part: str, text: str, **fields: object) -> None:
+        """Keep a line."""
+        self.told.append(text)
+
+
+class Host:
+    """Own a host's readiness and what stands in its way."""
+
+    def __init__(self) -> None:
+        """Start ready."""
+        self.log = Log()
+        self.obstacle = ''
+        self.readiness = readiness.Readiness(lambda: self.obstacle, self.log)
+
+    def change(self, obstacle: str) -> None:
+        """Have something stand in the way; wait until that is worked out."""
+        self.obstacle = obstacle
+        end = time.monotonic() + 5
+        while self.readiness.find_obstacle() != obstacle:
+            assert time.monotonic() < end
+
+    def advise(self) -> float | None:
+        """Return when a caller that is refused is told to come back."""
+        advised = self.readiness.advise(FAILURE)
+        assert isinstance(advised, errors.Failure)
+        return advised.retry_after
+
+
+def test_tells_refused_callers_when_others_take_them() -> None:
+    """Symptom: callers of a host that is cut off are refused twice.
+
+    The balancer asks once a second and moves them after two answers; before
+    that they are told to wait for it, and to come back at once after.
+    """
+    host = Host()
+    assert host.advise() == 7.0
+    host.change('cut off')
+    first = host.advise()
+    assert first is not None
+    assert 1.5 < first < 2.5
+    host.readiness.tell_balancer()
+    host.readiness.tell_balancer()
+    last = host.advise()
+    assert last is not None
+    assert last < 0.2
+    host.change('')
+    assert host.advise() == 7.0
+
+
+def test_logs_each_change_once() -> None:
+    """The log says when a host became ready or not."""
+    host = Host()
+    host.change('cut off')
+    host.change('')
+    host.readiness.find_obstacle()
+    assert host.log.told == ['not ready', 'ready']
