--- /dev/null
+++ b/bench/losses.py
@@ -0,0 +1,147 @@
+"""Say from the logs of a day where the worth of requests was lost, and when.
+
+Read what `fleetbench run ... --log all` prints, or the hosts' own logs. Each
+request's line tells its route, what came of it, after how long and how many
+parts lack; a part of the worth is lost where an answer is late, partial or not
+given at all. Callers' own retries are requests of their own here, and those
+that never reached a host are not seen.
+
+    python -m bench.losses LOG [--objective ROUTE=SECONDS ...]
+"""
+
+import argparse
+import collections
+import json
+import sys
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any, Final, NamedTuple
+
+#: Worth that a late answer keeps, as the users' sheets state it for searches.
+LATE_WORTH: Final = 0.1
+#: Seconds of a row of the table by time.
+STEP_S: Final = 2.0
+#: The balancer and the network on the way to a caller, there and back.
+WAY_S: Final = 0.006
+MARK: Final = '"part":"request"'
+SERVED: Final = frozenset(('complete', 'partial', 'relayed 200'))
+
+
+class Ending(NamedTuple):
+    """Hold what a host logged at the end of one request; times in seconds."""
+
+    at: float
+    host: str
+    route: str
+    result: str
+    took: float
+    parts: int
+    missing: int
+    objective: float
+
+
+class Loss(NamedTuple):
+    """Hold which shares of a request's worth were lost, by cause."""
+
+    late: float = 0.0
+    partial: float = 0.0
+    unserved: float = 0.0
+
+
+CAUSES: Final = Loss._fields
+
+
+def read_endings(
+    lines: Iterable[str], objectives: Mapping[str, float]
+) -> Iterator[Ending]:
+    """Read the lines of requests; any others are passed over."""
+    for line in lines:
+        before, brace, rest = line.partition('{')
+        if MARK not in rest:
+            continue
+        try:
+            row = json.loads(f'{brace}{rest}')
+        except ValueError:
+            # A line that was cut where the process was killed.
+            continue
+        told = before.split()
+        at = float(told[0]) if told else row['up']
+        yield _read_ending(row, at, objectives)
+
+
+def _read_ending(
+    row: Mapping[str, Any], at: float, objectives: Mapping[str, float]
+) -> Ending:
+    route = row['route']
+    objective = row.get('objective') or objectives.get(route, float('inf'))
+    return Ending(
+        at,
+        row['host'],
+        route,
+        row['result'],
+        row['took'],
+        row['parts'],
+        row['missing'],
+        objective,
+    )
+
+
+def weigh(ending: Ending) -> Loss:
+    """Split what a request has lost by cause."""
+    if ending.result not in SERVED:
+        return Loss(unserved=1.0)
+    covered = 1 - ending.missing / max(1, ending.parts)
+    kept = covered * covered
+    if ending.took + WAY_S > ending.objective:
+        return Loss(late=kept * (1 - LATE_WORTH), partial=1 - kept)
+    return Loss(partial=1 - kept)
+
+
+def tabulate(
+    endings: Iterable[Ending], name: Callable[[Ending], str]
+) -> list[str]:
+    """Write a table of the worth lost, in % of what each row could earn."""
+    counts: collections.Counter[str] = collections.Counter()
+    sums: dict[str, collections.Counter[str]] = {}
+    for ending in endings:
+        row = name(ending)
+        counts[row] += 1
+        lost = sums.setdefault(row, collections.Counter())
+        lost.update(weigh(ending)._asdict())
+    titles = ''.join(f'{it:>10}' for it in CAUSES)
+    rows = [f'{"":14} {"requests":>8}{titles}']
+    for row in sorted(counts):
+        shares = [100 * sums[row][it] / counts[row] for it in CAUSES]
+        cells = ''.join(f'{share:10.1f}' for share in shares)
+        rows.append(f'{row:14} {counts[row]:8}{cells}')
+    return rows
+
+
+def _name_step(ending: Ending) -> str:
+    return f'{ending.at // STEP_S * STEP_S:6.0f} s'
+
+
+def _parse_objective(text: str) -> tuple[str, float]:
+    route, _, seconds = text.partition('=')
+    return route, float(seconds)
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Print the tables by route, host and time."""
+    parser = argparse.ArgumentParser(prog='losses', description=__doc__)
+    parser.add_argument('log', type=argparse.FileType('r', errors='replace'))
+    parser.add_argument(
+        '--objective', type=_parse_objective, action='append', default=[]
+    )
+    given = parser.parse_args(arguments)
+    found = [
+        ending
+        for ending in read_endings(given.log, dict(given.objective))
+        if ending.route and ending.result != 'abandoned'
+    ]
+    tables = (lambda it: it.route, lambda it: it.host, _name_step)
+    for name in tables:
+        sys.stdout.write('\n'.join([*tabulate(found, name), '', '']))
+
+
+if __name__ == '__main__':
+    main()
--- a/fuchsiahaven/platform/exchanges.py
+++ b/fuchsiahaven/platform/exchanges.py
@@ -69,8 +69,10 @@
     )
 
 
-def read_request(message: Message, now: float) -> events.Request:
-    """Read the request of a caller."""
+def read_request(
+    message: Message, now: float, away: float = 0.0
+) -> events.Request:
+    """Read the request of a caller, who is so many seconds away in all."""
     fields = dict(message.fields)
     host = fields.get('host', '').partition(':')[0].lower()
     passed = _list_passed(message.fields, fields, _SET)
@@ -83,6 +85,7 @@
         message.body,
         now,
         now + _read_wait(fields.get(headers.DEADLINE)),
+        away,
     )
 
 
--- a/fuchsiahaven/relay/links.py
+++ b/fuchsiahaven/relay/links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable
 from typing import Final, NamedTuple, Protocol
 
@@ -26,6 +27,10 @@
 #: up; a target sends one more than it should, not many.
 MOST_STRAY: Final = 3
 OK: Final = 200
+#: Where the kernel's account of a connection holds its smoothed round trip,
+#: in microseconds: after 8 bytes and 15 words.
+ROUND_TRIP: Final = struct.Struct('68xI')
+MICROSECONDS: Final = 1_000_000
 
 
 class Exchange(NamedTuple):
@@ -230,6 +235,20 @@
     return machine.their_state is h11.DONE and not unsent
 
 
+def measure_round_trip(sock: socket.socket | None) -> float:
+    """Return the round trip to a peer as the kernel measured it, in seconds.
+
+    0 where it is not known.
+    """
+    if sock is None:
+        return 0.0
+    told = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, ROUND_TRIP.size)
+    if len(told) < ROUND_TRIP.size:
+        return 0.0
+    (microseconds,) = ROUND_TRIP.unpack(told)
+    return float(microseconds / MICROSECONDS)
+
+
 def set_options(sock: socket.socket | None) -> None:
     """Have the kernel notice a peer that has fallen silent."""
     if sock is None:
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -19,6 +19,7 @@
     news,
     ports,
     questions,
+    readiness,
     runner,
 )
 from fuchsiahaven.routing import (
@@ -32,6 +33,7 @@
 )
 
 PART: Final = 'process'
+STOPPING: Final = questions.STOPPING
 #: How long a host goes on as ever once it is asked to stop: the balancer asks
 #: once a second and passes over a host after two answers that are not 200.
 LAG_S: Final = 2.6
@@ -55,11 +57,18 @@
         )
         self.runner = runner.Runner(self.desk, self._tell)
         self.news = news.News(settings, log, self._learn)
-        self.callers = self._make_port(self._take_request)
+        self.readiness = readiness.Readiness(self._find_obstacle, log)
+        self.callers = ports.Port(
+            ports.Terms(
+                self._take_request,
+                self._find_limits,
+                self.readiness.is_obstructed,
+            )
+        )
         asked = questions.Questions(
             self.runner, self.news, self.meters, self.find_obstacle
         )
-        self.readiness = self._make_port(asked.take)
+        self.balancer = self._make_port(asked.take)
         self.peers = self._make_port(asked.take)
         self._entry = entries.Entry(self.news, log)
         self._stopping = asyncio.Event()
@@ -90,7 +99,12 @@
     def find_obstacle(self) -> str:
         """Say why no new work should come to this host; empty if it may."""
         if self._stopping.is_set():
-            return 'stopping'
+            return STOPPING
+        return self.readiness.find_obstacle()
+
+    def _find_obstacle(self) -> str:
+        if self._stopping.is_set():
+            return STOPPING
         return desks.find_obstacle(self.desk, time.monotonic())
 
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
@@ -99,8 +113,8 @@
         stack.callback(peers.close)
         metrics = await self.peers.listen(settings.metrics)
         stack.callback(metrics.close)
-        readiness = await self.readiness.listen(settings.readiness)
-        stack.callback(readiness.close)
+        balancer = await self.balancer.listen(settings.readiness)
+        stack.callback(balancer.close)
         callers = await self.callers.listen(settings.callers)
         stack.callback(callers.close)
 
@@ -190,7 +204,9 @@
     def _take_request(
         self, message: exchanges.Message, caller: ports.Caller
     ) -> Callable[[], None]:
-        request = exchanges.read_request(message, time.monotonic())
+        request = exchanges.read_request(
+            message, time.monotonic(), caller.measure_away()
+        )
 
         def reply(outcome: events.Outcome) -> None:
             caller.answer(exchanges.write_outcome(outcome))
--- /dev/null
+++ b/fuchsiahaven/relay/readiness.py
@@ -0,0 +1,50 @@
+"""Keep whether callers had better go to other hosts, and tell them so."""
+
+import time
+from collections.abc import Callable
+from typing import Final
+
+from fuchsiahaven.relay import journal
+
+PART: Final = 'readiness'
+#: How long an obstacle that was worked out counts, in seconds. It is asked for
+#: with each answer and costs some 0.1 ms where there are 20 shards.
+FRESH_S: Final = 0.1
+
+
+class Readiness:
+    """Own what was worked out last, and what the balancer was told."""
+
+    def __init__(
+        self, find_obstacle: Callable[[], str], log: journal.Journal
+    ) -> None:
+        """Start without an opinion."""
+        self._find_obstacle = find_obstacle
+        self._log = log
+        self._obstacle = ''
+        self._until = float('-inf')
+
+    def find_obstacle(self) -> str:
+        """Say why callers should go elsewhere; empty if they should not."""
+        now = time.monotonic()
+        if now >= self._until:
+            self._until = now + FRESH_S
+            self._change(self._find_obstacle())
+        return self._obstacle
+
+    def is_obstructed(self) -> bool:
+        """Tell whether each answer is to end its caller's connection.
+
+        A balancer moves new connections only. Callers that keep theirs to a
+        host that is cut off go on being refused for as long as the cut lasts;
+        one that is closed with the answer opens its next one at a host that
+        the balancer still chooses.
+        """
+        return bool(self.find_obstacle())
+
+    def _change(self, obstacle: str) -> None:
+        if obstacle == self._obstacle:
+            return
+        self._obstacle = obstacle
+        text = 'not ready' if obstacle else 'ready'
+        self._log.tell(PART, text, why=obstacle)
--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -10,9 +10,14 @@
 from fuchsiahaven.routing import configs, events, merges
 
 SOURCE: Final = 'asks'
-#: Kept back from the objective and the deadline for the way to the caller
-#: and back (1 ms each), merging and this host's own delay, in seconds.
-MARGIN_S: Final = 0.012
+#: Kept back from the objective and the deadline, beside the caller's way, for
+#: merging and writing (1 ms for 20 parts) and for timers that fire late while
+#: the host is busy, in seconds.
+MARGIN_S: Final = 0.004
+#: The way to a caller that is taken into account at most: what a caller with
+#: a slow line loses there is its own, and its answer may not go out at once
+#: with hardly anything in it.
+LONGEST_AWAY_S: Final = 0.04
 OK: Final = 200
 FAILURES: Final = 500
 
@@ -95,13 +100,14 @@
 ) -> Ask:
     """Begin an ask that reaches the services given."""
     arrived = request.arrived
-    ends = min(arrived + route.timeout, request.deadline - MARGIN_S)
+    margin = MARGIN_S + min(request.away, LONGEST_AWAY_S)
+    ends = min(arrived + route.timeout, request.deadline - margin)
     return Ask(
         number,
         request,
         route,
         version,
-        arrived + route.objective - MARGIN_S,
+        arrived + route.objective - margin,
         ends,
         dict.fromkeys(services, Part()),
         set(services),
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -99,6 +99,7 @@
         sum(max(0, part.number - 1) for part in ask.parts.values()),
         tuple(ask.tries[:MOST_TOLD]),
         _list_lacking(ask, now),
+        ask.route.objective,
     )
 
 
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -18,7 +18,9 @@
     """Hold one whole request of a caller.
 
     `target` is the path with the query as it came, `fields` are the header
-    fields that go on to a target as they are.
+    fields that go on to a target as they are. `away` is how many seconds of
+    the caller's own time pass outside this host: on the request's way here,
+    with the opening of its connection, and on the answer's way back.
     """
 
     request_id: str
@@ -29,6 +31,7 @@
     body: bytes
     arrived: float
     deadline: float
+    away: float = 0.0
 
 
 class Answer(NamedTuple):
@@ -297,6 +300,7 @@
     `tries` lists, for the parts that did not go as planned, what was tried:
     service, target, purpose and how it ended. `lacking` lists what became of
     the first few parts that are not in.
+    `objective` is in seconds; 0 where there is no route.
     """
 
     request_id: str
@@ -309,6 +313,7 @@
     hedges: int
     tries: tuple[str, ...]
     lacking: tuple[str, ...] = ()
+    objective: float = 0.0
 
 
 class Belief(NamedTuple):
--- /dev/null
+++ b/tests/bench/test_losses.py
@@ -0,0 +1,58 @@
+"""Test the tables of worth that was lost."""
+
+import json
+from typing import Any
+
+from bench import losses
+
+
+def write_line(at: float, **changed: Any) -> str:
+    """Write a line as a bench prints it, with its own time before it."""
+    row = {
+        'part': 'request',
+        'host': 'host-1',
+        'route': 'search',
+        'result': 'complete',
+        'took': 0.05,
+        'parts': 20,
+        'missing': 0,
+        'objective': 0.1,
+        'up': 7.0,
+        **changed,
+    }
+    return f'{at:9.4f} host-1 {json.dumps(row, separators=(",", ":"))}'
+
+
+def read(*lines: str) -> list[losses.Ending]:
+    """Read lines."""
+    return list(losses.read_endings(lines, {'other': 0.02}))
+
+
+def test_splits_the_loss_by_cause() -> None:
+    """A part missing costs by the square; a late answer keeps a tenth."""
+    found = read(
+        write_line(1),
+        write_line(1, missing=10),
+        write_line(1, took=0.2),
+        write_line(1, result='incomplete ran=no'),
+    )
+    assert [losses.weigh(it) for it in found] == [
+        losses.Loss(),
+        losses.Loss(partial=0.75),
+        losses.Loss(late=0.9),
+        losses.Loss(unserved=1.0),
+    ]
+
+
+def test_tells_by_time_and_passes_over_other_lines() -> None:
+    """Times are the bench's; what is cut or of another part is left out."""
+    found = read(
+        'what happened',
+        write_line(3.2, part='news'),
+        write_line(3.2)[:-5],
+        write_line(3.2, route='other', objective=0),
+        write_line(5.0),
+    )
+    assert [(it.at, it.objective) for it in found] == [(3.2, 0.02), (5.0, 0.1)]
+    table = losses.tabulate(found, lambda it: it.route)
+    assert table[1].split() == ['other', '1', '90.0', '0.0', '0.0']
--- a/tests/relay/test_ports.py
+++ b/tests/relay/test_ports.py
@@ -173,6 +173,49 @@
     peers.run(check())
 
 
+def test_parts_with_callers_where_the_host_is_cut_off() -> None:
+    """Symptom: callers are refused for as long as a data centre is cut off.
+
+    The balancer moves new connections to other hosts; callers that keep
+    theirs open stay with the host that cannot serve them.
+    """
+
+    async def check() -> None:
+        async with serve() as host:
+            reader, writer = await host.connect()
+            writer.write(GET)
+            head = await reader.readuntil(b'\r\n\r\n')
+            assert b'connection: close' not in head.lower()
+            host.port.terms = host.port.terms._replace(parts=lambda: True)
+            writer.write(GET)
+            answer = (await reader.read()).lower()
+            assert b'connection: close' in answer
+            writer.close()
+
+    peers.run(check())
+
+
+def test_measures_how_far_callers_are_away() -> None:
+    """The first request of a connection has one round trip more behind it."""
+
+    async def check() -> None:
+        async with serve() as host:
+            host.held = []
+            _, writer = await host.connect()
+            writer.write(GET)
+            await peers.wait_for(lambda: host.held)
+            (caller,) = host.held
+            first = caller.measure_away()
+            assert 0 < first < 0.1
+            caller.answer(exchanges.Written(200, (), b''))
+            writer.write(GET)
+            await peers.wait_for(lambda: len(host.held or ()) == 2)
+            assert 0 < caller.measure_away() < 0.1
+            writer.close()
+
+    peers.run(check())
+
+
 def test_ends_each_connection_with_its_answer_while_stopping() -> None:
     """Symptom: a planned stop cuts requests.
 
--- a/tests/routing/test_desks.py
+++ b/tests/routing/test_desks.py
@@ -65,6 +65,37 @@
     assert (outcome.missing, len(outcome.signatures)) == (2, 18)
 
 
+@pytest.mark.parametrize('away', [0.002, 0.0064, 0.0128])
+def test_answers_so_that_the_caller_has_it_by_the_objective(
+    away: float,
+) -> None:
+    """Symptom: partial answers reach callers a millisecond after objective.
+
+    Callers are 3 ms away; the first request on a connection spends one more
+    round trip on opening it. An answer held until 12 ms before the objective
+    is 13 to 14 ms on its way, and all that was held so long is late.
+    """
+    rig = make_search()
+    rig.ask(away=away)
+    for send in rig.take_sent()[2:]:
+        rig.answer(send)
+    rig.pass_time(0.1 - away - 0.005)
+    assert not rig.replies
+    rig.pass_time(0.002)
+    assert isinstance(rig.take_outcome(), events.Merged)
+
+
+def test_keeps_to_itself_for_callers_very_far_away() -> None:
+    """A caller with a slow line still gets more than what came at once."""
+    rig = make_search()
+    rig.ask(away=0.5)
+    for send in rig.take_sent()[2:]:
+        rig.answer(send)
+    assert not rig.replies
+    rig.pass_time(0.06)
+    assert isinstance(rig.take_outcome(), events.Merged)
+
+
 def test_waits_past_the_objective_for_enough_parts() -> None:
     """Sixteen of twenty parts are too few: one more ends the wait at once."""
     rig = make_search()
