Leave a near target only for one that is better with the same slots taken

Ruled out: counting no wait while a slot is free, among near targets too: the load of forgotten idle connections fell from 98 to 96 of 100 in time.

The test failed before.

--- a/fuchsiahaven/routing/standings.py
+++ b/fuchsiahaven/routing/standings.py
@@ -224,7 +224,15 @@
 
     `near` is the data centre of this host.
     """
-    cost = routes.estimate_cost(known.stats, now, 0)
+    stats = known.stats
+    if instance.data_centre != near:
+        # A near target with a slot free makes nobody wait, so that a far one
+        # is not better for having all of its slots free. Without this a quarter
+        # of what crossed on a quiet day of 20 shards did so for one request
+        # under way near by.
+        busy = max(stats.in_flight, instance.slots - 1)
+        stats = stats._replace(in_flight=busy)
+    cost = routes.estimate_cost(stats, now, 0)
     if instance.cold:
         cost *= COLD_FACTOR
     if instance.data_centre != near:
--- a/tests/routing/test_standings.py
+++ b/tests/routing/test_standings.py
@@ -100,3 +100,24 @@
     rig.break_off(send, messages.Fault.TIMED_OUT)
     known = rig.desk.standings.get('records-0')
     assert standings.describe(known, rig.now) == 'left out'
+
+
+def test_stays_near_while_a_slot_is_free_there() -> None:
+    """Symptom: a quarter of what crosses data centres does so for nothing.
+
+    One request is under way at the near target, which has two slots; the next
+    one is sent to the far target, as if it had to wait for the first.
+    """
+    near, far = desk_rig.make_instances(['records'])
+    far = far._replace(data_centre='maipu')
+    rig = desk_rig.Rig([SINGLE], [near, far])
+    for target in (near, far):
+        key = events.FlightKey(0, 'records', 1)
+        rig.desk.standings.note_sent(target.name, key, rig.now - 0.06)
+        rig.desk.standings.note_answered(target.name, key, rig.now, None)
+    chosen = []
+    for _ in range(2 * near.slots):
+        rig.ask('/one/1')
+        chosen += [send.instance.name for send in rig.take_sent()]
+    assert chosen[: near.slots] == [near.name] * near.slots
+    assert far.name in chosen
