Count the bytes on connections by what they carry and how far they go

Change: each connection that a host opens counts what it sends and receives, under parts, shares, news or store, and own or other data centre; served as fuchsiahaven_relay_bytes_total. Each exchange is counted once in the fleet.

--- a/fuchsiahaven/relay/assistants.py
+++ b/fuchsiahaven/relay/assistants.py
@@ -5,7 +5,7 @@
 
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import exchanges
-from fuchsiahaven.relay import encodings, idles, links, openers
+from fuchsiahaven.relay import encodings, idles, links, openers, traffic
 from fuchsiahaven.routing import assist_codecs, codecs, events
 
 PATH: Final = '/v1/assist'
@@ -32,8 +32,9 @@
         address: str,
         report: Callable[[events.Event], None],
         clock: Callable[[], float],
+        tally: traffic.Tally,
     ) -> None:
-        """Start without a connection."""
+        """Start without a connection; bytes go into the tally."""
         self._address = address
         self._report = report
         self._clock = clock
@@ -41,7 +42,7 @@
         self._busy: dict[links.Link, Busy] = {}
         self._idle = idles.Idles()
         self._opener = openers.Opener(
-            address, lambda: links.Link(self), self._take_link
+            address, lambda: links.Link(self, tally), self._take_link
         )
 
     def place(self, delegate: events.Delegate) -> None:
@@ -162,10 +163,14 @@
         self,
         report: Callable[[events.Event], None],
         clock: Callable[[], float],
+        counted: traffic.Traffic,
+        data_centre: str,
     ) -> None:
-        """Start without a connection."""
+        """Start without a connection, in a data centre."""
         self._report = report
         self._clock = clock
+        self._traffic = counted
+        self._data_centre = data_centre
         self._helpers: dict[str, Helper] = {}
 
     def place(self, delegate: events.Delegate) -> None:
@@ -173,7 +178,9 @@
         address = delegate.helper.address
         helper = self._helpers.get(address)
         if helper is None:
-            helper = Helper(address, self._report, self._clock)
+            far = delegate.helper.data_centre != self._data_centre
+            tally = self._traffic.find(traffic.Kind.SHARES, far=far)
+            helper = Helper(address, self._report, self._clock, tally)
             self._helpers[address] = helper
         helper.place(delegate)
 
--- a/fuchsiahaven/relay/calls.py
+++ b/fuchsiahaven/relay/calls.py
@@ -5,7 +5,7 @@
 
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import exchanges, store
-from fuchsiahaven.relay import encodings, links
+from fuchsiahaven.relay import encodings, links, traffic
 from fuchsiahaven.routing import codecs, events
 
 
@@ -27,9 +27,12 @@
 class Client:
     """Own a connection to one address, opened when it is needed."""
 
-    def __init__(self, address: str) -> None:
-        """Start without a connection."""
+    def __init__(
+        self, address: str, tally: traffic.Tally | None = None
+    ) -> None:
+        """Start without a connection; bytes go into the tally."""
         self.address = address
+        self._tally = tally
         self.calls = 0
         self._link: links.Link | None = None
         self._waiting: asyncio.Future[exchanges.Message] | None = None
@@ -106,8 +109,31 @@
     async def _open(self, seconds: float) -> links.Link:
         host, _, port = self.address.rpartition(':')
         loop = asyncio.get_running_loop()
-        link = links.Link(self)
+        link = links.Link(self, self._tally)
         async with asyncio.timeout(seconds):
             await loop.create_connection(lambda: link, host, int(port))
         self._link = link
         return link
+
+
+class Clients:
+    """Own the connections to other hosts, opened when they are needed."""
+
+    def __init__(self, counted: traffic.Traffic) -> None:
+        """Start without a connection."""
+        self._traffic = counted
+        self._clients: dict[str, Client] = {}
+
+    def find(self, address: str, *, far: bool) -> Client:
+        """Find the client of a host, which is `far` in another data centre."""
+        client = self._clients.get(address)
+        if client is None:
+            tally = self._traffic.find(traffic.Kind.NEWS, far=far)
+            client = Client(address, tally)
+            self._clients[address] = client
+        return client
+
+    def close(self) -> None:
+        """Close all of them."""
+        for client in self._clients.values():
+            client.close()
--- a/fuchsiahaven/relay/fleets.py
+++ b/fuchsiahaven/relay/fleets.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from fuchsiahaven.relay import pools
+from fuchsiahaven.relay import pools, traffic
 from fuchsiahaven.routing import (
     duties,
     events,
@@ -21,8 +21,10 @@
         desk: states.Desk,
         report: Callable[[events.Event], None],
         clock: Callable[[], float],
+        counted: traffic.Traffic,
     ) -> None:
         """Start without a pool."""
+        self._traffic = counted
         self._desk = desk
         self._report = report
         self._clock = clock
@@ -88,7 +90,9 @@
     def _find(self, instance: instances.Instance) -> pools.Pool:
         pool = self._pools.get(instance.name)
         if pool is None:
-            pool = pools.Pool(instance, self._report, self._clock)
+            far = instance.data_centre != self._desk.host.data_centre
+            tally = self._traffic.find(traffic.Kind.PARTS, far=far)
+            pool = pools.Pool(instance, self._report, self._clock, tally)
             self._pools[instance.name] = pool
             self._seat(pool)
         return pool
--- a/fuchsiahaven/relay/links.py
+++ b/fuchsiahaven/relay/links.py
@@ -10,6 +10,7 @@
 
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import exchanges
+from fuchsiahaven.relay import traffic
 from fuchsiahaven.routing import events
 
 #: The largest answer that is taken in; the largest of a target are 36 kB, a
@@ -64,8 +65,11 @@
 class Link(asyncio.Protocol):
     """Own one connection and the exchange on it."""
 
-    def __init__(self, owner: Owner) -> None:
-        """Wait for the connection to open."""
+    def __init__(
+        self, owner: Owner, tally: traffic.Tally | None = None
+    ) -> None:
+        """Wait for the connection to open; its bytes go into the tally."""
+        self._tally = tally or traffic.Tally()
         self.exchange: Exchange | None = None
         self.reusable = False
         self.closed = False
@@ -91,10 +95,13 @@
         self.exchange = exchange
         self.reusable = False
         self._stray = 0
-        self._transport.write(self._write(exchange))
+        written = self._write(exchange)
+        self._tally.sent += len(written)
+        self._transport.write(written)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes of an answer."""
+        self._tally.received += len(data)
         if self.exchange is None:
             # Bytes that nobody asked for would be taken for the answer to
             # the next request.
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -9,7 +9,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.platform import records, store
-from fuchsiahaven.relay import calls, decoders, encodings, journal
+from fuchsiahaven.relay import calls, decoders, encodings, journal, traffic
 from fuchsiahaven.routing import codecs, facts, places, sources
 
 PART: Final = 'news'
@@ -63,15 +63,21 @@
     """Own the calls to the store and what they brought."""
 
     def __init__(
-        self, settings: places.Settings, log: journal.Journal, learn: Learn
+        self,
+        settings: places.Settings,
+        log: journal.Journal,
+        learn: Learn,
+        counted: traffic.Traffic,
     ) -> None:
         """Start with nothing known."""
         self.ledger = facts.begin(random.SystemRandom().getrandbits(LIFE_BITS))
         self.settings = settings
-        self.store = calls.Client(settings.store)
+        self.store = calls.Client(
+            settings.store, counted.find(traffic.Kind.STORE, far=True)
+        )
         self._log = log
         self._learn = learn
-        self._peers: dict[str, calls.Client] = {}
+        self._peers = calls.Clients(counted)
         self._decoder = decoders.Decoder(log)
         self._cursors: dict[str, facts.Cursor] = {}
         self._doubted: dict[str, float] = {}
@@ -134,8 +140,8 @@
 
     def close(self) -> None:
         """Close the connections."""
-        for client in (self.store, *self._peers.values()):
-            client.close()
+        self.store.close()
+        self._peers.close()
 
     async def _go_round(self) -> float:
         """Ask until there is an answer; return how long it will do."""
@@ -233,11 +239,8 @@
                 return facts.Report(revision, tuple(found), True, age)
 
     async def _ask(self, address: str) -> bool:
-        now = time.monotonic()
-        client = self._peers.get(address)
-        if client is None:
-            client = calls.Client(address)
-            self._peers[address] = client
+        near = sources.is_near(self._view(), address)
+        client = self._peers.find(address, far=not near)
         cursor = self._cursors.get(address, facts.START)
         asked = {
             'after': codecs.write_cursor(cursor),
--- a/fuchsiahaven/relay/pages.py
+++ b/fuchsiahaven/relay/pages.py
@@ -5,7 +5,7 @@
 
 from prometheus_client import core, exposition, registry
 
-from fuchsiahaven.relay import meters
+from fuchsiahaven.relay import meters, traffic
 
 PREFIX: Final = 'fuchsiahaven_relay'
 GAUGES: Final = (
@@ -22,8 +22,14 @@
 class Page(registry.Collector):
     """Hold what the page is written from."""
 
-    def __init__(self, counted: meters.Meters, gauges: meters.Gauges) -> None:
+    def __init__(
+        self,
+        counted: meters.Meters,
+        gauges: meters.Gauges,
+        sent: traffic.Traffic,
+    ) -> None:
         """Take the figures."""
+        self._traffic = sent
         self._counted = counted
         self._gauges = gauges
 
@@ -54,12 +60,29 @@
             'Shards left out.',
             self._counted.missing,
         )
+        yield self._count_bytes()
         for (name, text), figure in zip(GAUGES, self._gauges, strict=True):
             yield core.GaugeMetricFamily(f'{PREFIX}_{name}', text, figure)
 
+    def _count_bytes(self) -> core.Metric:
+        """Give the bytes by what they were for and how far they went."""
+        flows = core.CounterMetricFamily(
+            f'{PREFIX}_bytes',
+            'Bytes on connections that this host opened.',
+            None,
+            ['kind', 'data_centre', 'way'],
+        )
+        for flow, tally in self._traffic.tallies.items():
+            where = 'other' if flow.far else 'own'
+            flows.add_metric([flow.kind, where, 'sent'], tally.sent)
+            flows.add_metric([flow.kind, where, 'received'], tally.received)
+        return flows
+
 
-def write(counted: meters.Meters, gauges: meters.Gauges) -> bytes:
+def write(
+    counted: meters.Meters, gauges: meters.Gauges, sent: traffic.Traffic
+) -> bytes:
     """Write the page."""
     registered = registry.CollectorRegistry()
-    registered.register(Page(counted, gauges))
+    registered.register(Page(counted, gauges, sent))
     return exposition.generate_latest(registered)
--- a/fuchsiahaven/relay/pools.py
+++ b/fuchsiahaven/relay/pools.py
@@ -9,7 +9,7 @@
 
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import exchanges
-from fuchsiahaven.relay import idles, links, openers
+from fuchsiahaven.relay import idles, links, openers, traffic
 from fuchsiahaven.routing import events, instances
 
 #: A sending is given up so long after its end: the target's own answer that
@@ -38,8 +38,9 @@
         instance: instances.Instance,
         report: Callable[[events.Event], None],
         clock: Callable[[], float],
+        tally: traffic.Tally | None = None,
     ) -> None:
-        """Start without a connection."""
+        """Start without a connection; bytes go into the tally."""
         self.instance = instance
         self.seats = 1
         self._report = report
@@ -48,7 +49,7 @@
         self._busy: dict[links.Link, Busy] = {}
         self._idle = idles.Idles()
         self.opener = openers.Opener(
-            instance.address, lambda: links.Link(self), self._take_link
+            instance.address, lambda: links.Link(self, tally), self._take_link
         )
 
     def place(self, send: events.Send) -> None:
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -57,7 +57,7 @@
         )
         self.desk.margin.link = settings.link
         self.runner = runner.Runner(self.desk, self._tell)
-        self.news = news.News(settings, log, self._learn)
+        self.news = news.News(settings, log, self._learn, self.runner.traffic)
         self.readiness = readiness.Readiness(self._find_obstacle, log)
         self.callers = ports.Port(
             ports.Terms(
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -152,7 +152,9 @@
             if loaded.cancelled():
                 return
             gauges = meters.read_gauges(self._runner, self._news)
-            body = loaded.result().write(self._meters, gauges)
+            body = loaded.result().write(
+                self._meters, gauges, self._runner.traffic
+            )
             caller.answer(exchanges.Written(HTTPStatus.OK, TEXT, body))
 
         loading.add_done_callback(write)
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from fuchsiahaven.relay import assistants, fleets
+from fuchsiahaven.relay import assistants, fleets, traffic
 from fuchsiahaven.routing import desks, events, reaches, states
 
 #: How often connections are looked at for what takes too long.
@@ -26,8 +26,11 @@
     def __init__(self, desk: states.Desk, tell: Tell) -> None:
         """Start with nothing to do."""
         self.desk = desk
-        self.fleet = fleets.Fleet(desk, self.post, time.monotonic)
-        self._assistants = assistants.Assistants(self.post, time.monotonic)
+        self.traffic = traffic.Traffic()
+        self.fleet = fleets.Fleet(desk, self.post, time.monotonic, self.traffic)
+        self._assistants = assistants.Assistants(
+            self.post, time.monotonic, self.traffic, desk.host.data_centre
+        )
         self._tell = tell
         self._events: collections.deque[events.Event] = collections.deque()
         self._replies: dict[int, Reply] = {}
--- a/fuchsiahaven/routing/sources.py
+++ b/fuchsiahaven/routing/sources.py
@@ -97,6 +97,14 @@
     return Peer(seeds[int(draw * len(seeds))])
 
 
+def is_near(view: View, address: str) -> bool:
+    """Tell whether a host is known to be in the own data centre."""
+    return any(
+        host.address == address and host.data_centre == view.own.data_centre
+        for host in view.hosts
+    )
+
+
 def count_doubt(times: int, *, starting: bool) -> float:
     """Return for how long a host is passed over that failed so many times.
 
--- a/tests/relay/test_fleets.py
+++ b/tests/relay/test_fleets.py
@@ -4,7 +4,7 @@
 import time
 
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.relay import fleets
+from fuchsiahaven.relay import fleets, traffic
 from fuchsiahaven.routing import events, instances, places, states
 from tests.relay import peers
 
@@ -31,7 +31,9 @@
             first = server.as_instance()
             desk = states.Desk(HOST, EXTRA, float)
             desk.directory = instances.build_directory([first])
-            fleet = fleets.Fleet(desk, reported.append, time.monotonic)
+            fleet = fleets.Fleet(
+                desk, reported.append, time.monotonic, traffic.Traffic()
+            )
             now = time.monotonic()
             request = events.Request(
                 'id-1',
--- a/tests/relay/test_meters.py
+++ b/tests/relay/test_meters.py
@@ -3,9 +3,11 @@
 import subprocess
 import sys
 
-from fuchsiahaven.relay import meters, pages
+from fuchsiahaven.relay import meters, pages, traffic
 from fuchsiahaven.routing import events
 
+COUNTED = traffic.Traffic()
+COUNTED.find(traffic.Kind.SHARES, far=True).sent += 570
 GAUGES = meters.Gauges(7, 0.5, 40, 6, 12, 30, 67)
 STORY = events.Story('id', 'route', 7, 'complete', 0.03, 20, 1, 2, (), ())
 
@@ -24,7 +26,7 @@
     """Names and kinds are what dashboards rely on."""
     counted = meters.Meters()
     counted.note(STORY)
-    lines = pages.write(counted, GAUGES).decode().splitlines()
+    lines = pages.write(counted, GAUGES, COUNTED).decode().splitlines()
     assert 'fuchsiahaven_relay_outcomes_total{result="complete"} 1.0' in lines
     assert 'fuchsiahaven_relay_latency_seconds_bucket{le="0.04"} 1.0' in lines
     assert 'fuchsiahaven_relay_latency_seconds_count 1.0' in lines
@@ -32,6 +34,8 @@
     assert 'fuchsiahaven_relay_missing_parts_total 1.0' in lines
     assert 'fuchsiahaven_relay_news_age_seconds 0.5' in lines
     assert 'fuchsiahaven_relay_store_calls 67.0' in lines
+    sent = 'data_centre="other",kind="shares",way="sent"'
+    assert f'fuchsiahaven_relay_bytes_total{{{sent}}} 570.0' in lines
 
 
 def test_a_start_does_not_wait_for_the_library_of_the_page() -> None:
