--- a/bench/losses.py
+++ b/bench/losses.py
@@ -4,7 +4,8 @@
 request's line tells its route, what came of it, after how long and how many
 parts lack; a part of the worth is lost where an answer is late, partial or not
 given at all. Callers' own retries are requests of their own here, and those
-that never reached a host are not seen.
+that never reached a host are not seen. The last table counts the requests that
+were not served, by cause.
 
     python -m bench.losses LOG [--objective ROUTE=SECONDS ...]
 """
@@ -37,6 +38,7 @@
     parts: int
     missing: int
     objective: float
+    cause: str = ''
 
 
 class Loss(NamedTuple):
@@ -82,9 +84,37 @@
         row['parts'],
         row['missing'],
         objective,
+        _name_cause(row),
     )
 
 
+def _name_cause(row: Mapping[str, Any]) -> str:
+    """Name why a request was not served, without names of targets.
+
+    What befell the first part that lacks tells it best, or else how its first
+    try ended.
+    """
+    for told in (*row.get('lacking', ()), *row.get('tries', ())):
+        _, _, text = told.partition(': ')
+        if text.startswith('waits at'):
+            text = 'waits at a helper' if 'helper' in text else 'waits'
+        return f'{row["result"]}: {text}'
+    return str(row['result'])
+
+
+def count_causes(endings: Iterable[Ending]) -> list[str]:
+    """Write how many requests were not served for which cause, most first."""
+    counts = collections.Counter(
+        (it.cause, 'once' if it.parts == 1 else 'shards')
+        for it in endings
+        if it.result not in SERVED
+    )
+    return [
+        f'{count:6} {ways:7} {cause}'
+        for (cause, ways), count in counts.most_common()
+    ]
+
+
 def weigh(ending: Ending) -> Loss:
     """Split what a request has lost by cause."""
     if ending.result not in SERVED:
@@ -141,6 +171,7 @@
     tables = (lambda it: it.route, lambda it: it.host, _name_step)
     for name in tables:
         sys.stdout.write('\n'.join([*tabulate(found, name), '', '']))
+    sys.stdout.write('\n'.join([*count_causes(found), '']))
 
 
 if __name__ == '__main__':
--- a/tests/bench/test_losses.py
+++ b/tests/bench/test_losses.py
@@ -56,3 +56,22 @@
     assert [(it.at, it.objective) for it in found] == [(3.2, 0.02), (5.0, 0.1)]
     table = losses.tabulate(found, lambda it: it.route)
     assert table[1].split() == ['other', '1', '90.0', '0.0', '0.0']
+
+
+def test_counts_what_was_not_served_by_its_cause() -> None:
+    """Names of targets differ in each line, the cause does not."""
+    lines = [
+        write_line(
+            1, result='incomplete ran=no', lacking=[f'{name}: unreachable']
+        )
+        for name in ('alpha', 'beta')
+    ]
+    lines.append(
+        write_line(1, result='timed_out ran=unknown', tries=['a b: cut'])
+    )
+    lines.append(write_line(1))
+    found = losses.count_causes(losses.read_endings(lines, {}))
+    assert found == [
+        '     2 shards  incomplete ran=no: unreachable',
+        '     1 shards  timed_out ran=unknown: cut',
+    ]
