Compare near and far targets by the slots that are taken

One request under way doubled the estimate of the near target, which has two slots, and what is not heard from for seconds is taken to be quick.

Change: the near and the far target are each chosen as before, and compared by estimates in which the requests that have a slot wait for nobody.

--- a/fuchsiahaven/routing/choices.py
+++ b/fuchsiahaven/routing/choices.py
@@ -59,9 +59,27 @@
     clean = [
         one for one in candidates if _is_clean(desk, one.name, now, once=once)
     ]
+    usable = clean or candidates
+    own = desk.host.data_centre
+    near = _choose_soonest(
+        desk, [one for one in usable if one.data_centre == own], now
+    )
+    far = _choose_soonest(
+        desk, [one for one in usable if one.data_centre != own], now
+    )
+    if near is None or far is None:
+        return near or far
+    if _estimate_wait(desk, far, now) < _estimate_wait(desk, near, now):
+        return far
+    return near
+
+
+def _choose_soonest(
+    desk: states.Desk, candidates: Sequence[instances.Instance], now: float
+) -> instances.Instance | None:
     best = None
     least = float('inf')
-    for one in clean or candidates:
+    for one in candidates:
         known = desk.standings.get(one.name)
         cost = standings.estimate(known, one, desk.host.data_centre, now)
         cost *= 1 + SPREAD * desk.draw()
@@ -71,6 +89,13 @@
     return best
 
 
+def _estimate_wait(
+    desk: states.Desk, one: instances.Instance, now: float
+) -> float:
+    known = desk.standings.get(one.name)
+    return standings.estimate_wait(known, one, desk.host.data_centre, now)
+
+
 def _is_clean(desk: states.Desk, name: str, now: float, *, once: bool) -> bool:
     known = desk.standings.get(name)
     record = known.stats.record
--- a/fuchsiahaven/routing/standings.py
+++ b/fuchsiahaven/routing/standings.py
@@ -233,15 +233,7 @@
 
     `near` is the data centre of this host.
     """
-    stats = known.stats
-    if instance.data_centre != near:
-        # A near target with a slot free makes nobody wait, so that a far one
-        # is not better for having all of its slots free. Without this a quarter
-        # of what crossed on a quiet day of 20 shards did so for one request
-        # under way near by.
-        busy = max(stats.in_flight, instance.slots - 1)
-        stats = stats._replace(in_flight=busy)
-    cost = routes.estimate_cost(stats, now, 0)
+    cost = routes.estimate_cost(known.stats, now, 0)
     if instance.cold:
         cost *= COLD_FACTOR
     if instance.data_centre != near:
@@ -255,6 +247,23 @@
     return cost
 
 
+def estimate_wait(
+    known: Standing, instance: instances.Instance, near: str, now: float
+) -> float:
+    """Estimate as above, where what is under way takes up slots and no more.
+
+    A target works on as many requests at a time as it has slots, so the first
+    few make nobody wait. That is what to go by when a near target is compared
+    with a far one: counted as waits, a request under way near by was enough to
+    send the next one away, and 29 % of the sub-requests of hosts that gather
+    for others crossed on a quiet day of 87 shards. Near targets are compared
+    with each other by the full count, which spreads the load.
+    """
+    waiting = max(0, known.stats.in_flight + 1 - max(1, instance.slots))
+    stats = known.stats._replace(in_flight=waiting)
+    return estimate(known._replace(stats=stats), instance, near, now)
+
+
 def estimate_helper(known: Standing, now: float) -> float:
     """Estimate the seconds until a host would have gathered parts."""
     silence = measure_silence(known, now) or 0
