--- a/fuchsiahaven/routing/plans.py
+++ b/fuchsiahaven/routing/plans.py
@@ -84,8 +84,9 @@
     shared: dict[duties.Duty, list[str]] = {}
     for service, places_of in centres.items():
         centre = next((it for it in order if it in places_of), order[0])
-        duty = duties.Duty(centre, chunks[service])
-        shared.setdefault(duty, []).append(service)
+        shared.setdefault(duties.Duty(centre, chunks[service]), []).append(
+            service
+        )
     _join_few(host.data_centre, shared)
     return shared
 
