--- a/fuchsiahaven/routing/plans.py
+++ b/fuchsiahaven/routing/plans.py
@@ -1,7 +1,7 @@
 """Plan which parts of a query other hosts gather, and which ones."""
 
 import collections
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import rendezvous
@@ -83,14 +83,16 @@
     order = rank_centres(host, centres)
     shared: dict[duties.Duty, list[str]] = {}
     for service, places_of in centres.items():
-        centre = next((it for it in order if it in places_of), order[0])
-        shared.setdefault(duties.Duty(centre, chunks[service]), []).append(
-            service
-        )
+        duty = duties.Duty(_find_first(order, places_of), chunks[service])
+        shared.setdefault(duty, []).append(service)
     _join_few(host.data_centre, shared)
     return shared
 
 
+def _find_first(order: Sequence[str], found: Collection[str]) -> str:
+    return next((centre for centre in order if centre in found), order[0])
+
+
 def rank_centres(
     host: places.Host, centres: Mapping[str, Collection[str]]
 ) -> tuple[str, ...]:
