--- a/fuchsiahaven/routing/plans.py
+++ b/fuchsiahaven/routing/plans.py
@@ -104,24 +104,27 @@
     four others in groups too small for a helper, and a third of all parts
     crossed one by one.
     """
-    left = {it: found for it, found in centres.items() if found}
-    names = {name for found in left.values() for name in found}
-    order = []
-    best = host.data_centre
-    for _ in range(len(names) + 1):
+    left = [found for found in centres.values() if found]
+    order = [host.data_centre]
+    left = [found for found in left if host.data_centre not in found]
+    while left:
+        best = _find_best(host, left)
         order.append(best)
-        left = {it: found for it, found in left.items() if best not in found}
-        if not left:
-            break
-        added = collections.Counter(
-            name for found in left.values() for name in found
-        )
-        most = max(added.values())
-        ties = [name for name, count in added.items() if count == most]
-        best = rendezvous.rank(host.name, ties)[0]
+        left = [found for found in left if best not in found]
     return tuple(order)
 
 
+def _find_best(host: places.Host, left: Iterable[Collection[str]]) -> str:
+    """Find the data centre that has targets of most parts.
+
+    Hosts choose differently among equals, so that these share the load.
+    """
+    counts = collections.Counter(name for found in left for name in found)
+    most = max(counts.values())
+    best = [name for name, count in counts.items() if count == most]
+    return rendezvous.rank(host.name, best)[0]
+
+
 def choose_centre(
     host: places.Host, found: Collection[str], sizes: Mapping[str, int]
 ) -> str:
