--- a/fuchsiahaven/routing/plans.py
+++ b/fuchsiahaven/routing/plans.py
@@ -130,9 +130,9 @@
 ) -> str:
     """Choose the data centre that parts are gathered in, the own one if it can.
 
-    Hosts without near targets spread over those that hold about as many shards
-    as any (`sizes`). Were all of them to ask the same one, its hosts and targets
-    would carry the queries of each data centre that has none.
+    Hosts without near targets spread over those that hold about as many
+    shards as any (`sizes`). Were all of them to ask the same one, its hosts and
+    targets would carry the queries of each data centre that has none.
     """
     if not found or host.data_centre in found:
         return host.data_centre
