--- a/tests/routing/test_duties.py
+++ b/tests/routing/test_duties.py
@@ -4,7 +4,14 @@
 
 from hypothesis import given, strategies
 
-from fuchsiahaven.routing import centres, configs, duties, events, places
+from fuchsiahaven.routing import (
+    centres,
+    configs,
+    duties,
+    events,
+    places,
+    plans,
+)
 from tests.routing import desk_rig
 
 SHARDS = tuple(f'shard-{number:03}' for number in range(90))
@@ -318,3 +325,26 @@
         rig.post(events.Shared(one.key, share))
     known = rig.desk.helpers.get(one.helper.name)
     assert abs(known.stats.latency - 0.03) < 0.001
+
+
+@given(
+    strategies.dictionaries(
+        strategies.text(max_size=3),
+        strategies.sets(strategies.sampled_from(CENTRES), max_size=3),
+        max_size=30,
+    )
+)
+def test_ranks_data_centres_until_all_parts_are_covered(
+    holders: dict[str, set[str]],
+) -> None:
+    """The own one comes first, none twice, and none that adds nothing."""
+    host = places.Host('host-1', '10.0.0.1:1', CENTRES[0])
+    order = plans.rank_centres(host, holders)
+    assert order[0] == host.data_centre
+    assert len(set(order)) == len(order)
+    assert all(set(order) & found for found in holders.values() if found)
+    left = [found for found in holders.values() if found]
+    for place, centre in enumerate(order):
+        rest = [found for found in left if centre not in found]
+        assert not place or len(rest) < len(left)
+        left = rest
