Send nothing to the targets of a data centre that is evacuated

Change: an order is a fact like any other. It is part of listings, passed on between hosts, its removal is news as well and waits for nothing, and an order that was taken back long ago is not believed again. The directory of targets leaves evacuated ones out, which everything that sends asks. What waits for a connection at a target that is left out is sent elsewhere. With no data centre left callers are refused at once, with nothing run, and told to come back in 5 s. Hosts stay ready. The evacuated data centre goes on counting among those that share repeats.

--- a/fuchsiahaven/core/coverage.py
+++ b/fuchsiahaven/core/coverage.py
@@ -18,6 +18,7 @@
     BROKEN_ANSWER = 'broken_answer'
     SNAPSHOT_GONE = 'snapshot_gone'
     TIMED_OUT = 'timed_out'
+    EVACUATED = 'evacuated'
 
 
 class ShardKey(NamedTuple):
--- a/fuchsiahaven/platform/records.py
+++ b/fuchsiahaven/platform/records.py
@@ -12,6 +12,9 @@
 CONFIGURATION: Final = 'op/config'
 INSTANCES: Final = 'servers/'
 HOSTS: Final = 'fuchsiahaven/hosts/'
+#: Keys by which operators have data centres evacuated; removing one takes the
+#: order back.
+EVACUATIONS: Final = 'op/evacuate/'
 MILLISECONDS: Final = 1000
 #: What a target says of itself, and whether it is leaving then. Any other
 #: word is not known, and an entry with it names no target to use.
@@ -49,11 +52,17 @@
         return facts.Key(facts.Subject.INSTANCE, name[len(INSTANCES) :])
     if name.startswith(HOSTS):
         return facts.Key(facts.Subject.HOST, name[len(HOSTS) :])
+    if name.startswith(EVACUATIONS):
+        return facts.Key(facts.Subject.EVACUATION, name[len(EVACUATIONS) :])
     return None
 
 
 def read_value(key: facts.Key, encoded: str) -> facts.Value:
     """Decode the value of a key; raises Malformed."""
+    if key.subject is facts.Subject.EVACUATION:
+        # The key alone is the order. Were a value that somebody spoilt to
+        # undo it, targets would get work that operators have forbidden.
+        return places.Evacuation(key.name)
     try:
         row = json.loads(base64.b64decode(encoded, validate=True))
         return _read_value(key, row)
@@ -74,7 +83,7 @@
             return _read_configuration(row)
         case facts.Subject.INSTANCE:
             return _read_instance(key.name, row)
-        case facts.Subject.HOST:
+        case _:
             return places.Host(key.name, row['address'], row['zone'])
 
 
--- a/fuchsiahaven/relay/fleets.py
+++ b/fuchsiahaven/relay/fleets.py
@@ -46,13 +46,15 @@
         What is under way at a target that leaves may end there. One that has
         started again under its id has lost all that was under way: waiting
         for it would cost callers their deadline where the connections were
-        not reset.
+        not reset. What still waits for a connection is sent elsewhere: a
+        connection may be free seconds later, when the target is to get nothing
+        any more.
         """
         known = self._desk.directory.by_name
         started = {one.id for one in known.values()}
         for name in self._pools.keys() - known.keys():
             pool = self._pools[name]
-            if pool.is_unused() or pool.instance.id in started:
+            if pool.retire() or pool.instance.id in started:
                 self._pools.pop(name).close()
 
     def deal(self) -> None:
--- /dev/null
+++ b/fuchsiahaven/relay/lessons.py
@@ -0,0 +1,65 @@
+"""Turn news into what the decisions learn, and log what has changed."""
+
+from collections.abc import Callable
+from typing import Final
+
+from fuchsiahaven.relay import evacuations, journal, runner
+from fuchsiahaven.routing import events, facts, instances, places
+
+PART: Final = 'process'
+#: What changes which targets may get new work.
+DIRECTING: Final = frozenset((facts.Subject.INSTANCE, facts.Subject.EVACUATION))
+
+
+class Lessons:
+    """Own what was learned last of the orders of operators."""
+
+    def __init__(
+        self,
+        settings: places.Settings,
+        driven: runner.Runner,
+        log: journal.Journal,
+        find_obstacle: Callable[[], str],
+    ) -> None:
+        """Take whom to teach."""
+        self.settings = settings
+        self.evacuations = evacuations.Evacuations(log)
+        self._runner = driven
+        self._log = log
+        self._find_obstacle = find_obstacle
+
+    def learn(self, merged: facts.Merged) -> None:
+        """Take in what has changed."""
+        ledger = merged.ledger
+        if facts.Subject.CONFIGURATION in merged.changed:
+            configuration = facts.find_configuration(ledger)
+            self._runner.learn(events.Configured(configuration))
+        if merged.changed & DIRECTING:
+            self._direct(ledger)
+        if facts.Subject.HOST in merged.changed:
+            self._count_hosts(ledger)
+        desk = self._runner.desk
+        self._log.tell(
+            PART,
+            'learned',
+            subjects=sorted(merged.changed),
+            revision=ledger.revision,
+            version=desk.index.configuration.version,
+            targets=len(desk.directory.by_name),
+            hosts=desk.host_count,
+            ready=self._find_obstacle() or 'yes',
+        )
+
+    def _direct(self, ledger: facts.Ledger) -> None:
+        barred = self.evacuations.take(
+            facts.list_evacuations(ledger), self.settings.data_centres
+        )
+        found = facts.list_instances(ledger)
+        directory = instances.build_directory(found, barred)
+        self._runner.learn(events.Directed(directory))
+
+    def _count_hosts(self, ledger: facts.Ledger) -> None:
+        # Until the hosts have entered themselves the seeds are all there is.
+        known = tuple(facts.list_hosts(ledger))
+        count = max(len(known), len(self.settings.seeds))
+        self._runner.learn(events.Counted(count, known))
--- a/fuchsiahaven/relay/pools.py
+++ b/fuchsiahaven/relay/pools.py
@@ -85,9 +85,12 @@
         self._idle.close_old(now)
         self._open_more(now)
 
-    def is_unused(self) -> bool:
-        """Tell whether nothing is under way."""
-        return not (self._busy or self._queue or self.opener.count())
+    def retire(self) -> bool:
+        """Send nothing that waits; tell whether nothing is under way."""
+        while self._queue:
+            key = self._queue.popleft().key
+            self._report(events.Unsent(key, unreachable=False))
+        return not (self._busy or self.opener.count())
 
     def try_way(self) -> None:
         """Open a connection to see whether the target can be reached."""
@@ -104,9 +107,7 @@
         self._idle.close()
         for link in tuple(self._busy):
             link.close(messages.Fault.CONNECTION_LOST)
-        while self._queue:
-            key = self._queue.popleft().key
-            self._report(events.Unsent(key, unreachable=False))
+        self.retire()
 
     def take_message(
         self, link: links.Link, message: exchanges.Message
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -15,6 +15,7 @@
 from fuchsiahaven.relay import (
     entries,
     journal,
+    lessons,
     meters,
     news,
     ports,
@@ -26,8 +27,6 @@
     configs,
     desks,
     events,
-    facts,
-    instances,
     places,
     states,
 )
@@ -57,7 +56,12 @@
         )
         self.desk.margin.link = settings.link
         self.runner = runner.Runner(self.desk, self._tell)
-        self.news = news.News(settings, log, self._learn, self.runner.traffic)
+        self.lessons = lessons.Lessons(
+            settings, self.runner, log, self.find_obstacle
+        )
+        self.news = news.News(
+            settings, log, self.lessons.learn, self.runner.traffic
+        )
         self.readiness = readiness.Readiness(self._find_obstacle, log)
         self.callers = ports.Port(
             ports.Terms(
@@ -70,6 +74,7 @@
             self.runner,
             self.news,
             self.meters,
+            self.lessons.evacuations,
             self.find_obstacle,
             self.readiness.tell_balancer,
         )
@@ -168,6 +173,7 @@
             return
         self.settings = reading.settings
         self.news.settings = reading.settings
+        self.lessons.settings = reading.settings
         self.desk.change_extra_load(reading.settings.extra_load)
         self.log.tell(PART, 'reloaded', settings=self.settings)
 
@@ -177,35 +183,6 @@
     def _find_limits(self) -> configs.Limits:
         return self.desk.index.configuration.limits
 
-    def _learn(self, merged: facts.Merged) -> None:
-        for subject in merged.changed:
-            match subject:
-                case facts.Subject.CONFIGURATION:
-                    configuration = facts.find_configuration(merged.ledger)
-                    self.runner.learn(events.Configured(configuration))
-                case facts.Subject.INSTANCE:
-                    found = facts.list_instances(merged.ledger)
-                    directory = instances.build_directory(found)
-                    self.runner.learn(events.Directed(directory))
-                case facts.Subject.HOST:
-                    self._count_hosts(merged.ledger)
-        self.log.tell(
-            PART,
-            'learned',
-            subjects=sorted(merged.changed),
-            revision=merged.ledger.revision,
-            version=self.desk.index.configuration.version,
-            targets=len(self.desk.directory.by_name),
-            hosts=self.desk.host_count,
-            ready=self.find_obstacle() or 'yes',
-        )
-
-    def _count_hosts(self, ledger: facts.Ledger) -> None:
-        # Until the hosts have entered themselves the seeds are all there is.
-        known = tuple(facts.list_hosts(ledger))
-        count = max(len(known), len(self.settings.seeds))
-        self.runner.learn(events.Counted(count, known))
-
     def _take_request(
         self, message: exchanges.Message, caller: ports.Caller
     ) -> Callable[[], None]:
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -10,7 +10,14 @@
 from typing import Final
 
 from fuchsiahaven.platform import exchanges
-from fuchsiahaven.relay import encodings, meters, news, ports, runner
+from fuchsiahaven.relay import (
+    encodings,
+    evacuations,
+    meters,
+    news,
+    ports,
+    runner,
+)
 from fuchsiahaven.routing import assist_codecs, codecs, events, standings
 
 TEXT: Final = (('content-type', 'text/plain'),)
@@ -27,6 +34,7 @@
         driven: runner.Runner,
         known: news.News,
         counted: meters.Meters,
+        orders: evacuations.Evacuations,
         find_obstacle: Callable[[], str],
         note_probe: Callable[[], object],
     ) -> None:
@@ -34,6 +42,7 @@
         self._runner = driven
         self._news = known
         self._meters = counted
+        self._evacuations = orders
         self._find_obstacle = find_obstacle
         self._note_probe = note_probe
 
@@ -117,6 +126,7 @@
             'news_age': round(now - self._news.ledger.read, 2),
             'store_lost': self._news.lost,
             'source': self._news.source,
+            'evacuated': self._evacuations.tell(),
             'hosts': {host.name: host.data_centre for host in desk.hosts},
             'targets': {
                 service: {
--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -26,7 +26,13 @@
     coverage.Reason.UNREACHABLE: 0.5,
     coverage.Reason.BROKEN_ANSWER: 0.1,
     coverage.Reason.TIMED_OUT: 0.2,
+    # Orders last for seconds at the least, and for as long as it takes.
+    coverage.Reason.EVACUATED: 5.0,
 }
+#: A target has to come, or an order to be taken back.
+UNSERVED: Final = frozenset(
+    (coverage.Reason.NO_REPLICA, coverage.Reason.EVACUATED)
+)
 
 
 class Flight(NamedTuple):
@@ -238,7 +244,7 @@
 def _choose_kind(reasons: list[coverage.Reason]) -> errors.Kind:
     if coverage.Reason.TIMED_OUT in reasons:
         return errors.Kind.TIMED_OUT
-    if set(reasons) == {coverage.Reason.NO_REPLICA}:
+    if UNSERVED.issuperset(reasons):
         return errors.Kind.NO_ROUTE
     if set(reasons) <= {coverage.Reason.OVERLOADED, coverage.Reason.REFUSED}:
         return errors.Kind.OVERLOADED
--- a/fuchsiahaven/routing/codecs.py
+++ b/fuchsiahaven/routing/codecs.py
@@ -142,6 +142,8 @@
             return instances.Instance(**written)
         case facts.Subject.HOST:
             return places.Host(**written)
+        case facts.Subject.EVACUATION:
+            return places.Evacuation(**written)
 
 
 def _read_route(row: Mapping[str, Any]) -> configs.Route:
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -71,7 +71,7 @@
     """Say why no new work should come to this host; empty if it may."""
     if not desk.index.configuration.version:
         return 'no configuration yet'
-    if not desk.directory.by_name:
+    if not desk.directory.by_name and not desk.directory.withheld:
         return 'no targets yet'
     if reaches.is_cut_off(desk, now):
         return 'too few targets can be reached'
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -31,9 +31,12 @@
     CONFIGURATION = 'configuration'
     INSTANCE = 'instance'
     HOST = 'host'
+    EVACUATION = 'evacuation'
 
 
-Value = configs.Configuration | instances.Instance | places.Host
+Value = (
+    configs.Configuration | instances.Instance | places.Host | places.Evacuation
+)
 
 
 class Key(NamedTuple):
@@ -130,10 +133,9 @@
     known = dict(ledger.facts)
     # A host that tells the news also tells when what it misses is gone.
     missing = {} if returned is None else dict(ledger.missing)
-    changed = _take_values(known, missing, report)
+    changed = _take_values(known, missing, report, ledger.revision)
     gone = _find_gone(known, report) - missing.keys()
-    until = _find_return(known, gone, now, returned)
-    missing.update(dict.fromkeys(gone, until))
+    missing.update(_find_returns(known, gone, now, returned))
     changed |= _remove_missing(known, missing, report.revision, now)
     life, place = ledger.cursor
     place += len(changed)
@@ -210,12 +212,24 @@
     ]
 
 
+def list_evacuations(ledger: Ledger) -> dict[str, int]:
+    """Map each evacuated data centre to the revision of the order."""
+    return {
+        fact.value.data_centre: fact.revision
+        for fact in ledger.facts.values()
+        if isinstance(fact.value, places.Evacuation)
+    }
+
+
 def _take_values(
-    known: dict[Key, Fact], missing: dict[Key, float], report: Report
+    known: dict[Key, Fact],
+    missing: dict[Key, float],
+    report: Report,
+    revision: int,
 ) -> set[Key]:
     changed: set[Key] = set()
     for fact in report.facts:
-        if fact.value is None:
+        if fact.value is None or _is_forgotten(known, fact, revision):
             continue
         missing.pop(fact.key, None)
         before = known.get(fact.key, Fact(fact.key, -1, None))
@@ -226,6 +240,19 @@
     return changed
 
 
+def _is_forgotten(known: Mapping[Key, Fact], fact: Fact, revision: int) -> bool:
+    """Tell whether an unknown order was taken back, and that is forgotten.
+
+    This host knows every order up to the revision that it has read to. A host
+    that was cut off for longer than removals are remembered still passes on
+    the orders of then; taken for news, one of them would leave a data centre
+    out that is in use, on all hosts and for good.
+    """
+    if fact.key.subject is not Subject.EVACUATION or fact.key in known:
+        return False
+    return fact.revision <= revision
+
+
 def _find_gone(known: Mapping[Key, Fact], report: Report) -> set[Key]:
     # A target may go and return between two readings: what is gone by then is
     # what was written before its removal.
@@ -268,15 +295,28 @@
     return (_find_born(fact), fact.revision)
 
 
-def _find_return(
+def _find_returns(
     known: Mapping[Key, Fact],
     gone: set[Key],
     now: float,
     returned: float | None,
+) -> dict[Key, float]:
+    """Say until when each fact that is gone may come back.
+
+    An order of operators lapses never: gone, it has been taken back.
+    """
+    until = (
+        now if returned is None else _find_return(known, gone, now, returned)
+    )
+    return {
+        key: now if key.subject is Subject.EVACUATION else until for key in gone
+    }
+
+
+def _find_return(
+    known: Mapping[Key, Fact], gone: set[Key], now: float, returned: float
 ) -> float:
-    """Say until when what is gone may come back."""
-    if returned is None:
-        return now
+    """Say until when entries that are gone may come back."""
     total = sum(1 for fact in known.values() if _is_expected(fact))
     vanished = sum(1 for key in gone if _is_expected(known[key]))
     if vanished > max(SUSPICIOUS_COUNT, SUSPICIOUS_SHARE * total):
--- a/fuchsiahaven/routing/instances.py
+++ b/fuchsiahaven/routing/instances.py
@@ -32,18 +32,34 @@
 
 
 class Directory(NamedTuple):
-    """Hold the targets that may get new work, by service."""
+    """Hold the targets that may get new work, by service.
+
+    Those of an `evacuated` data centre may not; services with targets in
+    these alone are `withheld`.
+    """
 
     by_name: Mapping[str, Instance]
     by_service: Mapping[str, tuple[Instance, ...]]
+    evacuated: frozenset[str] = frozenset()
+    withheld: frozenset[str] = frozenset()
 
 
 EMPTY = Directory({}, {})
 
 
-def build_directory(instances: Iterable[Instance]) -> Directory:
-    """Leave out what is leaving; order each service by name."""
-    by_name = {one.name: one for one in instances if not one.leaving}
+def build_directory(
+    instances: Iterable[Instance], evacuated: Iterable[str] = ()
+) -> Directory:
+    """Leave out what is leaving or evacuated; order each service by name.
+
+    Everything that may lead to a sending asks the directory: first sendings,
+    repeats, trials of targets taken for dead and connections opened ahead.
+    """
+    barred = frozenset(evacuated)
+    staying = [one for one in instances if not one.leaving]
+    by_name = {
+        one.name: one for one in staying if one.data_centre not in barred
+    }
     by_service: dict[str, list[Instance]] = {}
     for name in sorted(by_name):
         one = by_name[name]
@@ -51,4 +67,6 @@
     return Directory(
         by_name,
         {service: tuple(found) for service, found in by_service.items()},
+        barred,
+        frozenset(one.service for one in staying) - by_service.keys(),
     )
--- a/fuchsiahaven/routing/places.py
+++ b/fuchsiahaven/routing/places.py
@@ -11,6 +11,12 @@
     data_centre: str
 
 
+class Evacuation(NamedTuple):
+    """Order that nothing more be sent to the targets of a data centre."""
+
+    data_centre: str
+
+
 class ExtraLoad(NamedTuple):
     """Bound repeated arrivals at a service, over all hosts together.
 
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -123,9 +123,11 @@
 
         Their hosts on duty are the ones that send repeats. A data centre that
         loses some of its targets goes on counting, so that what the hosts
-        take of the bound does not jump with each target that goes.
+        take of the bound does not jump with each target that goes. One that is
+        evacuated goes on counting too: its hosts may hear of the order later
+        than others, and would still take their part.
         """
-        self._wide_centres = frozenset(
+        self._wide_centres = self.directory.evacuated.union(
             one.data_centre
             for service in self.index.wide
             for one in self.directory.by_service.get(service, ())
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -244,14 +244,22 @@
     part = ask.parts[service]
     reason = part.reason
     if reason is None:
-        known = service in desk.directory.by_service
-        reason = coverage.Reason.NO_REPLICA
-        if known:
-            reason = coverage.Reason.UNREACHABLE
+        reason = _find_reason(desk.directory, service)
     ask.parts[service] = part._replace(lost=True, reason=reason)
     ask.open.discard(service)
 
 
+def _find_reason(
+    directory: instances.Directory, service: str
+) -> coverage.Reason:
+    """Say why no target of a service can be asked."""
+    if service in directory.by_service:
+        return coverage.Reason.UNREACHABLE
+    if service in directory.withheld:
+        return coverage.Reason.EVACUATED
+    return coverage.Reason.NO_REPLICA
+
+
 def _send(
     desk: states.Desk,
     ask: asks.Ask,
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -89,6 +89,26 @@
     )
 
 
+@pytest.mark.parametrize('told', ['e30=', '', 'no base64', 'bnVsbA=='])
+def test_reads_an_evacuation_whatever_its_value(told: str) -> None:
+    """Symptom: targets get work that operators have forbidden.
+
+    The key alone is the order; a value that is spoilt undoes nothing.
+    """
+    key = records.name_key('op/evacuate/north')
+    assert key == facts.Key(facts.Subject.EVACUATION, 'north')
+    assert records.read_value(key, told) == places.Evacuation('north')
+
+
+def test_reads_the_end_of_an_evacuation() -> None:
+    """An order that is taken back is news of its removal."""
+    row = {'key': 'op/evacuate/north', 'revision': 9, 'deleted': True}
+    body = json.dumps({'events': [row], 'store_revision': 9}).encode()
+    page = store.read_events(body, lambda *_: None)
+    key = facts.Key(facts.Subject.EVACUATION, 'north')
+    assert page.items == (facts.Fact(key, 9, None),)
+
+
 def test_names_each_start_of_a_target() -> None:
     """A target starts again under its id; requests still name it by that."""
     first = records.read_value(INSTANCE, encode({**ENTRY, 'born': 1_000}))
--- a/tests/relay/test_fleets.py
+++ b/tests/relay/test_fleets.py
@@ -17,6 +17,47 @@
     """Take requests and answer none."""
 
 
+def make_send(target: instances.Instance, ask: int) -> events.Send:
+    """Ask for a request to be sent that may take half a minute."""
+    now = time.monotonic()
+    request = events.Request(
+        f'id-{ask}', 'GET', '/a/1', 'shop.example', FIELDS, b'', now, now + 30
+    )
+    key = events.FlightKey(ask, 'records', 1)
+    return events.Send(key, target, request, now + 30, fresh=False)
+
+
+def test_sends_elsewhere_what_waits_at_a_target_that_is_left_out() -> None:
+    """Symptom: a request reaches a target seconds after its evacuation.
+
+    Two requests are for a target with one connection. The second one waits for
+    it when the order comes; the first one ends there in peace.
+    """
+
+    async def run() -> list[events.Event]:
+        reported: list[events.Event] = []
+        async with peers.listen(be_silent) as server:
+            target = server.as_instance()
+            desk = states.Desk(HOST, EXTRA, float)
+            desk.directory = instances.build_directory([target])
+            fleet = fleets.Fleet(
+                desk, reported.append, time.monotonic, traffic.Traffic()
+            )
+            fleet.place(make_send(target, 1))
+            await peers.wait_for(lambda: bool(server.heads))
+            fleet.place(make_send(target, 2))
+            desk.directory = instances.build_directory([target], {'north'})
+            fleet.prune()
+            # Closing all of it would tell the same.
+            told = list(reported)
+            fleet.close()
+        return told
+
+    waiting = events.FlightKey(2, 'records', 1)
+    reported = asyncio.run(run())
+    assert reported[1:] == [events.Unsent(waiting, unreachable=False)]
+
+
 def test_gives_up_what_waits_at_an_earlier_start_of_a_target() -> None:
     """Symptom: a request waits until its deadline at a process that is gone.
 
@@ -34,19 +75,7 @@
             fleet = fleets.Fleet(
                 desk, reported.append, time.monotonic, traffic.Traffic()
             )
-            now = time.monotonic()
-            request = events.Request(
-                'id-1',
-                'GET',
-                '/a/1',
-                'shop.example',
-                FIELDS,
-                b'',
-                now,
-                now + 30,
-            )
-            key = events.FlightKey(1, 'records', 1)
-            fleet.place(events.Send(key, first, request, now + 30, False))
+            fleet.place(make_send(first, 1))
             await peers.wait_for(lambda: bool(server.heads))
             second = first._replace(
                 name=instances.name_start(first.id, 2), born=2
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -136,6 +136,60 @@
     peers.run(check())
 
 
+def test_sends_nothing_to_a_data_centre_that_is_evacuated() -> None:
+    """Symptom: targets get work 5 s after operators have forbidden it.
+
+    One host reads the store, the other hears from it. Both refuse at once,
+    because no other data centre has targets, and both serve again once the
+    order is taken back.
+    """
+
+    async def check() -> None:
+        async with worlds.make() as world:
+            await world.add_host('host-1')
+            await world.add_host('host-2')
+            world.store.put('op/evacuate/south', {})
+            await check_evacuated(world, {'south'}, served=0)
+            world.store.remove('op/evacuate/south')
+            await check_evacuated(world, set(), served=2)
+
+    peers.run(check())
+
+
+async def check_evacuated(
+    world: worlds.World, wanted: set[str], served: int
+) -> None:
+    """Check what is known of evacuations, and how many requests arrive."""
+    await peers.wait_for(
+        lambda: all(
+            host.desk.directory.evacuated == wanted for host in world.hosts
+        )
+    )
+    assert await count_served(world) == (served, served)
+    asked = world.hosts[1].settings.host.address
+    _, _, body = await worlds.fetch(asked, '/v1/state')
+    assert set(json.loads(body)['evacuated']) == wanted
+
+
+async def count_served(world: worlds.World) -> tuple[int, int]:
+    """Ask each host for a record; count answers, and arrivals at the target.
+
+    Whoever is refused is told when to come back.
+    """
+    before = len(world.targets['i-5'].heads)
+    replies = await asyncio.gather(
+        *[
+            worlds.fetch(host.settings.callers, '/one/1')
+            for host in world.hosts
+        ],
+    )
+    refused = [head for status, head, _ in replies if status == 503]
+    assert all('retry-after: 5' in head for head in refused)
+    served = [status for status, _, _ in replies if status == 200]
+    assert len(served) + len(refused) == len(world.hosts)
+    return len(served), len(world.targets['i-5'].heads) - before
+
+
 def test_ends_what_is_under_way_before_it_stops() -> None:
     """Symptom: a planned stop cuts requests.
 
--- a/tests/routing/test_facts.py
+++ b/tests/routing/test_facts.py
@@ -308,3 +308,80 @@
     text = codecs.write_report(told)
     ledger = take(ledger, codecs.read_report(text), 2, None)
     assert list_names(ledger) == {'a@2'}
+
+
+def make_order(revision: int, name: str = 'north') -> facts.Fact:
+    """State that a data centre is evacuated."""
+    key = facts.Key(facts.Subject.EVACUATION, name)
+    return facts.Fact(key, revision, places.Evacuation(name))
+
+
+def test_takes_an_evacuation_from_the_first_listing() -> None:
+    """A host that starts knows it before it serves."""
+    merged = facts.merge(
+        facts.begin(1), read(9, make_order(7)), 0, returned=NEVER
+    )
+    assert merged.changed == {facts.Subject.EVACUATION}
+    assert facts.list_evacuations(merged.ledger) == {'north': 7}
+
+
+def test_passes_an_evacuation_and_its_end_on() -> None:
+    """Hosts tell each other of the order, and of its end as well."""
+    reader = take(facts.begin(1), read(5, make_fact('a', 2)), 0)
+    other = take(
+        facts.begin(2), facts.list_changes(reader, facts.START, 0), 0, None
+    )
+    cursor = reader.cursor
+    for revision, found in ((7, [make_order(6)]), (9, [])):
+        reader = take(reader, read(revision, make_fact('a', 2), *found), 1)
+        told = facts.list_changes(reader, cursor, 1)
+        told = codecs.read_report(codecs.write_report(told))
+        cursor = reader.cursor
+        other = take(other, told, 1, None)
+        assert len(facts.list_evacuations(other)) == len(found)
+
+
+def test_takes_an_evacuation_back_at_once_after_an_outage() -> None:
+    """Symptom: a data centre stays empty for seconds more than it has to.
+
+    Entries of targets lapse while the store is down and are waited for. An
+    order does not lapse: it is gone because operators took it back.
+    """
+    ledger = take(facts.begin(1), read(5, make_fact('a', 2), make_order(4)), 0)
+    ledger = take(ledger, read(8), 10, returned=10)
+    assert not facts.list_evacuations(ledger)
+    assert list_names(ledger) == {'a'}
+
+
+def test_brings_no_old_evacuation_back() -> None:
+    """Symptom: a data centre that is in use gets nothing any more, for good.
+
+    An order is given at revision 4 and taken back by 6. A host that was cut
+    off in between for two minutes comes back and tells all that it knows, to
+    hosts that have forgotten the removal, and to one that has started since.
+    """
+    behind = read(5, make_order(4))
+    ledger = take(facts.begin(1), behind, 0)
+    ledger = take(ledger, read(6), 1)
+    ledger = take(ledger, read(9), 1 + 2 * facts.REMEMBER_S)
+    started = take(facts.begin(2), read(9), 130)
+    for known in (ledger, started):
+        taken = take(known, behind, 131, None)
+        assert not facts.list_evacuations(taken)
+    again = take(ledger, read(11, make_order(10)), 132, None)
+    assert facts.list_evacuations(again) == {'north': 10}
+
+
+def test_follows_many_evacuations_in_a_row() -> None:
+    """The last word counts, in whatever order hosts tell of them."""
+    ledger = take(facts.begin(1), read(3), 0)
+    given = facts.Report(6, (make_order(6),), whole=False, age=0.0)
+    key = make_order(6).key
+    end = facts.Report(5, (facts.Fact(key, 5, None),), whole=False, age=0.0)
+    ledger = take(ledger, given, 1)
+    ledger = take(ledger, end, 1.1, None)
+    assert facts.list_evacuations(ledger) == {'north': 6}
+    last = facts.Report(7, (facts.Fact(key, 7, None),), whole=False, age=0.0)
+    ledger = take(ledger, last, 1.2, None)
+    ledger = take(ledger, given, 1.3, None)
+    assert not facts.list_evacuations(ledger)
