Bound what cold targets get over all hosts, without asking

Where a service names a rate (warmup_per_s), a target that has just started, or a data centre that is used again, falls over under the sum.

Change: cold targets get work where no warm one is left. Entries that count down are not passed on.

--- a/fuchsiahaven/core/coverage.py
+++ b/fuchsiahaven/core/coverage.py
@@ -19,6 +19,7 @@
     SNAPSHOT_GONE = 'snapshot_gone'
     TIMED_OUT = 'timed_out'
     EVACUATED = 'evacuated'
+    WARMING = 'warming'
 
 
 class ShardKey(NamedTuple):
--- a/fuchsiahaven/platform/records.py
+++ b/fuchsiahaven/platform/records.py
@@ -92,7 +92,11 @@
         int(row['version']),
         tuple(_read_route(route) for route in row['routes']),
         tuple(
-            configs.Service(service['name'], int(service['max_connections']))
+            configs.Service(
+                service['name'],
+                int(service['max_connections']),
+                float(service.get('warmup_per_s', 0)),
+            )
             for service in row['services']
         ),
         _read_limits(row.get('limits', {})),
@@ -161,8 +165,7 @@
         _read_text(row['zone']),
         slots,
         STATES[row['state']],
-        # The figure counts down; only whether it is over matters here.
-        _read_whole(row['warmup_left_ms']) > 0,
+        _read_whole(row['warmup_left_ms']) / MILLISECONDS,
         born,
     )
 
--- a/fuchsiahaven/platform/settings.py
+++ b/fuchsiahaven/platform/settings.py
@@ -25,6 +25,8 @@
     'bounds.grace_s',
     'heartbeat_ms',
 )
+#: Names that only files have whose deployments bound cold targets.
+WARM_UP: Final = ('bounds.warmup_overage', 'bounds.warmup_slack')
 
 
 class Fault(NamedTuple):
@@ -113,9 +115,20 @@
         numbers['heartbeat_ms'] / MILLISECONDS,
         numbers['bounds.grace_s'],
         _read_link(lines.get('limits.link_mbps', '')),
+        _read_warm_up(lines),
     )
 
 
+def _read_warm_up(lines: Mapping[str, str]) -> places.WarmUp | None:
+    """Read the bound on cold targets; not every deployment has one."""
+    told = [lines.get(name, '') for name in WARM_UP]
+    try:
+        overage, slack = [max(0.0, float(it)) for it in told]
+    except ValueError:
+        return None
+    return places.WarmUp(overage, slack)
+
+
 def _read_link(told: str) -> float:
     """Read what a host's link carries; one that is not told is not known."""
     try:
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -55,6 +55,7 @@
             settings.host, settings.extra_load, random.random
         )
         self.desk.margin.link = settings.link
+        self.desk.warmups.terms = settings.warm_up
         self.runner = runner.Runner(self.desk, self._tell)
         self.lessons = lessons.Lessons(
             settings, self.runner, log, self.find_obstacle
@@ -175,6 +176,7 @@
         self.news.settings = reading.settings
         self.lessons.settings = reading.settings
         self.desk.change_extra_load(reading.settings.extra_load)
+        self.desk.warmups.terms = reading.settings.warm_up
         self.log.tell(PART, 'reloaded', settings=self.settings)
 
     def _make_port(self, handle: ports.Handler) -> ports.Port:
--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -28,11 +28,20 @@
     coverage.Reason.TIMED_OUT: 0.2,
     # Orders last for seconds at the least, and for as long as it takes.
     coverage.Reason.EVACUATED: 5.0,
+    coverage.Reason.WARMING: 0.5,
 }
 #: A target has to come, or an order to be taken back.
 UNSERVED: Final = frozenset(
     (coverage.Reason.NO_REPLICA, coverage.Reason.EVACUATED)
 )
+#: There are targets, which take no more just now.
+FULL: Final = frozenset(
+    (
+        coverage.Reason.OVERLOADED,
+        coverage.Reason.REFUSED,
+        coverage.Reason.WARMING,
+    )
+)
 
 
 class Flight(NamedTuple):
@@ -246,6 +255,6 @@
         return errors.Kind.TIMED_OUT
     if UNSERVED.issuperset(reasons):
         return errors.Kind.NO_ROUTE
-    if set(reasons) <= {coverage.Reason.OVERLOADED, coverage.Reason.REFUSED}:
+    if FULL.issuperset(reasons):
         return errors.Kind.OVERLOADED
     return errors.Kind.INCOMPLETE
--- a/fuchsiahaven/routing/choices.py
+++ b/fuchsiahaven/routing/choices.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Final
 
-from fuchsiahaven.routing import asks, instances, standings, states
+from fuchsiahaven.routing import asks, instances, standings, states, warmups
 
 #: Estimates are spread by this share, so that hosts that know the same do not
 #: all choose the same target.
@@ -13,8 +13,13 @@
 def list_candidates(
     desk: states.Desk, service: str, part: asks.Part, now: float
 ) -> list[instances.Instance]:
-    """List the targets that may be asked, without those taken for dead."""
-    return _list_alive(desk, service, part.tried, now)
+    """List the targets that may be asked, without those taken for dead.
+
+    Cold ones are listed where no warm one is left: they are slow, and fall
+    over where too much comes at once.
+    """
+    alive = _list_alive(desk, service, part.tried, now)
+    return warmups.prefer_warm(desk.warmups, alive, now)
 
 
 def list_refusers(
--- a/fuchsiahaven/routing/configs.py
+++ b/fuchsiahaven/routing/configs.py
@@ -70,10 +70,15 @@
 
 
 class Service(NamedTuple):
-    """Hold how many connections each target of a service takes over all."""
+    """Hold how many connections each target of a service takes over all.
+
+    `warm_rate` is how many requests a second a target bears that is cold; 0
+    where that is not told.
+    """
 
     name: str
     connections: int
+    warm_rate: float = 0.0
 
 
 class Limits(NamedTuple):
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -58,7 +58,7 @@
             return _tick(desk, now)
         case events.Reviewed():
             return _review(desk, now)
-    _learn(desk, event)
+    _learn(desk, event, now)
     return []
 
 
@@ -85,19 +85,21 @@
     ]
 
 
-def _learn(desk: states.Desk, event: events.Event) -> None:
+def _learn(desk: states.Desk, event: events.Event, now: float) -> None:
     match event:
         case events.Configured(configuration):
             if configuration.version > desk.index.configuration.version:
                 desk.index = configs.build_index(configuration)
                 desk.count_wide_centres()
         case events.Directed(directory):
+            desk.warmups.note_targets(desk.directory, directory, now)
             desk.directory = directory
             desk.count_wide_centres()
             desk.standings.keep_only(directory.by_name)
         case events.Counted(total, hosts):
             desk.host_count = max(1, total)
             desk.hosts = tuple(it for it in hosts if it.name != desk.host.name)
+            desk.warmups.note_hosts(hosts, now)
         case events.Reached(instance):
             desk.standings.note_reached(instance)
             known = desk.directory.by_name.get(instance)
--- a/fuchsiahaven/routing/duties.py
+++ b/fuchsiahaven/routing/duties.py
@@ -42,6 +42,19 @@
     return chunks
 
 
+def find_chunk(index: configs.Index, shard: str) -> str | None:
+    """Find the chunk of a shard of wide queries; None for other services."""
+    if shard not in index.wide:
+        return None
+    ways = (route.way for route in index.configuration.routes)
+    for way in ways:
+        if isinstance(way, configs.Gather) and configs.is_wide(way):
+            chunk = find_chunks(way).get(shard)
+            if chunk is not None:
+                return chunk
+    return None
+
+
 def rank_hosts(duty: Duty, hosts: Sequence[places.Host]) -> list[places.Host]:
     """Order the hosts of a data centre for a chunk, the one on duty first."""
     by_name = {
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -236,10 +236,21 @@
         if _rank(fact) > _rank(before):
             known[fact.key] = fact
             # What was written again and says the same is not passed on.
-            changed.update([fact.key] if before.value != fact.value else ())
+            said = _says_same(before.value, fact.value)
+            changed.update([] if said else [fact.key])
     return changed
 
 
+def _says_same(before: Value | None, value: Value) -> bool:
+    """Tell whether a value only repeats, or counts down, what was known."""
+    if before == value:
+        return True
+    if isinstance(before, instances.Instance):
+        if isinstance(value, instances.Instance):
+            return instances.is_countdown(before, value)
+    return False
+
+
 def _is_forgotten(known: Mapping[Key, Fact], fact: Fact, revision: int) -> bool:
     """Tell whether an unknown order was taken back, and that is forgotten.
 
--- a/fuchsiahaven/routing/instances.py
+++ b/fuchsiahaven/routing/instances.py
@@ -11,8 +11,8 @@
     target of another service. A target may start again under the same id;
     `born`, in milliseconds of its own clock, tells the starts apart, and
     `name` belongs to one start alone: whatever is kept by name (connections,
-    latencies, failures) starts anew with the target. `cold` tells that it has
-    just started and is still slow.
+    latencies, failures) starts anew with the target. `warming` is for how many
+    seconds it will be cold from when that was told; 0 for a warm one.
     """
 
     name: str
@@ -22,7 +22,7 @@
     data_centre: str
     slots: int
     leaving: bool
-    cold: bool
+    warming: float
     born: int = 0
 
 
@@ -31,6 +31,17 @@
     return f'{target_id}@{born}' if born else target_id
 
 
+def is_countdown(before: Instance, after: Instance) -> bool:
+    """Tell whether a target is no more than a little nearer to being warm.
+
+    Each of its heartbeats says so while it is cold. Passed on, they would be
+    most of what hosts tell each other when many targets start.
+    """
+    if not 0 < after.warming <= before.warming:
+        return False
+    return before == after._replace(warming=before.warming)
+
+
 class Directory(NamedTuple):
     """Hold the targets that may get new work, by service.
 
--- a/fuchsiahaven/routing/places.py
+++ b/fuchsiahaven/routing/places.py
@@ -29,13 +29,25 @@
     window: float
 
 
+class WarmUp(NamedTuple):
+    """Bound the requests to a cold target, over all hosts together.
+
+    In any second it may get `overage` times the rate that its service names,
+    and `slack` requests more.
+    """
+
+    overage: float
+    slack: float
+
+
 class Settings(NamedTuple):
     """Hold what the platform tells a process at its start.
 
     Addresses are `ip:port`, times in seconds. `data_centres` are all of the
     deployment. `heartbeat` is how often a target renews its entry, `grace`
     the time from the signal to stop to the kill, `link` the bytes a second
-    that the host's own link carries (0 if that is not told).
+    that the host's own link carries (0 if that is not told). `warm_up` is None
+    where no bound on cold targets is told.
     """
 
     host: Host
@@ -49,3 +61,4 @@
     heartbeat: float
     grace: float
     link: float = 0.0
+    warm_up: WarmUp | None = None
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -16,6 +16,7 @@
     margins,
     places,
     standings,
+    warmups,
 )
 
 
@@ -107,6 +108,7 @@
         self._wide_centres: frozenset[str] = frozenset()
         self._centres = centres.Centres(host.data_centre)
         self._margin = margins.Margin()
+        self._warmups = warmups.Warmups(host)
 
     @property
     def centres(self) -> centres.Centres:
@@ -118,6 +120,11 @@
         """Return what this host keeps back from the objective."""
         return self._margin
 
+    @property
+    def warmups(self) -> warmups.Warmups:
+        """Return which targets are cold, and what they get from here."""
+        return self._warmups
+
     def count_wide_centres(self) -> None:
         """Note which data centres hold targets of wide queries.
 
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -12,6 +12,7 @@
     events,
     instances,
     states,
+    warmups,
 )
 
 #: Nine of ten sub-requests are back by then, so that hedges take up a tenth
@@ -67,7 +68,7 @@
     for service in asks.list_open(ask):
         part = ask.parts[service]
         if not choices.list_candidates(desk, service, part, now):
-            _lose(desk, ask, service)
+            _lose(desk, ask, service, now)
 
 
 def count_repeat(
@@ -79,7 +80,7 @@
     """
     budget = desk.find_budget(service)
     if budget.count_left(now, _count_sharers(desk, ask, service)) < 1:
-        _lose(desk, ask, service)
+        _lose(desk, ask, service, now)
         return False
     budget.note_extra(now)
     return True
@@ -101,7 +102,7 @@
         return []
     once = ask.route.at_most_once and part.may_have_run
     if once or not may_repeat(desk, ask, service, now):
-        _lose(desk, ask, service)
+        _lose(desk, ask, service, now)
         return []
     return _send_or_lose(desk, ask, service, now, events.Purpose.RETRY)
 
@@ -218,7 +219,8 @@
     part = ask.parts[service]
     if part.targets >= ask.route.attempts:
         return []
-    return choices.list_candidates(desk, service, part, now)
+    found = choices.list_candidates(desk, service, part, now)
+    return warmups.list_allowed(desk.warmups, found, desk.index, now)
 
 
 def _send_or_lose(
@@ -231,31 +233,35 @@
     part = ask.parts[service]
     found = _list_new(desk, ask, service, now)
     if not found and ask.gathers:
-        found = choices.list_refusers(desk, service, part, now)
+        refusers = choices.list_refusers(desk, service, part, now)
+        found = warmups.list_allowed(desk.warmups, refusers, desk.index, now)
     once = ask.route.at_most_once
     chosen = choices.choose(desk, found, now, once=once)
     if chosen is not None:
         return [_send(desk, ask, service, chosen, now, purpose)]
-    _lose(desk, ask, service)
+    _lose(desk, ask, service, now)
     return []
 
 
-def _lose(desk: states.Desk, ask: asks.Ask, service: str) -> None:
+def _lose(desk: states.Desk, ask: asks.Ask, service: str, now: float) -> None:
     part = ask.parts[service]
     reason = part.reason
     if reason is None:
-        reason = _find_reason(desk.directory, service)
+        reason = _find_reason(desk, ask, service, now)
     ask.parts[service] = part._replace(lost=True, reason=reason)
     ask.open.discard(service)
 
 
 def _find_reason(
-    directory: instances.Directory, service: str
+    desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> coverage.Reason:
     """Say why no target of a service can be asked."""
-    if service in directory.by_service:
+    part = ask.parts[service]
+    if choices.list_candidates(desk, service, part, now):
+        return coverage.Reason.WARMING
+    if service in desk.directory.by_service:
         return coverage.Reason.UNREACHABLE
-    if service in directory.withheld:
+    if service in desk.directory.withheld:
         return coverage.Reason.EVACUATED
     return coverage.Reason.NO_REPLICA
 
@@ -293,4 +299,5 @@
     )
     desk.centres.note_sent(chosen.data_centre, chosen.name, now)
     desk.standings.note_sent(chosen.name, key, now)
+    desk.warmups.note_sent(chosen, now)
     return events.Send(key, chosen, ask.request, ends, ask.route.at_most_once)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -36,6 +36,15 @@
     assert reading.settings.extra_load.slack == 56
 
 
+def test_reads_the_bound_on_cold_targets() -> None:
+    """Not every deployment has one."""
+    bound = 'bounds.warmup_overage=1.5\nbounds.warmup_slack=5\n'
+    for text, wanted in ((TEXT, None), (TEXT + bound, (1.5, 5))):
+        reading = settings.read_text(text)
+        assert reading.settings is not None
+        assert reading.settings.warm_up == wanted
+
+
 @pytest.mark.parametrize('name', settings.REQUIRED)
 def test_names_what_is_missing(name: str) -> None:
     """A file without a field that is needed is refused by that name."""
