Hand parts that failed to the hosts on duty, which may repeat them

Hosts on duty have the larger part of the bound and hardly used it.

Change: such parts of wide queries go, grouped, to the hosts on duty where an untried target is, which count them. The test of it fails on the code before.

--- a/fuchsiahaven/routing/configs.py
+++ b/fuchsiahaven/routing/configs.py
@@ -135,6 +135,11 @@
     return len(gather.shards) > DIRECT_MOST
 
 
+def is_wide_way(way: Way) -> bool:
+    """Tell whether requests on a way are such queries."""
+    return isinstance(way, Gather) and is_wide(way)
+
+
 def find_route(index: Index, host: str, path: str) -> Route | None:
     """Find the route with the longest prefix that begins the path.
 
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -12,6 +12,7 @@
 from fuchsiahaven.routing import (
     arrivals,
     asks,
+    choices,
     configs,
     duties,
     endings,
@@ -236,14 +237,13 @@
     outs: Iterable[events.PartOut],
     now: float,
 ) -> Actions:
-    actions: Actions = []
+    ask = desk.asks.get(number)
+    failed = []
     for out in outs:
         known.left.discard(out.service)
-        flight = known.flights[out.service]
-        key = events.FlightKey(number, out.service, flight)
-        ask = arrivals.find_open(desk, key)
-        if ask is None:
+        if ask is None or out.service not in ask.open:
             continue
+        key = events.FlightKey(number, out.service, known.flights[out.service])
         part = arrivals.land(ask, key)
         ask.tries.append(f'{out.service} {out.instance} {known.helper.name}')
         ask.parts[out.service] = part._replace(
@@ -252,9 +252,65 @@
             may_have_run=part.may_have_run or out.arrived,
             reason=coverage.Reason.UNREACHABLE,
         )
-        actions.extend(arrivals.go_on(desk, ask, out.service, now))
+        failed.append(out.service)
+    if ask is None:
+        return []
+    return [
+        *_send_again(desk, ask, failed, now),
+        *endings.settle(desk, ask, now),
+    ]
+
+
+def _send_again(
+    desk: states.Desk, ask: asks.Ask, failed: Iterable[str], now: float
+) -> Actions:
+    """Have parts that failed sent again.
+
+    Those of wide queries go to the hosts on duty. They share the bound on
+    repeats among a few and use little of it; this host's share of what is left
+    for all hosts is less than one repeat in a large fleet, so that a part would
+    be given up that targets stand ready for.
+    """
+    wide = configs.is_wide_way(ask.route.way)
+    own = []
+    shared: dict[places.Host, list[str]] = {}
+    for service in failed:
+        helper = None
+        if wide and _may_hand_on(desk, ask, service, now):
+            helper = _find_next(desk, ask, service, now)
+        if helper is None:
+            own.append(service)
+        else:
+            shared.setdefault(helper, []).append(service)
+    actions: Actions = []
+    for service in own:
+        actions.extend(tries.send_again(desk, ask, service, now))
+    for helper, services in shared.items():
+        planned = plans.Plan(helper, tuple(services))
+        actions.append(start(desk, ask, planned, now))
     return actions
 
 
+def _may_hand_on(
+    desk: states.Desk, ask: asks.Ask, service: str, now: float
+) -> bool:
+    """Tell whether another host may send a part that has failed once."""
+    part = ask.parts[service]
+    if part.flights or not 0 < part.sent < ask.route.attempts:
+        return False
+    return bool(choices.list_candidates(desk, service, part, now))
+
+
+def _find_next(
+    desk: states.Desk, ask: asks.Ask, service: str, now: float
+) -> places.Host | None:
+    """Find the host on duty where a target is that has not failed the part."""
+    assert isinstance(ask.route.way, configs.Gather)
+    centre = plans.find_second_centre(desk, ask, service, '', now)
+    chunk = duties.find_chunks(ask.route.way)[service]
+    duty = duties.Duty(centre, chunk)
+    return plans.find_helper(desk, duty, now, wide=True)
+
+
 def _make_flight(key: events.AssistKey) -> events.FlightKey:
     return events.FlightKey(key.ask, '', key.number)
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -206,6 +206,6 @@
         # sending may be worth it for what was sent again meanwhile.
         pause = tries.find_delay(desk, ask) / 2
         desk.set_timer(now + pause, states.HedgeDue(ask.number))
-    if isinstance(way, configs.Gather) and configs.is_wide(way):
+    if configs.is_wide_way(way):
         return delegations.hedge(desk, ask, slow, now)
     return tries.hedge_all(desk, ask, slow, now)
--- a/tests/routing/test_delegations.py
+++ b/tests/routing/test_delegations.py
@@ -282,3 +282,78 @@
     rig.replies = []
     rig.ask()
     assert not any(isinstance(it, events.Delegate) for it in rig.others)
+
+
+WIDE = tuple(f'wide-{number:02}' for number in range(45))
+FLEET = [
+    places.Host(f'host-{number}', f'10.0.9.{number}:7000', 'north')
+    for number in range(2, 64)
+]
+
+
+def make_member() -> desk_rig.Rig:
+    """Make one of 63 hosts, with two near targets of each shard."""
+    route = desk_rig.make_route(configs.Gather(WIDE, 2, 0.95))
+    rig = desk_rig.Rig([route], desk_rig.make_instances(WIDE, 2))
+    rig.post(events.Counted(63, (desk_rig.HOST, *FLEET)))
+    return rig
+
+
+def take_delegates(rig: desk_rig.Rig) -> list[events.Delegate]:
+    """Return what was asked of other hosts since the last time."""
+    taken = [it for it in rig.others if isinstance(it, events.Delegate)]
+    rig.others = []
+    return taken
+
+
+def test_hands_parts_that_failed_to_the_hosts_on_duty() -> None:
+    """Symptom: queries fail while targets stand ready for what they lack.
+
+    Half of the targets lose two in five answers. Each host may repeat less
+    than once in ten seconds, for its share of the bound is that of one in 63,
+    and gave the parts up. Those on duty may repeat several times.
+    """
+    rig = make_member()
+    rig.ask()
+    first = take_delegates(rig)
+    for delegate in first:
+        services = delegate.assist.services
+        lost = tuple(
+            events.PartOut(it, f'{it}-0', arrived=True) for it in services[:6]
+        )
+        share = make_share(services[6:], last=True)._replace(lost=lost)
+        rig.post(events.Shared(delegate.key, share))
+    assert not rig.replies
+    again = take_delegates(rig)
+    assert {it.assist.again for it in again} == {True}
+    assert all(it.assist.counts for it in again)
+    wanted = {it for one in first for it in one.assist.services[:6]}
+    assert {it for one in again for it in one.assist.services} == wanted
+    for delegate in again:
+        assert {f'{it}-0' for it in delegate.assist.services} <= set(
+            delegate.assist.avoid
+        )
+        share = make_share(delegate.assist.services, last=True)
+        rig.post(events.Shared(delegate.key, share))
+    outcome = rig.take_outcome()
+    assert isinstance(outcome, events.Merged)
+    assert not outcome.missing
+
+
+def test_gives_a_part_up_that_failed_as_often_as_it_may() -> None:
+    """A route allows two attempts: what fails at both is sent no more."""
+    rig = make_member()
+    rig.ask()
+    for attempt in range(2):
+        delegates = take_delegates(rig)
+        assert delegates
+        for delegate in delegates:
+            lost = tuple(
+                events.PartOut(it, f'{it}-{attempt}', arrived=True)
+                for it in delegate.assist.services
+            )
+            share = make_share((), last=True)._replace(lost=lost)
+            rig.post(events.Shared(delegate.key, share))
+    assert not take_delegates(rig)
+    assert not rig.take_sent()
+    assert rig.replies
