Ask each host by itself whether it is ready, in the bench's balancer

While one host took longer to answer, no answer counted. Played by hand on the old code with a host that answers after 0.7 s: 5 s after the other host had said that it stops it still counted as ready, so its closed port got requests.

Ruled out: a host that closes too soon (it serves on for its lag and tells so at once). Change: one task a host, and no older answer over a newer one.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -6,12 +6,12 @@
 import time
 from typing import Final
 
-from bench import checks, exchanges, mixes, records, worlds
+from bench import balancers, checks, exchanges, mixes, records, worlds
 from fuchsiahaven.core.configuration import configurations, selectors
 from standins import layouts
 
 START_S: Final = 30.0
-BALANCER_S: Final = 0.5
+MEASURE_S: Final = 0.5
 # How long after the deadline a caller still listens for a late answer.
 PATIENCE_S: Final = 2.0
 REPEAT_S: Final = 0.05
@@ -30,7 +30,8 @@
         self._world = world
         self._mix = mix
         self._numbers = numbers
-        self._ready = list(range(len(world.hosts)))
+        ports = [host.port for host in world.hosts]
+        self.balancer = balancers.Balancer(self.client, ports)
         self._turns = itertools.count()
         self._tasks: list[asyncio.Task[None]] = []
         self._shards = _count_shards(world.layout)
@@ -38,37 +39,22 @@
     async def wait_ready(self) -> None:
         """Wait until every host says it is ready."""
         limit = time.monotonic() + START_S
-        while not await self._probe():
+        while not await self.balancer.ask_all():
             assert time.monotonic() < limit, self._world.read_logs()
-            await asyncio.sleep(BALANCER_S / 5)
+            await asyncio.sleep(balancers.PAUSE_S / 5)
 
-    async def _probe(self) -> bool:
-        outcomes = await asyncio.gather(
-            *(
-                self.client.send(host.port, 'GET', '/readyz', timeout_s=1)
-                for host in self._world.hosts
-            )
-        )
-        self._ready = [
-            index
-            for index, outcome in enumerate(outcomes)
-            if outcome.status == 200
-        ]
-        return len(self._ready) == len(outcomes)
-
-    async def _balance(self) -> None:
-        # A balancer learns late that a host stops, and so does this one.
+    async def _measure(self) -> None:
         while True:
-            await self._probe()
             self._world.measure()
-            await asyncio.sleep(BALANCER_S)
+            await asyncio.sleep(MEASURE_S)
 
     async def arrive(
         self, seconds: float, rate: float, repeats: float = 0.0
     ) -> None:
         """Send `rate` requests a second, then wait for every answer."""
         # Arrivals keep to their times whatever becomes of earlier requests.
-        balancer = asyncio.create_task(self._balance())
+        self.balancer.start()
+        measuring = asyncio.create_task(self._measure())
         due = time.monotonic()
         end = due + seconds
         while due < end:
@@ -80,14 +66,14 @@
                 self._spawn(request, due + REPEAT_S)
         await asyncio.gather(*self._tasks)
         self._tasks.clear()
-        balancer.cancel()
+        measuring.cancel()
 
     def _spawn(self, request: mixes.Request, due: float) -> None:
         self._tasks.append(asyncio.create_task(self._ask(request, due)))
 
     async def _ask(self, request: mixes.Request, due: float) -> None:
         await asyncio.sleep(max(0, due - time.monotonic()))
-        hosts = self._ready or range(len(self._world.hosts))
+        hosts = self.balancer.list_usable()
         host = hosts[next(self._turns) % len(hosts)]
         deadline_s = request.rule.deadline_ms / 1000
         sent = time.monotonic()
--- a/bench/exchanges.py
+++ b/bench/exchanges.py
@@ -8,6 +8,8 @@
 from standins import wire
 
 HEAD_END: Final = b'\r\n\r\n'
+#: Why there is no answer: none came in time.
+SILENT: Final = 'silent'
 
 
 class Outcome(NamedTuple):
@@ -89,7 +91,7 @@
             outcome = await asyncio.wait_for(asked, timeout_s)
         except TimeoutError:
             exchange.transport.abort()
-            return Outcome(0, {'why': 'silent'})
+            return Outcome(0, {'why': SILENT})
         if not exchange.transport.is_closing():
             self._idle[port].append(exchange)
         return outcome
