--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -127,6 +127,7 @@
             'store_lost': self._news.lost,
             'source': self._news.source,
             'evacuated': self._evacuations.tell(),
+            'cold': desk.warmups.list_cold(desk.directory, now),
             'hosts': {host.name: host.data_centre for host in desk.hosts},
             'targets': {
                 service: {
--- a/fuchsiahaven/routing/sources.py
+++ b/fuchsiahaven/routing/sources.py
@@ -1,5 +1,6 @@
 """Choose from whom a host gets its news: the store, or another host."""
 
+import itertools
 from collections.abc import Collection, Iterable, Mapping
 from typing import Final, NamedTuple
 
@@ -94,7 +95,23 @@
     reads = len(seeds) < len(view.seeds) and now >= view.store_doubted
     if reads or not seeds:
         return Store()
-    return Peer(seeds[int(draw * len(seeds))])
+    nearest = max(_count_alike(view.own.address, it) for it in seeds)
+    near = [it for it in seeds if _count_alike(view.own.address, it) == nearest]
+    return Peer(near[int(draw * len(near))])
+
+
+def _count_alike(one: str, other: str) -> int:
+    """Count the first figures that two addresses have in common.
+
+    Before it has news a host knows no seed's data centre, and the first news
+    are most that it ever hears. Addresses of a data centre mostly begin alike.
+    """
+    pairs = zip(one.split('.'), other.split('.'), strict=False)
+    return len(list(itertools.takewhile(_is_pair, pairs)))
+
+
+def _is_pair(figures: tuple[str, str]) -> bool:
+    return figures[0] == figures[1]
 
 
 def is_near(view: View, address: str) -> bool:
--- a/fuchsiahaven/routing/warmups.py
+++ b/fuchsiahaven/routing/warmups.py
@@ -93,6 +93,16 @@
         told = self._told.get(one.name)
         return told is not None and now < told.until
 
+    def list_cold(
+        self, directory: instances.Directory, now: float
+    ) -> list[str]:
+        """List the targets that are taken for cold, for people."""
+        return [
+            name
+            for name, one in directory.by_name.items()
+            if self.is_cold(one, now)
+        ]
+
     def may_send(
         self, one: instances.Instance, index: configs.Index, now: float
     ) -> bool:
--- a/tests/routing/test_sources.py
+++ b/tests/routing/test_sources.py
@@ -85,6 +85,19 @@
     assert sources.choose(view, 1, 0) == sources.Store()
 
 
+def test_asks_the_seed_whose_address_is_most_like_its_own() -> None:
+    """Symptom: the first news of each host come from another data centre."""
+    own = OWN._replace(address='10.2.0.7:1')
+    seeds = ('10.1.0.4:1', '10.2.0.4:1', '10.3.0.2:1')
+    view = make_view()._replace(own=own, seeds=seeds)
+    draws = (0, 0.5, 0.9)
+    asked = {sources.choose(view, 1, draw) for draw in draws}
+    assert asked == {sources.Peer('10.2.0.4:1')}
+    alike = view._replace(own=own._replace(address='10.9.0.7:1'))
+    asked = {sources.choose(alike, 1, draw) for draw in draws}
+    assert asked == {sources.Peer(seed) for seed in seeds}
+
+
 def test_reads_the_store_at_the_start_if_it_is_a_seed() -> None:
     """Somebody has to know something."""
     view = make_view()._replace(seeds=(OWN.address, '10.0.9.9:1'))
