Look for the first target alive where one is enough

A query was looked through all targets of all parts three times; the first look needs one. While no target is cold, nothing is looked at for it.

--- a/fuchsiahaven/routing/choices.py
+++ b/fuchsiahaven/routing/choices.py
@@ -1,6 +1,6 @@
 """Choose the target that a part is sent to."""
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Final
 
 from fuchsiahaven.routing import asks, instances, standings, states, warmups
@@ -37,16 +37,28 @@
     ]
 
 
+def has_candidate(
+    desk: states.Desk, service: str, part: asks.Part, now: float
+) -> bool:
+    """Tell whether any target may be asked, without looking at all of them."""
+    return any(_find_alive(desk, service, part.tried, now))
+
+
 def _list_alive(
     desk: states.Desk, service: str, left_out: Sequence[str], now: float
 ) -> list[instances.Instance]:
-    return [
-        one
-        for one in desk.directory.by_service.get(service, ())
-        if one.name not in left_out
-        and not desk.centres.is_silent(one.data_centre)
-        and not standings.is_dead(desk.standings.get(one.name), now)
-    ]
+    return list(_find_alive(desk, service, left_out, now))
+
+
+def _find_alive(
+    desk: states.Desk, service: str, left_out: Sequence[str], now: float
+) -> Iterator[instances.Instance]:
+    silent = desk.centres.list_silent()
+    for one in desk.directory.by_service.get(service, ()):
+        if one.name in left_out or one.data_centre in silent:
+            continue
+        if not standings.is_dead(desk.standings.get(one.name), now):
+            yield one
 
 
 def choose(
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -298,7 +298,7 @@
     part = ask.parts[service]
     if part.flights or not 0 < part.sent < ask.route.attempts:
         return False
-    return bool(choices.list_candidates(desk, service, part, now))
+    return choices.has_candidate(desk, service, part, now)
 
 
 def _find_next(
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -67,7 +67,7 @@
     """Mark the parts that no target can take as lost."""
     for service in asks.list_open(ask):
         part = ask.parts[service]
-        if not choices.list_candidates(desk, service, part, now):
+        if not choices.has_candidate(desk, service, part, now):
             _lose(desk, ask, service, now)
 
 
@@ -257,7 +257,7 @@
 ) -> coverage.Reason:
     """Say why no target of a service can be asked."""
     part = ask.parts[service]
-    if choices.list_candidates(desk, service, part, now):
+    if choices.has_candidate(desk, service, part, now):
         return coverage.Reason.WARMING
     if service in desk.directory.by_service:
         return coverage.Reason.UNREACHABLE
--- a/fuchsiahaven/routing/warmups.py
+++ b/fuchsiahaven/routing/warmups.py
@@ -84,9 +84,13 @@
         for name in self._sent.keys() - directory.by_name.keys():
             self._sent.pop(name)
 
+    def knows_cold(self) -> bool:
+        """Tell whether any target may be cold: mostly none is."""
+        return bool(self._told or self._returned)
+
     def is_cold(self, one: instances.Instance, now: float) -> bool:
         """Tell whether a target has to be taken for cold."""
-        if not (self._told or self._returned):
+        if not self.knows_cold():
             return False
         if now < self._returned.get(one.data_centre, 0):
             return True
@@ -173,13 +177,15 @@
     known: Warmups, found: list[instances.Instance], now: float
 ) -> list[instances.Instance]:
     """Leave out cold targets as long as there are warm ones."""
+    if not known.knows_cold():
+        return found
     warm = [one for one in found if not known.is_cold(one, now)]
     return warm or found
 
 
 def list_allowed(
     known: Warmups,
-    found: Sequence[instances.Instance],
+    found: list[instances.Instance],
     index: configs.Index,
     now: float,
 ) -> list[instances.Instance]:
@@ -188,6 +194,8 @@
     Where a service names no rate at which its cold targets fall over, they are
     spared as long as that costs no part of an answer.
     """
+    if not known.knows_cold():
+        return found
     allowed = [one for one in found if known.may_send(one, index, now)]
     return allowed or [one for one in found if not find_rate(index, one)]
 
