Hand what a host did not send to the next one on duty

Cause: a host that had just started took requests for assistance before it knew any target and told that all parts were lost; and parts that a stopping, starting or dark host had not sent were sent by the asker itself. When all hosts lost power, each of 63 so opened connections to all targets (54 accepted, 6 ms of a slot each).

Change: such a host answers 425 and is asked again after 0.2 s; the parts go to the next host on duty, three times at most. Tests with it, the first red before.

--- a/fuchsiahaven/relay/assistants.py
+++ b/fuchsiahaven/relay/assistants.py
@@ -1,6 +1,7 @@
 """Ask other hosts to gather parts, over connections that are kept."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core.targets import messages
@@ -89,7 +90,8 @@
         # parts that are left are sent for directly.
         asked = message.status == OK
         why = 'incomplete' if asked else f'status {message.status}'
-        self._report(events.Unassisted(busy.delegate.key, asked, why))
+        starts = message.status == HTTPStatus.TOO_EARLY
+        self._report(events.Unassisted(busy.delegate.key, asked, why, starts))
 
     def take_end(self, link: links.Link, fault: messages.Fault) -> None:
         """Take the end of a connection."""
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -18,7 +18,13 @@
     ports,
     runner,
 )
-from fuchsiahaven.routing import assist_codecs, codecs, events, standings
+from fuchsiahaven.routing import (
+    assist_codecs,
+    codecs,
+    desks,
+    events,
+    standings,
+)
 
 TEXT: Final = (('content-type', 'text/plain'),)
 JSON: Final = (('content-type', 'application/json'),)
@@ -85,6 +91,12 @@
         if self._find_obstacle() == STOPPING:
             caller.answer(_refuse(STOPPING))
             return None
+        ignorance = desks.find_ignorance(self._runner.desk)
+        if ignorance:
+            # Told that all parts are lost, who asks would send them itself,
+            # and with it all hosts that have just started at once.
+            caller.answer(_refuse(ignorance, HTTPStatus.TOO_EARLY))
+            return None
         if caller.inspect().left:
             # The search was answered while this host did not come to read.
             caller.answer(_refuse('nobody waits'))
@@ -179,6 +191,7 @@
     return exchanges.Written(HTTPStatus.OK, JSON, body)
 
 
-def _refuse(why: str) -> exchanges.Written:
-    status = HTTPStatus.SERVICE_UNAVAILABLE
+def _refuse(
+    why: str, status: HTTPStatus = HTTPStatus.SERVICE_UNAVAILABLE
+) -> exchanges.Written:
     return exchanges.Written(status, TEXT, f'{why}\n'.encode())
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -28,6 +28,11 @@
 #: A helper that refused, because it stops, or broke off is left out for this
 #: long, in seconds; a stop takes longer, but the detour is no more than that.
 REFUSED_S: Final = 2.0
+#: The same for one that has just started and is about to know enough.
+STARTING_S: Final = 0.2
+#: How often a part may be handed on that was not sent to any target: several
+#: hosts may be stopping, starting or gone at once.
+MOST_HANDINGS: Final = 3
 #: When a part counts as sent that has to be sent elsewhere at once.
 OVERDUE: Final = float('-inf')
 
@@ -148,8 +153,8 @@
         return []
     desk.centres.note_failed(known.helper.data_centre, known.helper.name)
     flight = _make_flight(event.key)
-    until = now + REFUSED_S
-    desk.helpers.note_lost(known.helper.name, flight, until, event.why)
+    pause = STARTING_S if event.starts else REFUSED_S
+    desk.helpers.note_lost(known.helper.name, flight, now + pause, event.why)
     outs = _make_outs(known.left, arrived=event.asked)
     return _lose_parts(desk, event.key.ask, known, outs, now)
 
@@ -270,6 +275,11 @@
     repeats among a few and use little of it; this host's share of what is left
     for all hosts is less than one repeat in a large fleet, so that a part would
     be given up that targets stand ready for.
+
+    What a host did not send, because it stops or has just started, goes to the
+    next one on duty. Were each host to send it itself, all of a fleet that has
+    just started would open connections to all targets, which take as long to
+    accept them as to answer, and more than they accept.
     """
     wide = configs.is_wide_way(ask.route.way)
     own = []
@@ -294,9 +304,11 @@
 def _may_hand_on(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> bool:
-    """Tell whether another host may send a part that has failed once."""
+    """Tell whether another host may send a part that one host did not bring."""
     part = ask.parts[service]
-    if part.flights or not 0 < part.sent < ask.route.attempts:
+    if part.flights or part.sent >= ask.route.attempts:
+        return False
+    if not part.sent and part.number >= MOST_HANDINGS:
         return False
     return choices.has_candidate(desk, service, part, now)
 
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -69,12 +69,20 @@
 
 def find_obstacle(desk: states.Desk, now: float) -> str:
     """Say why no new work should come to this host; empty if it may."""
+    ignorance = find_ignorance(desk)
+    if ignorance:
+        return ignorance
+    if reaches.is_cut_off(desk, now):
+        return 'too few targets can be reached'
+    return ''
+
+
+def find_ignorance(desk: states.Desk) -> str:
+    """Say what this host has yet to learn before it can serve anything."""
     if not desk.index.configuration.version:
         return 'no configuration yet'
     if not desk.directory.by_name and not desk.directory.withheld:
         return 'no targets yet'
-    if reaches.is_cut_off(desk, now):
-        return 'too few targets can be reached'
     return ''
 
 
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -212,12 +212,14 @@
     """Tell that assistance has broken off, or was never asked for.
 
     `asked` tells whether the request may have reached the other host, `why`
-    what was seen, for the log.
+    what was seen, for the log. `starts` tells that the other host has just
+    started and will know enough in a moment.
     """
 
     key: AssistKey
     asked: bool
     why: str
+    starts: bool = False
 
 
 class Assisted(NamedTuple):
--- a/tests/routing/test_delegations.py
+++ b/tests/routing/test_delegations.py
@@ -5,6 +5,7 @@
 from fuchsiahaven.routing import (
     assist_codecs,
     configs,
+    delegations,
     events,
     places,
     plans,
@@ -357,3 +358,56 @@
     assert not take_delegates(rig)
     assert not rig.take_sent()
     assert rig.replies
+
+
+def count_hosts_asked(
+    rig: desk_rig.Rig, delegates: list[events.Delegate]
+) -> int:
+    """Refuse assistance as a host that has just started; count who is asked."""
+    asked = set()
+    while delegates:
+        delegate = delegates.pop()
+        asked.add(delegate.helper.name)
+        rig.post(
+            events.Unassisted(delegate.key, False, 'status 425', starts=True)
+        )
+        delegates += take_delegates(rig)
+    return len(asked)
+
+
+def test_asks_the_next_hosts_on_duty_while_a_fleet_starts() -> None:
+    """Symptom: for two seconds after all hosts lost power answers are late.
+
+    The hosts on duty have just started and know no target yet. Each asker sent
+    all 45 parts itself; 63 hosts opened connections to targets that take 54.
+    """
+    rig = make_member()
+    rig.ask()
+    first = take_delegates(rig)
+    chunks = len(first)
+    rig.post(events.Unassisted(first[0].key, False, 'status 425', starts=True))
+    again = take_delegates(rig)
+    (handed,) = [set(it.assist.services) for it in again]
+    assert handed == set(first[0].assist.services)
+    assert again[0].helper != first[0].helper
+    assert not again[0].assist.again
+    assert not rig.take_sent()
+    # In the end it sends the parts itself: somebody has to.
+    asked = count_hosts_asked(rig, [*first[1:], *again])
+    assert asked <= chunks * delegations.MOST_HANDINGS
+    assert {send.key.service for send in rig.take_sent()} == set(WIDE)
+
+
+def test_asks_a_host_again_soon_that_has_just_started() -> None:
+    """One that starts is ready in a moment, one that stops is not."""
+    for starts, left_out in ((True, False), (False, True)):
+        rig = make_member()
+        rig.ask()
+        delegate = take_delegates(rig)[0]
+        refusal = events.Unassisted(delegate.key, False, 'status', starts)
+        rig.post(refusal)
+        rig.pass_time(delegations.STARTING_S + 0.1)
+        rig.others = []
+        rig.ask()
+        asked = {it.helper for it in take_delegates(rig)}
+        assert (delegate.helper not in asked) == left_out
