Take a host that refuses to assist for reached

Cause: each assistance that did not come counted as a connection that could not be had, also where the other host had answered that it stops or starts. Three of those in another data centre made all of it look cut off for a while.

Change: why a host does not assist is told apart (lost, refuses, starts); the last two are signs of life. The test of it fails with the old count.

--- a/fuchsiahaven/relay/assistants.py
+++ b/fuchsiahaven/relay/assistants.py
@@ -90,8 +90,10 @@
         # parts that are left are sent for directly.
         asked = message.status == OK
         why = 'incomplete' if asked else f'status {message.status}'
-        starts = message.status == HTTPStatus.TOO_EARLY
-        self._report(events.Unassisted(busy.delegate.key, asked, why, starts))
+        absence = events.Absence.REFUSES
+        if message.status == HTTPStatus.TOO_EARLY:
+            absence = events.Absence.STARTS
+        self._report(events.Unassisted(busy.delegate.key, asked, why, absence))
 
     def take_end(self, link: links.Link, fault: messages.Fault) -> None:
         """Take the end of a connection."""
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -151,9 +151,18 @@
     known = desk.assistance.pop(event.key, None)
     if known is None:
         return []
-    desk.centres.note_failed(known.helper.data_centre, known.helper.name)
+    pause = REFUSED_S
+    match event.absence:
+        case events.Absence.LOST:
+            desk.centres.note_failed(
+                known.helper.data_centre, known.helper.name
+            )
+        case events.Absence.REFUSES:
+            desk.centres.note_heard(known.helper.data_centre)
+        case events.Absence.STARTS:
+            desk.centres.note_heard(known.helper.data_centre)
+            pause = STARTING_S
     flight = _make_flight(event.key)
-    pause = STARTING_S if event.starts else REFUSED_S
     desk.helpers.note_lost(known.helper.name, flight, now + pause, event.why)
     outs = _make_outs(known.left, arrived=event.asked)
     return _lose_parts(desk, event.key.ask, known, outs, now)
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -208,18 +208,29 @@
     share: Share
 
 
+class Absence(enum.Enum):
+    """Say why a host does not assist.
+
+    Nothing was heard of one that is LOST. One that REFUSES is stopping, say;
+    one that STARTS will know enough in a moment.
+    """
+
+    LOST = enum.auto()
+    REFUSES = enum.auto()
+    STARTS = enum.auto()
+
+
 class Unassisted(NamedTuple):
     """Tell that assistance has broken off, or was never asked for.
 
     `asked` tells whether the request may have reached the other host, `why`
-    what was seen, for the log. `starts` tells that the other host has just
-    started and will know enough in a moment.
+    what was seen, for the log.
     """
 
     key: AssistKey
     asked: bool
     why: str
-    starts: bool = False
+    absence: Absence = Absence.LOST
 
 
 class Assisted(NamedTuple):
--- a/tests/routing/test_delegations.py
+++ b/tests/routing/test_delegations.py
@@ -360,6 +360,14 @@
     assert rig.replies
 
 
+def make_refusal(
+    delegate: events.Delegate,
+    absence: events.Absence = events.Absence.STARTS,
+) -> events.Unassisted:
+    """Refuse assistance."""
+    return events.Unassisted(delegate.key, False, 'status', absence)
+
+
 def count_hosts_asked(
     rig: desk_rig.Rig, delegates: list[events.Delegate]
 ) -> int:
@@ -368,9 +376,7 @@
     while delegates:
         delegate = delegates.pop()
         asked.add(delegate.helper.name)
-        rig.post(
-            events.Unassisted(delegate.key, False, 'status 425', starts=True)
-        )
+        rig.post(make_refusal(delegate))
         delegates += take_delegates(rig)
     return len(asked)
 
@@ -385,7 +391,7 @@
     rig.ask()
     first = take_delegates(rig)
     chunks = len(first)
-    rig.post(events.Unassisted(first[0].key, False, 'status 425', starts=True))
+    rig.post(make_refusal(first[0]))
     again = take_delegates(rig)
     (handed,) = [set(it.assist.services) for it in again]
     assert handed == set(first[0].assist.services)
@@ -400,14 +406,44 @@
 
 def test_asks_a_host_again_soon_that_has_just_started() -> None:
     """One that starts is ready in a moment, one that stops is not."""
-    for starts, left_out in ((True, False), (False, True)):
+    absences = events.Absence
+    for absence, left_out in (
+        (absences.STARTS, False),
+        (absences.REFUSES, True),
+    ):
         rig = make_member()
         rig.ask()
         delegate = take_delegates(rig)[0]
-        refusal = events.Unassisted(delegate.key, False, 'status', starts)
-        rig.post(refusal)
+        rig.post(make_refusal(delegate, absence))
         rig.pass_time(delegations.STARTING_S + 0.1)
         rig.others = []
         rig.ask()
         asked = {it.helper for it in take_delegates(rig)}
         assert (delegate.helper not in asked) == left_out
+
+
+def test_hosts_that_refuse_prove_the_way_to_their_data_centre() -> None:
+    """Symptom: a data centre is left out because its hosts are restarted.
+
+    Three hosts of the south say one after the other that they stop. Counted
+    as connections that could not be had, they made the south look cut off.
+    """
+    south = [
+        places.Host(f'far-{number}', f'10.0.9.{number}:7000', 'south')
+        for number in range(3)
+    ]
+    targets = desk_rig.make_instances(SHARDS, 2, 'south')
+    rig = desk_rig.Rig([SEARCH], targets)
+    rig.post(events.Counted(4, (desk_rig.HOST, *south)))
+    rig.ask()
+    refused = take_delegates(rig)
+    rig.ask()
+    refused += take_delegates(rig)
+    rig.ask()
+    refused += take_delegates(rig)
+    for delegate in refused:
+        rig.post(make_refusal(delegate, events.Absence.REFUSES))
+    assert len({it.helper for it in refused}) == len(south)
+    rig.post(events.Reviewed())
+    rig.post(events.Reviewed())
+    assert not rig.desk.centres.is_silent('south')
