--- a/bench/losses.py
+++ b/bench/losses.py
@@ -4,8 +4,10 @@
 request's line tells its route, what came of it, after how long and how many
 parts lack; a part of the worth is lost where an answer is late, partial or not
 given at all. Callers' own retries are requests of their own here, and those
-that never reached a host are not seen. The last table counts the requests that
-were not served, by cause.
+that never reached a host are not seen. What hosts gather for each other is no
+request, and a request for a service that never had a target, as those that
+test which configuration is in force, has no worth. The last table counts the
+requests that were not served, by cause.
 
     python -m bench.losses LOG [--objective ROUTE=SECONDS ...]
 """
@@ -24,6 +26,7 @@
 #: The balancer and the network on the way to a caller, there and back.
 WAY_S: Final = 0.006
 MARK: Final = '"part":"request"'
+UNTARGETED: Final = ': no_replica'
 SERVED: Final = frozenset(('complete', 'partial', 'relayed 200'))
 
 
@@ -58,18 +61,23 @@
     """Read the lines of requests; any others are passed over."""
     for line in lines:
         before, brace, rest = line.partition('{')
-        if MARK not in rest:
-            continue
-        try:
-            row = json.loads(f'{brace}{rest}')
-        except ValueError:
-            # A line that was cut where the process was killed.
+        row = _read_row(f'{brace}{rest}') if MARK in rest else None
+        if row is None or row.get('assists'):
             continue
         told = before.split()
         at = float(told[0]) if told else row['up']
         yield _read_ending(row, at, objectives)
 
 
+def _read_row(text: str) -> dict[str, Any] | None:
+    """Read a line; None for one that was cut where the process was killed."""
+    try:
+        row: dict[str, Any] = json.loads(text)
+    except ValueError:
+        return None
+    return row
+
+
 def _read_ending(
     row: Mapping[str, Any], at: float, objectives: Mapping[str, float]
 ) -> Ending:
@@ -166,7 +174,9 @@
     found = [
         ending
         for ending in read_endings(given.log, dict(given.objective))
-        if ending.route and ending.result != 'abandoned'
+        if ending.route
+        and ending.result != 'abandoned'
+        and not ending.cause.endswith(UNTARGETED)
     ]
     tables = (lambda it: it.route, lambda it: it.host, _name_step)
     for name in tables:
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -129,6 +129,7 @@
         tuple(ask.tries[:MOST_TOLD]),
         _list_lacking(ask, now),
         ask.route.objective,
+        ask.assists,
     )
 
 
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -321,7 +321,8 @@
     `tries` lists, for the parts that did not go as planned, what was tried:
     service, target, purpose and how it ended. `lacking` lists what became of
     the first few parts that are not in.
-    `objective` is in seconds; 0 where there is no route.
+    `objective` is in seconds; 0 where there is no route. `assists` tells that
+    these are parts that another host asked for.
     """
 
     request_id: str
@@ -335,6 +336,7 @@
     tries: tuple[str, ...]
     lacking: tuple[str, ...] = ()
     objective: float = 0.0
+    assists: bool = False
 
 
 class Belief(NamedTuple):
--- a/tests/bench/test_losses.py
+++ b/tests/bench/test_losses.py
@@ -1,8 +1,11 @@
 """Test the tables of worth that was lost."""
 
 import json
+import pathlib
 from typing import Any
 
+import pytest
+
 from bench import losses
 
 
@@ -75,3 +78,26 @@
         '     2 shards  incomplete ran=no: unreachable',
         '     1 shards  timed_out ran=unknown: cut',
     ]
+
+
+def test_passes_over_what_hosts_gather_for_each_other() -> None:
+    """Symptom: half of what was lost was no request of a caller."""
+    lines = [write_line(1), write_line(1, result='abandoned', assists=True)]
+    assert len(read(*lines)) == 1
+
+
+def test_gives_no_worth_to_requests_for_services_without_targets(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """They only test which configuration is in force."""
+    lines = [
+        write_line(1),
+        write_line(1, result='no_route ran=no', lacking=['a: no_replica']),
+    ]
+    log = tmp_path / 'log'
+    log.write_text('\n'.join(lines))
+    losses.main([str(log)])
+    (row,) = [
+        it for it in capsys.readouterr().out.splitlines() if 'search' in it
+    ]
+    assert row.split() == ['search', '1', '0.0', '0.0', '0.0']
