--- a/fuchsiahaven/routing/assist_codecs.py
+++ b/fuchsiahaven/routing/assist_codecs.py
@@ -2,7 +2,7 @@
 
 import base64
 import json
-from typing import Final, TypedDict
+from typing import Final, NotRequired, TypedDict
 
 from fuchsiahaven.routing import codecs, events
 
@@ -28,13 +28,17 @@
 
 
 class WrittenShare(TypedDict):
-    """Hold a share: parts with their signatures, and rows of a `PartOut`."""
+    """Hold a share: parts with their signatures, and rows of a `PartOut`.
+
+    `silent` is left out where it is empty, as it mostly is.
+    """
 
     parts: list[list[str]]
     body: str
     pending: list[list[str | bool]]
     lost: list[list[str | bool]]
     last: bool
+    silent: NotRequired[list[str]]
 
 
 def write_assist(assist: events.Assist, now: float) -> bytes:
@@ -75,6 +79,8 @@
         lost=[list(part) for part in share.lost],
         last=share.last,
     )
+    if share.silent:
+        written['silent'] = list(share.silent)
     return b'%s\n' % _dump(written)
 
 
@@ -122,6 +128,7 @@
         tuple(_read_out(part) for part in row['pending']),
         tuple(_read_out(part) for part in row['lost']),
         bool(row['last']),
+        tuple(str(name) for name in row.get('silent', ())),
     )
 
 
--- a/fuchsiahaven/routing/assists.py
+++ b/fuchsiahaven/routing/assists.py
@@ -67,11 +67,17 @@
     if not (settled or first or over):
         return []
     ask.told.update(settled, (BEGUN,))
-    if not over:
-        return _give(ask, settled, first=first, over=False)
-    desk.asks.pop(ask.number, None)
-    withdrawn = [events.Withdraw(key) for key in asks.list_flights(ask)]
-    return [*_give(ask, settled, first=first, over=True), *withdrawn]
+    shares = _make_shares(ask, settled, first=first, over=over)
+    silent = tuple(sorted(desk.centres.list_noticed()))
+    actions: Actions = [
+        events.Give(ask.number, share._replace(silent=silent))
+        for share in shares
+    ]
+    if over:
+        desk.asks.pop(ask.number, None)
+        flights = asks.list_flights(ask)
+        actions.extend(events.Withdraw(key) for key in flights)
+    return actions
 
 
 def _begin(desk: states.Desk, event: events.Assisted, now: float) -> asks.Ask:
@@ -98,9 +104,9 @@
     return ask
 
 
-def _give(
+def _make_shares(
     ask: asks.Ask, settled: list[str], *, first: bool, over: bool
-) -> Actions:
+) -> list[events.Share]:
     answered = [it for it in settled if ask.parts[it].answer is not None]
     lost = [_tell_part(ask, it) for it in settled if it not in answered]
     waiting = [_tell_part(ask, it) for it in asks.list_open(ask)]
@@ -109,13 +115,12 @@
         waiting = []
     if first:
         share = _make_share(ask, answered, over)
-        share = share._replace(pending=tuple(waiting), lost=tuple(lost))
-        return [events.Give(ask.number, share)]
+        return [share._replace(pending=tuple(waiting), lost=tuple(lost))]
     shares = [_make_share(ask, [service], last=False) for service in answered]
     if lost or over:
         share = _make_share(ask, [], over)
         shares.append(share._replace(lost=tuple(lost)))
-    return [events.Give(ask.number, share) for share in shares]
+    return shares
 
 
 def _make_share(ask: asks.Ask, services: list[str], last: bool) -> events.Share:
--- a/fuchsiahaven/routing/centres.py
+++ b/fuchsiahaven/routing/centres.py
@@ -7,6 +7,7 @@
 way there that is lost, and all of it is left out at once.
 """
 
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 #: Silence after which a data centre counts as lost, in seconds: pauses of
@@ -19,6 +20,11 @@
 LATE_REVIEW_S: Final = 0.25
 
 
+#: How long another host's word that a data centre is silent is believed. Hosts
+#: that gather for others notice first, because they send most.
+HINT_S: Final = 1.0
+
+
 class Centre(NamedTuple):
     """Hold what was sent to a data centre since the last sign of life.
 
@@ -41,6 +47,8 @@
         """Start with all of them reached."""
         self._own = own
         self._known: dict[str, Centre] = {}
+        self._noticed: frozenset[str] = frozenset()
+        self._hints: dict[str, float] = {}
         self._silent: frozenset[str] = frozenset()
         self._reviewed = 0.0
 
@@ -58,7 +66,17 @@
         """Take in a sign of life from anybody there."""
         self._known.pop(name, None)
         if name in self._silent:
-            self._silent -= {name}
+            self._noticed -= {name}
+            self._hints.pop(name, None)
+            self._join()
+
+    def take_hints(self, names: Iterable[str], now: float) -> None:
+        """Take in which data centres a host beside this one finds silent."""
+        hints = dict.fromkeys(names, now + HINT_S)
+        hints.pop(self._own, None)
+        if hints:
+            self._hints.update(hints)
+            self._join()
 
     def note_failed(self, name: str, peer: str) -> None:
         """Take in that a connection there broke or could not be had."""
@@ -78,11 +96,15 @@
             }
             return frozenset()
         before = self._silent
-        self._silent |= {
+        self._noticed |= {
             name
             for name, known in self._known.items()
             if _is_silent(known, now)
         }
+        self._hints = {
+            name: until for name, until in self._hints.items() if until > now
+        }
+        self._join()
         return self._silent - before
 
     def is_silent(self, name: str) -> bool:
@@ -93,6 +115,17 @@
         """List the data centres that are taken to be out of reach."""
         return self._silent
 
+    def list_noticed(self) -> frozenset[str]:
+        """List those that this host has found silent itself.
+
+        Only these are passed on: hosts that repeat each other's word would
+        keep it alive for ever.
+        """
+        return self._noticed
+
+    def _join(self) -> None:
+        self._silent = self._noticed.union(self._hints)
+
 
 def _is_silent(known: Centre, now: float) -> bool:
     if len(known.failed) >= FEWEST_SILENT:
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -100,7 +100,7 @@
         ask.route.objective,
         ask.route.way.limit,
         planned.services,
-        tries.find_end(ask, sent, now),
+        tries.find_end(desk, ask, sent, now),
         tuple(_list_tried(ask, planned.services)),
         counts=configs.is_wide(ask.route.way),
         again=any(ask.parts[it].sent for it in planned.services),
@@ -131,6 +131,8 @@
     flight = _make_flight(event.key)
     desk.helpers.note_answered(known.helper.name, flight, now, None)
     desk.centres.note_heard(known.helper.data_centre)
+    if known.helper.data_centre == desk.host.data_centre:
+        desk.centres.take_hints(event.share.silent, now)
     if event.share.last:
         desk.assistance.pop(event.key)
     number = event.key.ask
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -184,7 +184,8 @@
     """Bring some parts of a query from the host that gathers them.
 
     `body` holds the greatest records of all parts that are in. The `pending`
-    ones may still come, the `lost` ones will not.
+    ones may still come, the `lost` ones will not. `silent` are the data centres
+    of which that host hears nothing.
     """
 
     parts: tuple[PartIn, ...]
@@ -192,6 +193,7 @@
     pending: tuple[PartOut, ...]
     lost: tuple[PartOut, ...]
     last: bool
+    silent: tuple[str, ...] = ()
 
 
 class AssistKey(NamedTuple):
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -46,19 +46,20 @@
 KEPT_FOR_RETRIES: Final = 0.1
 
 
-def find_end(ask: asks.Ask, sent: int, now: float) -> float:
+def find_end(desk: states.Desk, ask: asks.Ask, sent: int, now: float) -> float:
     """Return until when a part that was sent so often before may take.
 
     At a target that is slow, work whose query was answered long ago fills
     the slots and the queue, and whatever comes after it is late too. So a part
     ends soon after the objective, with some time left for one sent late; the
     last sending has longer, because a query that still lacks too much can
-    only be answered by it.
+    only be answered by it. So has each one while a data centre is silent: there
+    is hardly another target to send to, and one that pauses answers in the end.
     """
     if not ask.gathers:
         return ask.ends
     objective = ask.route.objective
-    if sent + 1 < ask.route.attempts:
+    if sent + 1 < ask.route.attempts and not desk.centres.list_silent():
         usual = ask.request.arrived + PART_SHARE * objective
         return min(ask.ends, max(usual, now + LEAST_SHARE * objective))
     return min(ask.ends, now + LAST_SHARE * objective)
@@ -296,7 +297,7 @@
         number=number,
     )
     key = events.FlightKey(ask.number, service, number)
-    ends = find_end(ask, part.attempts, now)
+    ends = find_end(desk, ask, part.attempts, now)
     desk.aloft[key] = states.Aloft(
         chosen.name,
         purpose,
--- a/tests/routing/test_centres.py
+++ b/tests/routing/test_centres.py
@@ -1,7 +1,14 @@
 """Test how a host notices that a data centre has fallen silent."""
 
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.routing import centres, configs, desks, events
+from fuchsiahaven.routing import (
+    assist_codecs,
+    centres,
+    configs,
+    desks,
+    events,
+    places,
+)
 from tests.routing import desk_rig
 
 SHARDS = tuple(f'shard-{number:02}' for number in range(10))
@@ -90,3 +97,90 @@
     assert not known.review(4.0)
     known.note_heard('south')
     assert not known.review(4.1)
+
+
+HELPERS = [
+    places.Host(f'host-{number}', f'10.0.9.{number}:7000', 'north')
+    for number in range(2, 9)
+]
+WIDE = tuple(f'wide-{number:02}' for number in range(45))
+
+
+def make_wide_rig() -> desk_rig.Rig:
+    """Make a host with a near and a far target of each of many shards."""
+    route = desk_rig.make_route(configs.Gather(WIDE, 5, 0.9))
+    near = desk_rig.make_instances(WIDE, 1)
+    far = [
+        one._replace(name=f'{one.name}-far', data_centre='south')
+        for one in near
+    ]
+    rig = desk_rig.Rig([route], [*near, *far])
+    rig.post(events.Counted(8, (desk_rig.HOST, *HELPERS)))
+    review(rig, 0.1)
+    return rig
+
+
+def test_hears_of_a_silent_data_centre_from_those_that_send_most() -> None:
+    """Symptom: inside a data centre that is cut off queries end unanswered.
+
+    Each of 21 hosts takes a query each two seconds, and spends the second
+    sendings of its first few on targets of which nothing can be heard. Those
+    on duty know it after the first one.
+    """
+    rig = make_wide_rig()
+    rig.ask()
+    delegates = [it for it in rig.others if isinstance(it, events.Delegate)]
+    share = events.Share((), b'', (), (), last=False, silent=('south',))
+    rig.post(events.Shared(delegates[0].key, share))
+    assert rig.desk.centres.is_silent('south')
+    # Nobody's word is passed on, and it is forgotten where nobody repeats it.
+    assert not rig.desk.centres.list_noticed()
+    review(rig, centres.HINT_S + 0.2)
+    assert not rig.desk.centres.is_silent('south')
+
+
+def test_does_not_believe_a_host_elsewhere_about_a_third_data_centre() -> None:
+    """What the south does not reach the north may reach."""
+    rig = desk_rig.Rig([SEARCH], desk_rig.make_instances(SHARDS, 2, 'south'))
+    far = places.Host('far', '10.0.8.1:7000', 'south')
+    rig.post(events.Counted(2, (desk_rig.HOST, far)))
+    rig.ask()
+    (delegate,) = [it for it in rig.others if isinstance(it, events.Delegate)]
+    share = events.Share((), b'', (), (), last=False, silent=('north', 'west'))
+    rig.post(events.Shared(delegate.key, share))
+    assert not rig.desk.centres.list_silent()
+
+
+def test_tells_who_asks_for_help_what_is_silent() -> None:
+    """The word goes with the shares, and survives the way."""
+    rig = make_wide_rig()
+    for name in ('a', 'b', 'c'):
+        rig.desk.centres.note_sent('south', name, rig.now)
+    review(rig, 0.5)
+    assert rig.desk.centres.list_noticed() == {'south'}
+    request = events.Request('id', 'GET', '/', '', (), b'', rig.now, rig.now)
+    assist = events.Assist(request, 'r', 0.1, 5, WIDE[:2], rig.now + 1)
+    rig.others = []
+    rig.post(events.Assisted(99, assist))
+    for send in rig.take_sent():
+        rig.answer(send)
+    (give,) = [it for it in rig.others if isinstance(it, events.Give)]
+    line = assist_codecs.write_share(give.share)
+    assert assist_codecs.read_share(line).silent == ('south',)
+
+
+def test_waits_longer_for_a_paused_target_while_others_are_cut_off() -> None:
+    """Symptom: queries fail that the near targets alone could answer.
+
+    A target pauses for 250 ms. Its part was ended shortly after the objective
+    so that another target could be asked, and none can be reached.
+    """
+    rig = make_wide_rig()
+    rig.ask()
+    before = [it for it in rig.others if isinstance(it, events.Delegate)]
+    rig.others = []
+    rig.desk.centres.take_hints(('south',), rig.now)
+    rig.ask()
+    after = [it for it in rig.others if isinstance(it, events.Delegate)]
+    usual = before[0].assist.ends - rig.now
+    assert after[0].assist.ends - rig.now > 2 * usual
