--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -201,9 +201,13 @@
 
 
 def _find_usual(desk: states.Desk, ask: asks.Ask) -> float:
-    """Find within how many seconds nine of ten answers on a route come."""
+    """Find in how many seconds answers on a route usually come, or less.
+
+    The delay after which to hedge is known at all times, and never more than
+    so many medians.
+    """
     window = desk.windows.get(ask.route.name, hedges.EMPTY)
-    return window.delay or math.inf
+    return window.delay / MEDIANS or math.inf
 
 
 def _hedge_part(
