--- a/fuchsiahaven/routing/choices.py
+++ b/fuchsiahaven/routing/choices.py
@@ -1,7 +1,8 @@
 """Choose the target that a part is sent to."""
 
+import math
 from collections.abc import Iterator, Sequence
-from typing import Final, NamedTuple
+from typing import Final
 
 from fuchsiahaven.routing import asks, instances, standings, states, warmups
 
@@ -61,31 +62,23 @@
             yield one
 
 
-class Terms(NamedTuple):
-    """Hold what a choice goes by, beside what is known of the targets.
-
-    What runs at most once (`once`) is no trial for a target that failed
-    lately, unless no other is left. A far target has to be faster than a near
-    one by `crossing` seconds; one that was not measured is taken to be as fast
-    as the near one, or as `usual` where the near one is slower than that.
-    """
-
-    once: bool
-    usual: float
-    crossing: float
-
-
 def choose(
     desk: states.Desk,
     candidates: Sequence[instances.Instance],
     now: float,
-    terms: Terms,
+    *,
+    once: bool,
+    usual: float = math.inf,
 ) -> instances.Instance | None:
-    """Choose the target that would answer soonest; None where there is none."""
+    """Choose the target that would answer soonest; None where there is none.
+
+    What runs at most once (`once`) is no trial for a target that failed
+    lately, unless no other is left. A far target that was not measured is
+    taken to be as fast as the near one, or as `usual` where the near one is
+    slower than that.
+    """
     clean = [
-        one
-        for one in candidates
-        if _is_clean(desk, one.name, now, once=terms.once)
+        one for one in candidates if _is_clean(desk, one.name, now, once=once)
     ]
     usable = clean or candidates
     own = desk.host.data_centre
@@ -97,7 +90,9 @@
     )
     if near is None or far is None:
         return near or far
-    return far if _is_worth_crossing(desk, near, far, now, terms) else near
+    usual = min(usual, desk.standings.get(near.name).stats.latency)
+    waits = _estimate_wait(desk, near, now)
+    return far if _estimate_wait(desk, far, now, usual) < waits else near
 
 
 def _choose_soonest(
@@ -106,7 +101,8 @@
     best = None
     least = float('inf')
     for one in candidates:
-        cost = standings.estimate(desk.standings.get(one.name), now)
+        known = desk.standings.get(one.name)
+        cost = standings.estimate(known, one, desk.host.data_centre, now)
         cost *= 1 + SPREAD * desk.draw()
         if cost < least:
             least = cost
@@ -114,19 +110,15 @@
     return best
 
 
-def _is_worth_crossing(
+def _estimate_wait(
     desk: states.Desk,
-    near: instances.Instance,
-    far: instances.Instance,
+    one: instances.Instance,
     now: float,
-    terms: Terms,
-) -> bool:
-    known = desk.standings.get(near.name)
-    near_wait = standings.estimate_near(known, near.slots, now)
-    usual = min(terms.usual, known.stats.latency)
-    known = desk.standings.get(far.name)
-    far_wait = standings.estimate_far(known, far.slots, usual, now)
-    return far_wait + terms.crossing < near_wait
+    usual: float = 0.0,
+) -> float:
+    known = desk.standings.get(one.name)
+    own = desk.host.data_centre
+    return standings.estimate_wait(known, one, own, now, usual)
 
 
 def _is_clean(desk: states.Desk, name: str, now: float, *, once: bool) -> bool:
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -42,9 +42,6 @@
 PART_SHARE: Final = 1.1
 LEAST_SHARE: Final = 0.3
 LAST_SHARE: Final = 3.0
-#: Share of the objective that a far target has to save: bytes between data
-#: centres are dear, and some milliseconds are worth more to a quick search.
-CROSSING_SHARE: Final = 0.25
 #: Part of a host's slack that hedges leave for what was refused or broke.
 KEPT_FOR_RETRIES: Final = 0.1
 
@@ -203,25 +200,22 @@
     return min(delay, LATEST_SHARE * objective)
 
 
-def _make_terms(
-    desk: states.Desk, ask: asks.Ask, *, once: bool
-) -> choices.Terms:
-    """Say by what to choose a target for an ask.
+def _find_usual(desk: states.Desk, ask: asks.Ask) -> float:
+    """Find in how many seconds answers on a route usually come, or less.
 
-    Usual is what half of the answers on its route take, or less: the delay
-    after which to hedge is known at all times, and is so many medians at most.
+    The delay after which to hedge is known at all times, and never more than
+    so many medians.
     """
     window = desk.windows.get(ask.route.name, hedges.EMPTY)
-    usual = window.delay / MEDIANS or math.inf
-    return choices.Terms(once, usual, CROSSING_SHARE * ask.route.objective)
+    return window.delay / MEDIANS or math.inf
 
 
 def _hedge_part(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> list[events.Action]:
     found = _list_new(desk, ask, service, now)
-    terms = _make_terms(desk, ask, once=False)
-    chosen = choices.choose(desk, found, now, terms)
+    usual = _find_usual(desk, ask)
+    chosen = choices.choose(desk, found, now, once=False, usual=usual)
     if chosen is None:
         return []
     return [_send(desk, ask, service, chosen, now, events.Purpose.HEDGE)]
@@ -255,8 +249,8 @@
         refusers = choices.list_refusers(desk, service, part, now)
         found = warmups.list_allowed(desk.warmups, refusers, desk.index, now)
     once = ask.route.at_most_once
-    terms = _make_terms(desk, ask, once=once)
-    chosen = choices.choose(desk, found, now, terms)
+    usual = _find_usual(desk, ask)
+    chosen = choices.choose(desk, found, now, once=once, usual=usual)
     if chosen is not None:
         return [_send(desk, ask, service, chosen, now, purpose)]
     _lose(desk, ask, service, now)
