--- a/fuchsiahaven/relay/entries.py
+++ b/fuchsiahaven/relay/entries.py
@@ -12,8 +12,16 @@
 #: store that is away for the difference does not lose it.
 LEASE_S: Final = 30.0
 RENEW_S: Final = 9.0
-#: How soon a host without an entry of its own tries to write one again.
+#: How soon a host without an entry of its own tries to write one again;
+#: doubled each time up to the longest, because a store that turns a host away
+#: does so for seconds, and each call that it refuses is a call.
 ENTER_S: Final = 0.5
+LONGEST_ENTER_S: Final = 4.0
+
+
+def count_pause(failures: int) -> float:
+    """Count the seconds until the next try, after so many failed before."""
+    return float(min(LONGEST_ENTER_S, ENTER_S * 2**failures))
 
 
 class Entry:
@@ -24,6 +32,7 @@
         self._news = known
         self._log = log
         self._lease: int | None = None
+        self._failures = 0
 
     async def stay(self) -> None:
         """Keep the entry, for ever."""
@@ -38,7 +47,10 @@
             await self._enter()
         except (calls.CallFailed, records.Malformed) as error:
             self._log.tell(PART, 'not entered', error=str(error))
-            return ENTER_S
+            pause = count_pause(self._failures)
+            self._failures += 1
+            return pause
+        self._failures = 0
         return RENEW_S
 
     async def _enter(self) -> None:
