--- a/fuchsiahaven/platform/settings.py
+++ b/fuchsiahaven/platform/settings.py
@@ -116,6 +116,7 @@
         numbers['bounds.grace_s'],
         _read_link(lines.get('limits.link_mbps', '')),
         _read_warm_up(lines),
+        lines.get('bootstrap') == 'true',
     )
 
 
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -36,6 +36,9 @@
 #: The same for a host that has just started and knows nothing: it refuses all
 #: requests until it has an answer.
 START_AGAIN_S: Final = 0.05
+#: How long a host waits for the seeds when the whole system starts for the
+#: first time: nobody calls it yet, and one listing serves all.
+PATIENT_S: Final = 3.0
 #: How long such a host waits for a connection. Where all hosts lost power at
 #: once the one that is asked may still be dark, and a connection takes 16 ms
 #: between the farthest data centres.
@@ -91,6 +94,7 @@
         self._failures: collections.Counter[str] = collections.Counter()
         self._held: dict[asyncio.TimerHandle, Held] = {}
         self._listings = listings.Listings()
+        self._patient = time.monotonic() + PATIENT_S
         self._store_doubted = 0.0
         self._list_at = 0.0
         self.lost = False
@@ -188,6 +192,7 @@
             self.settings.seeds,
             self._doubted,
             self._store_doubted,
+            self.settings.first_start and time.monotonic() < self._patient,
         )
 
     async def _read_store(self) -> bool:
--- a/fuchsiahaven/routing/places.py
+++ b/fuchsiahaven/routing/places.py
@@ -47,7 +47,8 @@
     deployment. `heartbeat` is how often a target renews its entry, `grace`
     the time from the signal to stop to the kill, `link` the bytes a second
     that the host's own link carries (0 if that is not told). `warm_up` is None
-    where no bound on cold targets is told.
+    where no bound on cold targets is told. `first_start` tells that the whole
+    system starts for the first time.
     """
 
     host: Host
@@ -62,3 +63,4 @@
     grace: float
     link: float = 0.0
     warm_up: WarmUp | None = None
+    first_start: bool = False
--- a/fuchsiahaven/routing/sources.py
+++ b/fuchsiahaven/routing/sources.py
@@ -43,7 +43,8 @@
     """Hold what the choice is made by.
 
     `doubted` maps addresses of hosts to the time until which they are passed
-    over; `store_doubted` is the same for the store.
+    over; `store_doubted` is the same for the store. A `patient` host has time
+    until it is needed, because the whole system starts for the first time.
     """
 
     own: places.Host
@@ -51,6 +52,7 @@
     seeds: tuple[str, ...]
     doubted: Mapping[str, float]
     store_doubted: float
+    patient: bool = False
 
 
 def choose(view: View, now: float, draw: float) -> Source:
@@ -111,8 +113,11 @@
     a seed missing: the seeds may be the last to have power again, and until
     a host has news it refuses everything.
     """
-    trusted = [it for it in view.seeds if now >= view.doubted.get(it, 0)]
-    seeds = [it for it in trusted if it != view.own.address]
+    others = [it for it in view.seeds if it != view.own.address]
+    seeds = [it for it in others if now >= view.doubted.get(it, 0)]
+    if view.patient and len(others) == len(view.seeds):
+        # The seeds are about to start too.
+        seeds = others
     reads = len(seeds) < len(view.seeds) and now >= view.store_doubted
     if reads or not seeds:
         return Store()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -36,6 +36,17 @@
     assert reading.settings.extra_load.slack == 56
 
 
+@pytest.mark.parametrize(
+    ('line', 'wanted'),
+    [('', False), ('bootstrap=true', True), ('bootstrap=false', False)],
+)
+def test_reads_whether_the_whole_system_starts(line: str, wanted: bool) -> None:
+    """A file that does not tell is of a host that starts again."""
+    reading = settings.read_text(f'{TEXT}{line}\n')
+    assert reading.settings is not None
+    assert reading.settings.first_start == wanted
+
+
 def test_reads_the_bound_on_cold_targets() -> None:
     """Not every deployment has one."""
     bound = 'bounds.warmup_overage=1.5\nbounds.warmup_slack=5\n'
--- a/tests/routing/test_sources.py
+++ b/tests/routing/test_sources.py
@@ -128,6 +128,22 @@
     assert sources.choose(without_store, 1, 0) == sources.Peer('10.0.9.8:1')
 
 
+def test_waits_for_the_seeds_when_the_whole_system_starts() -> None:
+    """Symptom: a first start costs the store one listing a host.
+
+    All hosts start within 0.3 s, in any order, and whoever found one seed
+    missing read the store. Nobody calls them yet.
+    """
+    seeds = ('10.0.9.9:1', '10.0.9.8:1')
+    view = make_view(doubted=dict.fromkeys(seeds, 5.0))._replace(seeds=seeds)
+    assert sources.choose(view, 1, 0) == sources.Store()
+    patient = view._replace(patient=True)
+    assert sources.choose(patient, 1, 0) == sources.Peer(seeds[0])
+    # A seed reads: somebody has to know something.
+    seed = patient._replace(seeds=(OWN.address, *seeds))
+    assert sources.choose(seed, 1, 0) == sources.Store()
+
+
 def test_a_seed_without_the_store_asks_another_seed() -> None:
     """A host does not ask itself."""
     view = make_view(store_doubted=5)._replace(
