Have fewer hosts beside the first two try a store that may be back

One in two rounds now; where the first two are turned away the next one has it after half a second in the mean (worked out).

--- a/fuchsiahaven/routing/sources.py
+++ b/fuchsiahaven/routing/sources.py
@@ -22,8 +22,9 @@
 #: Hosts of a data centre that are asked before the store is. Each that is out
 #: of date costs most of a second, and there may be dozens.
 DEPUTIES: Final = 2
-#: Hosts of a data centre beside them that try the store in one round.
-READERS: Final = 2
+#: Hosts of a data centre beside them that try the store in one round, of which
+#: there are some four in a second.
+READERS: Final = 0.5
 
 
 class Store(NamedTuple):
