Tell hosts that are behind from those that do not answer

Change: who does not answer makes room for the next host by name at once; who only has old news keeps its place, and its askers wait as before.

--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -91,6 +91,7 @@
         self._decoder = decoders.Decoder(log)
         self._cursors: dict[str, facts.Cursor] = {}
         self._doubted: dict[str, float] = {}
+        self._behind: dict[str, float] = {}
         self._failures: collections.Counter[str] = collections.Counter()
         self._held: dict[asyncio.TimerHandle, Held] = {}
         self._listings = listings.Listings()
@@ -192,6 +193,7 @@
             self.settings.seeds,
             self._doubted,
             self._store_doubted,
+            self._behind,
             self.settings.first_start and time.monotonic() < self._patient,
         )
 
@@ -280,7 +282,7 @@
         self._take(report, now, None)
         old = now - self.ledger.read > sources.STALE_S
         if report.lost or old or not report.revision:
-            self._doubted[address] = now + sources.STALE_DOUBT_S
+            self._behind[address] = now + sources.STALE_DOUBT_S
             self._log.tell(
                 PART, 'a host is behind', address=address, age=report.age
             )
--- a/fuchsiahaven/routing/sources.py
+++ b/fuchsiahaven/routing/sources.py
@@ -1,7 +1,7 @@
 """Choose from whom a host gets its news: the store, or another host."""
 
 import itertools
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Final, NamedTuple
 
 from fuchsiahaven.routing import places
@@ -44,7 +44,8 @@
     """Hold what the choice is made by.
 
     `doubted` maps addresses of hosts to the time until which they are passed
-    over; `store_doubted` is the same for the store. A `patient` host has time
+    over because they did not answer, `behind` those whose news were old;
+    `store_doubted` is the same for the store. A `patient` host has time
     until it is needed, because the whole system starts for the first time.
     """
 
@@ -53,6 +54,7 @@
     seeds: tuple[str, ...]
     doubted: Mapping[str, float]
     store_doubted: float
+    behind: Mapping[str, float] = {}
     patient: bool = False
 
 
@@ -66,15 +68,12 @@
     others a few read, and the rest ask any host: when the store is back after
     an outage, each that reads it takes a fifth of a second over the whole
     listing, in which it serves nothing, and all of them would do so at once.
+    Where the first ones do not answer, the next ones by name take their place.
     """
     if not view.hosts:
         return _choose_seed(view, now, draw)
-    near = [
-        host
-        for host in (*view.hosts, view.own)
-        if host.data_centre == view.own.data_centre
-    ]
-    for host in sorted(set(near), key=_by_name)[:DEPUTIES]:
+    near = _list_near(view, now)
+    for host in near[:DEPUTIES]:
         if host.name == view.own.name:
             break
         if _is_trusted(view, host, now):
@@ -85,8 +84,19 @@
     return _choose_any(view, near, now, draw)
 
 
+def _list_near(view: View, now: float) -> list[places.Host]:
+    """List the hosts of the data centre that may answer, in their order."""
+    found = {
+        host
+        for host in (*view.hosts, view.own)
+        if host.data_centre == view.own.data_centre
+        and now >= view.doubted.get(host.address, 0)
+    }
+    return sorted({*found, view.own}, key=_by_name)
+
+
 def _choose_any(
-    view: View, near: Collection[places.Host], now: float, draw: float
+    view: View, near: Sequence[places.Host], now: float, draw: float
 ) -> Source:
     """Choose where those that others ask are in doubt."""
     others = _list_others(view, now)
@@ -98,12 +108,11 @@
     return Peer(others[int((draw - share) / (1 - share) * len(others))])
 
 
-def _count_read_share(own: places.Host, near: Collection[places.Host]) -> float:
+def _count_read_share(own: places.Host, near: Sequence[places.Host]) -> float:
     """Count with which chance a host reads the store itself."""
-    ranked = sorted(set(near), key=_by_name)
-    if own in ranked[:DEPUTIES]:
+    if own in near[:DEPUTIES]:
         return 1
-    return min(1, READERS / (len(ranked) - DEPUTIES))
+    return min(1, READERS / (len(near) - DEPUTIES))
 
 
 def _choose_seed(view: View, now: float, draw: float) -> Source:
@@ -115,7 +124,7 @@
     a host has news it refuses everything.
     """
     others = [it for it in view.seeds if it != view.own.address]
-    seeds = [it for it in others if now >= view.doubted.get(it, 0)]
+    seeds = [it for it in others if _is_usable(view, it, now)]
     if view.patient and len(others) == len(view.seeds):
         # The seeds are about to start too.
         seeds = others
@@ -160,7 +169,12 @@
 
 
 def _is_trusted(view: View, host: places.Host, now: float) -> bool:
-    return now >= view.doubted.get(host.address, 0)
+    return _is_usable(view, host.address, now)
+
+
+def _is_usable(view: View, address: str, now: float) -> bool:
+    doubted = max(view.doubted.get(address, 0), view.behind.get(address, 0))
+    return now >= doubted
 
 
 def _list_others(view: View, now: float) -> list[str]:
@@ -179,7 +193,7 @@
     return [
         address
         for address in addresses
-        if address != view.own.address and now >= view.doubted.get(address, 0)
+        if address != view.own.address and _is_usable(view, address, now)
     ]
 
 
