Give parts longer only where no other data centre can be reached

Found in reading the diff: with one of three data centres cut off the hosts of the other two gave all parts three objectives as well, and work that nobody waits for would fill slow targets there. Bytes of news from a near seed count as near. The test asks for both cases.

--- a/fuchsiahaven/relay/calls.py
+++ b/fuchsiahaven/relay/calls.py
@@ -125,11 +125,7 @@
         self._clients: dict[str, Client] = {}
 
     def find(self, address: str, *, far: bool) -> Client:
-        """Find the client of a host, which is `far` in another data centre.
-
-        A seed that was asked before anything was known goes on counting as
-        far: its first listing is most of what it sends.
-        """
+        """Find the client of a host, which is `far` in another data centre."""
         client = self._clients.get(address)
         if client is None:
             tally = self._traffic.find(traffic.Kind.NEWS, far=far)
--- a/fuchsiahaven/routing/sources.py
+++ b/fuchsiahaven/routing/sources.py
@@ -22,6 +22,8 @@
 #: Hosts of a data centre that are asked before the store is. Each that is out
 #: of date costs most of a second, and there may be dozens.
 DEPUTIES: Final = 2
+#: First figures in common from which on addresses count as near each other.
+ALIKE: Final = 2
 #: Hosts of a data centre beside them that try the store in one round, of which
 #: there are some four in a second.
 READERS: Final = 0.5
@@ -151,11 +153,14 @@
 
 
 def is_near(view: View, address: str) -> bool:
-    """Tell whether a host is known to be in the own data centre."""
-    return any(
-        host.address == address and host.data_centre == view.own.data_centre
-        for host in view.hosts
-    )
+    """Tell whether a host is in the own data centre, or looks as if it were.
+
+    The seeds are asked before anything else is known of them.
+    """
+    for host in view.hosts:
+        if host.address == address:
+            return host.data_centre == view.own.data_centre
+    return _count_alike(view.own.address, address) >= ALIKE
 
 
 def count_doubt(times: int, *, starting: bool) -> float:
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -125,6 +125,15 @@
         """Return which targets are cold, and what they get from here."""
         return self._warmups
 
+    def is_alone(self) -> bool:
+        """Tell whether this data centre is cut off from all others."""
+        silent = self._centres.list_silent()
+        return bool(silent) and all(
+            host.data_centre in silent
+            for host in self.hosts
+            if host.data_centre != self.host.data_centre
+        )
+
     def count_wide_centres(self) -> None:
         """Note which data centres hold targets of wide queries.
 
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -53,13 +53,13 @@
     the slots and the queue, and whatever comes after it is late too. So a part
     ends soon after the objective, with some time left for one sent late; the
     last sending has longer, because a query that still lacks too much can
-    only be answered by it. So has each one while a data centre is silent: there
-    is hardly another target to send to, and one that pauses answers in the end.
+    only be answered by it. So has each one inside a data centre that is cut
+    off: there is hardly another target, and one that pauses answers in the end.
     """
     if not ask.gathers:
         return ask.ends
     objective = ask.route.objective
-    if sent + 1 < ask.route.attempts and not desk.centres.list_silent():
+    if sent + 1 < ask.route.attempts and not desk.is_alone():
         usual = ask.request.arrived + PART_SHARE * objective
         return min(ask.ends, max(usual, now + LEAST_SHARE * objective))
     return min(ask.ends, now + LAST_SHARE * objective)
--- a/tests/routing/test_centres.py
+++ b/tests/routing/test_centres.py
@@ -169,18 +169,29 @@
     assert assist_codecs.read_share(line).silent == ('south',)
 
 
+def find_wait(rig: desk_rig.Rig) -> float:
+    """Find how long the parts that were just asked for may take."""
+    delegates = [it for it in rig.others if isinstance(it, events.Delegate)]
+    rig.others = []
+    return delegates[0].assist.ends - rig.now
+
+
 def test_waits_longer_for_a_paused_target_while_others_are_cut_off() -> None:
     """Symptom: queries fail that the near targets alone could answer.
 
     A target pauses for 250 ms. Its part was ended shortly after the objective
-    so that another target could be asked, and none can be reached.
+    so that another target could be asked, and none can be reached. Where one
+    of two other data centres is cut off there are targets in the other.
     """
     rig = make_wide_rig()
     rig.ask()
-    before = [it for it in rig.others if isinstance(it, events.Delegate)]
-    rig.others = []
+    find_wait(rig)
+    west = places.Host('far', '10.0.8.1:7000', 'west')
+    south = west._replace(name='farther', data_centre='south')
+    rig.post(events.Counted(9, (desk_rig.HOST, *HELPERS, south, west)))
     rig.desk.centres.take_hints(('south',), rig.now)
     rig.ask()
-    after = [it for it in rig.others if isinstance(it, events.Delegate)]
-    usual = before[0].assist.ends - rig.now
-    assert after[0].assist.ends - rig.now > 2 * usual
+    usual = find_wait(rig)
+    rig.desk.centres.take_hints(('south', 'west'), rig.now)
+    rig.ask()
+    assert find_wait(rig) > 2 * usual
