Hand no part on for ever that may not be repeated

Change: a part is sent or handed on three times in all; after that the host sends it itself if its own share allows. The test of it was red before.

--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -30,8 +30,10 @@
 REFUSED_S: Final = 2.0
 #: The same for one that has just started and is about to know enough.
 STARTING_S: Final = 0.2
-#: How often a part may be handed on that was not sent to any target: several
-#: hosts may be stopping, starting or gone at once.
+#: How often a part is sent or handed on before this host sends it itself, or
+#: gives it up: several hosts may be stopping, starting or gone at once. One
+#: that may not repeat any more says so at once, and without a bound the two
+#: would go on asking and refusing for as long as the query lasts.
 MOST_HANDINGS: Final = 3
 #: When a part counts as sent that has to be sent elsewhere at once.
 OVERDUE: Final = float('-inf')
@@ -319,7 +321,7 @@
     part = ask.parts[service]
     if part.flights or part.sent >= ask.route.attempts:
         return False
-    if not part.sent and part.number >= MOST_HANDINGS:
+    if part.number >= MOST_HANDINGS:
         return False
     return choices.has_candidate(desk, service, part, now)
 
--- a/tests/routing/test_delegations.py
+++ b/tests/routing/test_delegations.py
@@ -447,3 +447,26 @@
     rig.post(events.Reviewed())
     rig.post(events.Reviewed())
     assert not rig.desk.centres.is_silent('south')
+
+
+def test_does_not_ask_for_ever_what_may_not_be_repeated() -> None:
+    """Symptom: hosts do nothing but ask each other while targets are slow.
+
+    A part has failed once. The hosts on duty have used up their share of the
+    bound on repeats, and each says at once that it has not sent the part.
+    """
+    rig = make_member()
+    rig.ask()
+    delegates = take_delegates(rig)
+    arrived = True
+    asked = 0
+    while delegates and asked < 100 * len(WIDE):
+        delegate = delegates.pop()
+        services = delegate.assist.services
+        asked += len(services)
+        lost = tuple(events.PartOut(it, '', arrived) for it in services)
+        share = make_share((), last=True)._replace(lost=lost)
+        arrived = False
+        rig.post(events.Shared(delegate.key, share))
+        delegates += take_delegates(rig)
+    assert asked <= delegations.MOST_HANDINGS * len(WIDE)
