--- /dev/null
+++ b/bench/targets.py
@@ -0,0 +1,71 @@
+"""Model targets in simulated time: slots, queues, pauses and lost answers."""
+
+import heapq
+import random
+from typing import Final, NamedTuple
+
+#: Spread of a request's work, of a lognormal distribution.
+SPREAD: Final = 0.35
+#: Requests that wait at most; one more is refused.
+QUEUE: Final = 12
+
+
+class Load(NamedTuple):
+    """Say how targets behave; times are in seconds.
+
+    Each pauses for `pause` once in `every`, at its own time. Of a `share` of
+    them `lost` of the answers are lost with their connection, and work takes
+    `slow` times as long, both while `begins` <= now < `ends`.
+    """
+
+    work: float = 0.02
+    pause: float = 0.0
+    every: float = 6.0
+    share: float = 0.0
+    lost: float = 0.0
+    slow: float = 1.0
+    begins: float = 0.0
+    ends: float = float('inf')
+
+
+class Done(NamedTuple):
+    """Say when a request ends at a target, and whether its answer arrives."""
+
+    at: float
+    lost: bool
+
+
+class Target:
+    """Own the slots of one target."""
+
+    def __init__(self, slots: int, load: Load, numbers: random.Random) -> None:
+        """Start idle; whether it is among the troubled ones is drawn."""
+        self._load = load
+        self._numbers = numbers
+        self._free = [0.0 for _ in range(slots)]
+        self._ends: list[float] = []
+        self._phase = numbers.random() * load.every
+        self._troubled = numbers.random() < load.share
+
+    def take(self, now: float) -> Done | None:
+        """Take a request; None where the queue is full."""
+        while self._ends and self._ends[0] <= now:
+            heapq.heappop(self._ends)
+        if len(self._ends) >= len(self._free) + QUEUE:
+            return None
+        load = self._load
+        troubled = self._troubled and load.begins <= now < load.ends
+        work = load.work * self._numbers.lognormvariate(0, SPREAD)
+        if troubled:
+            work *= load.slow
+        start = self._wake(max(now, heapq.heappop(self._free)))
+        end = start + work
+        heapq.heappush(self._free, end)
+        heapq.heappush(self._ends, end)
+        lost = troubled and self._numbers.random() < load.lost
+        return Done(end, lost)
+
+    def _wake(self, when: float) -> float:
+        """Find when work can begin: not in a pause."""
+        into = (when + self._phase) % self._load.every
+        return when + max(0.0, self._load.pause - into)
