Refuse a rate or a bound of cold targets that is no number

Found in reading the diff: Infinity or NaN in a configuration or in the settings would have ended in an error of the program when a cold target is chosen.

--- a/fuchsiahaven/platform/records.py
+++ b/fuchsiahaven/platform/records.py
@@ -3,6 +3,7 @@
 import base64
 import ipaddress
 import json
+import math
 from collections.abc import Mapping
 from typing import Any, Final
 
@@ -95,7 +96,7 @@
             configs.Service(
                 service['name'],
                 int(service['max_connections']),
-                float(service.get('warmup_per_s', 0)),
+                _read_rate(service.get('warmup_per_s', 0)),
             )
             for service in row['services']
         ),
@@ -103,6 +104,14 @@
     )
 
 
+def _read_rate(told: object) -> float:
+    """Read a rate strictly: shares of it are counted in whole requests."""
+    if isinstance(told, (int, float)) and not isinstance(told, bool):
+        if math.isfinite(told) and told >= 0:
+            return float(told)
+    raise ValueError(f'no rate: {told!r}')
+
+
 def _read_limits(row: Mapping[str, Any]) -> configs.Limits:
     usual = configs.Limits()
     head_ms = row.get('header_timeout_ms', usual.head * MILLISECONDS)
--- a/fuchsiahaven/platform/settings.py
+++ b/fuchsiahaven/platform/settings.py
@@ -1,5 +1,6 @@
 """Read the settings file that the platform gives each process."""
 
+import math
 import os
 from collections.abc import Mapping
 from pathlib import Path
@@ -127,7 +128,8 @@
         overage, slack = [max(0.0, float(it)) for it in told]
     except ValueError:
         return None
-    return places.WarmUp(overage, slack)
+    bounded = math.isfinite(overage) and math.isfinite(slack)
+    return places.WarmUp(overage, slack) if bounded else None
 
 
 def _read_link(told: str) -> float:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -86,6 +86,15 @@
     assert (read.limits.body_bytes, read.limits.idle) == (100, 1.5)
 
 
+@pytest.mark.parametrize('told', [-1, float('inf'), float('nan'), '4', None])
+def test_refuses_a_rate_that_is_none(told: object) -> None:
+    """Symptom: a query ends in an error of the program, at a cold target."""
+    service = {'name': 'one', 'max_connections': 26, 'warmup_per_s': told}
+    row = {'version': 7, 'routes': [], 'services': [service]}
+    with pytest.raises(records.Malformed):
+        records.read_value(CONFIGURATION, encode(row))
+
+
 def test_reads_an_instance() -> None:
     """A target that says anything but ready is leaving."""
     row = {**ENTRY, 'state': 'draining', 'warmup_left_ms': 12}
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -50,7 +50,12 @@
 def test_reads_the_bound_on_cold_targets() -> None:
     """Not every deployment has one."""
     bound = 'bounds.warmup_overage=1.5\nbounds.warmup_slack=5\n'
-    for text, wanted in ((TEXT, None), (TEXT + bound, (1.5, 5))):
+    endless = bound.replace('=5', '=inf')
+    for text, wanted in (
+        (TEXT, None),
+        (TEXT + bound, (1.5, 5)),
+        (TEXT + endless, None),
+    ):
         reading = settings.read_text(text)
         assert reading.settings is not None
         assert reading.settings.warm_up == wanted
