Tell which request was under way at a target that ended

Change: each request has an identity (a keyed digest of customer, method, path and body, worked out alike by each host that is passed it), which its line gives as digest. A pool whose connection is lost under a request opens another one; a closed port, or the target's next start under its id, shows that it ended. Each request that it may have run then gets a line 'ended under a request', with the sending. A target that was leaving is not looked at. Nothing is decided by this yet.

--- a/fuchsiahaven/platform/exchanges.py
+++ b/fuchsiahaven/platform/exchanges.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import errors
+from fuchsiahaven.core import errors, identities
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import headers
 from fuchsiahaven.routing import events
@@ -76,19 +76,42 @@
     fields = dict(message.fields)
     host = fields.get('host', '').partition(':')[0].lower()
     passed = _list_passed(message.fields, fields, _SET)
-    return events.Request(
-        fields.get(headers.REQUEST_ID, ''),
-        message.method,
-        message.first,
-        host,
-        passed,
-        message.body,
-        now,
-        now + _read_wait(fields.get(headers.DEADLINE)),
-        away,
+    return identify(
+        events.Request(
+            fields.get(headers.REQUEST_ID, ''),
+            message.method,
+            message.first,
+            host,
+            passed,
+            message.body,
+            now,
+            now + _read_wait(fields.get(headers.DEADLINE)),
+            away,
+        )
     )
 
 
+def identify(request: events.Request) -> events.Request:
+    """Give a request the identity that each host works out for it."""
+    fields = dict(request.fields)
+    identity = identities.identify(
+        _name_customer(fields),
+        request.method.encode('latin-1'),
+        request.target.encode('latin-1'),
+        request.body,
+    )
+    return request._replace(identity=identity)
+
+
+def _name_customer(fields: Mapping[str, str]) -> str:
+    """Name who asks: the holder of a key, or else whose name is asked at."""
+    key = fields.get(headers.KEY)
+    if key is None:
+        return fields.get('host', '').partition(':')[0].lower()
+    # The key is a secret, and names of customers are logged.
+    return identities.identify('', key.encode('latin-1')).digest
+
+
 def write_request(send: events.Send, now: float) -> events.Fields:
     """Write the header fields of a request to a target."""
     request = send.request
--- a/fuchsiahaven/platform/headers.py
+++ b/fuchsiahaven/platform/headers.py
@@ -17,4 +17,6 @@
 PARTS: Final = 'fuchsiahaven-part-signatures'
 #: How many shards an answer lacks.
 MISSING: Final = 'fuchsiahaven-missing-parts'
+#: The key of a customer, where callers have to show one.
+KEY: Final = 'authorization'
 RETRY_AFTER: Final = 'retry-after'
--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -59,6 +59,7 @@
         self.latency_sum = 0.0
         self.extra = 0
         self.missing = 0
+        self.crashes = 0
         self._by_bucket: collections.Counter[int] = collections.Counter()
 
     def note(self, story: events.Story) -> None:
--- a/fuchsiahaven/relay/openers.py
+++ b/fuchsiahaven/relay/openers.py
@@ -26,6 +26,8 @@
         """Tell of each attempt: the link, or None where none was had."""
         self.opened = 0
         self.closed_until = 0.0
+        #: Whether the last attempt found the port closed.
+        self.refused = False
         self._address = address
         self._make = make
         self._tell = tell
@@ -53,11 +55,13 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 await loop.create_connection(lambda: link, host, int(port))
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
+            self.refused = isinstance(error, ConnectionRefusedError)
             self.closed_until = loop.time() + BACK_OFF_S
             self._settle(None)
             return
         self.opened += 1
+        self.refused = False
         self._settle(None if link.closed else link)
 
     def _settle(self, link: links.Link | None) -> None:
--- a/fuchsiahaven/relay/pages.py
+++ b/fuchsiahaven/relay/pages.py
@@ -60,6 +60,11 @@
             'Shards left out.',
             self._counted.missing,
         )
+        yield core.CounterMetricFamily(
+            f'{PREFIX}_crashes',
+            'Requests under way at targets that ended.',
+            self._counted.crashes,
+        )
         yield self._count_bytes()
         for (name, text), figure in zip(GAUGES, self._gauges, strict=True):
             yield core.GaugeMetricFamily(f'{PREFIX}_{name}', text, figure)
--- a/fuchsiahaven/relay/pools.py
+++ b/fuchsiahaven/relay/pools.py
@@ -45,6 +45,7 @@
         self.seats = 1
         self._report = report
         self._clock = clock
+        self._retired = False
         self._queue: collections.deque[events.Send] = collections.deque()
         self._busy: dict[links.Link, Busy] = {}
         self._idle = idles.Idles()
@@ -87,6 +88,7 @@
 
     def retire(self) -> bool:
         """Send nothing that waits; tell whether nothing is under way."""
+        self._retired = True
         while self._queue:
             key = self._queue.popleft().key
             self._report(events.Unsent(key, unreachable=False))
@@ -103,6 +105,7 @@
 
     def close(self) -> None:
         """Close every connection; what is under way ends as broken."""
+        self._retired = True
         self.opener.close()
         self._idle.close()
         for link in tuple(self._busy):
@@ -126,6 +129,9 @@
         busy = self._busy.pop(link, None)
         if busy is not None:
             self._report(events.Broken(busy.send.key, fault))
+            if fault is messages.Fault.CONNECTION_LOST and not self._retired:
+                # Only another connection tells whether the target has ended.
+                self.try_way()
         self._open_more(self._clock())
 
     def _start(self, link: links.Link, send: events.Send, now: float) -> None:
@@ -160,6 +166,8 @@
 
     def _take_link(self, link: links.Link | None) -> None:
         if link is None:
+            if self.opener.refused:
+                self._report(events.Ended(self.instance.name))
             self._give_up()
             return
         self._idle.prove(link, self._clock())
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -199,10 +199,19 @@
         number = self.runner.ask(request, reply)
         return lambda: self.runner.abandon(number)
 
-    def _tell(self, told: events.Story | events.Belief) -> None:
+    def _tell(self, told: events.Story | events.Crash | events.Belief) -> None:
         match told:
             case events.Story():
                 self._tell_story(told)
+            case events.Crash():
+                row = told._replace(took=round(told.took, 4))
+                self.meters.crashes += 1
+                self.log.tell_request(
+                    'targets',
+                    'ended under a request',
+                    good=False,
+                    **row._asdict(),
+                )
             case events.Belief(target, text, why):
                 self.log.tell_request(
                     'targets', text, good=False, target=target, why=why
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -106,6 +106,8 @@
         except codecs.Malformed as error:
             caller.answer(_refuse(str(error)))
             return None
+        request = exchanges.identify(assist.request)
+        assist = assist._replace(request=request)
 
         packer = None
         fields: events.Fields = ()
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -17,7 +17,7 @@
 
 Reply = Callable[[events.Outcome], None]
 Give = Callable[[events.Share], None]
-Tell = Callable[[events.Story | events.Belief], None]
+Tell = Callable[[events.Story | events.Crash | events.Belief], None]
 
 
 class Runner:
@@ -124,7 +124,7 @@
                 self._give(ask, share)
             case events.Reply():
                 self._reply(action)
-            case events.Story() | events.Belief():
+            case events.Story() | events.Crash() | events.Belief():
                 self._tell(action)
 
     def _reply(self, told: events.Reply) -> None:
--- a/fuchsiahaven/routing/arrivals.py
+++ b/fuchsiahaven/routing/arrivals.py
@@ -5,7 +5,14 @@
 from fuchsiahaven.core import coverage
 from fuchsiahaven.core.queries import hedges
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.routing import asks, endings, events, states, tries
+from fuchsiahaven.routing import (
+    asks,
+    crashes,
+    endings,
+    events,
+    states,
+    tries,
+)
 
 Actions = list[events.Action]
 
@@ -97,19 +104,21 @@
     aloft = desk.aloft.pop(event.key, None)
     if aloft is None:
         return []
+    told: Actions = []
     if event.fault is messages.Fault.CONNECTION_LOST:
         desk.centres.note_failed(aloft.data_centre, aloft.instance)
+        told = crashes.note_loss(desk, event.key, aloft, now)
     desk.standings.note_broken(aloft.instance, event, now)
     ask = find_open(desk, event.key)
     if ask is None:
-        return []
+        return told
     _note_try(ask, event.key, aloft, f'broken {event.fault}')
     part = land(ask, event.key)
     ask.parts[event.key.service] = part._replace(
         reason=FAULT_REASONS.get(event.fault, coverage.Reason.BROKEN_ANSWER),
         may_have_run=True,
     )
-    return go_on(desk, ask, event.key.service, now)
+    return [*told, *go_on(desk, ask, event.key.service, now)]
 
 
 def take_unsent(desk: states.Desk, event: events.Unsent, now: float) -> Actions:
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -8,9 +8,11 @@
     asks,
     assists,
     configs,
+    crashes,
     delegations,
     endings,
     events,
+    instances,
     plans,
     reaches,
     splits,
@@ -54,6 +56,8 @@
             return assists.take(desk, event, now)
         case events.Abandoned(number):
             return endings.abandon(desk, number, now)
+        case events.Reached() | events.Ended() | events.Directed():
+            return _take_target(desk, event, now)
         case events.Ticked():
             return _tick(desk, now)
         case events.Reviewed():
@@ -87,32 +91,56 @@
 
 
 def _review(desk: states.Desk, now: float) -> Actions:
+    desk.losses.forget_old(now)
     return [
         events.Belief(name, 'left out', 'the data centre is silent')
         for name in desk.centres.review(now)
     ]
 
 
+def _take_target(
+    desk: states.Desk,
+    event: events.Reached | events.Ended | events.Directed,
+    now: float,
+) -> Actions:
+    match event:
+        case events.Reached(instance):
+            _reach(desk, instance)
+            return []
+        case events.Ended(instance):
+            return crashes.take_end(desk, instance, now)
+        case events.Directed(directory):
+            return _direct(desk, directory, now)
+
+
+def _reach(desk: states.Desk, instance: str) -> None:
+    desk.losses.take(instance)
+    desk.standings.note_reached(instance)
+    known = desk.directory.by_name.get(instance)
+    if known is not None:
+        desk.centres.note_heard(known.data_centre)
+
+
+def _direct(
+    desk: states.Desk, directory: instances.Directory, now: float
+) -> Actions:
+    desk.warmups.note_targets(desk.directory, directory, now)
+    desk.directory = directory
+    desk.count_wide_centres()
+    desk.standings.keep_only(directory.by_name)
+    return crashes.take_directory(desk, directory, now)
+
+
 def _learn(desk: states.Desk, event: events.Event, now: float) -> None:
     match event:
         case events.Configured(configuration):
             if configuration.version > desk.index.configuration.version:
                 desk.index = configs.build_index(configuration)
                 desk.count_wide_centres()
-        case events.Directed(directory):
-            desk.warmups.note_targets(desk.directory, directory, now)
-            desk.directory = directory
-            desk.count_wide_centres()
-            desk.standings.keep_only(directory.by_name)
         case events.Counted(total, hosts):
             desk.host_count = max(1, total)
             desk.hosts = tuple(it for it in hosts if it.name != desk.host.name)
             desk.warmups.note_hosts(hosts, now)
-        case events.Reached(instance):
-            desk.standings.note_reached(instance)
-            known = desk.directory.by_name.get(instance)
-            if known is not None:
-                desk.centres.note_heard(known.data_centre)
 
 
 def _take_request(
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -102,6 +102,7 @@
     story = events.Story(
         request.request_id, '', version, result, took, 0, 0, 0, ()
     )
+    story = story._replace(digest=request.identity.digest)
     return [events.Reply(ask, failure), story]
 
 
@@ -130,6 +131,7 @@
         _list_lacking(ask, now),
         ask.route.objective,
         ask.assists,
+        ask.request.identity.digest,
     )
 
 
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -7,7 +7,7 @@
 import enum
 from typing import NamedTuple
 
-from fuchsiahaven.core import errors
+from fuchsiahaven.core import errors, identities
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import configs, instances, places
 
@@ -20,7 +20,8 @@
     `target` is the path with the query as it came, `fields` are the header
     fields that go on to a target as they are. `away` is how many seconds of
     the caller's own time pass outside this host: on the request's way here,
-    with the opening of its connection, and on the answer's way back.
+    with the opening of its connection, and on the answer's way back. `identity`
+    is the same for each repeat, also by the caller under a new id.
     """
 
     request_id: str
@@ -32,6 +33,7 @@
     arrived: float
     deadline: float
     away: float = 0.0
+    identity: identities.Identity = identities.UNKNOWN
 
 
 class Answer(NamedTuple):
@@ -112,6 +114,12 @@
     instance: str
 
 
+class Ended(NamedTuple):
+    """Tell that the process of a target has ended: its port is closed."""
+
+    instance: str
+
+
 class Ticked(NamedTuple):
     """Bring the passing of time."""
 
@@ -324,7 +332,8 @@
     service, target, purpose and how it ended. `lacking` lists what became of
     the first few parts that are not in.
     `objective` is in seconds; 0 where there is no route. `assists` tells that
-    these are parts that another host asked for.
+    these are parts that another host asked for. `digest` is the same for each
+    repeat of the request.
     """
 
     request_id: str
@@ -339,6 +348,23 @@
     lacking: tuple[str, ...] = ()
     objective: float = 0.0
     assists: bool = False
+    digest: str = ''
+
+
+class Crash(NamedTuple):
+    """Tell that a target ended while it may have run a request, for the log.
+
+    `sending` counts the sendings of that part, from 1; `took` is the time in
+    seconds from this one until its connection broke.
+    """
+
+    target: str
+    service: str
+    request_id: str
+    digest: str
+    purpose: Purpose
+    sending: int
+    took: float
 
 
 class Belief(NamedTuple):
@@ -357,6 +383,7 @@
     | Broken
     | Unsent
     | Reached
+    | Ended
     | Ticked
     | Reviewed
     | Configured
@@ -375,5 +402,6 @@
     | Cancel
     | Reply
     | Story
+    | Crash
     | Belief
 )
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
+from fuchsiahaven.core import identities
 from fuchsiahaven.core.queries import hedges
 from fuchsiahaven.routing import (
     asks,
@@ -13,6 +14,7 @@
     configs,
     events,
     instances,
+    losses,
     margins,
     places,
     standings,
@@ -53,6 +55,8 @@
     extra: bool
     data_centre: str = ''
     ends: float = float('inf')
+    request_id: str = ''
+    identity: identities.Identity = identities.UNKNOWN
 
 
 class Assistance(NamedTuple):
@@ -108,6 +112,7 @@
         self._wide_centres: frozenset[str] = frozenset()
         self._centres = centres.Centres(host.data_centre)
         self._margin = margins.Margin()
+        self._losses = losses.Losses()
         self._warmups = warmups.Warmups(host)
 
     @property
@@ -120,6 +125,11 @@
         """Return what this host keeps back from the objective."""
         return self._margin
 
+    @property
+    def losses(self) -> losses.Losses:
+        """Return what was lost at targets that may have ended."""
+        return self._losses
+
     @property
     def warmups(self) -> warmups.Warmups:
         """Return which targets are cold, and what they get from here."""
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -310,6 +310,8 @@
         extra,
         chosen.data_centre,
         ends,
+        ask.request.request_id,
+        ask.request.identity,
     )
     desk.centres.note_sent(chosen.data_centre, chosen.name, now)
     desk.standings.note_sent(chosen.name, key, now)
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -144,3 +144,43 @@
     fields = dict(exchanges.write_outcome(merged).fields)
     assert fields[headers.PARTS] == 'a, b'
     assert fields[headers.MISSING] == '1'
+
+
+def identify(fields: Mapping[str, str], body: bytes = b'') -> object:
+    """Return the identity of a request with these fields."""
+    message = make_message(0, fields, body)._replace(method='GET')
+    request = exchanges.read_request(message, 50.0)
+    # A host that gathers parts works it out from what it was passed.
+    assert exchanges.identify(request).identity == request.identity
+    return request.identity
+
+
+def test_names_a_request_by_who_asks_and_what_for() -> None:
+    """A repeat comes under another id, with less time left, over any way."""
+    first = {
+        'host': 'Shop.Example:80',
+        headers.REQUEST_ID: 'id-1',
+        headers.DEADLINE: '250',
+    }
+    again = {
+        'host': 'shop.example',
+        headers.REQUEST_ID: 'id-2',
+        headers.DEADLINE: '120',
+        'connection': 'close',
+    }
+    assert identify(first) == identify(again)
+    others = {
+        identify({**first, 'host': 'other.example'}),
+        identify({**first, headers.KEY: 'Token one'}),
+        identify({**first, headers.KEY: 'Token two'}),
+        identify(first, b'body'),
+        identify(first),
+    }
+    assert len(others) == 5
+
+
+def test_does_not_name_a_customer_by_its_key() -> None:
+    """Symptom: a key that opens everything stands in the log."""
+    message = make_message(0, {headers.KEY: 'Token secret', 'host': 'a'})
+    request = exchanges.read_request(message, 50.0)
+    assert 'secret' not in str(request.identity)
--- a/tests/routing/desk_rig.py
+++ b/tests/routing/desk_rig.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from fuchsiahaven.core import identities
 from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import (
@@ -108,6 +109,7 @@
             self.now,
             self.now + wait,
             away,
+            identities.identify('shop.example', target.encode()),
         )
         self.post(events.Asked(self._last, request))
         return self._last
--- /dev/null
+++ b/tests/routing/test_crashes.py
@@ -0,0 +1,88 @@
+"""Test what is told of requests under way at targets that end."""
+
+import pytest
+
+from fuchsiahaven.routing import configs, events
+from tests.routing import desk_rig
+
+SINGLE = desk_rig.make_route(configs.Single('records'))
+
+
+def make() -> tuple[desk_rig.Rig, events.Send]:
+    """Make a host that has sent one request."""
+    targets = desk_rig.make_instances(['records'], 3)
+    rig = desk_rig.Rig([SINGLE], targets)
+    rig.ask()
+    (send,) = rig.take_sent()
+    return rig, send
+
+
+def list_crashes(rig: desk_rig.Rig) -> list[events.Crash]:
+    """List what was told."""
+    return [it for it in rig.others if isinstance(it, events.Crash)]
+
+
+def test_tells_what_ran_at_a_target_that_ended() -> None:
+    """Symptom: targets end, and no line says under which request."""
+    rig, send = make()
+    rig.now += 0.02
+    rig.break_off(send)
+    assert not list_crashes(rig)
+    rig.post(events.Ended(send.instance.name))
+    (crash,) = list_crashes(rig)
+    assert crash.target == send.instance.name
+    assert crash.request_id == send.request.request_id
+    assert crash.digest == send.request.identity.digest
+    assert (crash.purpose, crash.sending) == (events.Purpose.FIRST, 1)
+    assert crash.took == pytest.approx(0.02)
+
+
+def test_tells_of_a_loss_after_the_end_is_known() -> None:
+    """Connections of a target that ended are lost one after the other."""
+    rig, send = make()
+    rig.now += 0.02
+    rig.post(events.Ended(send.instance.name))
+    rig.break_off(send)
+    assert len(list_crashes(rig)) == 1
+
+
+def test_tells_nothing_of_a_reset_connection() -> None:
+    """A target that accepts the next connection has not ended."""
+    rig, send = make()
+    rig.break_off(send)
+    rig.post(events.Reached(send.instance.name))
+    rig.post(events.Ended(send.instance.name))
+    assert not list_crashes(rig)
+
+
+def test_tells_nothing_of_a_target_that_was_leaving() -> None:
+    """A planned stop may cut what takes too long."""
+    rig, send = make()
+    rig.direct(desk_rig.make_instances(['records'], 3)[1:])
+    rig.break_off(send)
+    rig.post(events.Ended(send.instance.name))
+    assert not list_crashes(rig)
+
+
+def test_tells_of_a_target_that_started_again_under_its_id() -> None:
+    """Its port is open again before anybody asks."""
+    rig, send = make()
+    rig.break_off(send)
+    again = [
+        one._replace(name=f'{one.name}@7', born=7)
+        if one.name == send.instance.name
+        else one
+        for one in desk_rig.make_instances(['records'], 3)
+    ]
+    rig.direct(again)
+    assert len(list_crashes(rig)) == 1
+
+
+def test_forgets_what_it_was_never_told_of() -> None:
+    """An end that is noticed much later has another cause."""
+    rig, send = make()
+    rig.break_off(send)
+    rig.now += 6
+    rig.post(events.Reviewed())
+    rig.post(events.Ended(send.instance.name))
+    assert not list_crashes(rig)
