--- a/fuchsiahaven/core/coverage.py
+++ b/fuchsiahaven/core/coverage.py
@@ -20,6 +20,7 @@
     TIMED_OUT = 'timed_out'
     EVACUATED = 'evacuated'
     WARMING = 'warming'
+    QUARANTINED = 'quarantined'
 
 
 class ShardKey(NamedTuple):
--- a/fuchsiahaven/core/errors.py
+++ b/fuchsiahaven/core/errors.py
@@ -26,6 +26,7 @@
     NOT_READY = 'not_ready'
     NO_ROUTE = 'no_route'
     NO_SNAPSHOT = 'no_snapshot'
+    QUARANTINED = 'quarantined'
     INCOMPLETE = 'incomplete'
     TIMED_OUT = 'timed_out'
     DUPLICATE_REQUEST = 'duplicate_request'
@@ -80,6 +81,9 @@
     Kind.NO_SNAPSHOT: Row(
         503, 'no snapshot could be held', Ran.YES, retry=True
     ),
+    Kind.QUARANTINED: Row(
+        503, 'targets have ended under this request', Ran.NO, retry=True
+    ),
     Kind.INCOMPLETE: Row(503, 'some shards are missing', Ran.YES, retry=True),
     Kind.TIMED_OUT: Row(504, 'the deadline passed', Ran.YES, retry=True),
     Kind.DUPLICATE_REQUEST: Row(
--- a/fuchsiahaven/core/identities.py
+++ b/fuchsiahaven/core/identities.py
@@ -6,6 +6,9 @@
 #: Keeps these digests apart from all others of the same bytes.
 _KEY: Final = b'fuchsiahaven request'
 _BYTES: Final = 16
+#: How digests are written.
+DIGITS: Final = 2 * _BYTES
+HEX: Final = '0123456789abcdef'
 
 
 class Identity(NamedTuple):
--- a/fuchsiahaven/platform/records.py
+++ b/fuchsiahaven/platform/records.py
@@ -7,12 +7,21 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
+from fuchsiahaven.core import suspects
 from fuchsiahaven.core.configuration import configurations
-from fuchsiahaven.routing import configs, facts, instances, places
+from fuchsiahaven.routing import (
+    configs,
+    facts,
+    instances,
+    places,
+    suspect_codecs,
+)
 
 CONFIGURATION: Final = 'op/config'
 INSTANCES: Final = 'servers/'
 HOSTS: Final = 'fuchsiahaven/hosts/'
+#: By the digest of a request that ends the targets that run it.
+QUARANTINES: Final = 'fuchsiahaven/quarantines/'
 #: Keys by which operators have data centres evacuated; removing one takes the
 #: order back.
 EVACUATIONS: Final = 'op/evacuate/'
@@ -53,6 +62,8 @@
         return facts.Key(facts.Subject.INSTANCE, name[len(INSTANCES) :])
     if name.startswith(HOSTS):
         return facts.Key(facts.Subject.HOST, name[len(HOSTS) :])
+    if name.startswith(QUARANTINES):
+        return facts.Key(facts.Subject.QUARANTINE, name[len(QUARANTINES) :])
     if name.startswith(EVACUATIONS):
         return facts.Key(facts.Subject.EVACUATION, name[len(EVACUATIONS) :])
     return None
@@ -78,12 +89,21 @@
     return f'{HOSTS}{host.name}', base64.b64encode(text.encode()).decode()
 
 
+def write_quarantine(news: suspects.News) -> tuple[str, str]:
+    """Write the key and the value by which hosts learn of a quarantine."""
+    text = json.dumps(suspect_codecs.write_news(news))
+    key = f'{QUARANTINES}{news.identity.digest}'
+    return key, base64.b64encode(text.encode()).decode()
+
+
 def _read_value(key: facts.Key, row: Mapping[str, Any]) -> facts.Value:
     match key.subject:
         case facts.Subject.CONFIGURATION:
             return _read_configuration(row)
         case facts.Subject.INSTANCE:
             return _read_instance(key.name, row)
+        case facts.Subject.QUARANTINE:
+            return _read_quarantine(key.name, row)
         case _:
             return places.Host(key.name, row['address'], row['zone'])
 
@@ -179,6 +199,13 @@
     )
 
 
+def _read_quarantine(digest: str, row: Mapping[str, Any]) -> suspects.News:
+    news = suspect_codecs.read_news(row)
+    if news.identity.digest != digest:
+        raise ValueError('the entry of another request')
+    return news
+
+
 def _read_text(told: object) -> str:
     if isinstance(told, str) and told:
         return told
--- a/fuchsiahaven/platform/store.py
+++ b/fuchsiahaven/platform/store.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
 
+from fuchsiahaven.core import suspects
 from fuchsiahaven.platform import records
 from fuchsiahaven.routing import facts, places
 
@@ -112,15 +113,14 @@
 
 def enter_host(host: places.Host, lease: int) -> Call:
     """Ask for the entry by which other hosts find this one."""
-    key, encoded = records.write_host(host)
-    put = {'key': key, 'value': encoded, 'lease': lease}
-    body: Mapping[str, Any] = {
-        # Under no condition: the entry is this host's alone.
-        'expected_rev': [],
-        'puts': [put],
-        'remove': [],
-    }
-    return Call('POST', '/kv-txn', json.dumps(body).encode())
+    # Under no condition: the entry is this host's alone.
+    return _put(records.write_host(host), lease)
+
+
+def enter_quarantine(news: suspects.News, lease: int) -> Call:
+    """Ask for the entry by which all hosts learn of a quarantine."""
+    # Under no condition: what is known most ranks first wherever it is read.
+    return _put(records.write_quarantine(news), lease)
 
 
 def end_lease(lease: int) -> Call:
@@ -128,6 +128,16 @@
     return Call('DELETE', f'/kv-lease-end/{lease}')
 
 
+def _put(record: tuple[str, str], lease: int) -> Call:
+    key, encoded = record
+    body: Mapping[str, Any] = {
+        'expected_rev': [],
+        'puts': [{'key': key, 'value': encoded, 'lease': lease}],
+        'remove': [],
+    }
+    return Call('POST', '/kv-txn', json.dumps(body).encode())
+
+
 def _read_event(row: Mapping[str, Any], decode: Decode) -> facts.Fact | None:
     if not row.get('deleted'):
         return _read_item(row, decode)
--- a/fuchsiahaven/relay/lessons.py
+++ b/fuchsiahaven/relay/lessons.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from fuchsiahaven.core import suspects
 from fuchsiahaven.relay import evacuations, journal, runner
 from fuchsiahaven.routing import events, facts, instances, places
 
@@ -27,6 +28,7 @@
         self._runner = driven
         self._log = log
         self._find_obstacle = find_obstacle
+        self._quarantines: list[suspects.News] = []
 
     def learn(self, merged: facts.Merged) -> None:
         """Take in what has changed."""
@@ -38,6 +40,8 @@
             self._direct(ledger)
         if facts.Subject.HOST in merged.changed:
             self._count_hosts(ledger)
+        if facts.Subject.QUARANTINE in merged.changed:
+            self._suspect(ledger)
         desk = self._runner.desk
         self._log.tell(
             PART,
@@ -58,6 +62,23 @@
         directory = instances.build_directory(found, barred)
         self._runner.learn(events.Directed(directory))
 
+    def _suspect(self, ledger: facts.Ledger) -> None:
+        """Take in the quarantines that were written since the last time.
+
+        An entry says how often the request was tried, not since when: a
+        quarantine that is learned late lasts longer here, and what another
+        host finds out by a trial ends it.
+        """
+        entered = facts.list_quarantines(ledger)
+        fresh = [it for it in entered if it not in self._quarantines]
+        self._quarantines = entered
+        found = tuple(
+            it._replace(wait=suspects.count_quarantine(it.crashes))
+            for it in fresh
+        )
+        if found:
+            self._runner.post(events.Suspected(found))
+
     def _count_hosts(self, ledger: facts.Ledger) -> None:
         # Until the hosts have entered themselves the seeds are all there is.
         known = tuple(facts.list_hosts(ledger))
--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -48,6 +48,7 @@
     links: int
     opened: int
     calls: int
+    quarantined: int
 
 
 class Meters:
@@ -87,4 +88,7 @@
         links=driven.fleet.count_links(),
         opened=driven.fleet.count_opened(),
         calls=known.store.calls,
+        quarantined=len(
+            driven.desk.suspects.list_quarantined(time.monotonic())
+        ),
     )
--- a/fuchsiahaven/relay/pages.py
+++ b/fuchsiahaven/relay/pages.py
@@ -16,6 +16,7 @@
     ('connections', 'Connections to targets.'),
     ('opened', 'Connections opened so far.'),
     ('store_calls', 'Calls to the store so far.'),
+    ('quarantined', 'Requests in quarantine.'),
 )
 
 
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from typing import Final
 
+from fuchsiahaven.core import suspects
 from fuchsiahaven.operate import exits
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.platform import settings as settings_files
@@ -18,7 +19,9 @@
     lessons,
     meters,
     news,
+    notices,
     ports,
+    quarantines,
     questions,
     readiness,
     runner,
@@ -29,6 +32,7 @@
     events,
     places,
     states,
+    suspect_codecs,
 )
 
 PART: Final = 'process'
@@ -63,6 +67,12 @@
         self.news = news.News(
             settings, log, self.lessons.learn, self.runner.traffic
         )
+        self.quarantines = quarantines.Quarantines(
+            self.desk, self.news, log, self.runner.traffic
+        )
+        self.notices = notices.Notices(
+            self.desk, self.quarantines, log, self.runner.traffic
+        )
         self.readiness = readiness.Readiness(self._find_obstacle, log)
         self.callers = ports.Port(
             ports.Terms(
@@ -76,6 +86,7 @@
             self.news,
             self.meters,
             self.lessons.evacuations,
+            self.notices,
             self.find_obstacle,
             self.readiness.tell_balancer,
         )
@@ -93,6 +104,8 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self.runner.close)
             stack.callback(self.news.close)
+            stack.callback(self.quarantines.close)
+            stack.callback(self.notices.close)
             await self._listen(stack)
             async with asyncio.TaskGroup() as tasks:
                 running = [
@@ -199,7 +212,7 @@
         number = self.runner.ask(request, reply)
         return lambda: self.runner.abandon(number)
 
-    def _tell(self, told: events.Story | events.Crash | events.Belief) -> None:
+    def _tell(self, told: events.Told) -> None:
         match told:
             case events.Story():
                 self._tell_story(told)
@@ -212,11 +225,23 @@
                     good=False,
                     **row._asdict(),
                 )
+            case events.Suspicion(found, passed_on):
+                self._tell_suspicion(found)
+                if passed_on:
+                    self.notices.tell(found)
             case events.Belief(target, text, why):
                 self.log.tell_request(
                     'targets', text, good=False, target=target, why=why
                 )
 
+    def _tell_suspicion(self, found: suspects.News) -> None:
+        self.log.tell_request(
+            notices.PART,
+            suspects.name_state(found),
+            good=False,
+            **suspect_codecs.write_news(found),
+        )
+
     def _tell_story(self, story: events.Story) -> None:
         self.meters.note(story)
         age = time.monotonic() - self.news.ledger.read
--- /dev/null
+++ b/fuchsiahaven/relay/quarantines.py
@@ -0,0 +1,132 @@
+"""Enter quarantined requests in the store.
+
+Hosts that start, or were cut off when the others were told, read of them there.
+"""
+
+import asyncio
+from typing import Final
+
+from fuchsiahaven.core import rendezvous, suspects
+from fuchsiahaven.platform import records, store
+from fuchsiahaven.relay import calls, journal, news, traffic
+from fuchsiahaven.routing import facts, states
+
+PART: Final = 'suspects'
+#: Hosts that see to an entry of another host's finding, by their rank for the
+#: request, and how long they wait for it, in seconds.
+KEEPERS: Final = 2
+KEEP_AFTER_S: Final = 1.5
+#: How often an entry is tried to be written, and how soon after a failure.
+MOST_TRIES: Final = 5
+AGAIN_S: Final = 1.0
+#: An entry outlives its quarantine, so that a host that starts learns how often
+#: the request was tried; the store gives no longer lease than the longest.
+LEASE_MORE_S: Final = suspects.REMEMBER_S
+LONGEST_LEASE_S: Final = 600.0
+#: Entries that this host may be about to write.
+MOST_ENTRIES: Final = 16
+
+
+class Quarantines:
+    """Own the calls by which quarantines are entered."""
+
+    def __init__(
+        self,
+        desk: states.Desk,
+        known: news.News,
+        log: journal.Journal,
+        counted: traffic.Traffic,
+    ) -> None:
+        """Start with nothing to enter."""
+        self._desk = desk
+        self._news = known
+        self._log = log
+        # The call that waits for changes would hold up what is written.
+        self._store = calls.Client(
+            known.settings.store, counted.find(traffic.Kind.STORE, far=True)
+        )
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def close(self) -> None:
+        """End what is under way."""
+        for task in tuple(self._tasks.values()):
+            task.cancel()
+        self._store.close()
+
+    def enter(self, found: suspects.News) -> None:
+        """Enter what this host found out, if it belongs there."""
+        if self._is_due(found):
+            self._start(found, 0.0)
+
+    def keep(self, found: suspects.News) -> None:
+        """See that what another host found out is entered.
+
+        That host may be turned away by the store, or end before it has
+        written; a few of those that it told write it then.
+        """
+        hosts = (*self._desk.hosts, self._desk.host)
+        ranked = rendezvous.rank(
+            found.identity.digest, [it.name for it in hosts]
+        )
+        if self._is_due(found) and self._desk.host.name in ranked[:KEEPERS]:
+            self._start(found, KEEP_AFTER_S)
+
+    def _is_due(self, found: suspects.News) -> bool:
+        """Tell whether an entry is due: a quarantine, or that it is over."""
+        if found.crashes >= suspects.MOST_CRASHES:
+            return True
+        return not found.crashes and self._find_entry(found) is not None
+
+    def _find_entry(self, found: suspects.News) -> suspects.News | None:
+        key = facts.Key(facts.Subject.QUARANTINE, found.identity.digest)
+        fact = self._news.ledger.facts.get(key)
+        known = None if fact is None else fact.value
+        return known if isinstance(known, suspects.News) else None
+
+    def _start(self, found: suspects.News, after: float) -> None:
+        digest = found.identity.digest
+        before = self._tasks.pop(digest, None)
+        if before is not None:
+            # What is known by now is more.
+            before.cancel()
+        if len(self._tasks) < MOST_ENTRIES:
+            task = asyncio.create_task(self._enter(found, after))
+            self._tasks[digest] = task
+            task.add_done_callback(lambda it: self._forget(digest, it))
+
+    def _forget(self, digest: str, task: asyncio.Task[None]) -> None:
+        if self._tasks.get(digest) is task:
+            self._tasks.pop(digest)
+
+    async def _enter(self, found: suspects.News, after: float) -> None:
+        await asyncio.sleep(after)
+        tries = 0
+        while tries < MOST_TRIES and not self._is_entered(found):
+            tries += 1
+            if await self._write(found):
+                return
+            await asyncio.sleep(AGAIN_S)
+
+    def _is_entered(self, found: suspects.News) -> bool:
+        known = self._find_entry(found)
+        return known is not None and known.rank >= found.rank
+
+    async def _write(self, found: suspects.News) -> bool:
+        lasts = suspects.count_quarantine(found.crashes) + LEASE_MORE_S
+        try:
+            await self._write_entry(found, min(lasts, LONGEST_LEASE_S))
+        except (calls.CallFailed, records.Malformed) as error:
+            self._log.tell(PART, 'not entered', error=str(error))
+            return False
+        self._log.tell(PART, 'entered', digest=found.identity.digest)
+        return True
+
+    async def _write_entry(self, found: suspects.News, lasts: float) -> None:
+        lease = store.read_lease(await self._call(store.open_lease(lasts)))
+        await self._call(store.enter_quarantine(found, lease))
+
+    async def _call(self, call: store.Call) -> bytes:
+        done = await self._store.call(call, news.STORE_S)
+        if done.status != store.OK:
+            raise calls.CallFailed(f'{call.target} is answered {done.status}')
+        return done.body
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -15,6 +15,7 @@
     evacuations,
     meters,
     news,
+    notices,
     ports,
     runner,
 )
@@ -24,6 +25,7 @@
     desks,
     events,
     standings,
+    suspect_codecs,
 )
 
 TEXT: Final = (('content-type', 'text/plain'),)
@@ -41,6 +43,7 @@
         known: news.News,
         counted: meters.Meters,
         orders: evacuations.Evacuations,
+        told: notices.Notices,
         find_obstacle: Callable[[], str],
         note_probe: Callable[[], object],
     ) -> None:
@@ -49,6 +52,7 @@
         self._news = known
         self._meters = counted
         self._evacuations = orders
+        self._notices = told
         self._find_obstacle = find_obstacle
         self._note_probe = note_probe
 
@@ -68,6 +72,8 @@
                 )
             case '/v1/assist':
                 return self._assist(message, caller)
+            case notices.PATH:
+                caller.answer(self._take_notice(message))
             case '/v1/state':
                 caller.answer(self._tell_state())
             case '/metrics':
@@ -124,6 +130,21 @@
         number = self._runner.assist(assist, give)
         return lambda: self._runner.abandon(number)
 
+    def _take_notice(self, message: exchanges.Message) -> exchanges.Written:
+        """Take in what another host knows against requests."""
+        try:
+            notice = suspect_codecs.read_notice(message.body)
+        except ValueError as error:
+            self._notices.refuse(str(error))
+            return _refuse(str(error), HTTPStatus.BAD_REQUEST)
+        now = time.monotonic()
+        known = self._runner.desk.suspects
+        fresh = tuple(it for it in notice.news if known.is_news(it, now))
+        if fresh:
+            self._runner.post(events.Suspected(fresh))
+            self._notices.hand_on(notice._replace(news=fresh))
+        return exchanges.Written(HTTPStatus.OK, JSON, b'{}')
+
     def _tell_readiness(self) -> exchanges.Written:
         obstacle = self._find_obstacle()
         if obstacle:
@@ -141,6 +162,10 @@
             'store_lost': self._news.lost,
             'source': self._news.source,
             'evacuated': self._evacuations.tell(),
+            'quarantined': [
+                suspect_codecs.write_news(found)
+                for found in desk.suspects.list_quarantined(now)
+            ],
             'cold': desk.warmups.list_cold(desk.directory, now),
             'hosts': {host.name: host.data_centre for host in desk.hosts},
             'targets': {
--- a/fuchsiahaven/relay/readiness.py
+++ b/fuchsiahaven/relay/readiness.py
@@ -60,6 +60,9 @@
             return outcome
         if outcome.retry_after is None:
             return outcome
+        if outcome.kind is errors.Kind.QUARANTINED:
+            # No other host would take it sooner.
+            return outcome
         when = rotations.estimate_departure(self._rotation, time.monotonic())
         return outcome._replace(retry_after=round(when, RETRY_DIGITS))
 
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -17,7 +17,7 @@
 
 Reply = Callable[[events.Outcome], None]
 Give = Callable[[events.Share], None]
-Tell = Callable[[events.Story | events.Crash | events.Belief], None]
+Tell = Callable[[events.Told], None]
 
 
 class Runner:
@@ -124,7 +124,7 @@
                 self._give(ask, share)
             case events.Reply():
                 self._reply(action)
-            case events.Story() | events.Crash() | events.Belief():
+            case _:
                 self._tell(action)
 
     def _reply(self, told: events.Reply) -> None:
--- a/fuchsiahaven/routing/arrivals.py
+++ b/fuchsiahaven/routing/arrivals.py
@@ -47,9 +47,13 @@
     else:
         known.note_answered(aloft.instance, event.key, now, answer.load)
         _note_latency(desk, aloft, now)
+    told: Actions = []
+    if answer.status == asks.OK:
+        told = crashes.note_success(desk, aloft.identity, event.key, now)
+    crashes.end_trial(desk, aloft.identity, event.key, now)
     ask = find_open(desk, event.key)
     if ask is None:
-        return []
+        return told
     service = event.key.service
     part = land(ask, event.key)
     if _is_failure(ask, answer):
@@ -66,7 +70,7 @@
         events.Withdraw(events.FlightKey(ask.number, service, flight.number))
         for flight in part.flights
     ]
-    return [*beaten, *endings.settle(desk, ask, now)]
+    return [*told, *beaten, *endings.settle(desk, ask, now)]
 
 
 def take_refusal(
@@ -88,6 +92,7 @@
         window = desk.windows.get(aloft.route, hedges.EMPTY)
         desk.windows[aloft.route] = hedges.note_refusal(window)
     reason = REFUSAL_REASONS.get(event.reason, coverage.Reason.REFUSED)
+    crashes.end_trial(desk, aloft.identity, event.key, now)
     ask = find_open(desk, event.key)
     if ask is None:
         return []
@@ -104,20 +109,25 @@
     aloft = desk.aloft.pop(event.key, None)
     if aloft is None:
         return []
-    told: Actions = []
+    told: Actions | None = []
     if event.fault is messages.Fault.CONNECTION_LOST:
         desk.centres.note_failed(aloft.data_centre, aloft.instance)
         told = crashes.note_loss(desk, event.key, aloft, now)
+    if told is not None:
+        crashes.end_trial(desk, aloft.identity, event.key, now)
     desk.standings.note_broken(aloft.instance, event, now)
     ask = find_open(desk, event.key)
     if ask is None:
-        return told
+        return told or []
     _note_try(ask, event.key, aloft, f'broken {event.fault}')
     part = land(ask, event.key)
     ask.parts[event.key.service] = part._replace(
         reason=FAULT_REASONS.get(event.fault, coverage.Reason.BROKEN_ANSWER),
         may_have_run=True,
+        doubted=told is None,
     )
+    if told is None:
+        return []
     return [*told, *go_on(desk, ask, event.key.service, now)]
 
 
@@ -132,6 +142,7 @@
     desk.standings.note_unsent(aloft.instance, event, now)
     if aloft.extra:
         desk.find_budget(service).note_extra(now, -1)
+    crashes.end_trial(desk, aloft.identity, event.key, now)
     ask = find_open(desk, event.key)
     if ask is None:
         return []
--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -29,6 +29,8 @@
     # Orders last for seconds at the least, and for as long as it takes.
     coverage.Reason.EVACUATED: 5.0,
     coverage.Reason.WARMING: 0.5,
+    # At the least; what is known of the request tells how long it takes.
+    coverage.Reason.QUARANTINED: 1.0,
 }
 #: A target has to come, or an order to be taken back.
 UNSERVED: Final = frozenset(
@@ -63,7 +65,8 @@
     `asked_again` counts the sendings to one of them once more,
     `number` is the last one's number. `failed` is a
     target's own answer that tells of a failure. `lost` says why the part is
-    missing for good.
+    missing for good. While it is `doubted` nobody knows yet whether the target
+    that lost it has ended.
     """
 
     flights: tuple[Flight, ...] = ()
@@ -77,6 +80,7 @@
     may_have_run: bool = False
     refusers: tuple[str, ...] = ()
     asked_again: int = 0
+    doubted: bool = False
 
     @property
     def targets(self) -> int:
@@ -151,6 +155,12 @@
     return [service for service in ask.parts if service in ask.open]
 
 
+def is_idle(ask: Ask, service: str) -> bool:
+    """Tell whether nothing is under way for a part, nor looked into."""
+    part = ask.parts[service]
+    return not part.flights and not part.doubted
+
+
 def list_flights(ask: Ask) -> list[events.FlightKey]:
     """List the sendings to targets that have not ended."""
     return [
@@ -253,6 +263,8 @@
 def _choose_kind(reasons: list[coverage.Reason]) -> errors.Kind:
     if coverage.Reason.TIMED_OUT in reasons:
         return errors.Kind.TIMED_OUT
+    if coverage.Reason.QUARANTINED in reasons:
+        return errors.Kind.QUARANTINED
     if UNSERVED.issuperset(reasons):
         return errors.Kind.NO_ROUTE
     if FULL.issuperset(reasons):
--- a/fuchsiahaven/routing/assist_codecs.py
+++ b/fuchsiahaven/routing/assist_codecs.py
@@ -4,7 +4,7 @@
 import json
 from typing import Final, NotRequired, TypedDict
 
-from fuchsiahaven.routing import codecs, events
+from fuchsiahaven.routing import codecs, events, suspect_codecs
 
 MILLISECONDS: Final = 1000
 
@@ -30,7 +30,7 @@
 class WrittenShare(TypedDict):
     """Hold a share: parts with their signatures, and rows of a `PartOut`.
 
-    `silent` is left out where it is empty, as it mostly is.
+    `silent` and `suspect` are left out where empty, as they mostly are.
     """
 
     parts: list[list[str]]
@@ -39,6 +39,7 @@
     lost: list[list[str | bool]]
     last: bool
     silent: NotRequired[list[str]]
+    suspect: NotRequired[suspect_codecs.WrittenNews]
 
 
 def write_assist(assist: events.Assist, now: float) -> bytes:
@@ -81,6 +82,8 @@
     )
     if share.silent:
         written['silent'] = list(share.silent)
+    if share.suspect is not None:
+        written['suspect'] = suspect_codecs.write_news(share.suspect)
     return b'%s\n' % _dump(written)
 
 
@@ -122,6 +125,7 @@
 
 
 def _read_share(row: WrittenShare) -> events.Share:
+    suspect = row.get('suspect')
     return events.Share(
         tuple(events.PartIn(*part) for part in row['parts']),
         base64.b64decode(row['body']),
@@ -129,6 +133,7 @@
         tuple(_read_out(part) for part in row['lost']),
         bool(row['last']),
         tuple(str(name) for name in row.get('silent', ())),
+        None if suspect is None else suspect_codecs.read_news(suspect),
     )
 
 
--- a/fuchsiahaven/routing/assists.py
+++ b/fuchsiahaven/routing/assists.py
@@ -69,8 +69,9 @@
     ask.told.update(settled, (BEGUN,))
     shares = _make_shares(ask, settled, first=first, over=over)
     silent = tuple(sorted(desk.centres.list_noticed()))
+    suspect = desk.suspects.tell(ask.request.identity, now)
     actions: Actions = [
-        events.Give(ask.number, share._replace(silent=silent))
+        events.Give(ask.number, share._replace(silent=silent, suspect=suspect))
         for share in shares
     ]
     if over:
--- a/fuchsiahaven/routing/codecs.py
+++ b/fuchsiahaven/routing/codecs.py
@@ -4,8 +4,15 @@
 from collections.abc import Mapping
 from typing import Any, TypedDict
 
+from fuchsiahaven.core import suspects
 from fuchsiahaven.core.configuration import configurations
-from fuchsiahaven.routing import configs, facts, instances, places
+from fuchsiahaven.routing import (
+    configs,
+    facts,
+    instances,
+    places,
+    suspect_codecs,
+)
 
 
 class WrittenFact(TypedDict):
@@ -89,6 +96,8 @@
                 'services': [list(service) for service in services],
                 'limits': list(limits),
             }
+        case suspects.News():
+            return {**suspect_codecs.write_news(known)}
         case _:
             return known._asdict()
 
@@ -144,6 +153,8 @@
             return places.Host(**written)
         case facts.Subject.EVACUATION:
             return places.Evacuation(**written)
+        case facts.Subject.QUARANTINE:
+            return suspect_codecs.read_news(written)
 
 
 def _read_route(row: Mapping[str, Any]) -> configs.Route:
--- a/fuchsiahaven/routing/crashes.py
+++ b/fuchsiahaven/routing/crashes.py
@@ -1,19 +1,30 @@
-"""Tell which requests were under way at targets that ended."""
+"""Find the requests under which targets end, and hold them back."""
 
 from collections.abc import Iterable
 
-from fuchsiahaven.routing import events, instances, losses, states
+from fuchsiahaven.core import identities, suspects
+from fuchsiahaven.routing import (
+    asks,
+    endings,
+    events,
+    instances,
+    losses,
+    states,
+    tries,
+)
 
 Actions = list[events.Action]
 
 
 def note_loss(
     desk: states.Desk, key: events.FlightKey, aloft: states.Aloft, now: float
-) -> Actions:
+) -> Actions | None:
     """Take in that a sending ended with its connection.
 
-    A target that was leaving may end what it has not finished, and is not
-    looked at.
+    Returns None if its part is to wait until the pool has looked whether the
+    target has ended: the first loss of a request goes on at once, further ones
+    only with that. A target that was leaving may end what it has not
+    finished, and is not looked at.
     """
     instance = desk.directory.by_name.get(aloft.instance)
     if instance is None:
@@ -27,12 +38,29 @@
         aloft.sent,
         now,
     )
-    return _tell([loss]) if desk.losses.note(loss) else []
+    word = desk.losses.note(loss)
+    gate = desk.suspects.find_gate(aloft.identity, now)
+    if word is losses.Word.UNKNOWN and gate is not suspects.Gate.OPEN:
+        word = losses.Word.DOUBTED
+    match word:
+        case losses.Word.ENDED:
+            return _take_crashes(desk, [loss], now)
+        case losses.Word.DOUBTED:
+            due = states.DoubtDue(aloft.identity, key)
+            desk.set_timer(now + losses.LOOK_S, due)
+            return None
+    return []
+
+
+def take_reached(desk: states.Desk, name: str, now: float) -> Actions:
+    """Take in that a target lives: its connections were reset."""
+    return _go_on_all(desk, desk.losses.take(name), now)
 
 
 def take_end(desk: states.Desk, name: str, now: float) -> Actions:
     """Take in that a target has ended."""
-    return _tell(desk.losses.note_ended(name, now))
+    found = desk.losses.note_ended(name, now)
+    return [*_take_crashes(desk, found, now), *_go_on_all(desk, found, now)]
 
 
 def take_directory(
@@ -45,16 +73,156 @@
     return actions
 
 
-def _tell(found: Iterable[losses.Loss]) -> Actions:
-    return [
-        events.Crash(
-            loss.instance.name,
+def stop_doubting(
+    desk: states.Desk, due: states.DoubtDue, now: float
+) -> Actions:
+    """Go on with a part of which the pool could not tell in time."""
+    return _go_on(desk, due.identity, due.key, now)
+
+
+def take_news(desk: states.Desk, news: events.Suspected, now: float) -> Actions:
+    """Take in what other hosts know against requests."""
+    actions: Actions = []
+    own = desk.host.name
+    for one in news.found:
+        if desk.suspects.merge(one, now, own):
+            actions.extend(_describe(desk, one.identity, now, passed_on=False))
+            actions.extend(_hold_back(desk, one.identity, now))
+    return actions
+
+
+def note_success(
+    desk: states.Desk,
+    identity: identities.Identity,
+    key: events.FlightKey,
+    now: float,
+) -> Actions:
+    """Take in that a target has run a part of a request to its end."""
+    if not desk.suspects.note_success(identity, key.service, key):
+        return []
+    _release(desk, identity, now)
+    return _tell(desk, identity, now)
+
+
+def end_trial(
+    desk: states.Desk,
+    identity: identities.Identity,
+    key: events.FlightKey,
+    now: float,
+) -> None:
+    """Take in that a sending has ended, in whatever way."""
+    if desk.suspects.end_trial(identity, key):
+        _release(desk, identity, now)
+
+
+def _take_crashes(
+    desk: states.Desk, found: Iterable[losses.Loss], now: float
+) -> Actions:
+    actions: Actions = []
+    for loss in found:
+        actions.append(_tell_crash(loss))
+        crash = suspects.Crash(
             loss.key.service,
-            loss.request_id,
-            loss.identity.digest,
-            loss.purpose,
-            loss.key.number,
-            loss.lost - loss.sent,
+            loss.instance.name,
+            loss.key,
+            loss.sent,
+            loss.lost,
         )
-        for loss in found
+        if desk.suspects.note_crash(loss.identity, crash, now):
+            _adopt_repeat(desk, loss, now)
+            actions.extend(_tell(desk, loss.identity, now))
+            actions.extend(_hold_back(desk, loss.identity, now))
+    return actions
+
+
+def _adopt_repeat(desk: states.Desk, loss: losses.Loss, now: float) -> None:
+    """Take the repeat that went out at once for the trial."""
+    ask = desk.asks.get(loss.key.ask)
+    part = None if ask is None else ask.parts.get(loss.key.service)
+    gate = desk.suspects.find_gate(loss.identity, now)
+    if part is None or gate is not suspects.Gate.TRIAL:
+        return
+    for flight in part.flights:
+        if flight.sent >= loss.lost:
+            key = loss.key._replace(number=flight.number)
+            desk.suspects.begin_trial(loss.identity, key, now, proven=False)
+
+
+def _tell_crash(loss: losses.Loss) -> events.Crash:
+    return events.Crash(
+        loss.instance.name,
+        loss.key.service,
+        loss.request_id,
+        loss.identity.digest,
+        loss.purpose,
+        loss.key.number,
+        loss.lost - loss.sent,
+    )
+
+
+def _tell(
+    desk: states.Desk, identity: identities.Identity, now: float
+) -> Actions:
+    """Tell the log, and other hosts if they are to know."""
+    passed_on = desk.suspects.pass_on(identity, now)
+    return _describe(desk, identity, now, passed_on=passed_on)
+
+
+def _describe(
+    desk: states.Desk,
+    identity: identities.Identity,
+    now: float,
+    *,
+    passed_on: bool,
+) -> Actions:
+    news = desk.suspects.tell(identity, now)
+    return [] if news is None else [events.Suspicion(news, passed_on)]
+
+
+def _hold_back(
+    desk: states.Desk, identity: identities.Identity, now: float
+) -> Actions:
+    """Keep what has not left yet from leaving; look at what waits."""
+    _release(desk, identity, now)
+    return [
+        events.Withdraw(key)
+        for ask in desk.asks.values()
+        if ask.request.identity == identity
+        for key in asks.list_flights(ask)
     ]
+
+
+def _release(
+    desk: states.Desk, identity: identities.Identity, now: float
+) -> None:
+    """Have the parts that wait for a trial looked at."""
+    if identity in desk.suspects.waiting:
+        desk.set_timer(now, states.HeldDue(identity))
+
+
+def _go_on_all(
+    desk: states.Desk, found: Iterable[losses.Loss], now: float
+) -> Actions:
+    actions: Actions = []
+    for loss in found:
+        actions.extend(_go_on(desk, loss.identity, loss.key, now))
+    return actions
+
+
+def _go_on(
+    desk: states.Desk,
+    identity: identities.Identity,
+    key: events.FlightKey,
+    now: float,
+) -> Actions:
+    """Go on with a part that waited for word of its target."""
+    end_trial(desk, identity, key, now)
+    ask = desk.asks.get(key.ask)
+    part = None if ask is None else ask.parts.get(key.service)
+    if ask is None or part is None or not part.doubted:
+        return []
+    ask.parts[key.service] = part._replace(doubted=False)
+    if key.service not in ask.open:
+        return []
+    actions = tries.send_again(desk, ask, key.service, now)
+    return [*actions, *endings.settle(desk, ask, now)]
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -8,12 +8,13 @@
 from collections.abc import Iterable
 from typing import Final
 
-from fuchsiahaven.core import coverage
+from fuchsiahaven.core import coverage, suspects
 from fuchsiahaven.routing import (
     arrivals,
     asks,
     choices,
     configs,
+    crashes,
     duties,
     endings,
     events,
@@ -47,6 +48,8 @@
     Only the hosts on duty hold connections to a chunk's targets, and they
     know best which of them answer just now.
     """
+    if tries.find_gate(desk, ask, now) is not suspects.Gate.OPEN:
+        return []
     shared: dict[places.Host, list[str]] = {}
     for service in slow:
         if ask.parts[service].sent < ask.route.attempts:
@@ -138,7 +141,8 @@
     if event.share.last:
         desk.assistance.pop(event.key)
     number = event.key.ask
-    actions = _take_parts(desk, number, known, event.share, now)
+    actions = _take_suspect(desk, event.share, now)
+    actions.extend(_take_parts(desk, number, known, event.share, now))
     if event.share.last:
         outs = _make_outs(known.left, arrived=True)
         actions.extend(_lose_parts(desk, number, known, outs, now))
@@ -185,6 +189,10 @@
     if ask is None:
         return []
     actions: Actions = []
+    for service in services:
+        key = events.FlightKey(number, service, known.flights[service])
+        identity = ask.request.identity
+        actions.extend(crashes.note_success(desk, identity, key, now))
     if ask.open.issuperset(services):
         _accept(ask, share)
     else:
@@ -201,6 +209,15 @@
     return actions
 
 
+def _take_suspect(
+    desk: states.Desk, share: events.Share, now: float
+) -> Actions:
+    """Take in what a helper knows against a request, before its parts."""
+    if share.suspect is None:
+        return []
+    return crashes.take_news(desk, events.Suspected((share.suspect,)), now)
+
+
 def _list_tried(ask: asks.Ask, services: Iterable[str]) -> list[str]:
     return [name for it in services for name in ask.parts[it].tried if name]
 
@@ -262,6 +279,7 @@
         if ask is None or out.service not in ask.open:
             continue
         key = events.FlightKey(number, out.service, known.flights[out.service])
+        crashes.end_trial(desk, ask.request.identity, key, now)
         part = arrivals.land(ask, key)
         ask.tries.append(f'{out.service} {out.instance} {known.helper.name}')
         ask.parts[out.service] = part._replace(
@@ -274,12 +292,12 @@
     if ask is None:
         return []
     return [
-        *_send_again(desk, ask, failed, now),
+        *send_again(desk, ask, failed, now),
         *endings.settle(desk, ask, now),
     ]
 
 
-def _send_again(
+def send_again(
     desk: states.Desk, ask: asks.Ask, failed: Iterable[str], now: float
 ) -> Actions:
     """Have parts that failed sent again.
@@ -294,6 +312,8 @@
     just started would open connections to all targets, which take as long to
     accept them as to answer, and more than they accept.
     """
+    if tries.find_gate(desk, ask, now) is not suspects.Gate.OPEN:
+        return _try_one(desk, ask, failed, now)
     wide = configs.is_wide_way(ask.route.way)
     own = []
     shared: dict[places.Host, list[str]] = {}
@@ -314,6 +334,29 @@
     return actions
 
 
+def _try_one(
+    desk: states.Desk, ask: asks.Ask, failed: Iterable[str], now: float
+) -> Actions:
+    """Have one part of a suspect request sent again, by whoever is to."""
+    actions: Actions = []
+    for service in failed:
+        helper = None
+        gate = tries.find_gate(desk, ask, now)
+        wide = configs.is_wide_way(ask.route.way)
+        if wide and gate is suspects.Gate.TRIAL:
+            if _may_hand_on(desk, ask, service, now):
+                helper = _find_next(desk, ask, service, now)
+        if helper is None:
+            actions.extend(tries.send_again(desk, ask, service, now))
+            continue
+        planned = plans.Plan(helper, (service,))
+        actions.append(start(desk, ask, planned, now))
+        number = ask.parts[service].number
+        key = events.FlightKey(ask.number, service, number)
+        actions.extend(tries.begin_trial(desk, ask, key, now))
+    return actions
+
+
 def _may_hand_on(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> bool:
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from fuchsiahaven.core import errors
+from fuchsiahaven.core import errors, identities, suspects
 from fuchsiahaven.routing import (
     arrivals,
     asks,
@@ -56,7 +56,12 @@
             return assists.take(desk, event, now)
         case events.Abandoned(number):
             return endings.abandon(desk, number, now)
-        case events.Reached() | events.Ended() | events.Directed():
+        case (
+            events.Reached()
+            | events.Ended()
+            | events.Directed()
+            | events.Suspected()
+        ):
             return _take_target(desk, event, now)
         case events.Ticked():
             return _tick(desk, now)
@@ -92,6 +97,7 @@
 
 def _review(desk: states.Desk, now: float) -> Actions:
     desk.losses.forget_old(now)
+    desk.suspects.forget_old(now)
     return [
         events.Belief(name, 'left out', 'the data centre is silent')
         for name in desk.centres.review(now)
@@ -100,21 +106,22 @@
 
 def _take_target(
     desk: states.Desk,
-    event: events.Reached | events.Ended | events.Directed,
+    event: events.Reached | events.Ended | events.Directed | events.Suspected,
     now: float,
 ) -> Actions:
     match event:
         case events.Reached(instance):
             _reach(desk, instance)
-            return []
+            return crashes.take_reached(desk, instance, now)
         case events.Ended(instance):
             return crashes.take_end(desk, instance, now)
         case events.Directed(directory):
             return _direct(desk, directory, now)
+        case events.Suspected():
+            return crashes.take_news(desk, event, now)
 
 
 def _reach(desk: states.Desk, instance: str) -> None:
-    desk.losses.take(instance)
     desk.standings.note_reached(instance)
     known = desk.directory.by_name.get(instance)
     if known is not None:
@@ -151,6 +158,9 @@
     route = _find_route(desk, request)
     if isinstance(route, errors.Failure):
         return endings.refuse(event.ask, request, route, version, now)
+    refusal = _find_quarantine(desk, request, now)
+    if refusal is not None:
+        return endings.refuse(event.ask, request, refusal, version, now)
     services = _list_services(desk, route)
     reaches.note_asked(desk, route, now)
     own = desk.margin.estimate(route.way)
@@ -168,17 +178,44 @@
     return [*actions, *over]
 
 
+def _find_quarantine(
+    desk: states.Desk, request: events.Request, now: float
+) -> errors.Failure | None:
+    """Refuse a request that is not to be sent now."""
+    wait = desk.suspects.count_wait(request.identity, now)
+    if not wait:
+        return None
+    return errors.make_failure(
+        errors.Kind.QUARANTINED,
+        SOURCE,
+        request.identity.digest,
+        retry_after=round(wait, endings.WAIT_DIGITS),
+    )
+
+
 def _send_parts(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
+    """Send the parts that were sent nowhere yet."""
     actions: Actions = []
-    for planned in plans.plan(desk, ask, now):
-        actions.append(delegations.start(desk, ask, planned, now))
-    for service in asks.list_open(ask):
-        if not ask.parts[service].flights:
-            desk.find_budget(service).note_request(now)
-            actions.extend(tries.send_first(desk, ask, service, now))
+    if tries.find_gate(desk, ask, now) is suspects.Gate.OPEN:
+        for planned in plans.plan(desk, ask, now):
+            actions.append(delegations.start(desk, ask, planned, now))
+    for service in _order_unsent(desk, ask, now):
+        desk.find_budget(service).note_request(now)
+        actions.extend(tries.send_first(desk, ask, service, now))
     return actions
 
 
+def _order_unsent(desk: states.Desk, ask: asks.Ask, now: float) -> list[str]:
+    """List the parts that were not sent, those where targets ended first.
+
+    A trial elsewhere would say nothing of them.
+    """
+    news = desk.suspects.tell(ask.request.identity, now)
+    ended = () if news is None else news.services
+    unsent = [it for it in asks.list_open(ask) if not ask.parts[it].number]
+    return sorted(unsent, key=lambda it: it not in ended)
+
+
 def _find_route(
     desk: states.Desk, request: events.Request
 ) -> configs.Route | errors.Failure:
@@ -221,17 +258,48 @@
 def _tick(desk: states.Desk, now: float) -> Actions:
     actions: Actions = []
     while (due := desk.pop_due(now)) is not None:
-        ask = desk.asks.get(due.ask)
-        if ask is None:
-            continue
-        match due:
-            case states.HedgeDue(_, again):
-                actions.extend(_hedge(desk, ask, now, again=again))
-            case states.CutDue():
-                actions.extend(endings.settle(desk, ask, now))
+        actions.extend(_take_due(desk, due, now))
+    return actions
+
+
+def _take_due(desk: states.Desk, due: states.Due, now: float) -> Actions:
+    match due:
+        case states.DoubtDue():
+            return crashes.stop_doubting(desk, due, now)
+        case states.HeldDue(identity):
+            return _resume(desk, identity, now)
+    ask = desk.asks.get(due.ask)
+    if ask is None:
+        return []
+    match due:
+        case states.HedgeDue(_, again):
+            return _hedge(desk, ask, now, again=again)
+        case states.CutDue():
+            return endings.settle(desk, ask, now)
+
+
+def _resume(
+    desk: states.Desk, identity: identities.Identity, now: float
+) -> Actions:
+    """Go on with what waited for the trial of a request."""
+    actions: Actions = []
+    for number in sorted(desk.suspects.waiting.pop(identity, ())):
+        ask = desk.asks.get(number)
+        if ask is not None:
+            actions.extend(_resume_ask(desk, ask, now))
     return actions
 
 
+def _resume_ask(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
+    waiting = [it for it in asks.list_open(ask) if asks.is_idle(ask, it)]
+    lost = [it for it in waiting if ask.parts[it].number]
+    return [
+        *delegations.send_again(desk, ask, lost, now),
+        *_send_parts(desk, ask, now),
+        *endings.settle(desk, ask, now),
+    ]
+
+
 def _hedge(
     desk: states.Desk, ask: asks.Ask, now: float, *, again: bool
 ) -> Actions:
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -11,6 +11,8 @@
 
 #: An answer decided later than this after its moment had waited for a part.
 LONGEST_DELAY_S: Final = 0.03
+#: Digits after the point of the seconds that a caller is told to wait.
+WAIT_DIGITS: Final = 2
 #: How many parts a line of the log tells of; a query may have hundreds.
 MOST_TOLD: Final = 6
 
@@ -26,7 +28,7 @@
 
 def finish(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
     """Reply to the caller; what waits to be sent is not needed any more."""
-    outcome = asks.build_outcome(ask)
+    outcome = _advise(desk, ask, asks.build_outcome(ask), now)
     desk.asks.pop(ask.number, None)
     due = ask.cut if ask.open and isinstance(outcome, events.Merged) else 0
     if now > ask.cut + LONGEST_DELAY_S:
@@ -40,6 +42,18 @@
     ]
 
 
+def _advise(
+    desk: states.Desk, ask: asks.Ask, outcome: events.Outcome, now: float
+) -> events.Outcome:
+    """Have the caller of a request that is not sent on come back after that."""
+    if not isinstance(outcome, errors.Failure):
+        return outcome
+    wait = desk.suspects.count_wait(ask.request.identity, now)
+    if wait <= (outcome.retry_after or 0):
+        return outcome
+    return outcome._replace(retry_after=round(wait, WAIT_DIGITS))
+
+
 def _dismiss_silent(desk: states.Desk, number: int, now: float) -> Actions:
     """End the assistance of hosts that have told nothing by the end.
 
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -7,7 +7,7 @@
 import enum
 from typing import NamedTuple
 
-from fuchsiahaven.core import errors, identities
+from fuchsiahaven.core import errors, identities, suspects
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import configs, instances, places
 
@@ -120,6 +120,12 @@
     instance: str
 
 
+class Suspected(NamedTuple):
+    """Bring what other hosts know against requests."""
+
+    found: tuple[suspects.News, ...]
+
+
 class Ticked(NamedTuple):
     """Bring the passing of time."""
 
@@ -193,7 +199,8 @@
 
     `body` holds the greatest records of all parts that are in. The `pending`
     ones may still come, the `lost` ones will not. `silent` are the data centres
-    of which that host hears nothing.
+    of which that host hears nothing, `suspect` is what it knows against the
+    request.
     """
 
     parts: tuple[PartIn, ...]
@@ -202,6 +209,7 @@
     lost: tuple[PartOut, ...]
     last: bool
     silent: tuple[str, ...] = ()
+    suspect: suspects.News | None = None
 
 
 class AssistKey(NamedTuple):
@@ -367,6 +375,16 @@
     took: float
 
 
+class Suspicion(NamedTuple):
+    """Tell what is known against a request from now on, for the log.
+
+    With `passed_on` other hosts are to be told as well.
+    """
+
+    news: suspects.News
+    passed_on: bool
+
+
 class Belief(NamedTuple):
     """Tell that a target is left out from now on, or used again, and why."""
 
@@ -384,6 +402,7 @@
     | Unsent
     | Reached
     | Ended
+    | Suspected
     | Ticked
     | Reviewed
     | Configured
@@ -393,15 +412,6 @@
     | Unassisted
     | Assisted
 )
-Action = (
-    Delegate
-    | Dismiss
-    | Give
-    | Send
-    | Withdraw
-    | Cancel
-    | Reply
-    | Story
-    | Crash
-    | Belief
-)
+#: What is only told: to the log, or to other hosts.
+Told = Story | Crash | Suspicion | Belief
+Action = Delegate | Dismiss | Give | Send | Withdraw | Cancel | Reply | Told
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
+from fuchsiahaven.core import suspects
 from fuchsiahaven.routing import configs, instances, places
 
 #: How long a removal is remembered for hosts that ask what has changed. A
@@ -32,10 +33,15 @@
     INSTANCE = 'instance'
     HOST = 'host'
     EVACUATION = 'evacuation'
+    QUARANTINE = 'quarantine'
 
 
 Value = (
-    configs.Configuration | instances.Instance | places.Host | places.Evacuation
+    configs.Configuration
+    | instances.Instance
+    | places.Host
+    | places.Evacuation
+    | suspects.News
 )
 
 
@@ -221,6 +227,15 @@
     }
 
 
+def list_quarantines(ledger: Ledger) -> list[suspects.News]:
+    """List the requests that end the targets that run them."""
+    return [
+        fact.value
+        for fact in ledger.facts.values()
+        if isinstance(fact.value, suspects.News)
+    ]
+
+
 def _take_values(
     known: dict[Key, Fact],
     missing: dict[Key, float],
--- a/fuchsiahaven/routing/losses.py
+++ b/fuchsiahaven/routing/losses.py
@@ -5,6 +5,7 @@
 and what it ran may be why.
 """
 
+import enum
 from collections.abc import Mapping
 from typing import Any, Final, NamedTuple
 
@@ -14,10 +15,27 @@
 #: How long a loss is remembered, in seconds: a target's next start enters
 #: itself within that.
 REMEMBER_S: Final = 5.0
+#: How long a part waits for word of its target, in seconds: a connection takes
+#: a round trip and what the target needs to accept it.
+LOOK_S: Final = 0.05
 #: Losses and ends remembered at most; one target has a few under way.
 MOST: Final = 512
 
 
+class Word(enum.Enum):
+    """Say what is known of the target of a loss.
+
+    SENT_LATE tells that it had ended before the request left, which therefore
+    never ran there, DOUBTED that another loss of the same request is not
+    explained either.
+    """
+
+    ENDED = enum.auto()
+    SENT_LATE = enum.auto()
+    UNKNOWN = enum.auto()
+    DOUBTED = enum.auto()
+
+
 class Loss(NamedTuple):
     """Describe a sending that ended with its connection."""
 
@@ -38,17 +56,18 @@
         self._lost: dict[events.FlightKey, Loss] = {}
         self._ended: dict[str, float] = {}
 
-    def note(self, loss: Loss) -> bool:
-        """Take in a loss; tell whether its target is known to have ended.
-
-        What was sent to a process that had ended already never ran there.
-        """
+    def note(self, loss: Loss) -> Word:
+        """Take in a loss; tell what is known of its target."""
         ended = self._ended.get(loss.instance.name)
         if ended is not None:
-            return loss.sent < ended
+            return Word.ENDED if loss.sent < ended else Word.SENT_LATE
+        doubted = any(
+            other.identity == loss.identity and loss.lost - other.lost < LOOK_S
+            for other in self._lost.values()
+        )
         _make_room(self._lost)
         self._lost[loss.key] = loss
-        return False
+        return Word.DOUBTED if doubted else Word.UNKNOWN
 
     def note_ended(self, name: str, now: float) -> list[Loss]:
         """Take in that a target has ended; return what was lost there."""
--- a/fuchsiahaven/routing/plans.py
+++ b/fuchsiahaven/routing/plans.py
@@ -35,7 +35,8 @@
     way = ask.route.way
     if not isinstance(way, configs.Gather):
         return []
-    centres = _list_centres(desk, ask, asks.list_open(ask), now)
+    unsent = [it for it in asks.list_open(ask) if not ask.parts[it].number]
+    centres = _list_centres(desk, ask, unsent, now)
     planned = []
     for duty, services in _share_out(desk, way, centres).items():
         if len(services) < FEWEST:
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from fuchsiahaven.core import identities
+from fuchsiahaven.core import identities, suspects
 from fuchsiahaven.core.queries import hedges
 from fuchsiahaven.routing import (
     asks,
@@ -38,7 +38,20 @@
     ask: int
 
 
-Due = HedgeDue | CutDue
+class DoubtDue(NamedTuple):
+    """Go on with a part whose target nobody could look at."""
+
+    identity: identities.Identity
+    key: events.FlightKey
+
+
+class HeldDue(NamedTuple):
+    """Look at the asks that wait for the trial of a request."""
+
+    identity: identities.Identity
+
+
+Due = HedgeDue | CutDue | DoubtDue | HeldDue
 
 
 class Aloft(NamedTuple):
@@ -113,6 +126,7 @@
         self._centres = centres.Centres(host.data_centre)
         self._margin = margins.Margin()
         self._losses = losses.Losses()
+        self._suspects = suspects.Suspects()
         self._warmups = warmups.Warmups(host)
 
     @property
@@ -130,6 +144,11 @@
         """Return what was lost at targets that may have ended."""
         return self._losses
 
+    @property
+    def suspects(self) -> suspects.Suspects:
+        """Return which requests seem to end the targets that run them."""
+        return self._suspects
+
     @property
     def warmups(self) -> warmups.Warmups:
         """Return which targets are cold, and what they get from here."""
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -3,7 +3,7 @@
 import math
 from typing import Final
 
-from fuchsiahaven.core import coverage
+from fuchsiahaven.core import coverage, suspects
 from fuchsiahaven.core.queries import hedges
 from fuchsiahaven.routing import (
     asks,
@@ -167,9 +167,31 @@
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> bool:
     """Tell whether a part may be sent a second time before the first ends."""
+    if find_gate(desk, ask, now) is not suspects.Gate.OPEN:
+        return False
     return may_repeat(desk, ask, service, now, kept=KEPT_FOR_RETRIES)
 
 
+def find_gate(desk: states.Desk, ask: asks.Ask, now: float) -> suspects.Gate:
+    """Say how the request of an ask may be sent."""
+    return desk.suspects.find_gate(ask.request.identity, now)
+
+
+def begin_trial(
+    desk: states.Desk, ask: asks.Ask, key: events.FlightKey, now: float
+) -> list[events.Action]:
+    """Take in that a sending is the one trial of a suspect request."""
+    identity = ask.request.identity
+    # Whatever becomes of it, what waits for it is not to wait for ever.
+    desk.set_timer(now + suspects.TRIAL_S, states.HeldDue(identity))
+    told = desk.suspects.begin_trial(identity, key, now)
+    news = desk.suspects.tell(identity, now)
+    if news is None or not told:
+        return []
+    news = news._replace(wait=suspects.TRIAL_S, host=desk.host.name)
+    return [events.Suspicion(news, passed_on=True)]
+
+
 def hedge_all(
     desk: states.Desk, ask: asks.Ask, services: list[str], now: float
 ) -> list[events.Action]:
@@ -243,6 +265,34 @@
     now: float,
     purpose: events.Purpose,
 ) -> list[events.Action]:
+    gate = find_gate(desk, ask, now)
+    if gate is suspects.Gate.HELD:
+        desk.suspects.waiting.setdefault(ask.request.identity, set()).add(
+            ask.number
+        )
+        return []
+    if gate is suspects.Gate.CLOSED:
+        _lose(desk, ask, service, now, coverage.Reason.QUARANTINED)
+        return []
+    send = _send_chosen(desk, ask, service, now, purpose)
+    if send is None:
+        _lose(desk, ask, service, now)
+        return []
+    if gate is suspects.Gate.OPEN:
+        return [send]
+    # Only a connection that is open now shows that the target has not ended
+    # together with those before it.
+    begun = begin_trial(desk, ask, send.key, now)
+    return [send._replace(fresh=True), *begun]
+
+
+def _send_chosen(
+    desk: states.Desk,
+    ask: asks.Ask,
+    service: str,
+    now: float,
+    purpose: events.Purpose,
+) -> events.Send | None:
     part = ask.parts[service]
     found = _list_new(desk, ask, service, now)
     if not found and ask.gathers:
@@ -251,15 +301,20 @@
     once = ask.route.at_most_once
     usual = _find_usual(desk, ask)
     chosen = choices.choose(desk, found, now, once=once, usual=usual)
-    if chosen is not None:
-        return [_send(desk, ask, service, chosen, now, purpose)]
-    _lose(desk, ask, service, now)
-    return []
+    if chosen is None:
+        return None
+    return _send(desk, ask, service, chosen, now, purpose)
 
 
-def _lose(desk: states.Desk, ask: asks.Ask, service: str, now: float) -> None:
+def _lose(
+    desk: states.Desk,
+    ask: asks.Ask,
+    service: str,
+    now: float,
+    reason: coverage.Reason | None = None,
+) -> None:
     part = ask.parts[service]
-    reason = part.reason
+    reason = reason or part.reason
     if reason is None:
         reason = _find_reason(desk, ask, service, now)
     ask.parts[service] = part._replace(lost=True, reason=reason)
--- a/tests/routing/load_rig.py
+++ b/tests/routing/load_rig.py
@@ -136,6 +136,9 @@
             case Trouble.RESETS:
                 lost = messages.Fault.CONNECTION_LOST
                 self._add(back, events.Broken(key, lost))
+                # The target lives, and accepts the next connection.
+                reached = events.Reached(send.instance.name)
+                self._add(back + 2 * WAY_S, reached)
             case Trouble.GONE:
                 self._add(back, events.Unsent(key, unreachable=True))
             case None:
