Choose the trial among all lost shards, enter suspects in the store, and tell hosts that start

Found by a property test of four hosts: a search beside a query that ends its targets was refused for 1 s. Both repeated the part that was lost first, at the same second target, so that the search's repeat looked like another crash of its own. Parts wait now until it is known whether their target ended, and a query's trial is chosen 5 ms later among all shards where it lost one, by the request's digest, so that different requests are tried at different shards. No repeat goes out before that any more, which also costs one target less.

A host that started, or that missed a notice, knew nothing of a request that was not quarantined yet, and a query ended one target of each shard there. So an entry is made from the second moment on, a host that starts asks two others, a notice is tried three times, and suspicion lasts 600 s.

Property tests: over any order of requests, hosts and starts at most 3 sendings reach targets later than 4 s after the third ended (150 and 100 examples); what was under way when up to 12 targets ended at once is served 0.7 s later (60); news mean the same in any order.

--- a/fuchsiahaven/core/suspects.py
+++ b/fuchsiahaven/core/suspects.py
@@ -9,7 +9,7 @@
 
 import collections
 import enum
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterable
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import identities, rates, rendezvous
@@ -29,8 +29,9 @@
 LEAST_RUN_S: Final = 0.005
 #: Waits that differ by less than this come of the way between hosts.
 PATIENCE_S: Final = 0.2
-#: How long a suspicion outlives the time in which nothing is sent.
-REMEMBER_S: Final = 60.0
+#: How long a suspicion outlives the time in which nothing is sent. What ends
+#: its targets ends one of each shard where it is not known.
+REMEMBER_S: Final = 600.0
 #: Requests that are remembered at most, of one customer and in all.
 MOST_OF_CUSTOMER: Final = 32
 MOST: Final = 512
@@ -99,8 +100,7 @@
 
     `seen` is when the last moment was learned of, `until` for how long nothing
     is sent, `trial` the sending that is under way and `trial_ends` until when
-    it is waited for; it is `proven` if its connection is known to be open since
-    `seen`. `told` is whether other hosts know.
+    it is waited for, `told` whether other hosts know.
     """
 
     clears: int = 0
@@ -111,7 +111,6 @@
     until: float = 0.0
     trial: Hashable | None = None
     trial_ends: float = 0.0
-    proven: bool = False
     told: bool = False
 
     @property
@@ -194,12 +193,7 @@
         return True
 
     def begin_trial(
-        self,
-        identity: identities.Identity,
-        trial: Hashable,
-        now: float,
-        *,
-        proven: bool = True,
+        self, identity: identities.Identity, trial: Hashable, now: float
     ) -> bool:
         """Take in that a request is sent to one target.
 
@@ -208,7 +202,7 @@
         """
         known = self._known[identity]
         self._known[identity] = known._replace(
-            trial=trial, trial_ends=now + TRIAL_S, proven=proven
+            trial=trial, trial_ends=now + TRIAL_S
         )
         return known.crashes >= MOST_CRASHES - 1
 
@@ -283,14 +277,11 @@
             known.services,
         )
 
-    def list_quarantined(self, now: float) -> list[News]:
-        """List the requests that are in quarantine."""
-        found = [
-            self.tell(identity, now)
-            for identity, known in self._known.items()
-            if known.crashes >= MOST_CRASHES and now < known.until
-        ]
-        return [news for news in found if news is not None]
+    def list_all(self, now: float) -> list[News]:
+        """List the requests that something speaks against, the worst first."""
+        found = [self.tell(identity, now) for identity in self._known]
+        known = [news for news in found if news is not None and news.crashes]
+        return sorted(known, key=lambda it: -it.crashes)
 
     def forget_old(self, now: float) -> None:
         """Forget suspicions that have expired."""
@@ -325,15 +316,19 @@
     """Tell whether a target ended at another moment than those before it.
 
     What was sent before the last moment belongs to it, and so does what was
-    lost at once: its target had ended before the request arrived there.
+    lost at once: its target had ended before the request arrived there. A trial
+    goes over a connection that was open since.
     """
-    if not known.crashes:
-        return True
-    if known.proven and crash.sending == known.trial:
+    if not known.crashes or crash.sending == known.trial:
         return True
     return crash.sent >= known.seen and crash.lost - crash.sent >= LEAST_RUN_S
 
 
+def pick_quarantined(found: Iterable[News]) -> list[News]:
+    """Pick the requests that are in quarantine."""
+    return [it for it in found if it.crashes >= MOST_CRASHES and it.wait]
+
+
 def name_state(news: News) -> str:
     """Name what is held against a request."""
     if news.crashes >= MOST_CRASHES:
--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -11,6 +11,7 @@
 import time
 from typing import Final, NamedTuple
 
+from fuchsiahaven.core import suspects
 from fuchsiahaven.relay import news, runner
 from fuchsiahaven.routing import events
 
@@ -80,15 +81,15 @@
 
 def read_gauges(driven: runner.Runner, known: news.News) -> Gauges:
     """Read what the decisions, the connections and the news are like now."""
+    now = time.monotonic()
+    known_suspects = driven.desk.suspects.list_all(now)
     return Gauges(
         version=driven.desk.index.configuration.version,
-        age=time.monotonic() - known.ledger.read,
+        age=now - known.ledger.read,
         targets=len(driven.desk.directory.by_name),
         hosts=driven.desk.host_count,
         links=driven.fleet.count_links(),
         opened=driven.fleet.count_opened(),
         calls=known.store.calls,
-        quarantined=len(
-            driven.desk.suspects.list_quarantined(time.monotonic())
-        ),
+        quarantined=len(suspects.pick_quarantined(known_suspects)),
     )
--- a/fuchsiahaven/relay/notices.py
+++ b/fuchsiahaven/relay/notices.py
@@ -7,12 +7,13 @@
 import asyncio
 import math
 import random
+from collections.abc import Callable
 from typing import Final
 
 from fuchsiahaven.core import suspects
 from fuchsiahaven.platform import store
 from fuchsiahaven.relay import calls, journal, quarantines, traffic
-from fuchsiahaven.routing import places, states, suspect_codecs
+from fuchsiahaven.routing import events, places, states, suspect_codecs
 
 PART: Final = quarantines.PART
 PATH: Final = '/v1/suspects'
@@ -21,6 +22,14 @@
 #: Hops beyond those that reach every host if no two hosts tell the same one.
 MORE_HOPS: Final = 1
 TELL_S: Final = 0.5
+#: How often a host is tried, and how soon after a failure: its connection may
+#: have been reset, or not be open yet.
+MOST_TRIES: Final = 3
+AGAIN_S: Final = 0.3
+#: Hosts that one that has just started asks, and how soon it asks again as long
+#: as it knows none.
+ASKED: Final = 2
+START_S: Final = 0.1
 #: Calls under way at most, where many hosts do not answer.
 MOST_UNDER_WAY: Final = 64
 
@@ -34,13 +43,15 @@
         entered: quarantines.Quarantines,
         log: journal.Journal,
         counted: traffic.Traffic,
+        learn: Callable[[events.Suspected], None],
     ) -> None:
         """Start with nothing to tell."""
         self._desk = desk
+        self._learn = learn
         self._quarantines = entered
         self._log = log
         self._peers = calls.Clients(counted)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[bytes | None]] = set()
 
     def close(self) -> None:
         """End what is under way."""
@@ -66,21 +77,52 @@
         self._log.tell_request(PART, 'malformed', good=False, why=why)
 
     def _spread(self, notice: suspect_codecs.Notice) -> None:
-        hosts = list(self._desk.hosts)
         body = suspect_codecs.write_notice(notice)
-        for host in random.sample(hosts, min(FAN_OUT, len(hosts))):
+        call = store.Call('POST', PATH, body)
+        for host in self._pick(FAN_OUT):
             if len(self._tasks) < MOST_UNDER_WAY:
-                task = asyncio.create_task(self._call(host, body))
+                task = asyncio.create_task(self._call(host, call))
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
 
-    async def _call(self, host: places.Host, body: bytes) -> None:
+    async def learn(self) -> None:
+        """Ask other hosts what they know, once some are known."""
+        while not self._desk.hosts:
+            await asyncio.sleep(START_S)
+        hosts = self._pick(ASKED)
+        found = await asyncio.gather(*[self._ask(host) for host in hosts])
+        news = tuple(one for told in found for one in told)
+        if news:
+            self._learn(events.Suspected(news))
+
+    async def _ask(self, host: places.Host) -> tuple[suspects.News, ...]:
+        body = await self._call(host, store.Call('GET', PATH))
+        if body is None:
+            return ()
+        try:
+            return suspect_codecs.read_notice(body).news
+        except ValueError as error:
+            self.refuse(str(error))
+            return ()
+
+    def _pick(self, count: int) -> list[places.Host]:
+        hosts = list(self._desk.hosts)
+        return random.sample(hosts, min(count, len(hosts)))
+
+    async def _call(self, host: places.Host, call: store.Call) -> bytes | None:
+        """Call a host, again if that fails; None without an answer."""
         far = host.data_centre != self._desk.host.data_centre
         client = self._peers.find(host.address, far=far)
-        try:
-            await client.call(store.Call('POST', PATH, body), TELL_S)
-        except calls.CallFailed as error:
-            self._log.tell_request(PART, 'not told', good=False, why=str(error))
+        tries = 0
+        while tries < MOST_TRIES:
+            tries += 1
+            try:
+                return (await client.call(call, TELL_S)).body
+            except calls.CallFailed as error:
+                why = str(error)
+            await asyncio.sleep(AGAIN_S)
+        self._log.tell_request(PART, 'not told', good=False, why=why)
+        return None
 
 
 def count_hops(hosts: int) -> int:
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -71,7 +71,11 @@
             self.desk, self.news, log, self.runner.traffic
         )
         self.notices = notices.Notices(
-            self.desk, self.quarantines, log, self.runner.traffic
+            self.desk,
+            self.quarantines,
+            log,
+            self.runner.traffic,
+            self.runner.post,
         )
         self.readiness = readiness.Readiness(self._find_obstacle, log)
         self.callers = ports.Port(
@@ -111,6 +115,7 @@
                 running = [
                     tasks.create_task(self.news.follow()),
                     tasks.create_task(self._entry.stay()),
+                    tasks.create_task(self.notices.learn()),
                     tasks.create_task(self.runner.sweep()),
                     tasks.create_task(self._watch_settings()),
                 ]
--- a/fuchsiahaven/relay/quarantines.py
+++ b/fuchsiahaven/relay/quarantines.py
@@ -1,4 +1,4 @@
-"""Enter quarantined requests in the store.
+"""Enter in the store the requests that end their targets.
 
 Hosts that start, or were cut off when the others were told, read of them there.
 """
@@ -19,10 +19,12 @@
 #: How often an entry is tried to be written, and how soon after a failure.
 MOST_TRIES: Final = 5
 AGAIN_S: Final = 1.0
-#: An entry outlives its quarantine, so that a host that starts learns how often
-#: the request was tried; the store gives no longer lease than the longest.
-LEASE_MORE_S: Final = suspects.REMEMBER_S
-LONGEST_LEASE_S: Final = 600.0
+#: Moments at which targets ended that make an entry. The first one is mostly of
+#: an innocent request, which the next success clears.
+LEAST_CRASHES: Final = 2
+#: The longest lease that the store gives. An entry outlives its quarantine, so
+#: that a host that starts learns how often the request was tried.
+LEASE_S: Final = 600.0
 #: Entries that this host may be about to write.
 MOST_ENTRIES: Final = 16
 
@@ -72,8 +74,8 @@
             self._start(found, KEEP_AFTER_S)
 
     def _is_due(self, found: suspects.News) -> bool:
-        """Tell whether an entry is due: a quarantine, or that it is over."""
-        if found.crashes >= suspects.MOST_CRASHES:
+        """Tell whether an entry is due: what stands, or that it is over."""
+        if found.crashes >= LEAST_CRASHES:
             return True
         return not found.crashes and self._find_entry(found) is not None
 
@@ -112,17 +114,16 @@
         return known is not None and known.rank >= found.rank
 
     async def _write(self, found: suspects.News) -> bool:
-        lasts = suspects.count_quarantine(found.crashes) + LEASE_MORE_S
         try:
-            await self._write_entry(found, min(lasts, LONGEST_LEASE_S))
+            await self._write_entry(found)
         except (calls.CallFailed, records.Malformed) as error:
             self._log.tell(PART, 'not entered', error=str(error))
             return False
         self._log.tell(PART, 'entered', digest=found.identity.digest)
         return True
 
-    async def _write_entry(self, found: suspects.News, lasts: float) -> None:
-        lease = store.read_lease(await self._call(store.open_lease(lasts)))
+    async def _write_entry(self, found: suspects.News) -> None:
+        lease = store.read_lease(await self._call(store.open_lease(LEASE_S)))
         await self._call(store.enter_quarantine(found, lease))
 
     async def _call(self, call: store.Call) -> bytes:
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -9,6 +9,7 @@
 from types import ModuleType
 from typing import Final
 
+from fuchsiahaven.core import suspects
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.relay import (
     encodings,
@@ -131,7 +132,12 @@
         return lambda: self._runner.abandon(number)
 
     def _take_notice(self, message: exchanges.Message) -> exchanges.Written:
-        """Take in what another host knows against requests."""
+        """Take in what another host knows against requests, or tell it."""
+        if message.method == 'GET':
+            found = self._runner.desk.suspects.list_all(time.monotonic())
+            rows = tuple(found[: suspect_codecs.MOST_ROWS])
+            told = suspect_codecs.write_notice(suspect_codecs.Notice(rows, 0))
+            return exchanges.Written(HTTPStatus.OK, JSON, told)
         try:
             notice = suspect_codecs.read_notice(message.body)
         except ValueError as error:
@@ -164,7 +170,9 @@
             'evacuated': self._evacuations.tell(),
             'quarantined': [
                 suspect_codecs.write_news(found)
-                for found in desk.suspects.list_quarantined(now)
+                for found in suspects.pick_quarantined(
+                    desk.suspects.list_all(now)
+                )
             ],
             'cold': desk.warmups.list_cold(desk.directory, now),
             'hosts': {host.name: host.data_centre for host in desk.hosts},
--- a/fuchsiahaven/routing/crashes.py
+++ b/fuchsiahaven/routing/crashes.py
@@ -1,6 +1,7 @@
 """Find the requests under which targets end, and hold them back."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from fuchsiahaven.core import identities, suspects
 from fuchsiahaven.routing import (
@@ -15,6 +16,11 @@
 
 Actions = list[events.Action]
 
+#: How long the losses of a query over shards are gathered, in seconds. Others
+#: that were under way there repeat the part that was lost first; a trial
+#: elsewhere does not end their second target.
+GATHER_S: Final = 0.005
+
 
 def note_loss(
     desk: states.Desk, key: events.FlightKey, aloft: states.Aloft, now: float
@@ -22,8 +28,7 @@
     """Take in that a sending ended with its connection.
 
     Returns None if its part is to wait until the pool has looked whether the
-    target has ended: the first loss of a request goes on at once, further ones
-    only with that. A target that was leaving may end what it has not
+    target has ended. A target that was leaving may end what it has not
     finished, and is not looked at.
     """
     instance = desk.directory.by_name.get(aloft.instance)
@@ -38,14 +43,10 @@
         aloft.sent,
         now,
     )
-    word = desk.losses.note(loss)
-    gate = desk.suspects.find_gate(aloft.identity, now)
-    if word is losses.Word.UNKNOWN and gate is not suspects.Gate.OPEN:
-        word = losses.Word.DOUBTED
-    match word:
+    match desk.losses.note(loss):
         case losses.Word.ENDED:
             return _take_crashes(desk, [loss], now)
-        case losses.Word.DOUBTED:
+        case losses.Word.UNKNOWN:
             due = states.DoubtDue(aloft.identity, key)
             desk.set_timer(now + losses.LOOK_S, due)
             return None
@@ -129,25 +130,11 @@
             loss.lost,
         )
         if desk.suspects.note_crash(loss.identity, crash, now):
-            _adopt_repeat(desk, loss, now)
             actions.extend(_tell(desk, loss.identity, now))
             actions.extend(_hold_back(desk, loss.identity, now))
     return actions
 
 
-def _adopt_repeat(desk: states.Desk, loss: losses.Loss, now: float) -> None:
-    """Take the repeat that went out at once for the trial."""
-    ask = desk.asks.get(loss.key.ask)
-    part = None if ask is None else ask.parts.get(loss.key.service)
-    gate = desk.suspects.find_gate(loss.identity, now)
-    if part is None or gate is not suspects.Gate.TRIAL:
-        return
-    for flight in part.flights:
-        if flight.sent >= loss.lost:
-            key = loss.key._replace(number=flight.number)
-            desk.suspects.begin_trial(loss.identity, key, now, proven=False)
-
-
 def _tell_crash(loss: losses.Loss) -> events.Crash:
     return events.Crash(
         loss.instance.name,
@@ -224,5 +211,12 @@
     ask.parts[key.service] = part._replace(doubted=False)
     if key.service not in ask.open:
         return []
+    gate = tries.find_gate(desk, ask, now)
+    if ask.gathers and gate is suspects.Gate.TRIAL:
+        # The trial is chosen among all parts that are lost by then.
+        tries.wait_for_trial(desk, ask)
+        due = states.HeldDue(identity)
+        desk.set_timer(now + GATHER_S, due)
+        return []
     actions = tries.send_again(desk, ask, key.service, now)
     return [*actions, *endings.settle(desk, ask, now)]
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from fuchsiahaven.core import errors, identities, suspects
+from fuchsiahaven.core import errors, identities, rendezvous, suspects
 from fuchsiahaven.routing import (
     arrivals,
     asks,
@@ -213,7 +213,10 @@
     news = desk.suspects.tell(ask.request.identity, now)
     ended = () if news is None else news.services
     unsent = [it for it in asks.list_open(ask) if not ask.parts[it].number]
-    return sorted(unsent, key=lambda it: it not in ended)
+    if not ended:
+        return unsent
+    ranked = rendezvous.rank(ask.request.identity.digest, unsent)
+    return sorted(ranked, key=lambda it: it not in ended)
 
 
 def _find_route(
@@ -291,10 +294,12 @@
 
 
 def _resume_ask(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
-    waiting = [it for it in asks.list_open(ask) if asks.is_idle(ask, it)]
-    lost = [it for it in waiting if ask.parts[it].number]
+    idle = [it for it in asks.list_open(ask) if asks.is_idle(ask, it)]
+    lost = [it for it in idle if ask.parts[it].number]
+    # Each request is tried at another of the shards that several have lost.
+    ranked = rendezvous.rank(ask.request.identity.digest, lost)
     return [
-        *delegations.send_again(desk, ask, lost, now),
+        *delegations.send_again(desk, ask, ranked, now),
         *_send_parts(desk, ask, now),
         *endings.settle(desk, ask, now),
     ]
--- a/fuchsiahaven/routing/losses.py
+++ b/fuchsiahaven/routing/losses.py
@@ -26,14 +26,12 @@
     """Say what is known of the target of a loss.
 
     SENT_LATE tells that it had ended before the request left, which therefore
-    never ran there, DOUBTED that another loss of the same request is not
-    explained either.
+    never ran there.
     """
 
     ENDED = enum.auto()
     SENT_LATE = enum.auto()
     UNKNOWN = enum.auto()
-    DOUBTED = enum.auto()
 
 
 class Loss(NamedTuple):
@@ -61,13 +59,9 @@
         ended = self._ended.get(loss.instance.name)
         if ended is not None:
             return Word.ENDED if loss.sent < ended else Word.SENT_LATE
-        doubted = any(
-            other.identity == loss.identity and loss.lost - other.lost < LOOK_S
-            for other in self._lost.values()
-        )
         _make_room(self._lost)
         self._lost[loss.key] = loss
-        return Word.DOUBTED if doubted else Word.UNKNOWN
+        return Word.UNKNOWN
 
     def note_ended(self, name: str, now: float) -> list[Loss]:
         """Take in that a target has ended; return what was lost there."""
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -177,6 +177,12 @@
     return desk.suspects.find_gate(ask.request.identity, now)
 
 
+def wait_for_trial(desk: states.Desk, ask: asks.Ask) -> None:
+    """Have the parts of an ask looked at after the trial of its request."""
+    waiting = desk.suspects.waiting.setdefault(ask.request.identity, set())
+    waiting.add(ask.number)
+
+
 def begin_trial(
     desk: states.Desk, ask: asks.Ask, key: events.FlightKey, now: float
 ) -> list[events.Action]:
@@ -267,9 +273,7 @@
 ) -> list[events.Action]:
     gate = find_gate(desk, ask, now)
     if gate is suspects.Gate.HELD:
-        desk.suspects.waiting.setdefault(ask.request.identity, set()).add(
-            ask.number
-        )
+        wait_for_trial(desk, ask)
         return []
     if gate is suspects.Gate.CLOSED:
         _lose(desk, ask, service, now, coverage.Reason.QUARANTINED)
