--- a/tests/core/queries/test_dispatch.py
+++ b/tests/core/queries/test_dispatch.py
@@ -536,3 +536,22 @@
     assert again.part.query == send.part.query
     host.answer(again, 'late')
     assert ids(host.replies()[-1].outcome) == {'late'}
+
+
+def test_a_query_that_ends_its_targets_reaches_few_more() -> None:
+    """Guard against a query that ends, one after the other, whatever runs it.
+
+    Asked twice, it ends three targets; at most three more get it.
+    """
+    host = rig.Rig(PARTIAL, shards=1, replicas=12)
+    lost = 0
+    for token in (1, 2, 3):
+        sends = host.ask(token=token)
+        while sends:
+            lost += len(sends)
+            sends = [
+                again
+                for send in sends
+                for again in rig.find_sends(host.lose(send))
+            ]
+    assert lost <= 6
