--- a/fuchsiahaven/routing/assists.py
+++ b/fuchsiahaven/routing/assists.py
@@ -30,7 +30,7 @@
     ask = _begin(desk, event, now)
     desk.asks[ask.number] = ask
     actions: Actions = []
-    for service in asks.list_open(ask):
+    for service in tries.order_unsent(desk, ask, now):
         if not event.assist.counts or _count_in(desk, event, service, now):
             actions.extend(tries.send_first(desk, ask, service, now))
     for when in (ask.cut, ask.ends):
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -314,7 +314,7 @@
     """
     if tries.find_gate(desk, ask, now) is not suspects.Gate.OPEN:
         return _try_one(desk, ask, failed, now)
-    wide = configs.is_wide_way(ask.route.way)
+    wide = _is_handed_on(ask)
     own = []
     shared: dict[places.Host, list[str]] = {}
     for service in failed:
@@ -342,8 +342,7 @@
     for service in failed:
         helper = None
         gate = tries.find_gate(desk, ask, now)
-        wide = configs.is_wide_way(ask.route.way)
-        if wide and gate is suspects.Gate.TRIAL:
+        if _is_handed_on(ask) and gate is suspects.Gate.TRIAL:
             if _may_hand_on(desk, ask, service, now):
                 helper = _find_next(desk, ask, service, now)
         if helper is None:
@@ -357,6 +356,11 @@
     return actions
 
 
+def _is_handed_on(ask: asks.Ask) -> bool:
+    """Tell whether hosts on duty send what failed; a helper asks nobody."""
+    return configs.is_wide_way(ask.route.way) and not ask.assists
+
+
 def _may_hand_on(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> bool:
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -194,29 +194,28 @@
 
 
 def _send_parts(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
-    """Send the parts that were sent nowhere yet."""
-    actions: Actions = []
-    if tries.find_gate(desk, ask, now) is suspects.Gate.OPEN:
-        for planned in plans.plan(desk, ask, now):
-            actions.append(delegations.start(desk, ask, planned, now))
-    for service in _order_unsent(desk, ask, now):
+    actions = _delegate_parts(desk, ask, now)
+    for service in tries.list_unsent(ask):
         desk.find_budget(service).note_request(now)
-        actions.extend(tries.send_first(desk, ask, service, now))
-    return actions
+    return [*actions, *_send_unsent(desk, ask, now)]
 
 
-def _order_unsent(desk: states.Desk, ask: asks.Ask, now: float) -> list[str]:
-    """List the parts that were not sent, those where targets ended first.
+def _delegate_parts(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
+    """Have other hosts gather what they are to; they ask nobody else."""
+    gate = tries.find_gate(desk, ask, now)
+    if ask.assists or gate is not suspects.Gate.OPEN:
+        return []
+    return [
+        delegations.start(desk, ask, planned, now)
+        for planned in plans.plan(desk, ask, now)
+    ]
+
 
-    A trial elsewhere would say nothing of them.
-    """
-    news = desk.suspects.tell(ask.request.identity, now)
-    ended = () if news is None else news.services
-    unsent = [it for it in asks.list_open(ask) if not ask.parts[it].number]
-    if not ended:
-        return unsent
-    ranked = rendezvous.rank(ask.request.identity.digest, unsent)
-    return sorted(ranked, key=lambda it: it not in ended)
+def _send_unsent(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
+    actions: Actions = []
+    for service in tries.order_unsent(desk, ask, now):
+        actions.extend(tries.send_first(desk, ask, service, now))
+    return actions
 
 
 def _find_route(
@@ -300,7 +299,8 @@
     ranked = rendezvous.rank(ask.request.identity.digest, lost)
     return [
         *delegations.send_again(desk, ask, ranked, now),
-        *_send_parts(desk, ask, now),
+        *_delegate_parts(desk, ask, now),
+        *_send_unsent(desk, ask, now),
         *endings.settle(desk, ask, now),
     ]
 
--- a/fuchsiahaven/routing/losses.py
+++ b/fuchsiahaven/routing/losses.py
@@ -80,6 +80,8 @@
 
     def list_restarted(self, directory: instances.Directory) -> list[str]:
         """List the targets of losses that have started again under their id."""
+        if not self._lost:
+            return []
         current = {one.id: one for one in directory.by_name.values()}
         return sorted(
             {
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -3,7 +3,7 @@
 import math
 from typing import Final
 
-from fuchsiahaven.core import coverage, suspects
+from fuchsiahaven.core import coverage, rendezvous, suspects
 from fuchsiahaven.core.queries import hedges
 from fuchsiahaven.routing import (
     asks,
@@ -88,6 +88,25 @@
     return True
 
 
+def list_unsent(ask: asks.Ask) -> list[str]:
+    """List the parts that were sent nowhere yet."""
+    return [it for it in asks.list_open(ask) if not ask.parts[it].number]
+
+
+def order_unsent(desk: states.Desk, ask: asks.Ask, now: float) -> list[str]:
+    """Order the parts that were not sent, those where targets ended first.
+
+    A trial elsewhere would say nothing of them.
+    """
+    news = desk.suspects.tell(ask.request.identity, now)
+    ended = () if news is None else news.services
+    unsent = list_unsent(ask)
+    if not ended:
+        return unsent
+    ranked = rendezvous.rank(ask.request.identity.digest, unsent)
+    return sorted(ranked, key=lambda it: it not in ended)
+
+
 def send_first(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> list[events.Action]:
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from fuchsiahaven.core import identities, suspects
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.routing import configs, events
+from fuchsiahaven.routing import configs, events, places
 from tests.routing import desk_rig
 
 LOST = messages.Fault.CONNECTION_LOST
@@ -88,3 +89,41 @@
     rig.post(events.Reviewed())
     rig.post(events.Ended(send.instance.name))
     assert not list_crashes(rig)
+
+
+def test_a_helper_sends_what_waited_itself() -> None:
+    """Guard against parts that hosts hand to each other in a circle.
+
+    A host that knows something against a query is asked to gather its parts: it
+    tries one, and sends the others once that has run.
+    """
+    shards = tuple(f'shard-{number:02}' for number in range(60))
+    search = desk_rig.make_route(configs.Gather(shards, 2, 0.8))
+    rig = desk_rig.Rig([search], desk_rig.make_instances(shards))
+    other = places.Host('host-2', '10.0.0.2:7000', 'north')
+    rig.post(events.Counted(2, (desk_rig.HOST, other)))
+    identity = identities.identify('shop.example', b'/search/1')
+    news = suspects.News(identity, 0, 1, 0.0, (), (shards[7],))
+    rig.post(events.Suspected((news,)))
+    request = events.Request(
+        'id-1',
+        'GET',
+        '/search/1',
+        'shop.example',
+        (),
+        b'',
+        rig.now,
+        rig.now + 1,
+        identity=identity,
+    )
+    assist = events.Assist(
+        request, 'route', 0.1, 2, shards, rig.now + 0.5, counts=True
+    )
+    rig.post(events.Assisted(1, assist))
+    (trial,) = rig.take_sent()
+    assert trial.key.service == shards[7]
+    assert trial.fresh
+    rig.answer(trial)
+    rig.pass_time(0.001)
+    assert len(rig.take_sent()) == len(shards) - 1
+    assert not any(isinstance(it, events.Delegate) for it in rig.others)
