Tell the store's era and the watches that met a history that is gone

Cause: no line or metric could tell a watch that is answered 410 each time from one that is quiet, nor what the store says of its history. Change: the era is read from each answer of the store (an unreadable one is logged and taken for none), 'an era is heard', 'the history is gone' and 'the store went back' are lines, the era and the watches that met a lost history are on the page of metrics. The calls that read the store move from relay/news, which had grown, to relay/readers. No decision changes.

--- a/fuchsiahaven/platform/headers.py
+++ b/fuchsiahaven/platform/headers.py
@@ -20,3 +20,5 @@
 #: The key of a customer, where callers have to show one.
 KEY: Final = 'authorization'
 RETRY_AFTER: Final = 'retry-after'
+#: Rises each time the store comes back from an older copy of itself.
+ERA: Final = 'store-era'
--- a/fuchsiahaven/platform/store.py
+++ b/fuchsiahaven/platform/store.py
@@ -6,8 +6,8 @@
 from typing import Any, Final, NamedTuple
 
 from fuchsiahaven.core import suspects
-from fuchsiahaven.platform import records
-from fuchsiahaven.routing import facts, places
+from fuchsiahaven.platform import headers, records
+from fuchsiahaven.routing import events, facts, places
 
 OK: Final = 200
 NOT_FOUND: Final = 404
@@ -15,6 +15,8 @@
 #: The store has forgotten what has changed since then.
 FORGOTTEN: Final = 410
 MILLISECONDS: Final = 1000
+#: Digits of an era; more are no count.
+LONGEST_ERA: Final = 16
 
 #: Decodes a value, or returns it as decoded before.
 Decode = Callable[[facts.Key, int, str], facts.Value | None]
@@ -40,6 +42,19 @@
     after: str | None
 
 
+def read_era(fields: events.Fields) -> int | None:
+    """Read the era that an answer is from; None where none is told.
+
+    Raises records.Malformed where it is no number.
+    """
+    told = dict(fields).get(headers.ERA)
+    if told is None:
+        return None
+    if not (told.isascii() and told.isdigit() and len(told) < LONGEST_ERA):
+        raise records.Malformed(f'no era: {told[:LONGEST_ERA]!r}')
+    return int(told)
+
+
 def list_everything(after: str | None) -> Call:
     """Ask for a page of everything that the store holds."""
     query = {'prefix': ''}
--- a/fuchsiahaven/relay/calls.py
+++ b/fuchsiahaven/relay/calls.py
@@ -18,6 +18,7 @@
 
     status: int
     body: bytes
+    fields: events.Fields = ()
 
 
 #: A connection takes one round trip; a host that is gone takes for ever.
@@ -104,7 +105,7 @@
         body = message.body
         if encodings.is_packed(message.fields):
             body = encodings.unpack(body)
-        return Done(message.status, body)
+        return Done(message.status, body, message.fields)
 
     async def _open(self, seconds: float) -> links.Link:
         host, _, port = self.address.rpartition(':')
--- a/fuchsiahaven/relay/entries.py
+++ b/fuchsiahaven/relay/entries.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from fuchsiahaven.platform import records, store
-from fuchsiahaven.relay import calls, journal, news
+from fuchsiahaven.relay import calls, journal, news, readers
 from fuchsiahaven.routing import facts
 
 PART: Final = 'entry'
@@ -69,7 +69,7 @@
         key = facts.Key(facts.Subject.HOST, self._news.settings.host.name)
         known = self._news.ledger.facts.get(key)
         call = store.renew_lease(self._lease)
-        done = await self._news.store.call(call, news.STORE_S)
+        done = await self._news.store.call(call, readers.STORE_S)
         stands = known is not None and known.value is not None
         if done.status == store.OK and stands:
             return True
@@ -77,7 +77,7 @@
         return False
 
     async def _call(self, call: store.Call) -> bytes:
-        done = await self._news.store.call(call, news.STORE_S)
+        done = await self._news.store.call(call, readers.STORE_S)
         if done.status != store.OK:
             raise calls.CallFailed(f'{call.target} is answered {done.status}')
         return done.body
--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -39,7 +39,8 @@
 
     `version` is the configuration's, `age` the seconds since the news was
     read, `links` the open connections to targets, `opened` those opened so
-    far, `calls` the calls to the store so far.
+    far, `calls` the calls to the store so far, `era` the store's (-1 without
+    one), `forgotten` the watches that it answered with its history gone.
     """
 
     version: int
@@ -50,6 +51,8 @@
     opened: int
     calls: int
     quarantined: int
+    era: int
+    forgotten: int
 
 
 class Meters:
@@ -92,4 +95,6 @@
         opened=driven.fleet.count_opened(),
         calls=known.store.calls,
         quarantined=len(suspects.pick_quarantined(known_suspects)),
+        era=-1 if known.eras.heard is None else known.eras.heard,
+        forgotten=known.forgotten,
     )
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -11,24 +11,18 @@
 from fuchsiahaven.platform import records, store
 from fuchsiahaven.relay import (
     calls,
-    decoders,
     encodings,
+    eras,
     journal,
     listings,
+    readers,
     traffic,
 )
 from fuchsiahaven.routing import codecs, facts, places, sources
 
 PART: Final = 'news'
-#: How long the reader waits for changes in one call. Changes come at once, and
-#: a connection that has fallen silent is noticed after this and the time for
-#: the answer: a change has to be in force within 3 s.
-WATCH_S: Final = 1.8
-WATCH_ANSWER_S: Final = 0.6
 #: The least time between two such calls: many changes come in one answer.
 GATHER_S: Final = 0.4
-#: How often the reader lists everything, in case that changes were missed.
-LIST_S: Final = 20.0
 #: How long a host that asks is kept waiting where there is nothing new.
 HOLD_S: Final = 0.7
 #: How soon to ask again where nobody had an answer.
@@ -43,8 +37,6 @@
 #: once the one that is asked may still be dark, and a connection takes 16 ms
 #: between the farthest data centres.
 START_CONNECT_S: Final = 0.04
-#: The store answers in 4 ms, and in 0.25 s when it is sixty times as slow.
-STORE_S: Final = 0.8
 ANSWER_S: Final = 0.4
 PEER_S: Final = HOLD_S + ANSWER_S
 #: How long a store that did not answer is left alone, in seconds.
@@ -85,10 +77,11 @@
         self.store = calls.Client(
             settings.store, counted.find(traffic.Kind.STORE, far=True)
         )
+        self.eras = eras.Eras(log)
         self._log = log
         self._learn = learn
         self._peers = calls.Clients(counted)
-        self._decoder = decoders.Decoder(log)
+        self._reader = readers.Reader(self.store, log, self.eras)
         self._cursors: dict[str, facts.Cursor] = {}
         self._doubted: dict[str, float] = {}
         self._behind: dict[str, float] = {}
@@ -97,11 +90,15 @@
         self._listings = listings.Listings()
         self._patient = time.monotonic() + PATIENT_S
         self._store_doubted = 0.0
-        self._list_at = 0.0
         self.lost = False
         self.source = ''
         self._returned = float('-inf')
 
+    @property
+    def forgotten(self) -> int:
+        """Return how many watches met a history that is gone."""
+        return self._reader.forgotten
+
     async def follow(self) -> None:
         """Keep up, for ever."""
         while True:
@@ -182,7 +179,7 @@
                 self.source = address
                 # What this host has heard from others may lack removals that
                 # they held back, so it lists before it watches.
-                self._list_at = 0
+                self._reader.doubt()
                 # The answer is held until there is something new.
                 return 0 if await self._ask(address) else None
 
@@ -199,11 +196,11 @@
 
     async def _read_store(self) -> bool:
         try:
-            report = await self._read_report()
+            report = await self._reader.read(self.ledger)
         except (calls.CallFailed, records.Malformed) as error:
             now = time.monotonic()
             self._store_doubted = now + STORE_DOUBT_S
-            self._list_at = 0
+            self._reader.doubt()
             if not self.lost:
                 self._log.tell(PART, 'the store is lost', error=str(error))
             self.lost = True
@@ -216,46 +213,20 @@
                 # Nobody could read it, so targets could not renew either.
                 self._returned = now
             self._log.tell(PART, 'the store is back', revision=report.revision)
+        if report.revision < self.ledger.revision:
+            self._log.tell(
+                PART,
+                'the store went back',
+                revision=report.revision,
+                known=self.ledger.revision,
+                era=self.eras.heard,
+            )
         # What was learned here may differ from what others know by now, and
         # they would tell only what changes for them.
         self._cursors.clear()
         self._take(report, now, self._returned)
         return True
 
-    async def _read_report(self) -> facts.Report:
-        now = time.monotonic()
-        if now < self._list_at:
-            call = store.watch_everything(self.ledger.revision, WATCH_S)
-            done = await self.store.call(call, WATCH_S + WATCH_ANSWER_S)
-            if done.status == store.OK:
-                page = store.read_events(done.body, self._decoder.decode)
-                return facts.Report(page.revision, page.items, False, 0)
-            if done.status != store.FORGOTTEN:
-                raise calls.CallFailed(f'the store answers {done.status}')
-        report = await self._read_pages()
-        self._list_at = now + LIST_S
-        return report
-
-    async def _read_pages(self) -> facts.Report:
-        began = time.monotonic()
-        found: list[facts.Fact] = []
-        revision = 0
-        after: str | None = None
-        while True:
-            call = store.list_everything(after)
-            done = await self.store.call(call, STORE_S)
-            if done.status != store.OK:
-                raise calls.CallFailed(f'the store answers {done.status}')
-            page = store.read_page(done.body, self._decoder.decode)
-            found.extend(page.items)
-            # Pages are not a snapshot: only the first one's revision holds
-            # for all of them.
-            revision = revision or page.revision
-            after = page.after
-            if after is None:
-                age = time.monotonic() - began
-                return facts.Report(revision, tuple(found), True, age)
-
     async def _ask(self, address: str) -> bool:
         near = sources.is_near(self._view(), address)
         client = self._peers.find(address, far=not near)
--- a/fuchsiahaven/relay/pages.py
+++ b/fuchsiahaven/relay/pages.py
@@ -17,6 +17,8 @@
     ('opened', 'Connections opened so far.'),
     ('store_calls', 'Calls to the store so far.'),
     ('quarantined', 'Requests in quarantine.'),
+    ('store_era', 'Era of the store; -1 where it tells none.'),
+    ('watches_forgotten', 'Watches answered that the history is gone.'),
 )
 
 
--- a/fuchsiahaven/relay/quarantines.py
+++ b/fuchsiahaven/relay/quarantines.py
@@ -8,7 +8,7 @@
 
 from fuchsiahaven.core import rendezvous, suspects
 from fuchsiahaven.platform import records, store
-from fuchsiahaven.relay import calls, journal, news, traffic
+from fuchsiahaven.relay import calls, journal, news, readers, traffic
 from fuchsiahaven.routing import facts, states
 
 PART: Final = 'suspects'
@@ -127,7 +127,7 @@
         await self._call(store.enter_quarantine(found, lease))
 
     async def _call(self, call: store.Call) -> bytes:
-        done = await self._store.call(call, news.STORE_S)
+        done = await self._store.call(call, readers.STORE_S)
         if done.status != store.OK:
             raise calls.CallFailed(f'{call.target} is answered {done.status}')
         return done.body
--- a/tests/relay/test_decoders.py
+++ b/tests/relay/test_decoders.py
@@ -25,6 +25,10 @@
         """Start with nothing told."""
         self.told: list[dict[str, object]] = []
 
+    def tell(self, part: str, text: str, **fields: object) -> None:
+        """Keep a line."""
+        self.told.append(fields)
+
     def tell_request(
         self, part: str, text: str, *, good: bool, **fields: object
     ) -> None:
--- a/tests/relay/test_meters.py
+++ b/tests/relay/test_meters.py
@@ -8,7 +8,7 @@
 
 COUNTED = traffic.Traffic()
 COUNTED.find(traffic.Kind.SHARES, far=True).sent += 570
-GAUGES = meters.Gauges(7, 0.5, 40, 6, 12, 30, 67, 2)
+GAUGES = meters.Gauges(7, 0.5, 40, 6, 12, 30, 67, 2, 5, 3)
 STORY = events.Story('id', 'route', 7, 'complete', 0.03, 20, 1, 2, (), ())
 
 
@@ -34,6 +34,8 @@
     assert 'fuchsiahaven_relay_missing_parts_total 1.0' in lines
     assert 'fuchsiahaven_relay_news_age_seconds 0.5' in lines
     assert 'fuchsiahaven_relay_store_calls 67.0' in lines
+    assert 'fuchsiahaven_relay_store_era 5.0' in lines
+    assert 'fuchsiahaven_relay_watches_forgotten 3.0' in lines
     sent = 'data_centre="other",kind="shares",way="sent"'
     assert f'fuchsiahaven_relay_bytes_total{{{sent}}} 570.0' in lines
 
