--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -5,80 +5,142 @@
 import collections
 import contextlib
 import json
+import time
 import urllib.parse
+from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Any, Final
 
+from standins import histories, store_calls
+
 END_OF_HEAD: Final = b'\r\n\r\n'
 #: How often a call that waits looks for changes.
 STEP_S: Final = 0.01
 
 
+class Away(Exception):
+    """Report that a call gets no answer."""
+
+
 class Store:
-    """Own what the platform's store holds; it can be taken down."""
+    """Own what the platform's store holds; it can be taken down.
+
+    `era` rises with each return from a copy; a store of an earlier version has
+    none.
+    """
 
     def __init__(self) -> None:
         """Hold nothing."""
-        self.items: dict[str, dict[str, Any]] = {}
-        self.events: list[dict[str, Any]] = []
-        self.revision = 1
+        self.history = histories.History()
+        self.era: int | None = 1
         self.down = False
         self.calls: collections.Counter[str] = collections.Counter()
 
+    @property
+    def items(self) -> dict[str, histories.Row]:
+        """Return what the store holds, by key."""
+        return self.history.items
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the last change."""
+        return self.history.revision
+
     def put(self, key: str, told: Any) -> None:
         """Write a key."""
         text = base64.b64encode(json.dumps(told).encode()).decode()
-        self.revision += 1
-        row = {'key': key, 'value': text, 'revision': self.revision}
-        self.items[key] = row
-        self.events.append(row)
+        self.history.put(key, text, 0)
 
     def remove(self, key: str) -> None:
         """Remove a key."""
-        self.revision += 1
-        self.items.pop(key)
-        self.events.append(
-            {'key': key, 'revision': self.revision, 'deleted': True}
-        )
+        self.history.remove(key)
 
-    def put_target(self, name: str, service: str, address: str) -> None:
+    def put_target(
+        self, name: str, service: str, address: str, state: str = 'ready'
+    ) -> None:
         """Enter a target."""
         entry = {
             'service': service,
             'address': address,
             'zone': 'south',
             'slots': 2,
-            'state': 'ready',
+            'state': state,
             'warmup_left_ms': 0,
             'seq': 1,
         }
         self.put(f'servers/{name}', entry)
 
-    async def answer(self, head: bytes, writer: asyncio.StreamWriter) -> None:
+    def copy(self) -> histories.History:
+        """Take a copy that the store can come back from."""
+        return self.history.copy()
+
+    def restore(self, copy: histories.History, eras: int = 1) -> None:
+        """Come back from a copy, so many eras later."""
+        self.history = copy.copy()
+        self.era = (self.era or 0) + eras
+
+    async def answer(
+        self, head: bytes, body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
         """Answer one call."""
-        target = head.split(b' ')[1].decode()
+        method, target, _ = head.decode('latin-1').split(' ', 2)
         path, _, query = target.partition('?')
         self.calls[path] += 1
-        if self.down:
+        try:
+            answer = await self._answer(
+                f'{method} {path}', urllib.parse.parse_qs(query), body
+            )
+        except Away:
             writer.transport.abort()
             return
-        match path:
-            case '/kv-range':
-                told: dict[str, Any] = {
-                    'items': self._list(query),
-                    'has_more': False,
-                    'store_revision': self.revision,
-                }
-            case '/kv-watch':
-                told = await self._wait_for_events(query)
-            case '/kv-lease':
-                told = {'lease': 7, 'ttl_ms': 30000}
-            case _:
-                told = {'revision': self.revision}
-        body = json.dumps(told).encode()
-        writer.write(
-            b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s'
-            % (len(body), body)
-        )
+        writer.write(self._write(answer))
+
+    def _write(self, answer: store_calls.Answer) -> bytes:
+        body = json.dumps(answer.told)
+        era = '' if self.era is None else f'Store-Era: {self.era}\r\n'
+        head = f'HTTP/1.1 {answer.status.value} -\r\n{era}'
+        return f'{head}Content-Length: {len(body)}\r\n\r\n{body}'.encode()
+
+    async def _answer(
+        self, call: str, query: Mapping[str, list[str]], body: bytes
+    ) -> store_calls.Answer:
+        if self.down:
+            raise Away
+        self.history.end_leases(time.monotonic())
+        match call:
+            case 'GET /kv-range':
+                return store_calls.list_items(self.history, query)
+            case 'GET /kv-watch':
+                return await self._watch(query)
+            case 'POST /kv-txn':
+                return store_calls.commit(self.history, json.loads(body))
+            case 'POST /kv-lease':
+                return store_calls.open_lease(self.history, json.loads(body))
+        return store_calls.use_lease(self.history, call)
+
+    async def _watch(
+        self, query: Mapping[str, list[str]]
+    ) -> store_calls.Answer:
+        after = int(query['after'][0])
+        if after > self.revision:
+            return store_calls.Answer(HTTPStatus.GONE, {})
+        watched = self.history
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(query['wait_ms'][0]) / 1000):
+                while self.history is watched and self.revision <= after:
+                    await asyncio.sleep(STEP_S)
+                    self._check()
+        if self.history is not watched:
+            # A store that comes back has lost its connections.
+            raise Away
+        found = [it for it in watched.events if it['revision'] > after]
+        told = {'events': found, 'store_revision': self.revision}
+        return store_calls.Answer(HTTPStatus.OK, told)
+
+    def _check(self) -> None:
+        if self.down:
+            raise Away
+        self.history.end_leases(time.monotonic())
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -89,34 +151,10 @@
         ):
             while True:
                 head = await reader.readuntil(END_OF_HEAD)
-                length = _find_length(head)
-                body = await reader.readexactly(length)
-                if body and b'/kv-txn' in head:
-                    self._write(json.loads(body))
-                await self.answer(head, writer)
+                body = await reader.readexactly(_find_length(head))
+                await self.answer(head, body, writer)
                 await writer.drain()
 
-    async def _wait_for_events(self, query: str) -> dict[str, Any]:
-        asked = urllib.parse.parse_qs(query)
-        after = int(asked['after'][0])
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(int(asked['wait_ms'][0]) / 1000):
-                while self.revision <= after and not self.down:
-                    await asyncio.sleep(STEP_S)
-        found = [it for it in self.events if it['revision'] > after]
-        return {'events': found, 'store_revision': self.revision}
-
-    def _write(self, call: dict[str, Any]) -> None:
-        for row in call['puts']:
-            self.revision += 1
-            entered = {**row, 'revision': self.revision}
-            self.items[row['key']] = entered
-            self.events.append(entered)
-
-    def _list(self, query: str) -> list[dict[str, Any]]:
-        prefix = urllib.parse.parse_qs(query).get('prefix', [''])[0]
-        return [it for key, it in self.items.items() if key.startswith(prefix)]
-
 
 def _find_length(head: bytes) -> int:
     for line in head.decode('latin-1').lower().split('\r\n'):
--- /dev/null
+++ b/standins/store_calls.py
@@ -0,0 +1,66 @@
+"""Answer the calls that read and change a store's history at once."""
+
+import time
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any, Final, NamedTuple
+
+from standins import histories
+
+MILLISECONDS: Final = 1000
+
+
+class Answer(NamedTuple):
+    """Hold the answer to a call."""
+
+    status: HTTPStatus
+    told: Mapping[str, Any]
+
+
+def list_items(
+    history: histories.History, query: Mapping[str, list[str]]
+) -> Answer:
+    """List the items whose keys begin alike."""
+    prefix = query.get('prefix', [''])[0]
+    found = [it for key, it in history.items.items() if key.startswith(prefix)]
+    told = {'items': found, 'has_more': False}
+    return Answer(HTTPStatus.OK, {**told, 'store_revision': history.revision})
+
+
+def commit(history: histories.History, call: Mapping[str, Any]) -> Answer:
+    """Write all or nothing."""
+    rows = {it['key']: it['revision'] for it in call['expected_rev']}
+    if any(history.find_revision(key) != it for key, it in rows.items()):
+        found = [history.items[key] for key in rows if key in history.items]
+        return Answer(HTTPStatus.PRECONDITION_FAILED, {'items': found})
+    leases = {it['lease'] for it in call['puts']} - {0}
+    if leases - history.leases.keys():
+        return Answer(HTTPStatus.NOT_FOUND, {})
+    for row in call['puts']:
+        history.put(row['key'], row['value'], row['lease'])
+    for key in call['remove']:
+        history.remove(key)
+    return Answer(HTTPStatus.OK, {'revision': history.revision})
+
+
+def open_lease(history: histories.History, call: Mapping[str, Any]) -> Answer:
+    """Open a lease."""
+    ttl_ms = call['ttl_ms']
+    lease = history.open_lease(ttl_ms / MILLISECONDS, time.monotonic())
+    return Answer(HTTPStatus.OK, {'lease': lease, 'ttl_ms': ttl_ms})
+
+
+def use_lease(history: histories.History, call: str) -> Answer:
+    """Renew a lease or end it."""
+    name, _, number = call.rpartition('/')
+    lease = int(number)
+    if lease not in history.leases:
+        return Answer(HTTPStatus.NOT_FOUND, {})
+    match name:
+        case 'POST /kv-keep':
+            history.renew_lease(lease, time.monotonic())
+        case 'DELETE /kv-lease-end':
+            history.end_lease(lease)
+        case _:
+            return Answer(HTTPStatus.BAD_REQUEST, {})
+    return Answer(HTTPStatus.OK, {})
--- a/tests/relay/worlds.py
+++ b/tests/relay/worlds.py
@@ -13,6 +13,8 @@
 from tests.relay import peers
 
 SHARDS: Final = ('shard-a', 'shard-b', 'shard-c', 'shard-d', 'shard-e')
+#: How soon an accepted configuration is promised to be in force.
+IN_FORCE_S: Final = 3.0
 EXTRA: Final = places.ExtraLoad(0.2, 50.0, 10.0)
 
 
@@ -118,6 +120,16 @@
         await peers.wait_for(lambda: not host.find_obstacle())
         return host
 
+    async def wait_for_version(self, version: int) -> None:
+        """Wait until all hosts have a version in force, as long as promised."""
+        async with asyncio.timeout(IN_FORCE_S):
+            await peers.wait_for(
+                lambda: all(
+                    host.desk.index.configuration.version == version
+                    for host in self.hosts
+                )
+            )
+
 
 @contextlib.asynccontextmanager
 async def make() -> AsyncIterator[World]:
--- /dev/null
+++ b/tests/standins/test_metadata_store.py
@@ -0,0 +1,186 @@
+"""Test the store's stand-in as its clients see it."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+from fuchsiahaven.platform import store as calls
+from fuchsiahaven.relay import calls as clients
+from standins import metadata_store
+from tests.relay import peers
+
+
+class Told(NamedTuple):
+    """Hold what a call was answered."""
+
+    status: int
+    era: int | None
+    body: dict[str, Any]
+
+
+class Client:
+    """Own a connection to a store."""
+
+    def __init__(self, client: clients.Client) -> None:
+        """Take the connection."""
+        self._client = client
+
+    async def call(self, method: str, target: str, **told: Any) -> Told:
+        """Make a call."""
+        body = json.dumps(told).encode() if told else b''
+        done = await self._client.call(calls.Call(method, target, body), 5)
+        era = calls.read_era(done.fields)
+        return Told(done.status, era, json.loads(done.body))
+
+    async def open_lease(self, ttl_ms: int = 30_000) -> int:
+        """Open a lease."""
+        told = await self.call('POST', '/kv-lease', ttl_ms=ttl_ms)
+        return int(told.body['lease'])
+
+    async def put(
+        self, key: str, lease: int = 0, expected: tuple[Any, ...] = ()
+    ) -> int:
+        """Write a key; return the status."""
+        put = {'key': key, 'value': '', 'lease': lease}
+        done = await self.call(
+            'POST', '/kv-txn', expected_rev=expected, puts=[put], remove=[]
+        )
+        return done.status
+
+    async def watch(self, after: int, wait_ms: int = 50) -> Told:
+        """Watch all keys after a revision."""
+        query = f'prefix=&after={after}&wait_ms={wait_ms}'
+        return await self.call('GET', f'/kv-watch?{query}')
+
+
+@contextlib.asynccontextmanager
+async def connect(store: metadata_store.Store) -> AsyncIterator[Client]:
+    """Serve a store and connect to it."""
+    server = await asyncio.start_server(store.serve, peers.LOOPBACK, 0)
+    host, port = server.sockets[0].getsockname()
+    client = clients.Client(f'{host}:{port}')
+    try:
+        yield Client(client)
+    finally:
+        client.close()
+        server.close()
+
+
+def test_comes_back_from_an_older_copy() -> None:
+    """What was written since is gone, and its revisions are given out again."""
+
+    async def check() -> None:
+        store = metadata_store.Store()
+        store.put('op/config', 1)
+        async with connect(store) as client:
+            copy = store.copy()
+            store.put('op/config', 2)
+            last = store.revision
+            store.restore(copy)
+            assert (await client.watch(last)).status == 410
+            assert store.items['op/config'] == copy.items['op/config']
+            store.put('op/config', 3)
+            assert store.revision == last
+            # Nothing but the era tells that this is another change.
+            told = await client.watch(last)
+            assert (told.status, told.body['events'], told.era) == (200, [], 2)
+
+    peers.run(check())
+
+
+def test_tells_its_era_in_each_answer() -> None:
+    """Refusals bear the header too; a store of before has none."""
+
+    async def check() -> None:
+        store = metadata_store.Store()
+        async with connect(store) as client:
+            store.restore(store.copy(), 3)
+            refused = await client.call('POST', '/kv-keep/77')
+            assert (refused.status, refused.era) == (404, 4)
+            assert (await client.watch(99)).era == 4
+            assert (await client.call('GET', '/kv-range?prefix=')).era == 4
+            store.era = None
+            assert (await client.call('GET', '/kv-range?prefix=')).era is None
+
+    peers.run(check())
+
+
+def test_loses_the_leases_of_after_the_copy() -> None:
+    """Neither a renewal nor a write under such a lease does anything."""
+
+    async def check() -> None:
+        store = metadata_store.Store()
+        async with connect(store) as client:
+            copy = store.copy()
+            mine = await client.open_lease()
+            store.restore(copy)
+            assert (await client.call('POST', f'/kv-keep/{mine}')).status == 404
+            assert await client.put('mine', mine) == 404
+
+    peers.run(check())
+
+
+def test_gives_numbers_of_leases_out_again() -> None:
+    """Symptom: a renewal is answered 200, and the entry is gone.
+
+    The lease was opened after the copy; its number is somebody else's now.
+    """
+
+    async def check() -> None:
+        store = metadata_store.Store()
+        async with connect(store) as client:
+            copy = store.copy()
+            mine = await client.open_lease()
+            store.restore(copy)
+            assert await client.open_lease() == mine
+            await client.put('theirs', mine)
+            assert (await client.call('POST', f'/kv-keep/{mine}')).status == 200
+            await client.call('DELETE', f'/kv-lease-end/{mine}')
+            assert not store.items
+
+    peers.run(check())
+
+
+def test_ends_leases_with_their_keys() -> None:
+    """Watchers learn of the keys that go."""
+
+    async def check() -> None:
+        store = metadata_store.Store()
+        async with connect(store) as client:
+            lease = await client.open_lease(100)
+            await client.put('mine', lease)
+            told = await client.watch(store.revision, 1000)
+            assert told.body['events'][0]['deleted']
+
+    peers.run(check())
+
+
+def test_writes_on_a_condition() -> None:
+    """A revision that the key has no longer writes nothing."""
+
+    async def check() -> None:
+        store = metadata_store.Store()
+        async with connect(store) as client:
+            new = {'key': 'one', 'revision': 0}
+            assert await client.put('one', 0, (new,)) == 200
+            assert await client.put('one', 0, (new,)) == 412
+
+    peers.run(check())
+
+
+def test_cuts_watches_when_it_comes_back() -> None:
+    """A watch of before the return is not answered from the copy."""
+
+    async def check() -> None:
+        store = metadata_store.Store()
+        async with connect(store) as client:
+            waiting = asyncio.create_task(client.watch(store.revision, 5000))
+            await peers.wait_for(lambda: store.calls['/kv-watch'])
+            store.restore(store.copy())
+            done, _ = await asyncio.wait([waiting], timeout=2)
+            assert isinstance(waiting.exception(), clients.CallFailed)
+            assert done
+
+    peers.run(check())
