Split the ledger of the store's facts: what a fact is, how facts rank, what is gone, how they merge

No behaviour changes; the tests of routing/facts move to test_ledgers with the functions that they test.

--- a/fuchsiahaven/relay/listings.py
+++ b/fuchsiahaven/relay/listings.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from fuchsiahaven.routing import codecs, facts
+from fuchsiahaven.routing import codecs, facts, ledgers
 
 #: How old a listing may be, in seconds. A whole data centre asks its first
 #: host within a few tenths when all have just started, and would wait for one
@@ -31,7 +31,7 @@
         last = self._last
         same = last.cursor == ledger.cursor and last.lost == lost
         if not same or now >= last.at + FRESH_S:
-            report = facts.list_changes(ledger, facts.START, now)
+            report = ledgers.list_changes(ledger, facts.START, now)
             body = codecs.write_report(report._replace(lost=lost))
             self._last = Written(ledger.cursor, lost, now, body)
         return self._last.body
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -18,7 +18,7 @@
     readers,
     traffic,
 )
-from fuchsiahaven.routing import codecs, facts, places, sources
+from fuchsiahaven.routing import codecs, facts, ledgers, places, sources
 
 PART: Final = 'news'
 #: The least time between two such calls: many changes come in one answer.
@@ -72,7 +72,9 @@
         counted: traffic.Traffic,
     ) -> None:
         """Start with nothing known."""
-        self.ledger = facts.begin(random.SystemRandom().getrandbits(LIFE_BITS))
+        self.ledger = ledgers.begin(
+            random.SystemRandom().getrandbits(LIFE_BITS)
+        )
         self.settings = settings
         self.store = calls.Client(
             settings.store, counted.find(traffic.Kind.STORE, far=True)
@@ -145,7 +147,7 @@
         if held.cursor.life != self.ledger.cursor.life and not held.known:
             held.tell(self._listings.write(self.ledger, now, lost=self.lost))
             return
-        report = facts.list_changes(
+        report = ledgers.list_changes(
             self.ledger, held.cursor, now, known=held.known
         )
         report = report._replace(lost=self.lost)
@@ -233,7 +235,7 @@
         cursor = self._cursors.get(address, facts.START)
         asked = {
             'after': codecs.write_cursor(cursor),
-            'known': 0 if cursor.life else facts.digest(self.ledger),
+            'known': 0 if cursor.life else ledgers.digest(self.ledger),
         }
         target = f'{FACTS_PATH}{urllib.parse.urlencode(asked)}'
         connect = calls.CONNECT_S if self.ledger.revision else START_CONNECT_S
@@ -273,7 +275,7 @@
         self, report: facts.Report, now: float, returned: float | None
     ) -> None:
         begun = not self.ledger.revision
-        merged = facts.merge(self.ledger, report, now, returned=returned)
+        merged = ledgers.merge(self.ledger, report, now, returned=returned)
         self.ledger = merged.ledger
         if merged.changed or begun:
             self._tell_held()
--- /dev/null
+++ b/fuchsiahaven/routing/absences.py
@@ -0,0 +1,73 @@
+"""Find what is gone from the store, and how long it may still come back."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from fuchsiahaven.routing import facts, instances, ranks
+
+#: Entries of targets lapse while the store is down and are back this soon
+#: after its return, says its operator; the tenths are for the way here.
+#: Without the wait, a store that returns empties every host's directory for
+#: two seconds, and all requests are refused.
+RETURN_S: Final = 2.3
+#: More of the targets than this do not vanish between two readings without a
+#: word before: it is the store that has lost their entries.
+SUSPICIOUS_SHARE: Final = 0.5
+SUSPICIOUS_COUNT: Final = 4
+
+
+def find_gone(
+    known: Mapping[facts.Key, facts.Fact], report: facts.Report
+) -> set[facts.Key]:
+    """Find which facts a report tells to be gone, by a word or by silence."""
+    # A target may go and return between two readings: what is gone by then is
+    # what was written before its removal.
+    gone = {it.key: it for it in report.facts if it.value is None}
+    if report.whole:
+        absent = known.keys() - {fact.key for fact in report.facts}
+        gone.update(
+            {it: facts.Fact(it, report.revision, None) for it in absent}
+        )
+    return {
+        key
+        for key, removal in gone.items()
+        if ranks.is_removed(known.get(key), removal)
+    }
+
+
+def find_returns(
+    known: Mapping[facts.Key, facts.Fact],
+    gone: set[facts.Key],
+    now: float,
+    returned: float | None,
+) -> dict[facts.Key, float]:
+    """Say until when each fact that is gone may come back.
+
+    An order of operators lapses never: gone, it has been taken back.
+    """
+    until = (
+        now if returned is None else _find_return(known, gone, now, returned)
+    )
+    return {
+        key: now if key.subject is facts.Subject.EVACUATION else until
+        for key in gone
+    }
+
+
+def _find_return(
+    known: Mapping[facts.Key, facts.Fact],
+    gone: set[facts.Key],
+    now: float,
+    returned: float,
+) -> float:
+    """Say until when entries that are gone may come back."""
+    total = sum(1 for fact in known.values() if _is_expected(fact))
+    vanished = sum(1 for key in gone if _is_expected(known[key]))
+    if vanished > max(SUSPICIOUS_COUNT, SUSPICIOUS_SHARE * total):
+        return now + RETURN_S
+    return max(now, returned + RETURN_S)
+
+
+def _is_expected(fact: facts.Fact) -> bool:
+    """Tell whether a fact is of a target that has not said that it leaves."""
+    return isinstance(fact.value, instances.Instance) and not fact.value.leaving
--- /dev/null
+++ b/fuchsiahaven/routing/ranks.py
@@ -0,0 +1,42 @@
+"""Order what is told of one key, and tell what a removal is of."""
+
+from fuchsiahaven.routing import facts, instances
+
+
+def rank(fact: facts.Fact) -> tuple[int, int]:
+    """Rank what is told of a key: the later start first, then the revision.
+
+    A target may start again under its id. The last entry of its earlier
+    start can reach the store after the first of the new one, and hosts that
+    heard of one of them only pass it on; by revision alone the dead start
+    would win, and requests would go to connections that are gone.
+    """
+    return (find_born(fact), fact.revision)
+
+
+def says_same(before: facts.Value | None, value: facts.Value) -> bool:
+    """Tell whether a value only repeats, or counts down, what was known."""
+    if before == value:
+        return True
+    if isinstance(before, instances.Instance):
+        if isinstance(value, instances.Instance):
+            return instances.is_countdown(before, value)
+    return False
+
+
+def is_removed(fact: facts.Fact | None, removal: facts.Fact) -> bool:
+    """Tell whether a removal is of this fact."""
+    if fact is None or fact.value is None:
+        return False
+    # A host that has not heard of a target's new start tells of the end of
+    # the one before, maybe under a later revision.
+    if removal.born and removal.born < find_born(fact):
+        return False
+    return fact.revision <= removal.revision
+
+
+def find_born(fact: facts.Fact) -> int:
+    """Find which start of a target a fact is about; 0 where it is of any."""
+    if isinstance(fact.value, instances.Instance):
+        return fact.value.born
+    return fact.born
--- a/tests/relay/test_listings.py
+++ b/tests/relay/test_listings.py
@@ -1,7 +1,7 @@
 """Test that a listing is written once for all that ask for it."""
 
 from fuchsiahaven.relay import listings
-from fuchsiahaven.routing import codecs, facts, places
+from fuchsiahaven.routing import codecs, facts, ledgers, places
 
 
 def make_ledger(revision: int) -> facts.Ledger:
@@ -10,7 +10,7 @@
     host = places.Host(name, '10.0.0.1:7000', 'north')
     fact = facts.Fact(facts.Key(facts.Subject.HOST, name), revision, host)
     report = facts.Report(revision, (fact,), whole=True, age=0.0)
-    return facts.merge(facts.begin(1), report, 0, returned=None).ledger
+    return ledgers.merge(ledgers.begin(1), report, 0, returned=None).ledger
 
 
 def test_writes_a_listing_once_for_all_that_ask() -> None:
--- a/tests/routing/test_facts.py
+++ b/tests/routing/test_ledgers.py
@@ -1,7 +1,14 @@
 """Test how news is kept and passed on."""
 
 from fuchsiahaven.core.configuration import configurations
-from fuchsiahaven.routing import codecs, configs, facts, instances, places
+from fuchsiahaven.routing import (
+    codecs,
+    configs,
+    facts,
+    instances,
+    ledgers,
+    places,
+)
 
 NEVER = float('-inf')
 
@@ -41,7 +48,7 @@
     returned: float | None = NEVER,
 ) -> facts.Ledger:
     """Take in a report."""
-    return facts.merge(ledger, report, now, returned=returned).ledger
+    return ledgers.merge(ledger, report, now, returned=returned).ledger
 
 
 def list_names(ledger: facts.Ledger) -> set[str]:
@@ -52,7 +59,7 @@
 def test_removes_at_once_what_is_gone_from_the_store() -> None:
     """A target that has left gets no new work."""
     ledger = take(
-        facts.begin(1), read(5, make_fact('a', 2), make_fact('b', 3)), 0
+        ledgers.begin(1), read(5, make_fact('a', 2), make_fact('b', 3)), 0
     )
     ledger = take(ledger, read(6, make_fact('a', 2)), 1)
     assert list_names(ledger) == {'a'}
@@ -65,7 +72,7 @@
     within two seconds; what is still missing then is gone.
     """
     all_of_it = read(5, make_fact('a', 2), make_fact('b', 3))
-    ledger = take(facts.begin(1), all_of_it, 0)
+    ledger = take(ledgers.begin(1), all_of_it, 0)
     ledger = take(ledger, read(6), 10, returned=10)
     assert list_names(ledger) == {'a', 'b'}
     ledger = take(ledger, read(8, make_fact('a', 7)), 11, returned=10)
@@ -78,7 +85,7 @@
 def test_waits_for_entries_that_vanish_all_at_once() -> None:
     """Symptom: the same, where this host did not notice the outage."""
     found = [make_fact(f'target-{number}', number) for number in range(20)]
-    ledger = take(facts.begin(1), read(30, *found), 0)
+    ledger = take(ledgers.begin(1), read(30, *found), 0)
     ledger = take(ledger, read(31, *found[:2]), 1)
     assert len(list_names(ledger)) == 20
     ledger = take(ledger, read(31, *found[:2]), 3.4)
@@ -95,7 +102,7 @@
     """
     drained = [make_fact(f'old-{n}', n, leaving=True) for n in range(29)]
     left = [make_fact(f'new-{n}', 40 + n) for n in range(40)]
-    ledger = take(facts.begin(1), read(99, *drained, *left), 0)
+    ledger = take(ledgers.begin(1), read(99, *drained, *left), 0)
     ledger = take(ledger, read(130, *left[1:]), 1.5)
     assert 'new-0' not in list_names(ledger)
 
@@ -108,25 +115,25 @@
     not change, so the second question must not be by that revision.
     """
     all_of_it = read(5, make_fact('a', 2), make_fact('b', 3))
-    reader = take(facts.begin(1), all_of_it, 0)
+    reader = take(ledgers.begin(1), all_of_it, 0)
     reader = take(reader, read(6, make_fact('a', 2)), 10, returned=10)
-    early = facts.list_changes(reader, facts.START, 10)
-    other = take(facts.begin(2), early, 10, None)
+    early = ledgers.list_changes(reader, facts.START, 10)
+    other = take(ledgers.begin(2), early, 10, None)
     assert list_names(other) == {'a', 'b'}
     reader = take(reader, read(6, make_fact('a', 2)), 13, returned=10)
-    late = facts.list_changes(reader, early.cursor, 13)
+    late = ledgers.list_changes(reader, early.cursor, 13)
     assert not late.whole
     assert list_names(take(other, late, 13, None)) == {'a'}
 
 
 def test_passes_on_no_renewal_that_says_the_same() -> None:
     """Renewals of all targets would be most of what hosts send each other."""
-    ledger = take(facts.begin(1), read(5, make_fact('a', 2)), 0)
+    ledger = take(ledgers.begin(1), read(5, make_fact('a', 2)), 0)
     cursor = ledger.cursor
     ledger = take(ledger, read(9, make_fact('a', 8)), 1)
-    assert not facts.list_changes(ledger, cursor, 1).facts
+    assert not ledgers.list_changes(ledger, cursor, 1).facts
     ledger = take(ledger, read(12, make_fact('a', 11, leaving=True)), 2)
-    assert len(facts.list_changes(ledger, cursor, 2).facts) == 1
+    assert len(ledgers.list_changes(ledger, cursor, 2).facts) == 1
 
 
 def test_passes_on_that_a_target_turns_cold_but_not_each_second() -> None:
@@ -135,7 +142,7 @@
     A target counts its seconds down with each heartbeat. That it is cold, that
     it is warm and that it is cold anew is all that others have to hear.
     """
-    ledger = take(facts.begin(1), read(5, make_fact('a', 2)), 0)
+    ledger = take(ledgers.begin(1), read(5, make_fact('a', 2)), 0)
     told = []
     for revision, seconds in enumerate((3.0, 1.8, 0.6, 0, 2.0, 0.8, 3.0), 7):
         cursor = ledger.cursor
@@ -143,14 +150,14 @@
         assert isinstance(fact.value, instances.Instance)
         cold = fact.value._replace(warming=seconds)
         ledger = take(ledger, read(20, fact._replace(value=cold)), revision)
-        if facts.list_changes(ledger, cursor, revision).facts:
+        if ledgers.list_changes(ledger, cursor, revision).facts:
             told.append(seconds)
     assert told == [3.0, 0, 2.0, 3.0]
 
 
 def test_does_not_go_back_by_older_news() -> None:
     """A host that is behind brings back no target and no old state."""
-    ledger = take(facts.begin(1), read(5, make_fact('a', 2)), 0)
+    ledger = take(ledgers.begin(1), read(5, make_fact('a', 2)), 0)
     ledger = take(ledger, read(9, make_fact('b', 8)), 1)
     behind = read(6, make_fact('a', 2))
     ledger = take(ledger, behind, 1.5, None)
@@ -159,7 +166,7 @@
 
 def test_keeps_what_went_and_returned_between_two_readings() -> None:
     """A target that entered again after its removal stays."""
-    ledger = take(facts.begin(1), read(5, make_fact('a', 2)), 0)
+    ledger = take(ledgers.begin(1), read(5, make_fact('a', 2)), 0)
     events = (facts.Fact(make_key('a'), 6, None), make_fact('a', 7))
     ledger = take(ledger, facts.Report(7, events, False, 0), 1)
     assert list_names(ledger) == {'a'}
@@ -175,7 +182,7 @@
     """Operators' word does not lapse, whatever a listing lacks."""
     key = facts.Key(facts.Subject.CONFIGURATION, '')
     known = configs.NOTHING._replace(version=4)
-    ledger = take(facts.begin(1), read(5, facts.Fact(key, 2, known)), 0)
+    ledger = take(ledgers.begin(1), read(5, facts.Fact(key, 2, known)), 0)
     ledger = take(ledger, read(9), 60)
     ledger = take(ledger, read(9), 70)
     assert facts.find_configuration(ledger).version == 4
@@ -184,11 +191,11 @@
 def test_gives_everything_to_a_host_that_asked_long_ago() -> None:
     """Removals are forgotten after a minute; then only everything will do."""
     both = read(5, make_fact('a', 2), make_fact('b', 3))
-    ledger = take(facts.begin(1), both, 0)
+    ledger = take(ledgers.begin(1), both, 0)
     cursor = ledger.cursor
     ledger = take(ledger, read(6, make_fact('a', 2)), 1)
     ledger = take(ledger, read(6, make_fact('a', 2)), 200)
-    report = facts.list_changes(ledger, cursor, 200)
+    report = ledgers.list_changes(ledger, cursor, 200)
     assert report.whole
     assert [fact.key.name for fact in report.facts] == ['a']
 
@@ -199,10 +206,10 @@
     Every host asks one after the other for news, each for the first time, and
     there is none: the digest of what the host knows tells so.
     """
-    ledger = take(facts.begin(7), read(5, make_fact('a', 2)), 0)
-    same = take(facts.begin(8), read(9, make_fact('a', 6)), 0)
-    known = facts.digest(same)
-    report = facts.list_changes(ledger, facts.START, 1, known=known)
+    ledger = take(ledgers.begin(7), read(5, make_fact('a', 2)), 0)
+    same = take(ledgers.begin(8), read(9, make_fact('a', 6)), 0)
+    known = ledgers.digest(same)
+    report = ledgers.list_changes(ledger, facts.START, 1, known=known)
     assert not report.facts
     assert (report.whole, report.cursor) == (False, ledger.cursor)
 
@@ -215,10 +222,10 @@
     asks, and by revision it knows as much.
     """
     whole = read(5, make_fact('a', 2), make_fact('b', 3))
-    other = take(facts.begin(7), whole, 0)
-    fresh = take(facts.begin(8), read(9, make_fact('a', 8)), 0)
-    known = facts.digest(fresh)
-    report = facts.list_changes(other, facts.START, 1, known=known)
+    other = take(ledgers.begin(7), whole, 0)
+    fresh = take(ledgers.begin(8), read(9, make_fact('a', 8)), 0)
+    known = ledgers.digest(fresh)
+    report = ledgers.list_changes(other, facts.START, 1, known=known)
     assert list_names(take(fresh, report, 1, None)) == {'a', 'b'}
 
 
@@ -231,7 +238,7 @@
     take place then.
     """
     whole = read(5, make_fact('a', 2), make_fact('b', 3))
-    ledger = take(facts.begin(8), whole, 0)
+    ledger = take(ledgers.begin(8), whole, 0)
     ledger = take(ledger, read(6, make_fact('a', 2)), 10, returned=10)
     nothing = facts.Report(8, (), False, 0)
     ledger = take(ledger, nothing, 10.5, None)
@@ -241,8 +248,8 @@
 
 def test_gives_everything_after_a_restart() -> None:
     """A place in the order of an earlier life means nothing in this one."""
-    ledger = take(facts.begin(7), read(5, make_fact('a', 2)), 0)
-    assert facts.list_changes(ledger, facts.Cursor(6, 1), 0).whole
+    ledger = take(ledgers.begin(7), read(5, make_fact('a', 2)), 0)
+    assert ledgers.list_changes(ledger, facts.Cursor(6, 1), 0).whole
 
 
 def test_reads_what_it_writes() -> None:
@@ -293,20 +300,20 @@
     entry of its earlier start, which was on the way, reaches the store under
     a later revision.
     """
-    ledger = take(facts.begin(1), read(5, make_fact('a', 5, born=2)), 0)
+    ledger = take(ledgers.begin(1), read(5, make_fact('a', 5, born=2)), 0)
     ledger = take(ledger, read(6, make_fact('a', 6, born=1)), 1)
     assert list_names(ledger) == {'a@2'}
 
 
 def test_takes_the_later_start_from_whoever_tells_it() -> None:
     """Each of two hosts heard of one start; both end with the later one."""
-    earlier = take(facts.begin(1), read(6, make_fact('a', 6, born=1)), 0)
-    later = take(facts.begin(2), read(5, make_fact('a', 5, born=2)), 0)
-    told = facts.list_changes(later, facts.START, 1)
+    earlier = take(ledgers.begin(1), read(6, make_fact('a', 6, born=1)), 0)
+    later = take(ledgers.begin(2), read(5, make_fact('a', 5, born=2)), 0)
+    told = ledgers.list_changes(later, facts.START, 1)
     earlier = take(earlier, told, 1, None)
     assert list_names(earlier) == {'a@2'}
-    told = facts.list_changes(
-        take(facts.begin(3), read(7, make_fact('a', 7, born=1)), 0),
+    told = ledgers.list_changes(
+        take(ledgers.begin(3), read(7, make_fact('a', 7, born=1)), 0),
         facts.START,
         1,
     )
@@ -319,11 +326,11 @@
     Another host tells that the earlier start is gone, under a revision that
     is later than the entry of the new one.
     """
-    teller = take(facts.begin(1), read(5, make_fact('a', 5, born=1)), 0)
+    teller = take(ledgers.begin(1), read(5, make_fact('a', 5, born=1)), 0)
     before = teller.cursor
     teller = take(teller, read(9), 1)
-    told = facts.list_changes(teller, before, 1)
-    ledger = take(facts.begin(2), read(8, make_fact('a', 8, born=2)), 0)
+    told = ledgers.list_changes(teller, before, 1)
+    ledger = take(ledgers.begin(2), read(8, make_fact('a', 8, born=2)), 0)
     text = codecs.write_report(told)
     ledger = take(ledger, codecs.read_report(text), 2, None)
     assert list_names(ledger) == {'a@2'}
@@ -337,8 +344,8 @@
 
 def test_takes_an_evacuation_from_the_first_listing() -> None:
     """A host that starts knows it before it serves."""
-    merged = facts.merge(
-        facts.begin(1), read(9, make_order(7)), 0, returned=NEVER
+    merged = ledgers.merge(
+        ledgers.begin(1), read(9, make_order(7)), 0, returned=NEVER
     )
     assert merged.changed == {facts.Subject.EVACUATION}
     assert facts.list_evacuations(merged.ledger) == {'north': 7}
@@ -346,14 +353,14 @@
 
 def test_passes_an_evacuation_and_its_end_on() -> None:
     """Hosts tell each other of the order, and of its end as well."""
-    reader = take(facts.begin(1), read(5, make_fact('a', 2)), 0)
+    reader = take(ledgers.begin(1), read(5, make_fact('a', 2)), 0)
     other = take(
-        facts.begin(2), facts.list_changes(reader, facts.START, 0), 0, None
+        ledgers.begin(2), ledgers.list_changes(reader, facts.START, 0), 0, None
     )
     cursor = reader.cursor
     for revision, found in ((7, [make_order(6)]), (9, [])):
         reader = take(reader, read(revision, make_fact('a', 2), *found), 1)
-        told = facts.list_changes(reader, cursor, 1)
+        told = ledgers.list_changes(reader, cursor, 1)
         told = codecs.read_report(codecs.write_report(told))
         cursor = reader.cursor
         other = take(other, told, 1, None)
@@ -366,7 +373,9 @@
     Entries of targets lapse while the store is down and are waited for. An
     order does not lapse: it is gone because operators took it back.
     """
-    ledger = take(facts.begin(1), read(5, make_fact('a', 2), make_order(4)), 0)
+    ledger = take(
+        ledgers.begin(1), read(5, make_fact('a', 2), make_order(4)), 0
+    )
     ledger = take(ledger, read(8), 10, returned=10)
     assert not facts.list_evacuations(ledger)
     assert list_names(ledger) == {'a'}
@@ -380,10 +389,10 @@
     hosts that have forgotten the removal, and to one that has started since.
     """
     behind = read(5, make_order(4))
-    ledger = take(facts.begin(1), behind, 0)
+    ledger = take(ledgers.begin(1), behind, 0)
     ledger = take(ledger, read(6), 1)
-    ledger = take(ledger, read(9), 1 + 2 * facts.REMEMBER_S)
-    started = take(facts.begin(2), read(9), 130)
+    ledger = take(ledger, read(9), 1 + 2 * ledgers.REMEMBER_S)
+    started = take(ledgers.begin(2), read(9), 130)
     for known in (ledger, started):
         taken = take(known, behind, 131, None)
         assert not facts.list_evacuations(taken)
@@ -393,7 +402,7 @@
 
 def test_follows_many_evacuations_in_a_row() -> None:
     """The last word counts, in whatever order hosts tell of them."""
-    ledger = take(facts.begin(1), read(3), 0)
+    ledger = take(ledgers.begin(1), read(3), 0)
     given = facts.Report(6, (make_order(6),), whole=False, age=0.0)
     key = make_order(6).key
     end = facts.Report(5, (facts.Fact(key, 5, None),), whole=False, age=0.0)
