Order what the store tells by its era first, and what outlives a restore by its writer's number

What callers saw: requests handled by version 78 though version 82 had been acknowledged 3.4 s before, at all hosts. Cause: a revision was taken for an order over all time. The store came back at revision 71 where hosts knew 74; what was written at 72 to 74 ranked below what they held, the watch from 74 got 410 each time, and once the store had passed 74 the watch went on without the changes in between. Class of fault: numbers of one incarnation compared with another's (no fencing by epoch). Why it works: a fact bears the era of its revision; configurations rank by version, targets by start, then all by era and revision. A rising era takes the ledger over to a new place from which each asker gets everything; what the copy lacks is kept until it can have been written again; answers and hosts of an earlier era change nothing but a lower version. The reader lists anew when an answer's era is not the ledger's, also where the watch succeeds, and a listing whose pages are of two eras is begun anew. Hosts of the version before are heard until the first restore. The questions that hosts hold for each other move from relay/news to relay/askers.

--- a/fuchsiahaven/platform/store.py
+++ b/fuchsiahaven/platform/store.py
@@ -55,25 +55,25 @@
     return int(told)
 
 
-def list_everything(after: str | None) -> Call:
-    """Ask for a page of everything that the store holds."""
+def list_everything(after: str) -> Call:
+    """Ask for the page after a key of everything that the store holds."""
     query = {'prefix': ''}
-    if after is not None:
+    if after:
         query['after'] = after
     return Call('GET', f'/kv-range?{urllib.parse.urlencode(query)}')
 
 
-def read_page(body: bytes, decode: Decode) -> Page:
-    """Read a page; raises records.Malformed."""
+def read_page(body: bytes, era: int, decode: Decode) -> Page:
+    """Read a page of an era; raises records.Malformed."""
     try:
-        return _read_page(json.loads(body), decode)
+        return _read_page(json.loads(body), era, decode)
     except (ValueError, KeyError, TypeError) as error:
         raise records.Malformed(repr(error)) from error
 
 
-def _read_page(read: Mapping[str, Any], decode: Decode) -> Page:
+def _read_page(read: Mapping[str, Any], era: int, decode: Decode) -> Page:
     rows = read['items']
-    found = [_read_item(row, decode) for row in rows]
+    found = [_read_item(row, era, decode) for row in rows]
     after = rows[-1]['key'] if read['has_more'] and rows else None
     return Page(
         int(read['store_revision']),
@@ -95,11 +95,11 @@
     return Call('GET', f'/kv-watch?{urllib.parse.urlencode(query)}')
 
 
-def read_events(body: bytes, decode: Decode) -> Page:
-    """Read what has changed; raises records.Malformed."""
+def read_events(body: bytes, era: int, decode: Decode) -> Page:
+    """Read what has changed in an era; raises records.Malformed."""
     try:
         read = json.loads(body)
-        found = [_read_event(row, decode) for row in read['events']]
+        found = [_read_event(row, era, decode) for row in read['events']]
         revision = int(read['store_revision'])
     except (ValueError, KeyError, TypeError) as error:
         raise records.Malformed(repr(error)) from error
@@ -153,19 +153,23 @@
     return Call('POST', '/kv-txn', json.dumps(body).encode())
 
 
-def _read_event(row: Mapping[str, Any], decode: Decode) -> facts.Fact | None:
+def _read_event(
+    row: Mapping[str, Any], era: int, decode: Decode
+) -> facts.Fact | None:
     if not row.get('deleted'):
-        return _read_item(row, decode)
+        return _read_item(row, era, decode)
     key = records.name_key(row['key'])
     if key is None:
         return None
-    return facts.Fact(key, int(row['revision']), None)
+    return facts.Fact(key, int(row['revision']), None, era=era)
 
 
-def _read_item(row: Mapping[str, Any], decode: Decode) -> facts.Fact | None:
+def _read_item(
+    row: Mapping[str, Any], era: int, decode: Decode
+) -> facts.Fact | None:
     key = records.name_key(row['key'])
     if key is None:
         return None
     revision = int(row['revision'])
     found = decode(key, revision, row['value'])
-    return None if found is None else facts.Fact(key, revision, found)
+    return None if found is None else facts.Fact(key, revision, found, era=era)
--- a/fuchsiahaven/relay/lessons.py
+++ b/fuchsiahaven/relay/lessons.py
@@ -47,6 +47,7 @@
             PART,
             'learned',
             subjects=sorted(merged.changed),
+            era=ledger.era,
             revision=ledger.revision,
             version=desk.index.configuration.version,
             targets=len(desk.directory.by_name),
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -6,15 +6,15 @@
 import time
 import urllib.parse
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import Final
 
 from fuchsiahaven.platform import records, store
 from fuchsiahaven.relay import (
+    askers,
     calls,
     encodings,
     eras,
     journal,
-    listings,
     readers,
     traffic,
 )
@@ -23,8 +23,6 @@
 PART: Final = 'news'
 #: The least time between two such calls: many changes come in one answer.
 GATHER_S: Final = 0.4
-#: How long a host that asks is kept waiting where there is nothing new.
-HOLD_S: Final = 0.7
 #: How soon to ask again where nobody had an answer.
 AGAIN_S: Final = 0.25
 #: The same for a host that has just started and knows nothing: it refuses all
@@ -38,7 +36,7 @@
 #: between the farthest data centres.
 START_CONNECT_S: Final = 0.04
 ANSWER_S: Final = 0.4
-PEER_S: Final = HOLD_S + ANSWER_S
+PEER_S: Final = askers.HOLD_S + ANSWER_S
 #: How long a store that did not answer is left alone, in seconds.
 STORE_DOUBT_S: Final = 0.7
 #: Sources tried in one round before the next round is waited for.
@@ -46,6 +44,8 @@
 #: News this old means that the store was away for all hosts, not for this one
 #: alone: the others would have passed theirs on.
 OUTAGE_S: Final = 2.5
+#: Facts that one line names.
+MOST_NAMED: Final = 8
 FACTS_PATH: Final = '/v1/facts?'
 #: No two starts of a process have the same number, for all practical purposes.
 LIFE_BITS: Final = 48
@@ -53,14 +53,6 @@
 Learn = Callable[[facts.Merged], None]
 
 
-class Held(NamedTuple):
-    """Hold a question that is answered when there is something new."""
-
-    cursor: facts.Cursor
-    known: int
-    tell: Callable[[bytes], None]
-
-
 class News:
     """Own the calls to the store and what they brought."""
 
@@ -88,8 +80,7 @@
         self._doubted: dict[str, float] = {}
         self._behind: dict[str, float] = {}
         self._failures: collections.Counter[str] = collections.Counter()
-        self._held: dict[asyncio.TimerHandle, Held] = {}
-        self._listings = listings.Listings()
+        self.askers = askers.Askers(self._tell_state)
         self._patient = time.monotonic() + PATIENT_S
         self._store_doubted = 0.0
         self.lost = False
@@ -107,51 +98,8 @@
             pause = await self._go_round()
             await asyncio.sleep(pause)
 
-    def list_changes(
-        self, after: str, tell: Callable[[bytes], None]
-    ) -> Callable[[], None] | None:
-        """Tell what was learned after a place, at once or when there is any.
-
-        Returns what to call if nobody waits for it any more.
-        """
-        asked = urllib.parse.parse_qs(after)
-        cursor = codecs.read_cursor(asked.get('after', [''])[0])
-        told = asked.get('known', ['0'])[0]
-        held = Held(cursor, int(told) if told.isdigit() else 0, tell)
-        known = self.ledger.revision > 0
-        age = time.monotonic() - self.ledger.read
-        changed = cursor != self.ledger.cursor or age > sources.STALE_S
-        if (known and changed) or self.lost:
-            self._tell(held)
-            return None
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(HOLD_S, self._tell_held)
-        self._held[timer] = held
-
-        def forget() -> None:
-            timer.cancel()
-            self._held.pop(timer, None)
-
-        return forget
-
-    def _tell_held(self) -> None:
-        """Tell all who wait; most of them have waited about as long."""
-        held = self._held
-        self._held = {}
-        for timer, one in held.items():
-            timer.cancel()
-            self._tell(one)
-
-    def _tell(self, held: Held) -> None:
-        now = time.monotonic()
-        if held.cursor.life != self.ledger.cursor.life and not held.known:
-            held.tell(self._listings.write(self.ledger, now, lost=self.lost))
-            return
-        report = ledgers.list_changes(
-            self.ledger, held.cursor, now, known=held.known
-        )
-        report = report._replace(lost=self.lost)
-        held.tell(codecs.write_report(report))
+    def _tell_state(self) -> askers.State:
+        return askers.State(self.ledger, self.lost)
 
     def close(self) -> None:
         """Close the connections."""
@@ -206,7 +154,7 @@
             if not self.lost:
                 self._log.tell(PART, 'the store is lost', error=str(error))
             self.lost = True
-            self._tell_held()
+            self.askers.tell_all()
             return False
         now = time.monotonic()
         if self.lost:
@@ -215,7 +163,7 @@
                 # Nobody could read it, so targets could not renew either.
                 self._returned = now
             self._log.tell(PART, 'the store is back', revision=report.revision)
-        if report.revision < self.ledger.revision:
+        if report.stamp < self.ledger.stamp:
             self._log.tell(
                 PART,
                 'the store went back',
@@ -252,17 +200,26 @@
             return False
         now = time.monotonic()
         self._cursors[address] = report.cursor
-        self._take(report, now, None)
-        old = now - self.ledger.read > sources.STALE_S
-        if report.lost or old or not report.revision:
+        merged = self._take(report, now, None)
+        if self._is_behind(report, merged):
             self._behind[address] = now + sources.STALE_DOUBT_S
             self._log.tell(
-                PART, 'a host is behind', address=address, age=report.age
+                PART,
+                'a host is behind',
+                address=address,
+                age=report.age,
+                era=report.era,
             )
             return False
         self._failures.pop(address, None)
         return True
 
+    def _is_behind(self, report: facts.Report, merged: facts.Merged) -> bool:
+        """Tell whether what a host has told is no news."""
+        if report.lost or merged.earlier or not report.revision:
+            return True
+        return time.monotonic() - self.ledger.read > sources.STALE_S
+
     def _doubt(self, address: str, why: str) -> None:
         self._failures[address] += 1
         doubt = sources.count_doubt(
@@ -273,10 +230,35 @@
 
     def _take(
         self, report: facts.Report, now: float, returned: float | None
-    ) -> None:
+    ) -> facts.Merged:
         begun = not self.ledger.revision
         merged = ledgers.merge(self.ledger, report, now, returned=returned)
         self.ledger = merged.ledger
-        if merged.changed or begun:
-            self._tell_held()
+        self._tell_restore(merged)
+        if merged.changed or merged.restore or begun:
+            self.askers.tell_all()
             self._learn(merged)
+        return merged
+
+    def _tell_restore(self, merged: facts.Merged) -> None:
+        if merged.restore is not None:
+            told = merged.restore
+            self._log.tell(
+                PART,
+                'the store came back from a copy',
+                era_before=told.before.era,
+                era=told.after.era,
+                revision_before=told.before.revision,
+                revision=told.after.revision,
+                kept=told.kept,
+                taken=told.taken,
+                source=self.source,
+            )
+        if merged.dropped:
+            names = [f'{key.subject} {key.name}' for key in merged.dropped]
+            self._log.tell(
+                PART,
+                'dropped after a restore',
+                count=len(names),
+                names=names[:MOST_NAMED],
+            )
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -67,7 +67,7 @@
                 caller.answer(self._tell_readiness())
             case '/v1/facts':
                 packed = encodings.is_accepted(message.fields)
-                return self._news.list_changes(
+                return self._news.askers.take(
                     query,
                     lambda body: caller.answer(_write(body, packed=packed)),
                 )
--- a/fuchsiahaven/relay/readers.py
+++ b/fuchsiahaven/relay/readers.py
@@ -17,6 +17,8 @@
 LIST_S: Final = 20.0
 #: The store answers in 4 ms, and in 0.25 s when it is sixty times as slow.
 STORE_S: Final = 0.8
+#: How often a listing is begun anew because the store came back in between.
+MOST_LISTINGS: Final = 3
 
 
 class Reader:
@@ -46,20 +48,41 @@
         Raises calls.CallFailed and records.Malformed.
         """
         now = time.monotonic()
+        report = None
         if now < self._list_at:
-            call = store.watch_everything(ledger.revision, WATCH_S)
-            done = await self._store.call(call, WATCH_S + WATCH_ANSWER_S)
-            self._eras.read(done.fields)
-            if done.status == store.OK:
-                page = store.read_events(done.body, self._decoder.decode)
-                return facts.Report(page.revision, page.items, False, 0)
-            if done.status != store.FORGOTTEN:
-                raise calls.CallFailed(f'the store answers {done.status}')
-            self._note_forgotten(ledger)
-        report = await self._read_pages()
-        self._list_at = now + LIST_S
+            report = await self._watch(ledger)
+        if report is None:
+            report = await self._list(ledger)
+            self._list_at = now + LIST_S
         return report
 
+    async def _watch(self, ledger: facts.Ledger) -> facts.Report | None:
+        """Read what has changed; None if only a listing tells."""
+        call = store.watch_everything(ledger.revision, WATCH_S)
+        done = await self._store.call(call, WATCH_S + WATCH_ANSWER_S)
+        era = self._find_era(done, ledger)
+        if era != ledger.era:
+            # The revision was of another history. If the store has passed it
+            # by now, nothing but the era tells that changes are missing.
+            return None
+        if done.status == store.FORGOTTEN:
+            self._note_forgotten(ledger)
+            return None
+        _check(done)
+        page = store.read_events(done.body, era, self._decoder.decode)
+        return facts.Report(page.revision, page.items, False, 0, era=era)
+
+    def _find_era(self, done: calls.Done, ledger: facts.Ledger) -> int:
+        """Find the era of an answer; one that tells none is of the last.
+
+        Raises calls.CallFailed for an answer of an earlier era.
+        """
+        told = self._eras.read(done.fields)
+        era = ledger.era if told is None else told
+        if era < ledger.era:
+            raise calls.CallFailed(f'the store answers from its era {era}')
+        return era
+
     def _note_forgotten(self, ledger: facts.Ledger) -> None:
         self.forgotten += 1
         self._log.tell_request(
@@ -70,23 +93,41 @@
             era=self._eras.heard,
         )
 
-    async def _read_pages(self) -> facts.Report:
+    async def _list(self, ledger: facts.Ledger) -> facts.Report:
+        """List everything, again if the store comes back meanwhile."""
+        tries = 0
+        while tries < MOST_LISTINGS:
+            tries += 1
+            report = await self._list_era(ledger)
+            if report is not None:
+                return report
+        raise calls.CallFailed('the store came back while it was listed')
+
+    async def _list_era(self, ledger: facts.Ledger) -> facts.Report | None:
+        """List everything; None if the pages are not of one era."""
         began = time.monotonic()
         found: list[facts.Fact] = []
+        eras_read: set[int] = set()
         revision = 0
-        after: str | None = None
-        while True:
+        after: str | None = ''
+        while after is not None:
             call = store.list_everything(after)
             done = await self._store.call(call, STORE_S)
-            if done.status != store.OK:
-                raise calls.CallFailed(f'the store answers {done.status}')
-            self._eras.read(done.fields)
-            page = store.read_page(done.body, self._decoder.decode)
+            _check(done)
+            era = self._find_era(done, ledger)
+            eras_read.add(era)
+            if len(eras_read) > 1:
+                return None
+            page = store.read_page(done.body, era, self._decoder.decode)
             found.extend(page.items)
             # Pages are not a snapshot: only the first one's revision holds
             # for all of them.
             revision = revision or page.revision
             after = page.after
-            if after is None:
-                age = time.monotonic() - began
-                return facts.Report(revision, tuple(found), True, age)
+        age = time.monotonic() - began
+        return facts.Report(revision, tuple(found), True, age, era=era)
+
+
+def _check(done: calls.Done) -> None:
+    if done.status != store.OK:
+        raise calls.CallFailed(f'the store answers {done.status}')
--- a/fuchsiahaven/routing/absences.py
+++ b/fuchsiahaven/routing/absences.py
@@ -1,5 +1,7 @@
 """Find what is gone from the store, and how long it may still come back."""
 
+import math
+import types
 from collections.abc import Mapping
 from typing import Final
 
@@ -10,6 +12,20 @@
 #: Without the wait, a store that returns empties every host's directory for
 #: two seconds, and all requests are refused.
 RETURN_S: Final = 2.3
+#: How long what a store lacks that came back from a copy is kept, by subject,
+#: in seconds. Operators may be slower than targets to write again, and an
+#: order that lapses too late costs less than one that lapses too early. Hosts
+#: write again one after the other, and count for as long as their leases in
+#: any case.
+KEPT_S: Final[Mapping[facts.Subject, float]] = types.MappingProxyType(
+    {
+        facts.Subject.CONFIGURATION: math.inf,
+        facts.Subject.INSTANCE: RETURN_S,
+        facts.Subject.EVACUATION: 2 * RETURN_S,
+        facts.Subject.HOST: 30.0,
+        facts.Subject.QUARANTINE: 30.0,
+    }
+)
 #: More of the targets than this do not vanish between two readings without a
 #: word before: it is the store that has lost their entries.
 SUSPICIOUS_SHARE: Final = 0.5
@@ -25,8 +41,9 @@
     gone = {it.key: it for it in report.facts if it.value is None}
     if report.whole:
         absent = known.keys() - {fact.key for fact in report.facts}
+        last = report.revision
         gone.update(
-            {it: facts.Fact(it, report.revision, None) for it in absent}
+            {it: facts.Fact(it, last, None, era=report.era) for it in absent}
         )
     return {
         key
@@ -35,6 +52,11 @@
     }
 
 
+def find_lapses(gone: set[facts.Key], now: float) -> dict[facts.Key, float]:
+    """Say until when each fact is kept that a store lacks which came back."""
+    return {key: now + KEPT_S[key.subject] for key in gone}
+
+
 def find_returns(
     known: Mapping[facts.Key, facts.Fact],
     gone: set[facts.Key],
--- a/fuchsiahaven/routing/codecs.py
+++ b/fuchsiahaven/routing/codecs.py
@@ -23,12 +23,14 @@
     revision: int
     value: Mapping[str, Any] | None
     born: int
+    era: int
 
 
 class WrittenReport(TypedDict):
     """Hold a report on the wire; `age` is in seconds.
 
-    `cursor` is the process's life and a place in it.
+    `cursor` is the process's life and a place in it. Hosts of the version
+    before write no `era` and no `since`.
     """
 
     cursor: list[int]
@@ -36,6 +38,8 @@
     revision: int
     whole: bool
     age: float
+    era: int
+    since: int
     facts: list[WrittenFact]
 
 
@@ -51,6 +55,8 @@
         revision=report.revision,
         whole=report.whole,
         age=round(report.age, 3),
+        era=report.era,
+        since=report.since,
         facts=[_write_fact(fact) for fact in report.facts],
     )
     return json.dumps(written, separators=(',', ':')).encode()
@@ -84,6 +90,7 @@
         revision=fact.revision,
         value=None if fact.value is None else _write_value(fact.value),
         born=fact.born,
+        era=fact.era,
     )
 
 
@@ -126,6 +133,8 @@
         float(written['age']),
         facts.Cursor(*[int(it) for it in written['cursor']]),
         bool(written['lost']),
+        int(written.get('era', facts.NO_ERA)),
+        int(written.get('since', 0)),
     )
 
 
@@ -133,7 +142,8 @@
     key = facts.Key(facts.Subject(row['subject']), row['name'])
     written = row['value']
     read = None if written is None else _read_value(key.subject, written)
-    return facts.Fact(key, int(row['revision']), read, int(row['born']))
+    era = int(row.get('era', facts.NO_ERA))
+    return facts.Fact(key, int(row['revision']), read, int(row['born']), era)
 
 
 def _read_value(
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -34,17 +34,35 @@
     name: str
 
 
+#: The era of what is told without one. It is before all that are told.
+NO_ERA: Final = -1
+
+
+class Stamp(NamedTuple):
+    """Order the changes of the store: its revisions count anew in each era."""
+
+    era: int
+    revision: int
+
+
 class Fact(NamedTuple):
     """State one fact; without a value it is gone.
 
-    `revision` is the store's when the fact last changed its meaning. `born`
-    is the start of a target that a removal is about; 0 where it is of any.
+    `revision` is the store's when the fact last changed its meaning, in its
+    history `era`. `born` is the start of a target that a removal is about; 0
+    where it is of any.
     """
 
     key: Key
     revision: int
     value: Value | None
     born: int = 0
+    era: int = NO_ERA
+
+    @property
+    def stamp(self) -> Stamp:
+        """Return where in the store's histories the fact was written."""
+        return Stamp(self.era, self.revision)
 
 
 class Cursor(NamedTuple):
@@ -65,9 +83,11 @@
 class Report(NamedTuple):
     """Bring news: what has changed, or, if `whole`, everything there is.
 
-    It is complete up to `revision`; `age` says how many seconds ago the store
-    itself was read. `cursor` is where to go on from the next time. `lost`
-    tells that whoever reports cannot read the store just now.
+    It is complete up to `revision` of the history `era`; `age` says how many
+    seconds ago the store itself was read. `cursor` is where to go on from the
+    next time. `lost` tells that whoever reports cannot read the store just now.
+    `since` is the first revision that was read in this era; 0 where it is this
+    one.
     """
 
     revision: int
@@ -76,15 +96,25 @@
     age: float
     cursor: Cursor = START
     lost: bool = False
+    era: int = NO_ERA
+    since: int = 0
+
+    @property
+    def stamp(self) -> Stamp:
+        """Return up to where in the store's histories this is complete."""
+        return Stamp(self.era, self.revision)
 
 
 class Ledger(NamedTuple):
     """Hold all that is known.
 
     `read` is when the store was last read by whoever told us. `missing` are
-    facts that are gone from the store but kept until the time given. `places`
-    is when each fact was learned, in the order of `cursor`; removals up to
-    `floor` are forgotten.
+    facts that are gone from the store but kept until the time given; `lapsing`
+    are those that it lacked when it came back from a copy, kept until they can
+    have been written again. `places` is when each fact was learned, in the
+    order of `cursor`; removals up to `floor` are forgotten. `revision` and
+    `since` are of the history `era`; `restores` counts how often it was seen
+    to rise.
     """
 
     cursor: Cursor
@@ -95,13 +125,41 @@
     read: float = float('-inf')
     floor: int = 0
     forget_at: float = 0.0
+    era: int = NO_ERA
+    since: int = 0
+    restores: int = 0
+    lapsing: Mapping[Key, float] = {}
+
+    @property
+    def stamp(self) -> Stamp:
+        """Return up to where in the store's histories this is complete."""
+        return Stamp(self.era, self.revision)
+
+
+class Restore(NamedTuple):
+    """Tell what a store that came back from a copy was found to hold.
+
+    `kept` facts it lacks or has in an earlier version, `taken` have changed.
+    """
+
+    before: Stamp
+    after: Stamp
+    kept: int
+    taken: int
 
 
 class Merged(NamedTuple):
-    """Return the ledger and which subjects have changed."""
+    """Return the ledger and which subjects have changed.
+
+    A report may be of an `earlier` era; `dropped` facts were not written again
+    after a restore.
+    """
 
     ledger: Ledger
     changed: frozenset[Subject]
+    restore: Restore | None = None
+    earlier: bool = False
+    dropped: tuple[Key, ...] = ()
 
 
 def find_configuration(ledger: Ledger) -> configs.Configuration:
--- a/fuchsiahaven/routing/ledgers.py
+++ b/fuchsiahaven/routing/ledgers.py
@@ -1,11 +1,13 @@
 """Merge what hosts read and are told into one ledger, and pass it on.
 
-Facts come from the store or from other hosts; the higher revision wins, so
-that the order in which news arrives does not matter and nothing goes back.
+Facts come from the store or from other hosts; the higher rank wins, so that the
+order in which news arrives does not matter and nothing goes back. The store may
+come back from an older copy of itself: its revisions begin a new era then, and
+what it lacks is kept until it can have been written again.
 """
 
 import zlib
-from collections.abc import Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Final
 
 from fuchsiahaven.routing import absences, facts, ranks
@@ -33,25 +35,125 @@
     infinity without one; removals seen soon after it wait until the entries
     can be back. It is None for a report of another host, which has waited.
     """
+    told = _place(ledger, report)
+    if told.era < ledger.era:
+        return _merge_earlier(ledger, told)
+    if told.era > ledger.era:
+        return _turn(ledger, told, now)
+    return _merge_later(ledger, told, now, returned)
+
+
+def _place(ledger: facts.Ledger, report: facts.Report) -> facts.Report:
+    """Find the era of a report that tells none.
+
+    It is of the era that is known, as long as this host has seen no restore:
+    after one, what a host tells that knows no eras may be of the one before.
+    """
+    if report.era != facts.NO_ERA or ledger.restores:
+        return report
+    placed = [
+        fact._replace(era=max(fact.era, ledger.era)) for fact in report.facts
+    ]
+    return report._replace(era=ledger.era, facts=tuple(placed))
+
+
+def _merge_earlier(ledger: facts.Ledger, report: facts.Report) -> facts.Merged:
+    """Take in a report of an era that has ended.
+
+    Only a configuration still counts: its version says more than the store.
+    """
+    known = dict(ledger.facts)
+    accepted = [
+        fact
+        for fact in report.facts
+        if fact.key.subject is facts.Subject.CONFIGURATION
+    ]
+    changed = _take_values(known, accepted, ledger.stamp)
+    merged = _note_changes(ledger._replace(facts=known), changed)
+    subjects = frozenset(key.subject for key in changed)
+    return facts.Merged(merged, subjects, earlier=True)
+
+
+def _turn(
+    ledger: facts.Ledger, report: facts.Report, now: float
+) -> facts.Merged:
+    """Go over to a later era.
+
+    What it lacks is kept until it can have been written again: thrown away, all
+    that was confirmed would go back, until it is.
+    """
+    known = dict(ledger.facts)
+    changed = _take_values(known, report.facts, ledger.stamp)
+    gone = absences.find_gone(known, report)
+    # Everybody who asks gets everything: cursors were of the era before.
+    floor = ledger.cursor.place + 1
+    turned = ledger._replace(
+        cursor=ledger.cursor._replace(place=floor),
+        floor=floor,
+        facts=known,
+        missing={},
+        lapsing=absences.find_lapses(gone, now),
+        revision=report.revision,
+        read=max(ledger.read, now - report.age),
+        era=report.era,
+        since=report.since or report.revision,
+    )
+    restore = _find_restore(ledger.stamp, turned, len(changed))
+    if restore is not None:
+        turned = turned._replace(restores=ledger.restores + 1)
+    merged = _forget(_note_changes(turned, changed), now)
+    subjects = frozenset(key.subject for key in changed)
+    return facts.Merged(merged, subjects, restore)
+
+
+def _find_restore(
+    before: facts.Stamp, ledger: facts.Ledger, taken: int
+) -> facts.Restore | None:
+    """Say what a restore has brought; None where no era was known before."""
+    if not before.revision or before.era == facts.NO_ERA:
+        return None
+    kept = [
+        fact
+        for fact in ledger.facts.values()
+        if fact.value is not None and fact.era < ledger.era
+    ]
+    return facts.Restore(before, ledger.stamp, len(kept), taken)
+
+
+def _merge_later(
+    ledger: facts.Ledger,
+    report: facts.Report,
+    now: float,
+    returned: float | None,
+) -> facts.Merged:
+    """Take in a report of the era that is known."""
     known = dict(ledger.facts)
     # A host that tells the news also tells when what it misses is gone.
     missing = {} if returned is None else dict(ledger.missing)
-    changed = _take_values(known, missing, report, ledger.revision)
-    gone = absences.find_gone(known, report) - missing.keys()
+    lapsing = dict(ledger.lapsing)
+    for fact in report.facts:
+        if fact.value is not None:
+            missing.pop(fact.key, None)
+            lapsing.pop(fact.key, None)
+    changed = _take_values(known, report.facts, ledger.stamp)
+    gone = absences.find_gone(known, report)
+    gone -= missing.keys() | lapsing.keys()
     missing.update(absences.find_returns(known, gone, now, returned))
-    changed |= _remove_missing(known, missing, report.revision, now)
-    life, place = ledger.cursor
-    place += len(changed)
+    end = facts.Stamp(ledger.era, max(ledger.revision, report.revision))
+    changed |= _remove_due(known, missing, end, now)
+    dropped = _remove_due(known, lapsing, end, now)
+    changed |= dropped
     merged = ledger._replace(
-        cursor=facts.Cursor(life, place),
         facts=known,
-        places={**ledger.places, **dict.fromkeys(changed, place)},
         missing=missing,
-        revision=max(ledger.revision, report.revision),
+        lapsing=lapsing,
+        revision=end.revision,
+        since=min(ledger.since, report.since or ledger.since),
         read=max(ledger.read, now - report.age),
     )
+    merged = _forget(_note_changes(merged, changed), now)
     subjects = frozenset(key.subject for key in changed)
-    return facts.Merged(_forget(merged, now), subjects)
+    return facts.Merged(merged, subjects, dropped=tuple(sorted(dropped)))
 
 
 def list_changes(
@@ -64,44 +166,52 @@
     there are 350 entries, and in an outage each host asks many others.
     """
     cursor = ledger.cursor
-    age = now - ledger.read
+    news = facts.Report(
+        ledger.revision,
+        (),
+        whole=False,
+        age=now - ledger.read,
+        cursor=cursor,
+        era=ledger.era,
+        since=ledger.since,
+    )
     if after.life != cursor.life and known and known == digest(ledger):
-        return facts.Report(
-            ledger.revision, (), whole=False, age=age, cursor=cursor
-        )
-    whole = after.life != cursor.life or after.place < ledger.floor
-    if whole:
+        return news
+    if after.life != cursor.life or after.place < ledger.floor:
         found = [it for it in ledger.facts.values() if it.value is not None]
-    else:
-        found = [
-            fact
-            for key, fact in ledger.facts.items()
-            if ledger.places[key] > after.place
-        ]
-    return facts.Report(ledger.revision, tuple(found), whole, age, cursor)
+        return news._replace(facts=tuple(found), whole=True)
+    found = [
+        fact
+        for key, fact in ledger.facts.items()
+        if ledger.places[key] > after.place
+    ]
+    return news._replace(facts=tuple(found))
 
 
 def digest(ledger: facts.Ledger) -> int:
-    """Sum up what is known, whatever revisions it was written at."""
+    """Sum up what is known, whatever revisions it was written at.
+
+    What lapses unless it is written again is left out: a host that has it
+    from the store knows more.
+    """
     lines = [
         f'{fact.key} {fact.value}'
-        for fact in ledger.facts.values()
-        if fact.value is not None
+        for key, fact in ledger.facts.items()
+        if fact.value is not None and key not in ledger.lapsing
     ]
     return zlib.crc32('\n'.join(sorted(lines)).encode())
 
 
 def _take_values(
     known: dict[facts.Key, facts.Fact],
-    missing: dict[facts.Key, float],
-    report: facts.Report,
-    revision: int,
+    told: Iterable[facts.Fact],
+    complete: facts.Stamp,
 ) -> set[facts.Key]:
+    """Take what ranks higher than what is known; return what has changed."""
     changed: set[facts.Key] = set()
-    for fact in report.facts:
-        if fact.value is None or _is_forgotten(known, fact, revision):
+    for fact in told:
+        if fact.value is None or _is_forgotten(known, fact, complete):
             continue
-        missing.pop(fact.key, None)
         before = known.get(fact.key, facts.Fact(fact.key, -1, None))
         if ranks.rank(fact) > ranks.rank(before):
             known[fact.key] = fact
@@ -112,40 +222,54 @@
 
 
 def _is_forgotten(
-    known: Mapping[facts.Key, facts.Fact], fact: facts.Fact, revision: int
+    known: Mapping[facts.Key, facts.Fact],
+    fact: facts.Fact,
+    complete: facts.Stamp,
 ) -> bool:
     """Tell whether an unknown order was taken back, and that is forgotten.
 
-    This host knows every order up to the revision that it has read to. A host
+    This host knows every order up to where its ledger is complete. A host
     that was cut off for longer than removals are remembered still passes on
     the orders of then; taken for news, one of them would leave a data centre
     out that is in use, on all hosts and for good.
     """
     if fact.key.subject is not facts.Subject.EVACUATION or fact.key in known:
         return False
-    return fact.revision <= revision
+    return fact.stamp <= complete
 
 
-def _remove_missing(
+def _remove_due(
     known: dict[facts.Key, facts.Fact],
-    missing: dict[facts.Key, float],
-    revision: int,
+    waiting: dict[facts.Key, float],
+    end: facts.Stamp,
     now: float,
 ) -> set[facts.Key]:
-    due = [key for key, until in missing.items() if until <= now]
+    """Remove what was waited for long enough; return what has changed."""
+    due = [key for key, until in waiting.items() if until <= now]
     changed = set()
     for key in due:
-        missing.pop(key)
+        waiting.pop(key)
         fact = known.get(key)
         # What operators accepted never goes away again.
         kept = key.subject is facts.Subject.CONFIGURATION
         if fact is not None and fact.value is not None and not kept:
-            last = max(revision, fact.revision + 1)
-            known[key] = facts.Fact(key, last, None, ranks.find_born(fact))
+            known[key] = ranks.make_removal(fact, end)
             changed.add(key)
     return changed
 
 
+def _note_changes(
+    ledger: facts.Ledger, changed: Collection[facts.Key]
+) -> facts.Ledger:
+    """Note when facts were learned, for those who ask what is new."""
+    life, place = ledger.cursor
+    place += len(changed)
+    return ledger._replace(
+        cursor=facts.Cursor(life, place),
+        places={**ledger.places, **dict.fromkeys(changed, place)},
+    )
+
+
 def _forget(ledger: facts.Ledger, now: float) -> facts.Ledger:
     """Forget removals from time to time; who asks later gets everything."""
     if now < ledger.forget_at:
--- a/fuchsiahaven/routing/ranks.py
+++ b/fuchsiahaven/routing/ranks.py
@@ -1,17 +1,24 @@
-"""Order what is told of one key, and tell what a removal is of."""
+"""Order what is told of one key, and tell what a removal is of.
 
-from fuchsiahaven.routing import facts, instances
+The store's revisions order its changes within one of its eras only. What
+outlives a restore is ranked first by a number of whoever wrote it.
+"""
 
+from fuchsiahaven.routing import configs, facts, instances
 
-def rank(fact: facts.Fact) -> tuple[int, int]:
-    """Rank what is told of a key: the later start first, then the revision.
 
+def rank(fact: facts.Fact) -> tuple[int, facts.Stamp]:
+    """Rank what is told of a key: by its writer's number, then by the store's.
+
+    A configuration that was accepted is replaced by a higher version only.
     A target may start again under its id. The last entry of its earlier
     start can reach the store after the first of the new one, and hosts that
     heard of one of them only pass it on; by revision alone the dead start
     would win, and requests would go to connections that are gone.
     """
-    return (find_born(fact), fact.revision)
+    if isinstance(fact.value, configs.Configuration):
+        return (fact.value.version, fact.stamp)
+    return (find_born(fact), fact.stamp)
 
 
 def says_same(before: facts.Value | None, value: facts.Value) -> bool:
@@ -32,7 +39,13 @@
     # the one before, maybe under a later revision.
     if removal.born and removal.born < find_born(fact):
         return False
-    return fact.revision <= removal.revision
+    return fact.stamp <= removal.stamp
+
+
+def make_removal(fact: facts.Fact, end: facts.Stamp) -> facts.Fact:
+    """State that a fact is gone, by the time the store has come so far."""
+    era, revision = max(end, fact.stamp._replace(revision=fact.revision + 1))
+    return facts.Fact(fact.key, revision, None, find_born(fact), era)
 
 
 def find_born(fact: facts.Fact) -> int:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -126,9 +126,9 @@
     """An order that is taken back is news of its removal."""
     row = {'key': 'op/evacuate/north', 'revision': 9, 'deleted': True}
     body = json.dumps({'events': [row], 'store_revision': 9}).encode()
-    page = store.read_events(body, lambda *_: None)
+    page = store.read_events(body, 3, lambda *_: None)
     key = facts.Key(facts.Subject.EVACUATION, 'north')
-    assert page.items == (facts.Fact(key, 9, None),)
+    assert page.items == (facts.Fact(key, 9, None, era=3),)
 
 
 def test_names_each_start_of_a_target() -> None:
@@ -240,15 +240,15 @@
     def decode(key: facts.Key, revision: int, text: str) -> facts.Value:
         return records.read_value(key, text)
 
-    page = store.read_page(json.dumps(body).encode(), decode)
+    page = store.read_page(json.dumps(body).encode(), 3, decode)
     assert (page.revision, page.after) == (9, 'other/key')
     assert page.items == (
-        facts.Fact(facts.Key(facts.Subject.HOST, 'host-1'), 4, host),
+        facts.Fact(facts.Key(facts.Subject.HOST, 'host-1'), 4, host, era=3),
     )
     last = json.dumps({**body, 'has_more': False}).encode()
-    assert store.read_page(last, decode).after is None
+    assert store.read_page(last, 3, decode).after is None
     with pytest.raises(records.Malformed):
-        store.read_page(b'{}', decode)
+        store.read_page(b'{}', 3, decode)
 
 
 def test_writes_the_entry_of_a_host_under_its_lease() -> None:
--- /dev/null
+++ b/tests/routing/test_restores.py
@@ -0,0 +1,273 @@
+"""Test what is known while the store comes back from older copies."""
+
+import json
+
+from fuchsiahaven.routing import (
+    absences,
+    codecs,
+    configs,
+    facts,
+    ledgers,
+)
+from tests.routing.test_ledgers import (
+    NEVER,
+    list_names,
+    make_fact,
+    make_order,
+    take,
+)
+from tests.routing.test_ledgers import read as read_whole
+
+CONFIGURATION = facts.Key(facts.Subject.CONFIGURATION, '')
+
+
+def make_version(version: int, revision: int) -> facts.Fact:
+    """State that a version was accepted."""
+    accepted = configs.NOTHING._replace(version=version)
+    return facts.Fact(CONFIGURATION, revision, accepted)
+
+
+def read(era: int, revision: int, *found: facts.Fact) -> facts.Report:
+    """Read the whole store in one of its eras."""
+    stamped = [fact._replace(era=era) for fact in found]
+    report = read_whole(revision, *stamped)
+    return report._replace(era=era)
+
+
+def watch(era: int, revision: int, *found: facts.Fact) -> facts.Report:
+    """Read what has changed in one of the store's eras."""
+    return read(era, revision, *found)._replace(whole=False)
+
+
+def begin(*found: facts.Fact, life: int = 1) -> facts.Ledger:
+    """Begin with what the store held at revision 74 of its first era."""
+    return take(ledgers.begin(life), read(1, 74, *found), 0)
+
+
+def find_version(ledger: facts.Ledger) -> int:
+    """Find which version is in force."""
+    return facts.find_configuration(ledger).version
+
+
+def tell(
+    teller: facts.Ledger, hearer: facts.Ledger, now: float
+) -> facts.Ledger:
+    """Have a host ask another for the first time, as on the wire."""
+    told = ledgers.list_changes(
+        teller, facts.START, now, known=ledgers.digest(hearer)
+    )
+    text = codecs.write_report(told)
+    return take(hearer, codecs.read_report(text), now, None)
+
+
+def test_takes_a_version_at_a_revision_that_was_given_out_before() -> None:
+    """Symptom: an accepted version is not in force, at any host."""
+    ledger = begin(make_version(78, 74))
+    ledger = take(ledger, read(2, 71, make_version(69, 71)), 5)
+    for version, revision in ((82, 72), (86, 73), (88, 74)):
+        report = watch(2, revision, make_version(version, revision))
+        ledger = take(ledger, report, revision)
+        assert find_version(ledger) == version
+
+
+def test_keeps_the_version_in_force_while_the_copy_lacks_it() -> None:
+    """Symptom: what was accepted goes back to what the copy holds."""
+    ledger = begin(make_version(78, 74))
+    ledger = take(ledger, read(2, 71, make_version(69, 71)), 5)
+    assert find_version(ledger) == 78
+    ledger = take(ledger, read(2, 71), 60)
+    assert find_version(ledger) == 78
+
+
+def test_keeps_entries_until_they_can_have_been_written_again() -> None:
+    """Symptom: a store that comes back empties the directory, or never does.
+
+    A target entered after the copy was taken. It is used until its entry can
+    be back; if it is not, the target is gone.
+    """
+    ledger = begin(make_fact('a', 40), make_fact('b', 73))
+    ledger = take(ledger, read(2, 71, make_fact('a', 40)), 5)
+    assert list_names(ledger) == {'a', 'b'}
+    again = take(ledger, watch(2, 72, make_fact('b', 72)), 6)
+    again = take(again, watch(2, 72), 5 + absences.RETURN_S)
+    assert list_names(again) == {'a', 'b'}
+    merged = ledgers.merge(
+        ledger, watch(2, 72), 5 + absences.RETURN_S, returned=NEVER
+    )
+    assert list_names(merged.ledger) == {'a'}
+    assert [key.name for key in merged.dropped] == ['b']
+
+
+def test_takes_a_target_that_enters_again_below_its_removal() -> None:
+    """Symptom: a target that is back gets nothing, for minutes.
+
+    Its removal was at a high revision; its new entry has a low one.
+    """
+    ledger = begin(make_fact('a', 40))
+    gone = facts.Fact(make_fact('a', 0).key, 80, None, era=1)
+    ledger = take(ledger, watch(1, 80, gone), 1)
+    ledger = take(ledger, read(2, 71), 5)
+    ledger = take(ledger, watch(2, 72, make_fact('a', 72)), 6)
+    assert list_names(ledger) == {'a'}
+
+
+def test_keeps_an_evacuation_until_it_can_have_been_written_again() -> None:
+    """Symptom: a data centre that is evacuated gets work after a restore."""
+    kept = absences.KEPT_S[facts.Subject.EVACUATION]
+    ledger = begin(make_order(73))
+    ledger = take(ledger, read(2, 71), 5)
+    before = take(ledger, watch(2, 71), 5 + kept - 0.1)
+    assert 'north' in facts.list_evacuations(before)
+    after = take(ledger, watch(2, 71), 5 + kept)
+    assert not facts.list_evacuations(after)
+    again = take(before, watch(2, 72, make_order(72)), 5 + kept)
+    again = take(again, watch(2, 72), 60)
+    assert facts.list_evacuations(again) == {'north': 72}
+
+
+def test_obeys_the_end_of_an_evacuation_at_a_low_revision() -> None:
+    """Symptom: a data centre that is used again gets nothing."""
+    ledger = begin(make_order(73))
+    ledger = take(ledger, read(2, 60, make_order(50)), 5)
+    end = facts.Fact(make_order(0).key, 61, None, era=2)
+    ledger = take(ledger, watch(2, 61, end), 6)
+    assert not facts.list_evacuations(ledger)
+
+
+def test_an_answer_of_an_earlier_era_changes_nothing() -> None:
+    """Only a higher version of the configuration still counts."""
+    ledger = begin(make_fact('a', 40), make_version(69, 50))
+    ledger = take(ledger, read(2, 71, make_version(69, 50)), 5)
+    ledger = take(ledger, watch(2, 72), 10)
+    late = read(1, 90, make_fact('a', 40), make_version(78, 74))
+    merged = ledgers.merge(ledger, late, 11, returned=None)
+    assert merged.earlier
+    assert not list_names(merged.ledger)
+    assert merged.ledger.stamp == (2, 72)
+    assert find_version(merged.ledger) == 78
+
+
+def test_gives_everything_to_who_asked_in_the_era_before() -> None:
+    """Symptom: a host that hears of the store from another stays behind."""
+    reader = begin(make_fact('a', 40), make_fact('b', 73))
+    other = tell(reader, ledgers.begin(2), 1)
+    cursor = reader.cursor
+    reader = take(reader, read(2, 71, make_fact('a', 40)), 5)
+    told = ledgers.list_changes(reader, cursor, 5)
+    assert (told.whole, told.era) == (True, 2)
+    other = take(other, codecs.read_report(codecs.write_report(told)), 5, None)
+    assert other.stamp == (2, 71)
+    assert list_names(other) == {'a', 'b'}
+    cursor = reader.cursor
+    reader = take(reader, watch(2, 72), 5 + absences.RETURN_S)
+    told = ledgers.list_changes(reader, cursor, 8)
+    assert list_names(take(other, told, 8, None)) == {'a'}
+
+
+def test_keeps_what_a_host_that_started_from_the_copy_lacks() -> None:
+    """A host that tells of a new era undoes nothing that was confirmed."""
+    ledger = begin(make_fact('b', 73), make_order(73), make_version(78, 74))
+    started = take(ledgers.begin(2), read(2, 71, make_version(69, 71)), 5)
+    ledger = tell(started, ledger, 5)
+    assert ledger.era == 2
+    assert list_names(ledger) == {'b'}
+    assert 'north' in facts.list_evacuations(ledger)
+    assert find_version(ledger) == 78
+
+
+def test_drops_what_lapses_though_others_tell_the_news() -> None:
+    """Symptom: a target that is gone is kept for ever by one host.
+
+    The host that tells the news started from the copy and never knew it.
+    """
+    ledger = begin(make_fact('a', 40), make_fact('b', 73))
+    started = take(ledgers.begin(2), read(2, 71, make_fact('a', 40)), 5)
+    ledger = tell(started, ledger, 5)
+    nothing = ledgers.list_changes(started, started.cursor, 6)
+    ledger = take(ledger, nothing, 6, None)
+    ledger = take(ledger, nothing, 5 + absences.RETURN_S, None)
+    assert list_names(ledger) == {'a'}
+
+
+def test_asks_for_everything_while_something_lapses() -> None:
+    """Symptom: a target that is back is dropped by one host.
+
+    It lapses here. The host that is asked has its new entry, so both know the
+    same, but only one of them knows it from the store.
+    """
+    ledger = begin(make_fact('b', 73))
+    ledger = take(ledger, read(2, 71), 5)
+    other = take(ledgers.begin(2), read(2, 72, make_fact('b', 72)), 6)
+    ledger = tell(other, ledger, 6)
+    ledger = take(ledger, watch(2, 72), 20, None)
+    assert list_names(ledger) == {'b'}
+
+
+def test_follows_two_restores_to_ever_older_copies() -> None:
+    """Eras may rise twice within seconds, and by more than one."""
+    ledger = begin(make_version(78, 74), make_fact('b', 73))
+    ledger = take(ledger, read(2, 71, make_version(73, 71)), 5)
+    ledger = take(ledger, read(5, 60, make_version(69, 60)), 6)
+    assert (find_version(ledger), ledger.stamp) == (78, (5, 60))
+    assert list_names(ledger) == {'b'}
+    ledger = take(ledger, watch(5, 61, make_version(79, 61)), 6.5)
+    ledger = take(ledger, watch(5, 61), 6 + absences.RETURN_S)
+    assert find_version(ledger) == 79
+    assert not list_names(ledger)
+
+
+def strip_eras(report: facts.Report) -> facts.Report:
+    """Write a report as a host of the version before does, and read it."""
+    written = json.loads(codecs.write_report(report))
+    del written['era'], written['since']
+    for row in written['facts']:
+        del row['era']
+    return codecs.read_report(json.dumps(written).encode())
+
+
+def test_understands_a_host_that_tells_no_era() -> None:
+    """Hosts of the version before are heard during a rolling update."""
+    ledger = begin(make_version(78, 74), make_fact('a', 40))
+    leaving = watch(1, 76, make_fact('a', 75, leaving=True))
+    told = strip_eras(leaving)
+    assert told.era == facts.NO_ERA
+    ledger = take(ledger, told, 1, None)
+    assert ledger.stamp == (1, 76)
+    assert all(one.leaving for one in facts.list_instances(ledger))
+
+
+def test_believes_no_host_without_eras_after_a_restore() -> None:
+    """Symptom: during a rolling update hosts fall back to the era before."""
+    ledger = begin(make_version(78, 74))
+    ledger = take(ledger, read(2, 71, make_version(78, 71)), 5)
+    told = strip_eras(read(1, 80, make_fact('a', 79), make_version(79, 80)))
+    merged = ledgers.merge(ledger, told, 6, returned=None)
+    assert merged.earlier
+    assert merged.ledger.stamp == (2, 71)
+    assert not list_names(merged.ledger)
+    assert find_version(merged.ledger) == 79
+
+
+def test_begins_with_the_first_era_that_it_hears_of() -> None:
+    """The first listing of a host is no restore, nor a header that is new."""
+    merged = ledgers.merge(ledgers.begin(1), read(7, 74), 0, returned=None)
+    assert (merged.restore, merged.ledger.era) == (None, 7)
+    before = take(ledgers.begin(1), read_whole(74, make_fact('a', 3)), 0)
+    merged = ledgers.merge(
+        before, read(7, 80, make_fact('a', 3)), 1, returned=None
+    )
+    assert (merged.restore, merged.ledger.stamp) == (None, (7, 80))
+    assert not merged.ledger.restores
+
+
+def test_tells_what_a_restore_has_brought() -> None:
+    """Operators read in one line what became of what was known."""
+    ledger = begin(make_version(78, 74), make_fact('a', 40), make_fact('b', 73))
+    copy = read(2, 71, make_version(69, 71), make_fact('a', 40))
+    leaving = make_fact('c', 60, leaving=True)
+    copy = copy._replace(facts=(*copy.facts, leaving._replace(era=2)))
+    merged = ledgers.merge(ledger, copy, 5, returned=NEVER)
+    # The version and the target that the copy lacks are kept.
+    assert merged.restore == facts.Restore(
+        facts.Stamp(1, 74), facts.Stamp(2, 71), kept=2, taken=1
+    )
