Remember decoded values by era and revision

What callers saw: none reported; a host would serve the version before, though it has read the new one.

--- a/fuchsiahaven/platform/store.py
+++ b/fuchsiahaven/platform/store.py
@@ -19,7 +19,7 @@
 LONGEST_ERA: Final = 16
 
 #: Decodes a value, or returns it as decoded before.
-Decode = Callable[[facts.Key, int, str], facts.Value | None]
+Decode = Callable[[facts.Key, facts.Stamp, str], facts.Value | None]
 
 
 class Call(NamedTuple):
@@ -170,6 +170,8 @@
     key = records.name_key(row['key'])
     if key is None:
         return None
-    revision = int(row['revision'])
-    found = decode(key, revision, row['value'])
-    return None if found is None else facts.Fact(key, revision, found, era=era)
+    stamp = facts.Stamp(era, int(row['revision']))
+    found = decode(key, stamp, row['value'])
+    if found is None:
+        return None
+    return facts.Fact(key, stamp.revision, found, era=era)
--- a/fuchsiahaven/relay/decoders.py
+++ b/fuchsiahaven/relay/decoders.py
@@ -13,9 +13,9 @@
 
 
 class Decoded(NamedTuple):
-    """Hold a value as it was decoded at a revision."""
+    """Hold a value as it was decoded, and where it was written."""
 
-    revision: int
+    stamp: facts.Stamp
     value: facts.Value | None
 
 
@@ -28,7 +28,7 @@
         self._decoded: dict[facts.Key, Decoded] = {}
 
     def decode(
-        self, key: facts.Key, revision: int, encoded: str
+        self, key: facts.Key, stamp: facts.Stamp, encoded: str
     ) -> facts.Value | None:
         """Decode a value; of a malformed one the last good one stays.
 
@@ -38,7 +38,7 @@
         nothing of the store.
         """
         known = self._decoded.get(key)
-        if known is not None and known.revision == revision:
+        if known is not None and known.stamp == stamp:
             return known.value
         read: facts.Value | None
         try:
@@ -52,5 +52,5 @@
                 read = read._replace(leaving=True)
         if len(self._decoded) >= MOST_KEPT:
             self._decoded.clear()
-        self._decoded[key] = Decoded(revision, read)
+        self._decoded[key] = Decoded(stamp, read)
         return read
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -237,7 +237,7 @@
     ]
     body = {'items': rows, 'has_more': True, 'store_revision': 9}
 
-    def decode(key: facts.Key, revision: int, text: str) -> facts.Value:
+    def decode(key: facts.Key, stamp: facts.Stamp, text: str) -> facts.Value:
         return records.read_value(key, text)
 
     page = store.read_page(json.dumps(body).encode(), 3, decode)
--- a/tests/relay/test_decoders.py
+++ b/tests/relay/test_decoders.py
@@ -50,11 +50,13 @@
     """
     log = Log()
     decoder = decoders.Decoder(log)
-    good = decoder.decode(KEY, 1, encode(ENTRY))
-    spoilt = decoder.decode(KEY, 2, encode({**ENTRY, 'slots': 'two'}))
+    good = decoder.decode(KEY, facts.Stamp(1, 1), encode(ENTRY))
+    spoilt = decoder.decode(
+        KEY, facts.Stamp(1, 2), encode({**ENTRY, 'slots': 'two'})
+    )
     assert isinstance(good, instances.Instance)
     assert spoilt == good._replace(leaving=True)
-    assert decoder.decode(KEY, 3, encode(ENTRY)) == good
+    assert decoder.decode(KEY, facts.Stamp(1, 3), encode(ENTRY)) == good
 
 
 def test_tells_of_a_spoilt_entry_once() -> None:
@@ -62,7 +64,22 @@
     log = Log()
     decoder = decoders.Decoder(log)
     for _ in range(3):
-        assert decoder.decode(KEY, 1, encode({'service': 'x' * 5000})) is None
+        assert (
+            decoder.decode(
+                KEY, facts.Stamp(1, 1), encode({'service': 'x' * 5000})
+            )
+            is None
+        )
     (line,) = log.told
     assert 'i-1' in str(line['error'])
     assert len(str(line['error'])) <= 200
+
+
+def test_decodes_a_revision_of_another_era_anew() -> None:
+    """A store that came back gives revisions out again, for other values."""
+    decoder = decoders.Decoder(Log())
+    decoder.decode(KEY, facts.Stamp(1, 5), encode(ENTRY))
+    leaving = {**ENTRY, 'state': 'draining'}
+    found = decoder.decode(KEY, facts.Stamp(2, 5), encode(leaving))
+    assert isinstance(found, instances.Instance)
+    assert found.leaving
--- a/tests/relay/test_restores.py
+++ b/tests/relay/test_restores.py
@@ -23,3 +23,24 @@
             await world.wait_for_version(12)
 
     peers.run(check())
+
+
+def test_reads_a_value_anew_at_a_revision_that_was_given_out_before() -> None:
+    """Symptom: a host takes the version before for the one that it reads.
+
+    What was decoded is remembered by its revision, which the store gives out
+    again for another value.
+    """
+
+    async def check() -> None:
+        async with worlds.make() as world:
+            await world.add_host('host-1')
+            await world.settle()
+            copy = world.store.copy()
+            world.store.put('op/config', worlds.make_configuration(9))
+            await world.wait_for_version(9)
+            world.store.restore(copy)
+            world.store.put('op/config', worlds.make_configuration(12))
+            await world.wait_for_version(12)
+
+    peers.run(check())
--- a/tests/relay/worlds.py
+++ b/tests/relay/worlds.py
@@ -120,6 +120,17 @@
         await peers.wait_for(lambda: not host.find_obstacle())
         return host
 
+    async def settle(self) -> None:
+        """Wait until all hosts have entered themselves and know it."""
+        await peers.wait_for(
+            lambda: all(
+                host.news.ledger.revision == self.store.revision
+                and f'fuchsiahaven/hosts/{host.settings.host.name}'
+                in self.store.items
+                for host in self.hosts
+            )
+        )
+
     async def wait_for_version(self, version: int) -> None:
         """Wait until all hosts have a version in force, as long as promised."""
         async with asyncio.timeout(IN_FORCE_S):
