Hold what only the copy says against what was confirmed

What callers would see: work sent to targets that had left, or a data centre emptied, after the store came back older. Removals were also forgotten all together once a minute, those of a moment before too, so that nothing remembered them. Why it works: an entry at a revision that the store already had when it was first read in its era, and that contradicts what was confirmed in an earlier era of the same start of a target, is held until targets' entries would have been renewed or removed (the time of a return and three heartbeats, counted while the store can be read); if it is still there it counts, and an entry written in the new era counts at once. Each removal is remembered for its own minute.

--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -65,7 +65,7 @@
     ) -> None:
         """Start with nothing known."""
         self.ledger = ledgers.begin(
-            random.SystemRandom().getrandbits(LIFE_BITS)
+            random.SystemRandom().getrandbits(LIFE_BITS), settings.heartbeat
         )
         self.settings = settings
         self.store = calls.Client(
--- a/fuchsiahaven/routing/absences.py
+++ b/fuchsiahaven/routing/absences.py
@@ -26,6 +26,8 @@
         facts.Subject.QUARANTINE: 30.0,
     }
 )
+#: A target whose entry is not renewed for so many heartbeats is gone.
+SILENT_HEARTBEATS: Final = 3
 #: More of the targets than this do not vanish between two readings without a
 #: word before: it is the store that has lost their entries.
 SUSPICIOUS_SHARE: Final = 0.5
@@ -52,11 +54,49 @@
     }
 
 
+def count_patience(heartbeat: float) -> float:
+    """Count the seconds in which a copy's entries are renewed, or gone.
+
+    `heartbeat` is how often targets renew theirs, in seconds.
+    """
+    return RETURN_S + SILENT_HEARTBEATS * heartbeat
+
+
 def find_lapses(gone: set[facts.Key], now: float) -> dict[facts.Key, float]:
     """Say until when each fact is kept that a store lacks which came back."""
     return {key: now + KEPT_S[key.subject] for key in gone}
 
 
+def delay_lapses(
+    lapsing: Mapping[facts.Key, float], returned: float | None
+) -> dict[facts.Key, float]:
+    """Wait anew where the store was away again: nobody could write."""
+    if returned is None:
+        return dict(lapsing)
+    return {
+        key: max(until, returned + KEPT_S[key.subject])
+        for key, until in lapsing.items()
+    }
+
+
+def list_present(report: facts.Report) -> set[facts.Key]:
+    """List what a report tells to be there."""
+    return {fact.key for fact in report.facts if fact.value is not None}
+
+
+def list_standing(
+    held: Mapping[facts.Key, facts.Fact], report: facts.Report
+) -> dict[facts.Key, facts.Fact]:
+    """List which facts stand that were held before a report."""
+    told = list_present(report)
+    gone = find_gone(held, report)
+    return {
+        key: fact
+        for key, fact in held.items()
+        if key not in told and key not in gone
+    }
+
+
 def find_returns(
     known: Mapping[facts.Key, facts.Fact],
     gone: set[facts.Key],
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -111,10 +111,13 @@
     `read` is when the store was last read by whoever told us. `missing` are
     facts that are gone from the store but kept until the time given; `lapsing`
     are those that it lacked when it came back from a copy, kept until they can
-    have been written again. `places` is when each fact was learned, in the
-    order of `cursor`; removals up to `floor` are forgotten. `revision` and
-    `since` are of the history `era`; `restores` counts how often it was seen
-    to rise.
+    have been written again. `held` is what the copy says against what was
+    confirmed before: it counts after `patience` seconds, in which it would have
+    been written over. `places` is when each fact was learned, in the order of
+    `cursor`, and `gone` the time at which each removal was; removals up to
+    `floor` are forgotten. `revision` and `since` are of the history `era`;
+    `restores` counts how often it was seen to rise, `restored` is when it last
+    did, or when the store was last reached again.
     """
 
     cursor: Cursor
@@ -128,7 +131,11 @@
     era: int = NO_ERA
     since: int = 0
     restores: int = 0
+    restored: float = float('-inf')
     lapsing: Mapping[Key, float] = {}
+    held: Mapping[Key, Fact] = {}
+    patience: float = 0.0
+    gone: Mapping[Key, float] = {}
 
     @property
     def stamp(self) -> Stamp:
--- a/fuchsiahaven/routing/ledgers.py
+++ b/fuchsiahaven/routing/ledgers.py
@@ -17,9 +17,18 @@
 REMEMBER_S: Final = 60.0
 
 
-def begin(life: int) -> facts.Ledger:
-    """Begin with nothing known; `life` is new at each start of a process."""
-    return facts.Ledger(facts.Cursor(life, 0))
+#: How often targets renew their entries where that is not told, in seconds.
+HEARTBEAT_S: Final = 1.2
+
+
+def begin(life: int, heartbeat: float = HEARTBEAT_S) -> facts.Ledger:
+    """Begin with nothing known; `life` is new at each start of a process.
+
+    `heartbeat` is how often targets renew their entries, in seconds.
+    """
+    return facts.Ledger(
+        facts.Cursor(life, 0), patience=absences.count_patience(heartbeat)
+    )
 
 
 def merge(
@@ -37,7 +46,7 @@
     """
     told = _place(ledger, report)
     if told.era < ledger.era:
-        return _merge_earlier(ledger, told)
+        return _merge_earlier(ledger, told, now)
     if told.era > ledger.era:
         return _turn(ledger, told, now)
     return _merge_later(ledger, told, now, returned)
@@ -57,7 +66,9 @@
     return report._replace(era=ledger.era, facts=tuple(placed))
 
 
-def _merge_earlier(ledger: facts.Ledger, report: facts.Report) -> facts.Merged:
+def _merge_earlier(
+    ledger: facts.Ledger, report: facts.Report, now: float
+) -> facts.Merged:
     """Take in a report of an era that has ended.
 
     Only a configuration still counts: its version says more than the store.
@@ -69,9 +80,8 @@
         if fact.key.subject is facts.Subject.CONFIGURATION
     ]
     changed = _take_values(known, accepted, ledger.stamp)
-    merged = _note_changes(ledger._replace(facts=known), changed)
-    subjects = frozenset(key.subject for key in changed)
-    return facts.Merged(merged, subjects, earlier=True)
+    merged = _note_changes(ledger._replace(facts=known), changed, now)
+    return facts.Merged(merged, _list_subjects(changed), earlier=True)
 
 
 def _turn(
@@ -83,8 +93,10 @@
     that was confirmed would go back, until it is.
     """
     known = dict(ledger.facts)
-    changed = _take_values(known, report.facts, ledger.stamp)
-    gone = absences.find_gone(known, report)
+    since = report.since or report.revision
+    told, held = _hold(known, report.facts, facts.Stamp(report.era, since))
+    changed = _take_values(known, told, ledger.stamp)
+    lapsing = absences.find_lapses(absences.find_gone(known, report), now)
     # Everybody who asks gets everything: cursors were of the era before.
     floor = ledger.cursor.place + 1
     turned = ledger._replace(
@@ -92,18 +104,19 @@
         floor=floor,
         facts=known,
         missing={},
-        lapsing=absences.find_lapses(gone, now),
+        lapsing=lapsing,
+        held=held,
         revision=report.revision,
         read=max(ledger.read, now - report.age),
         era=report.era,
-        since=report.since or report.revision,
+        since=since,
+        restored=now,
     )
     restore = _find_restore(ledger.stamp, turned, len(changed))
     if restore is not None:
         turned = turned._replace(restores=ledger.restores + 1)
-    merged = _forget(_note_changes(turned, changed), now)
-    subjects = frozenset(key.subject for key in changed)
-    return facts.Merged(merged, subjects, restore)
+    merged = _forget(_note_changes(turned, changed, now), now)
+    return facts.Merged(merged, _list_subjects(changed), restore)
 
 
 def _find_restore(
@@ -130,30 +143,25 @@
     known = dict(ledger.facts)
     # A host that tells the news also tells when what it misses is gone.
     missing = {} if returned is None else dict(ledger.missing)
-    lapsing = dict(ledger.lapsing)
-    for fact in report.facts:
-        if fact.value is not None:
-            missing.pop(fact.key, None)
-            lapsing.pop(fact.key, None)
-    changed = _take_values(known, report.facts, ledger.stamp)
+    lapsing = absences.delay_lapses(ledger.lapsing, returned)
+    for present in absences.list_present(report):
+        missing.pop(present, None)
+        lapsing.pop(present, None)
+    complete = ledger.stamp
+    ledger = _read_on(ledger, report, now, returned)
+    ledger, changed = _take_news(ledger, known, report, complete)
     gone = absences.find_gone(known, report)
     gone -= missing.keys() | lapsing.keys()
     missing.update(absences.find_returns(known, gone, now, returned))
-    end = facts.Stamp(ledger.era, max(ledger.revision, report.revision))
-    changed |= _remove_due(known, missing, end, now)
-    dropped = _remove_due(known, lapsing, end, now)
+    changed |= _remove_due(known, missing, ledger.stamp, now)
+    # What cannot be written again, as nobody reaches the store, does not lapse.
+    dropped = _remove_due(known, lapsing, ledger.stamp, ledger.read)
     changed |= dropped
-    merged = ledger._replace(
-        facts=known,
-        missing=missing,
-        lapsing=lapsing,
-        revision=end.revision,
-        since=min(ledger.since, report.since or ledger.since),
-        read=max(ledger.read, now - report.age),
+    merged = ledger._replace(facts=known, missing=missing, lapsing=lapsing)
+    merged = _forget(_note_changes(merged, changed, now), now)
+    return facts.Merged(
+        merged, _list_subjects(changed), dropped=tuple(sorted(dropped))
     )
-    merged = _forget(_note_changes(merged, changed), now)
-    subjects = frozenset(key.subject for key in changed)
-    return facts.Merged(merged, subjects, dropped=tuple(sorted(dropped)))
 
 
 def list_changes(
@@ -202,6 +210,63 @@
     return zlib.crc32('\n'.join(sorted(lines)).encode())
 
 
+def _read_on(
+    ledger: facts.Ledger,
+    report: facts.Report,
+    now: float,
+    returned: float | None,
+) -> facts.Ledger:
+    """Note how far the store has been read, and by when."""
+    since = report.since or ledger.since
+    restored = ledger.restored
+    if returned is not None:
+        # While the store was away again nobody could write.
+        restored = max(restored, returned)
+    return ledger._replace(
+        revision=max(ledger.revision, report.revision),
+        since=min(ledger.since, since),
+        restored=restored,
+        read=max(ledger.read, now - report.age),
+    )
+
+
+def _take_news(
+    ledger: facts.Ledger,
+    known: dict[facts.Key, facts.Fact],
+    report: facts.Report,
+    complete: facts.Stamp,
+) -> tuple[facts.Ledger, set[facts.Key]]:
+    """Take what is told, and what was held for long enough."""
+    held = absences.list_standing(ledger.held, report)
+    copied = facts.Stamp(ledger.era, ledger.since)
+    told = list(report.facts)
+    if ledger.read < ledger.restored + ledger.patience:
+        told, more = _hold(known, told, copied)
+        held.update(more)
+    else:
+        told.extend(held.values())
+        held = {}
+    changed = _take_values(known, told, complete)
+    return ledger._replace(held=held), changed
+
+
+def _hold(
+    known: Mapping[facts.Key, facts.Fact],
+    told: Iterable[facts.Fact],
+    copied: facts.Stamp,
+) -> tuple[list[facts.Fact], dict[facts.Key, facts.Fact]]:
+    """Part what is told from what only a copy says against what is known."""
+    taken: list[facts.Fact] = []
+    held: dict[facts.Key, facts.Fact] = {}
+    for fact in told:
+        old = fact.value is not None and fact.stamp <= copied
+        if old and ranks.contradicts(fact, known.get(fact.key)):
+            held[fact.key] = fact
+        else:
+            taken.append(fact)
+    return taken, held
+
+
 def _take_values(
     known: dict[facts.Key, facts.Fact],
     told: Iterable[facts.Fact],
@@ -238,6 +303,12 @@
     return fact.stamp <= complete
 
 
+def _list_subjects(
+    changed: Collection[facts.Key],
+) -> frozenset[facts.Subject]:
+    return frozenset(key.subject for key in changed)
+
+
 def _remove_due(
     known: dict[facts.Key, facts.Fact],
     waiting: dict[facts.Key, float],
@@ -259,14 +330,16 @@
 
 
 def _note_changes(
-    ledger: facts.Ledger, changed: Collection[facts.Key]
+    ledger: facts.Ledger, changed: Collection[facts.Key], now: float
 ) -> facts.Ledger:
     """Note when facts were learned, for those who ask what is new."""
     life, place = ledger.cursor
     place += len(changed)
+    gone = {key: now for key in changed if ledger.facts[key].value is None}
     return ledger._replace(
         cursor=facts.Cursor(life, place),
         places={**ledger.places, **dict.fromkeys(changed, place)},
+        gone={**ledger.gone, **gone},
     )
 
 
@@ -274,17 +347,21 @@
     """Forget removals from time to time; who asks later gets everything."""
     if now < ledger.forget_at:
         return ledger
-    kept = {
-        key: fact
+    old = {
+        key
         for key, fact in ledger.facts.items()
-        if fact.value is not None
+        if fact.value is None and ledger.gone[key] + REMEMBER_S <= now
     }
-    floor = ledger.floor
-    if len(kept) < len(ledger.facts):
-        floor = ledger.cursor.place
+    kept = {key: it for key, it in ledger.facts.items() if key not in old}
+    forgotten = max((ledger.places[key] for key in old), default=0)
     return ledger._replace(
         facts=kept,
         places={key: ledger.places[key] for key in kept},
-        floor=floor,
+        gone={
+            key: at
+            for key, at in ledger.gone.items()
+            if key in kept and kept[key].value is None
+        },
+        floor=max(ledger.floor, forgotten),
         forget_at=now + REMEMBER_S,
     )
--- a/fuchsiahaven/routing/ranks.py
+++ b/fuchsiahaven/routing/ranks.py
@@ -42,6 +42,25 @@
     return fact.stamp <= removal.stamp
 
 
+def contradicts(fact: facts.Fact, before: facts.Fact | None) -> bool:
+    """Tell whether a fact undoes what was confirmed in an earlier era.
+
+    One start of a target neither returns nor stays once it has said that it
+    leaves, and what was removed is not there again unless it is written again.
+    """
+    if before is None or before.era >= fact.era:
+        return False
+    if find_born(before) != find_born(fact):
+        return False
+    if before.value is None:
+        return True
+    return _is_leaving(before) and not _is_leaving(fact)
+
+
+def _is_leaving(fact: facts.Fact) -> bool:
+    return isinstance(fact.value, instances.Instance) and fact.value.leaving
+
+
 def make_removal(fact: facts.Fact, end: facts.Stamp) -> facts.Fact:
     """State that a fact is gone, by the time the store has come so far."""
     era, revision = max(end, fact.stamp._replace(revision=fact.revision + 1))
--- a/tests/routing/test_restores.py
+++ b/tests/routing/test_restores.py
@@ -183,9 +183,10 @@
     ledger = begin(make_fact('a', 40), make_fact('b', 73))
     started = take(ledgers.begin(2), read(2, 71, make_fact('a', 40)), 5)
     ledger = tell(started, ledger, 5)
-    nothing = ledgers.list_changes(started, started.cursor, 6)
-    ledger = take(ledger, nothing, 6, None)
-    ledger = take(ledger, nothing, 5 + absences.RETURN_S, None)
+    for now in (6, 5 + absences.RETURN_S):
+        started = take(started, watch(2, 71), now)
+        nothing = ledgers.list_changes(started, started.cursor, now)
+        ledger = take(ledger, nothing, now, None)
     assert list_names(ledger) == {'a'}
 
 
@@ -271,3 +272,111 @@
     assert merged.restore == facts.Restore(
         facts.Stamp(1, 74), facts.Stamp(2, 71), kept=2, taken=1
     )
+
+
+def make_removal(name: str, revision: int) -> facts.Fact:
+    """State that a target's entry is gone."""
+    return facts.Fact(make_fact(name, 0).key, revision, None)
+
+
+def test_sends_nothing_to_a_target_that_the_copy_has_as_ready() -> None:
+    """Symptom: a target that has said that it leaves gets new work.
+
+    It said so after the copy was taken, and says it again.
+    """
+    ledger = begin(make_fact('a', 73, leaving=True))
+    ledger = take(ledger, read(2, 71, make_fact('a', 40)), 5)
+    assert all(one.leaving for one in facts.list_instances(ledger))
+    ledger = take(ledger, watch(2, 72, make_fact('a', 72, leaving=True)), 6)
+    ledger = take(ledger, watch(2, 72), 60)
+    assert all(one.leaving for one in facts.list_instances(ledger))
+
+
+def test_brings_back_no_target_that_the_copy_still_has() -> None:
+    """Symptom: requests go to a target that left before the restore."""
+    ledger = begin(make_fact('a', 40), make_fact('b', 41))
+    ledger = take(ledger, watch(1, 76, make_removal('a', 75)), 1)
+    copy = read(2, 71, make_fact('a', 40), make_fact('b', 41))
+    ledger = take(ledger, copy, 5)
+    assert list_names(ledger) == {'b'}
+    ledger = take(ledger, watch(2, 72, make_removal('a', 72)), 8)
+    ledger = take(ledger, watch(2, 72), 60)
+    assert list_names(ledger) == {'b'}
+
+
+def test_uses_a_target_that_stays_after_it_was_taken_for_gone() -> None:
+    """Symptom: a target that is there gets nothing, for good.
+
+    Its entry lapsed in the era before and is in the copy; the target lives, and
+    has nothing new to say. An entry that is dead would be gone by then.
+    """
+    ledger = begin(make_fact('a', 40))
+    ledger = take(ledger, watch(1, 76, make_removal('a', 75)), 1)
+    ledger = take(ledger, read(2, 71, make_fact('a', 40)), 5)
+    assert not list_names(ledger)
+    cursor = ledger.cursor
+    ledger = take(ledger, watch(2, 72), 5 + ledger.patience)
+    assert list_names(ledger) == {'a'}
+    assert ledgers.list_changes(ledger, cursor, 60).facts
+
+
+def test_uses_a_target_whose_spoilt_entry_was_lost() -> None:
+    """Symptom: the same, for a target that was taken for leaving by mistake."""
+    ledger = begin(make_fact('a', 73, leaving=True))
+    ledger = take(ledger, read(2, 71, make_fact('a', 40)), 5)
+    ledger = take(ledger, watch(2, 72), 5 + ledger.patience)
+    assert not any(one.leaving for one in facts.list_instances(ledger))
+
+
+def test_uses_a_new_start_of_a_target_at_once() -> None:
+    """It is another process than the one that left."""
+    ledger = begin(make_fact('a', 73, leaving=True, born=1))
+    ledger = take(ledger, read(2, 71, make_fact('a', 71, born=2)), 5)
+    assert list_names(ledger) == {'a@2'}
+
+
+def test_gives_no_evacuation_again_that_was_taken_back() -> None:
+    """Symptom: a data centre in use is emptied, because the copy says so.
+
+    The order had been taken back, and will be again; a new one is obeyed.
+    """
+    ledger = begin(make_order(40))
+    end = facts.Fact(make_order(0).key, 75, None)
+    ledger = take(ledger, watch(1, 76, end), 1)
+    ledger = take(ledger, read(2, 71, make_order(40)), 5)
+    assert not facts.list_evacuations(ledger)
+    again = take(ledger, watch(2, 72, make_order(72)), 6)
+    assert facts.list_evacuations(again) == {'north': 72}
+    end = end._replace(revision=72)
+    ledger = take(ledger, watch(2, 72, end), 6)
+    ledger = take(ledger, watch(2, 73), 60)
+    assert not facts.list_evacuations(ledger)
+
+
+def test_holds_what_another_host_took_from_the_copy() -> None:
+    """A host that started from the copy brings nobody back either."""
+    ledger = begin(make_fact('a', 40), make_fact('b', 41))
+    ledger = take(ledger, watch(1, 76, make_removal('a', 75)), 1)
+    copy = read(2, 71, make_fact('a', 40), make_fact('b', 41))
+    started = take(ledgers.begin(2), copy, 5)
+    ledger = tell(started, ledger, 5)
+    assert list_names(ledger) == {'b'}
+    cursor = started.cursor
+    started = take(started, watch(2, 72, make_removal('a', 72)), 7)
+    ledger = take(ledger, ledgers.list_changes(started, cursor, 7), 7, None)
+    ledger = take(ledger, watch(2, 72), 60, None)
+    assert list_names(ledger) == {'b'}
+
+
+def test_remembers_each_removal_for_its_time() -> None:
+    """Symptom: the same, for a target that left a moment before.
+
+    Removals were forgotten together, the latest ones too.
+    """
+    ledger = begin(make_fact('a', 40), make_fact('b', 41))
+    at = ledgers.REMEMBER_S - 1
+    ledger = take(ledger, watch(1, 76, make_removal('a', 75)), at)
+    ledger = take(ledger, watch(1, 77), at + 2)
+    copy = read(2, 71, make_fact('a', 40), make_fact('b', 41))
+    ledger = take(ledger, copy, at + 3)
+    assert list_names(ledger) == {'b'}
