Write entries anew after a restore, each under a lease of the new era

What callers would see: hosts that are missing to each other take more of the bound on repeats than is theirs; a request in quarantine ends targets again at hosts that start; somebody else's keys go with a lease that a host renews or ends. Cause: the number of a lease was used in an era in which the store had given it out again: a renewal answered 200 was taken for one's own, and an entry written after a restore went under another's lease. Why it works: a lease is kept with the era in which it was opened; it is never renewed in another, an entry that was written in another than its lease's is written anew. Entries are written on a connection of their own: on the reader's they waited for a watch to end, 2 to 4 s.

--- a/fuchsiahaven/platform/settings.py
+++ b/fuchsiahaven/platform/settings.py
@@ -11,6 +11,8 @@
 VARIABLE: Final = 'FUCHSIAHAVEN_SETTINGS'
 MILLISECONDS: Final = 1000
 BYTES_OF_MEGABIT: Final = 125_000
+#: Writes a second that the store takes where that is not told.
+USUAL_WRITES: Final = 400.0
 #: Names that every settings file has.
 REQUIRED: Final = (
     'node',
@@ -118,6 +120,7 @@
         _read_link(lines.get('limits.link_mbps', '')),
         _read_warm_up(lines),
         lines.get('bootstrap') == 'true',
+        _read_rate(lines.get('platform.writes_per_s', '')),
     )
 
 
@@ -132,6 +135,15 @@
     return places.WarmUp(overage, slack) if bounded else None
 
 
+def _read_rate(told: str) -> float:
+    """Read how many writes the store takes; one that is not told is usual."""
+    try:
+        rate = float(told)
+    except ValueError:
+        return USUAL_WRITES
+    return rate if math.isfinite(rate) and rate > 0 else USUAL_WRITES
+
+
 def _read_link(told: str) -> float:
     """Read what a host's link carries; one that is not told is not known."""
     try:
--- a/fuchsiahaven/relay/entries.py
+++ b/fuchsiahaven/relay/entries.py
@@ -1,10 +1,12 @@
 """Keep the entry in the store by which other hosts find this one."""
 
 import asyncio
+import contextlib
+import random
 from typing import Final
 
 from fuchsiahaven.platform import records, store
-from fuchsiahaven.relay import calls, journal, news, readers
+from fuchsiahaven.relay import calls, journal, leases, news
 from fuchsiahaven.routing import facts
 
 PART: Final = 'entry'
@@ -31,8 +33,10 @@
         """Start without an entry."""
         self._news = known
         self._log = log
-        self._lease: int | None = None
+        self._writer = known.writer
+        self._lease: leases.Lease | None = None
         self._failures = 0
+        self._restored = asyncio.Event()
 
     async def stay(self) -> None:
         """Keep the entry, for ever."""
@@ -40,7 +44,23 @@
             pause = ENTER_S
             if self._news.ledger.revision and not self._news.lost:
                 pause = await self._try_to_enter()
-            await asyncio.sleep(pause)
+            await self._pause(pause)
+
+    def note_restore(self) -> None:
+        """Enter anew: the store may have lost the lease, or given it away."""
+        self._lease = None
+        self._restored.set()
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait for so long, or for this host's turn after a restore."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._restored.wait()
+        if self._restored.is_set():
+            self._restored.clear()
+            hosts = len(facts.list_hosts(self._news.ledger))
+            spread = leases.count_spread(self._news.settings, hosts)
+            await asyncio.sleep(random.uniform(0, spread))
 
     async def _try_to_enter(self) -> float:
         try:
@@ -57,27 +77,22 @@
         if await self._renew():
             return
         host = self._news.settings.host
-        lease = store.read_lease(await self._call(store.open_lease(LEASE_S)))
-        await self._call(store.enter_host(host, lease))
+        lease = await self._writer.open(LEASE_S)
+        await self._writer.write(store.enter_host(host, lease.number), lease)
         self._lease = lease
-        self._log.tell(PART, 'entered', lease=lease)
+        self._log.tell(
+            PART, 'entered', lease=lease.number, era=self._news.eras.heard
+        )
 
     async def _renew(self) -> bool:
         """Renew the lease; False if there is none or its entry is gone."""
-        if self._lease is None:
+        lease = self._lease
+        if lease is None:
             return False
         key = facts.Key(facts.Subject.HOST, self._news.settings.host.name)
         known = self._news.ledger.facts.get(key)
-        call = store.renew_lease(self._lease)
-        done = await self._news.store.call(call, readers.STORE_S)
-        stands = known is not None and known.value is not None
-        if done.status == store.OK and stands:
+        renewed = await self._writer.renew(lease)
+        if renewed and known is not None and known.value is not None:
             return True
         self._lease = None
         return False
-
-    async def _call(self, call: store.Call) -> bytes:
-        done = await self._news.store.call(call, readers.STORE_S)
-        if done.status != store.OK:
-            raise calls.CallFailed(f'{call.target} is answered {done.status}')
-        return done.body
--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -93,7 +93,7 @@
         hosts=driven.desk.host_count,
         links=driven.fleet.count_links(),
         opened=driven.fleet.count_opened(),
-        calls=known.store.calls,
+        calls=known.store.calls + known.writer.store.calls,
         quarantined=len(suspects.pick_quarantined(known_suspects)),
         era=-1 if known.eras.heard is None else known.eras.heard,
         forgotten=known.forgotten,
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -15,6 +15,7 @@
     encodings,
     eras,
     journal,
+    leases,
     readers,
     traffic,
 )
@@ -68,10 +69,12 @@
             random.SystemRandom().getrandbits(LIFE_BITS), settings.heartbeat
         )
         self.settings = settings
-        self.store = calls.Client(
-            settings.store, counted.find(traffic.Kind.STORE, far=True)
-        )
+        tally = counted.find(traffic.Kind.STORE, far=True)
+        self.store = calls.Client(settings.store, tally)
         self.eras = eras.Eras(log)
+        self.writer = leases.Writer(
+            calls.Client(settings.store, tally), self.eras
+        )
         self._log = log
         self._learn = learn
         self._peers = calls.Clients(counted)
@@ -104,6 +107,7 @@
     def close(self) -> None:
         """Close the connections."""
         self.store.close()
+        self.writer.close()
         self._peers.close()
 
     async def _go_round(self) -> float:
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -30,6 +30,7 @@
     configs,
     desks,
     events,
+    facts,
     places,
     states,
     suspect_codecs,
@@ -64,12 +65,8 @@
         self.lessons = lessons.Lessons(
             settings, self.runner, log, self.find_obstacle
         )
-        self.news = news.News(
-            settings, log, self.lessons.learn, self.runner.traffic
-        )
-        self.quarantines = quarantines.Quarantines(
-            self.desk, self.news, log, self.runner.traffic
-        )
+        self.news = news.News(settings, log, self._learn, self.runner.traffic)
+        self.quarantines = quarantines.Quarantines(self.desk, self.news, log)
         self.notices = notices.Notices(
             self.desk,
             self.quarantines,
@@ -131,6 +128,12 @@
             return STOPPING
         return self.readiness.find_obstacle()
 
+    def _learn(self, merged: facts.Merged) -> None:
+        self.lessons.learn(merged)
+        if merged.restore is not None:
+            self._entry.note_restore()
+            self.quarantines.note_restore()
+
     def _find_obstacle(self) -> str:
         if self._stopping.is_set():
             return STOPPING
--- a/fuchsiahaven/relay/quarantines.py
+++ b/fuchsiahaven/relay/quarantines.py
@@ -4,11 +4,13 @@
 """
 
 import asyncio
+import random
+import time
 from typing import Final
 
 from fuchsiahaven.core import rendezvous, suspects
 from fuchsiahaven.platform import records, store
-from fuchsiahaven.relay import calls, journal, news, readers, traffic
+from fuchsiahaven.relay import calls, journal, leases, news
 from fuchsiahaven.routing import facts, states
 
 PART: Final = 'suspects'
@@ -37,41 +39,45 @@
         desk: states.Desk,
         known: news.News,
         log: journal.Journal,
-        counted: traffic.Traffic,
     ) -> None:
         """Start with nothing to enter."""
         self._desk = desk
         self._news = known
         self._log = log
-        # The call that waits for changes would hold up what is written.
-        self._store = calls.Client(
-            known.settings.store, counted.find(traffic.Kind.STORE, far=True)
-        )
+        self._writer = known.writer
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def close(self) -> None:
         """End what is under way."""
         for task in tuple(self._tasks.values()):
             task.cancel()
-        self._store.close()
 
     def enter(self, found: suspects.News) -> None:
         """Enter what this host found out, if it belongs there."""
         if self._is_due(found):
             self._start(found, 0.0)
 
-    def keep(self, found: suspects.News) -> None:
+    def note_restore(self) -> None:
+        """See that what the store has lost is entered again."""
+        settings = self._news.settings
+        spread = leases.count_spread(settings, self._desk.host_count)
+        known = self._desk.suspects.list_all(time.monotonic())
+        for found in known[:MOST_ENTRIES]:
+            self.keep(found, random.uniform(0, spread))
+
+    def keep(self, found: suspects.News, after: float = 0.0) -> None:
         """See that what another host found out is entered.
 
         That host may be turned away by the store, or end before it has
-        written; a few of those that it told write it then.
+        written; a few of those that it told write it then, so many seconds
+        later.
         """
         hosts = (*self._desk.hosts, self._desk.host)
         ranked = rendezvous.rank(
             found.identity.digest, [it.name for it in hosts]
         )
         if self._is_due(found) and self._desk.host.name in ranked[:KEEPERS]:
-            self._start(found, KEEP_AFTER_S)
+            self._start(found, KEEP_AFTER_S + after)
 
     def _is_due(self, found: suspects.News) -> bool:
         """Tell whether an entry is due: what stands, or that it is over."""
@@ -82,7 +88,10 @@
     def _find_entry(self, found: suspects.News) -> suspects.News | None:
         key = facts.Key(facts.Subject.QUARANTINE, found.identity.digest)
         fact = self._news.ledger.facts.get(key)
-        known = None if fact is None else fact.value
+        if fact is None or fact.era != self._news.ledger.era:
+            # What the store held in an earlier era it may have lost.
+            return None
+        known = fact.value
         return known if isinstance(known, suspects.News) else None
 
     def _start(self, found: suspects.News, after: float) -> None:
@@ -123,11 +132,6 @@
         return True
 
     async def _write_entry(self, found: suspects.News) -> None:
-        lease = store.read_lease(await self._call(store.open_lease(LEASE_S)))
-        await self._call(store.enter_quarantine(found, lease))
-
-    async def _call(self, call: store.Call) -> bytes:
-        done = await self._store.call(call, readers.STORE_S)
-        if done.status != store.OK:
-            raise calls.CallFailed(f'{call.target} is answered {done.status}')
-        return done.body
+        lease = await self._writer.open(LEASE_S)
+        call = store.enter_quarantine(found, lease.number)
+        await self._writer.write(call, lease)
--- a/fuchsiahaven/routing/places.py
+++ b/fuchsiahaven/routing/places.py
@@ -48,7 +48,8 @@
     the time from the signal to stop to the kill, `link` the bytes a second
     that the host's own link carries (0 if that is not told). `warm_up` is None
     where no bound on cold targets is told. `first_start` tells that the whole
-    system starts for the first time.
+    system starts for the first time. `store_writes` is how many writes a
+    second the store takes of all hosts together.
     """
 
     host: Host
@@ -64,3 +65,4 @@
     link: float = 0.0
     warm_up: WarmUp | None = None
     first_start: bool = False
+    store_writes: float = 400.0
--- a/standins/histories.py
+++ b/standins/histories.py
@@ -74,6 +74,10 @@
             if row['lease'] == lease:
                 self.remove(key)
 
+    def forget_leases(self) -> None:
+        """Give out again the numbers above the leases that are left."""
+        self._last_lease = max(self.leases, default=0)
+
     def end_leases(self, now: float) -> None:
         """End the leases that have run out."""
         for lease, held in tuple(self.leases.items()):
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -7,7 +7,7 @@
 import json
 import time
 import urllib.parse
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -34,6 +34,8 @@
         self.history = histories.History()
         self.era: int | None = 1
         self.down = False
+        #: Called when a lease has been opened, before that is answered.
+        self.on_lease: Callable[[int], None] = ignore
         self.calls: collections.Counter[str] = collections.Counter()
 
     @property
@@ -97,7 +99,8 @@
 
     def _write(self, answer: store_calls.Answer) -> bytes:
         body = json.dumps(answer.told)
-        era = '' if self.era is None else f'Store-Era: {self.era}\r\n'
+        told = self.era if answer.era is None else answer.era
+        era = '' if told is None else f'Store-Era: {told}\r\n'
         head = f'HTTP/1.1 {answer.status.value} -\r\n{era}'
         return f'{head}Content-Length: {len(body)}\r\n\r\n{body}'.encode()
 
@@ -115,7 +118,10 @@
             case 'POST /kv-txn':
                 return store_calls.commit(self.history, json.loads(body))
             case 'POST /kv-lease':
-                return store_calls.open_lease(self.history, json.loads(body))
+                answer = store_calls.open_lease(self.history, json.loads(body))
+                era = self.era
+                self.on_lease(answer.told['lease'])
+                return answer._replace(era=era)
         return store_calls.use_lease(self.history, call)
 
     async def _watch(
@@ -156,6 +162,10 @@
                 await writer.drain()
 
 
+def ignore(lease: int) -> None:
+    """Do nothing about a lease that was opened."""
+
+
 def _find_length(head: bytes) -> int:
     for line in head.decode('latin-1').lower().split('\r\n'):
         name, _, told = line.partition(':')
--- a/standins/store_calls.py
+++ b/standins/store_calls.py
@@ -11,10 +11,11 @@
 
 
 class Answer(NamedTuple):
-    """Hold the answer to a call."""
+    """Hold the answer to a call; one may be of an `era` that has ended."""
 
     status: HTTPStatus
     told: Mapping[str, Any]
+    era: int | None = None
 
 
 def list_items(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -61,6 +61,19 @@
         assert reading.settings.warm_up == wanted
 
 
+@pytest.mark.parametrize(
+    ('told', 'wanted'), [('150', 150), ('many', 400), ('0', 400), ('nan', 400)]
+)
+def test_reads_how_many_writes_the_store_takes(
+    told: str, wanted: float
+) -> None:
+    """What is no rate is read as the usual one; hosts wait by it."""
+    text = f'{TEXT}platform.writes_per_s={told}\n'
+    reading = settings.read_text(text)
+    assert reading.settings is not None
+    assert reading.settings.store_writes == wanted
+
+
 @pytest.mark.parametrize('name', settings.REQUIRED)
 def test_names_what_is_missing(name: str) -> None:
     """A file without a field that is needed is refused by that name."""
--- a/tests/relay/test_notices.py
+++ b/tests/relay/test_notices.py
@@ -85,7 +85,7 @@
             first = await world.add_host('host-0')
             await world.add_host('host-1')
             await peers.wait_for(lambda: first.desk.hosts)
-            first.quarantines._store.address = '127.0.0.1:1'
+            first.news.writer.store.address = '127.0.0.1:1'
             find_out(first, suspects.MOST_CRASHES)
             await peers.wait_for(lambda: KEY in world.store.items)
 
--- a/tests/relay/test_restores.py
+++ b/tests/relay/test_restores.py
@@ -1,6 +1,11 @@
 """Test hosts whose store comes back from an older copy of itself."""
 
-from tests.relay import peers, worlds
+import time
+
+from fuchsiahaven.core import suspects
+from tests.relay import peers, test_notices, worlds
+
+HOST_KEY = 'fuchsiahaven/hosts/host-1'
 
 
 def test_has_each_version_in_force_soon_after_a_restore() -> None:
@@ -44,3 +49,85 @@
             await world.wait_for_version(12)
 
     peers.run(check())
+
+
+def test_enters_itself_again_under_a_lease_of_its_own() -> None:
+    """Symptom: a host is missing to the others, though its lease is renewed.
+
+    The lease was lost with the entry, and its number is another's now: neither
+    is it renewed nor ended.
+    """
+
+    async def check() -> None:
+        async with worlds.make() as world:
+            await world.add_host('host-1')
+            await world.settle()
+            copy = worlds.copy_without(world.store, 'fuchsiahaven/hosts/')
+            world.store.restore(copy)
+            other = world.store.history.open_lease(60, time.monotonic())
+            held = world.store.history.leases[other]
+            await peers.wait_for(lambda: HOST_KEY in world.store.items)
+            assert world.store.items[HOST_KEY]['lease'] != other
+            assert world.store.history.leases[other] == held
+            assert not world.store.calls[f'/kv-keep/{other}']
+
+    peers.run(check())
+
+
+def test_keeps_counting_hosts_that_enter_themselves_again() -> None:
+    """Symptom: after a restore each host takes all of the bound on repeats."""
+
+    async def check() -> None:
+        async with worlds.make() as world:
+            await world.add_hosts('host-1', 'host-2', 'host-3')
+            copy = worlds.copy_without(world.store, 'fuchsiahaven/hosts/')
+            world.store.restore(copy)
+            await world.settle()
+            assert all(it.desk.host_count == 3 for it in world.hosts)
+
+    peers.run(check())
+
+
+def test_does_not_enter_itself_under_a_lease_of_another_era() -> None:
+    """Symptom: the entry goes with somebody else's lease.
+
+    The store comes back between the two calls that make an entry.
+    """
+
+    async def check() -> None:
+        async with worlds.make() as world:
+            copy = world.store.copy()
+            found: list[int] = []
+
+            def come_back(_: int) -> None:
+                if not found:
+                    world.store.restore(copy)
+                    now = time.monotonic()
+                    found.append(world.store.history.open_lease(60, now))
+
+            world.store.on_lease = come_back
+            await world.add_host('host-1')
+            await peers.wait_for(
+                lambda: (
+                    HOST_KEY in world.store.items
+                    and world.store.items[HOST_KEY]['lease'] not in found
+                )
+            )
+
+    peers.run(check())
+
+
+def test_enters_quarantines_again() -> None:
+    """Symptom: a host that starts ends one target of each shard anew."""
+
+    async def check() -> None:
+        async with worlds.make() as world:
+            host = await world.add_host('host-1')
+            await world.settle()
+            copy = world.store.copy()
+            test_notices.find_out(host, suspects.MOST_CRASHES)
+            await peers.wait_for(lambda: test_notices.KEY in world.store.items)
+            world.store.restore(copy)
+            await peers.wait_for(lambda: test_notices.KEY in world.store.items)
+
+    peers.run(check())
--- a/tests/relay/worlds.py
+++ b/tests/relay/worlds.py
@@ -9,7 +9,7 @@
 from bench.soak import hosts
 from fuchsiahaven.relay import journal, process
 from fuchsiahaven.routing import places
-from standins import metadata_store
+from standins import histories, metadata_store
 from tests.relay import peers
 
 SHARDS: Final = ('shard-a', 'shard-b', 'shard-c', 'shard-d', 'shard-e')
@@ -120,6 +120,11 @@
         await peers.wait_for(lambda: not host.find_obstacle())
         return host
 
+    async def add_hosts(self, *names: str) -> None:
+        """Start hosts and wait until all know of each other."""
+        await asyncio.gather(*[self.add_host(name) for name in names])
+        await self.settle()
+
     async def settle(self) -> None:
         """Wait until all hosts have entered themselves and know it."""
         await peers.wait_for(
@@ -142,6 +147,17 @@
             )
 
 
+def copy_without(store: metadata_store.Store, prefix: str) -> histories.History:
+    """Take a copy of before what begins so and its leases were written."""
+    copy = store.copy()
+    for key, row in store.items.items():
+        if key.startswith(prefix):
+            copy.items.pop(key)
+            copy.leases.pop(row['lease'], None)
+    copy.forget_leases()
+    return copy
+
+
 @contextlib.asynccontextmanager
 async def make() -> AsyncIterator[World]:
     """Make a world with its store and targets."""
