Rank quarantines by what is known, not by the store's order

What callers would see: a request that was found innocent is refused again for minutes after a restore. Cause: the copy's quarantine, of the later era, outranked the word that it was over; within one era the later writer won, though entries are written under no condition.

--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -49,8 +49,8 @@
     """State one fact; without a value it is gone.
 
     `revision` is the store's when the fact last changed its meaning, in its
-    history `era`. `born` is the start of a target that a removal is about; 0
-    where it is of any.
+    history `era`. `born` is the writer's number of what a removal is about, as
+    the start of a target; 0 where it is of any.
     """
 
     key: Key
--- a/fuchsiahaven/routing/ranks.py
+++ b/fuchsiahaven/routing/ranks.py
@@ -4,9 +4,16 @@
 outlives a restore is ranked first by a number of whoever wrote it.
 """
 
+from typing import Final
+
+from fuchsiahaven.core import suspects
 from fuchsiahaven.routing import configs, facts, instances
 
 
+#: More than a quarantine counts of crashes, so that clears count first.
+CRASHES_MOST: Final = 100_000
+
+
 def rank(fact: facts.Fact) -> tuple[int, facts.Stamp]:
     """Rank what is told of a key: by its writer's number, then by the store's.
 
@@ -16,9 +23,7 @@
     heard of one of them only pass it on; by revision alone the dead start
     would win, and requests would go to connections that are gone.
     """
-    if isinstance(fact.value, configs.Configuration):
-        return (fact.value.version, fact.stamp)
-    return (find_born(fact), fact.stamp)
+    return (find_number(fact), fact.stamp)
 
 
 def says_same(before: facts.Value | None, value: facts.Value) -> bool:
@@ -37,7 +42,7 @@
         return False
     # A host that has not heard of a target's new start tells of the end of
     # the one before, maybe under a later revision.
-    if removal.born and removal.born < find_born(fact):
+    if removal.born and removal.born < find_number(fact):
         return False
     return fact.stamp <= removal.stamp
 
@@ -50,7 +55,7 @@
     """
     if before is None or before.era >= fact.era:
         return False
-    if find_born(before) != find_born(fact):
+    if find_number(before) != find_number(fact):
         return False
     if before.value is None:
         return True
@@ -64,11 +69,18 @@
 def make_removal(fact: facts.Fact, end: facts.Stamp) -> facts.Fact:
     """State that a fact is gone, by the time the store has come so far."""
     era, revision = max(end, fact.stamp._replace(revision=fact.revision + 1))
-    return facts.Fact(fact.key, revision, None, find_born(fact), era)
-
-
-def find_born(fact: facts.Fact) -> int:
-    """Find which start of a target a fact is about; 0 where it is of any."""
-    if isinstance(fact.value, instances.Instance):
-        return fact.value.born
-    return fact.born
+    return facts.Fact(fact.key, revision, None, find_number(fact), era)
+
+
+def find_number(fact: facts.Fact) -> int:
+    """Find the number by which its writer orders a fact; 0 without one."""
+    match fact.value:
+        case None:
+            return fact.born
+        case instances.Instance(born=born):
+            return born
+        case configs.Configuration(version=version):
+            return version
+        case suspects.News(clears=clears, crashes=crashes):
+            return clears * CRASHES_MOST + crashes
+    return 0
--- a/tests/routing/test_restores.py
+++ b/tests/routing/test_restores.py
@@ -2,6 +2,7 @@
 
 import json
 
+from fuchsiahaven.core import identities, suspects
 from fuchsiahaven.routing import (
     absences,
     codecs,
@@ -380,3 +381,35 @@
     copy = read(2, 71, make_fact('a', 40), make_fact('b', 41))
     ledger = take(ledger, copy, at + 3)
     assert list_names(ledger) == {'b'}
+
+
+def make_quarantine(revision: int, clears: int, crashes: int) -> facts.Fact:
+    """State what was entered of a request."""
+    identity = identities.identify('shop', b'one')
+    news = suspects.News(identity, clears, crashes, 0.0)
+    key = facts.Key(facts.Subject.QUARANTINE, identity.digest)
+    return facts.Fact(key, revision, news)
+
+
+def test_takes_no_quarantine_again_that_was_cleared() -> None:
+    """Symptom: a request is refused for minutes that was found innocent."""
+    ledger = begin(make_quarantine(40, 0, 3))
+    ledger = take(ledger, watch(1, 76, make_quarantine(75, 1, 0)), 1)
+    ledger = take(ledger, read(2, 71, make_quarantine(40, 0, 3)), 5)
+    (known,) = facts.list_quarantines(ledger)
+    assert known.clears == 1
+    ledger = take(ledger, watch(2, 72, make_quarantine(72, 1, 2)), 6)
+    (known,) = facts.list_quarantines(ledger)
+    assert known.crashes == 2
+
+
+def test_ends_a_quarantine_with_its_entry() -> None:
+    """Only what was known by the time of the removal is removed."""
+    ledger = begin(make_quarantine(40, 0, 3))
+    key = make_quarantine(0, 0, 0).key
+    ledger = take(ledger, watch(1, 76, facts.Fact(key, 75, None)), 1)
+    assert not facts.list_quarantines(ledger)
+    ledger = take(ledger, watch(1, 76, make_quarantine(40, 0, 3)), 2)
+    assert not facts.list_quarantines(ledger)
+    ledger = take(ledger, watch(1, 77, make_quarantine(77, 0, 3)), 3)
+    assert facts.list_quarantines(ledger)
