--- a/fuchsiahaven/operate/command_inspect.py
+++ b/fuchsiahaven/operate/command_inspect.py
@@ -12,6 +12,15 @@
   fuchsiahaven inspect --at 10.1.0.9:8106 --json
 """
 TIMEOUT_S: Final = 3.0
+SHOWN: Final = (
+    'ready',
+    'version',
+    'news_age',
+    'store_lost',
+    'store_era',
+    'source',
+)
+NOT_TOLD: Final = 'not told'
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -48,10 +57,8 @@
 
 def list_lines(told: dict[str, Any]) -> list[str]:
     """List what a host believes, a line for each thing."""
-    lines = [
-        f'{name}: {told[name]}'
-        for name in ('ready', 'version', 'news_age', 'store_lost', 'source')
-    ]
+    # A host of the version before tells no era.
+    lines = [f'{name}: {told.get(name, NOT_TOLD)}' for name in SHOWN]
     lines.append(f'hosts: {", ".join(sorted(told["hosts"]))}')
     for service, targets in sorted(told['targets'].items()):
         stands = ', '.join(f'{name} {how}' for name, how in targets.items())
--- a/fuchsiahaven/platform/settings.py
+++ b/fuchsiahaven/platform/settings.py
@@ -120,7 +120,12 @@
         _read_link(lines.get('limits.link_mbps', '')),
         _read_warm_up(lines),
         lines.get('bootstrap') == 'true',
-        _read_rate(lines.get('platform.writes_per_s', '')),
+        _read_figure(lines.get('platform.writes_per_s', ''), USUAL_WRITES),
+        _read_figure(
+            lines.get('bounds.config_apply_ms', ''),
+            places.USUAL_APPLY_S * MILLISECONDS,
+        )
+        / MILLISECONDS,
     )
 
 
@@ -135,13 +140,13 @@
     return places.WarmUp(overage, slack) if bounded else None
 
 
-def _read_rate(told: str) -> float:
-    """Read how many writes the store takes; one that is not told is usual."""
+def _read_figure(told: str, usual: float) -> float:
+    """Read a figure above 0; one that is not told is as usual."""
     try:
-        rate = float(told)
+        figure = float(told)
     except ValueError:
-        return USUAL_WRITES
-    return rate if math.isfinite(rate) and rate > 0 else USUAL_WRITES
+        return usual
+    return figure if math.isfinite(figure) and figure > 0 else usual
 
 
 def _read_link(told: str) -> float:
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -78,7 +78,7 @@
         self._log = log
         self._learn = learn
         self._peers = calls.Clients(counted)
-        self._reader = readers.Reader(self.store, log, self.eras)
+        self._reader = readers.Reader(self.store, log, self.eras, settings.pace)
         self._cursors: dict[str, facts.Cursor] = {}
         self._doubted: dict[str, float] = {}
         self._behind: dict[str, float] = {}
@@ -128,7 +128,8 @@
         self.source = 'the store'
         match source:
             case sources.Store():
-                return GATHER_S if await self._read_store() else None
+                read = await self._read_store()
+                return GATHER_S * self.settings.pace if read else None
             case sources.Peer(address):
                 self.source = address
                 # What this host has heard from others may lack removals that
@@ -153,7 +154,7 @@
             report = await self._reader.read(self.ledger)
         except (calls.CallFailed, records.Malformed) as error:
             now = time.monotonic()
-            self._store_doubted = now + STORE_DOUBT_S
+            self._store_doubted = now + STORE_DOUBT_S * self.settings.pace
             self._reader.doubt()
             if not self.lost:
                 self._log.tell(PART, 'the store is lost', error=str(error))
@@ -202,22 +203,26 @@
         except (calls.CallFailed, codecs.Malformed) as error:
             self._doubt(address, str(error))
             return False
-        now = time.monotonic()
         self._cursors[address] = report.cursor
-        merged = self._take(report, now, None)
+        merged = self._take(report, time.monotonic(), None)
         if self._is_behind(report, merged):
-            self._behind[address] = now + sources.STALE_DOUBT_S
-            self._log.tell(
-                PART,
-                'a host is behind',
-                address=address,
-                age=report.age,
-                era=report.era,
-            )
+            self._pass_over(address, report)
             return False
         self._failures.pop(address, None)
         return True
 
+    def _pass_over(self, address: str, report: facts.Report) -> None:
+        """Pass over a host for a while that told no news."""
+        doubt = sources.STALE_DOUBT_S * self.settings.pace
+        self._behind[address] = time.monotonic() + doubt
+        self._log.tell(
+            PART,
+            'a host is behind',
+            address=address,
+            age=report.age,
+            era=report.era,
+        )
+
     def _is_behind(self, report: facts.Report, merged: facts.Merged) -> bool:
         """Tell whether what a host has told is no news."""
         if report.lost or merged.earlier or not report.revision:
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -166,6 +166,8 @@
             'version': desk.index.configuration.version,
             'news_age': round(now - self._news.ledger.read, 2),
             'store_lost': self._news.lost,
+            'store_era': self._news.ledger.era,
+            'store_revision': self._news.ledger.revision,
             'source': self._news.source,
             'evacuated': self._evacuations.tell(),
             'quarantined': [
--- a/fuchsiahaven/relay/readers.py
+++ b/fuchsiahaven/relay/readers.py
@@ -10,7 +10,7 @@
 PART: Final = eras.PART
 #: How long the reader waits for changes in one call. Changes come at once, and
 #: a connection that has fallen silent is noticed after this and the time for
-#: the answer: a change has to be in force within 3 s.
+#: the answer.
 WATCH_S: Final = 1.8
 WATCH_ANSWER_S: Final = 0.6
 #: How often the reader lists everything, in case that changes were missed.
@@ -28,9 +28,14 @@
     """
 
     def __init__(
-        self, client: calls.Client, log: journal.Journal, heard: eras.Eras
+        self,
+        client: calls.Client,
+        log: journal.Journal,
+        heard: eras.Eras,
+        pace: float = 1.0,
     ) -> None:
-        """Begin with a listing."""
+        """Begin with a listing; waits take a share `pace` of the usual."""
+        self._wait = pace * WATCH_S
         self.forgotten = 0
         self._store = client
         self._log = log
@@ -58,8 +63,8 @@
 
     async def _watch(self, ledger: facts.Ledger) -> facts.Report | None:
         """Read what has changed; None if only a listing tells."""
-        call = store.watch_everything(ledger.revision, WATCH_S)
-        done = await self._store.call(call, WATCH_S + WATCH_ANSWER_S)
+        call = store.watch_everything(ledger.revision, self._wait)
+        done = await self._store.call(call, self._wait + WATCH_ANSWER_S)
         era = self._find_era(done, ledger)
         if era != ledger.era:
             # The revision was of another history. If the store has passed it
--- a/fuchsiahaven/routing/places.py
+++ b/fuchsiahaven/routing/places.py
@@ -1,6 +1,9 @@
 """Hold what a host knows of itself and of the others from the start."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+#: The time in which configurations are in force with the usual pauses.
+USUAL_APPLY_S: Final = 3.0
 
 
 class Host(NamedTuple):
@@ -49,7 +52,8 @@
     that the host's own link carries (0 if that is not told). `warm_up` is None
     where no bound on cold targets is told. `first_start` tells that the whole
     system starts for the first time. `store_writes` is how many writes a
-    second the store takes of all hosts together.
+    second the store takes of all hosts together, `apply` the time within which
+    an accepted configuration is to be in force.
     """
 
     host: Host
@@ -66,3 +70,9 @@
     warm_up: WarmUp | None = None
     first_start: bool = False
     store_writes: float = 400.0
+    apply: float = USUAL_APPLY_S
+
+    @property
+    def pace(self) -> float:
+        """Return the share of the usual times that news may take."""
+        return min(1.0, self.apply / USUAL_APPLY_S)
--- a/tests/operate/test_command_inspect.py
+++ b/tests/operate/test_command_inspect.py
@@ -25,6 +25,9 @@
     """One line for each service says how its targets stand."""
     lines = command_inspect.list_lines(json.loads(json.dumps(TOLD)))
     assert 'version: 7' in lines
+    assert 'store_era: not told' in lines
+    told = command_inspect.list_lines({**TOLD, 'store_era': 4})
+    assert 'store_era: 4' in told
     assert 'hosts: host-1, host-2' in lines
     assert lines[-1] == 'records: i-1 12 ms, i-2 left out; 5.5 repeats left'
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -74,6 +74,18 @@
     assert reading.settings.store_writes == wanted
 
 
+@pytest.mark.parametrize(
+    ('told', 'pace'), [('3000', 1), ('1500', 0.5), ('9000', 1), ('', 1)]
+)
+def test_reads_how_soon_a_configuration_has_to_be_in_force(
+    told: str, pace: float
+) -> None:
+    """Pauses are as short as the promise needs them to be."""
+    reading = settings.read_text(f'{TEXT}bounds.config_apply_ms={told}\n')
+    assert reading.settings is not None
+    assert reading.settings.pace == pace
+
+
 @pytest.mark.parametrize('name', settings.REQUIRED)
 def test_names_what_is_missing(name: str) -> None:
     """A file without a field that is needed is refused by that name."""
