Pass on the end of what a copy had, and compare what is held

What callers would see: after a restore one host sends requests to a target that is gone. Cause: a host that knew a target's removal holds the copy's entry of it; that the entry is gone again changed nothing for the host that reads, so it told nobody, and a host that held the entry took it for standing.

--- a/fuchsiahaven/routing/absences.py
+++ b/fuchsiahaven/routing/absences.py
@@ -103,6 +103,22 @@
     return {fact.key for fact in report.facts if fact.value is not None}
 
 
+def list_ends(
+    held: Mapping[facts.Key, facts.Fact], report: facts.Report
+) -> list[facts.Fact]:
+    """List the removals that a report tells, of what was held as well."""
+    told = [fact for fact in report.facts if fact.value is None]
+    if report.whole:
+        present = list_present(report)
+        last = report.revision
+        told.extend(
+            facts.Fact(key, last, None, era=report.era)
+            for key in held
+            if key not in present
+        )
+    return told
+
+
 def list_standing(
     held: Mapping[facts.Key, facts.Fact], report: facts.Report
 ) -> dict[facts.Key, facts.Fact]:
--- a/fuchsiahaven/routing/ledgers.py
+++ b/fuchsiahaven/routing/ledgers.py
@@ -208,13 +208,15 @@
     """Sum up what is known, whatever revisions it was written at.
 
     What lapses unless it is written again is left out: a host that has it
-    from the store knows more.
+    from the store knows more. What is held counts: a host that does not hold
+    it knows whether it is gone.
     """
     lines = [
         f'{fact.key} {fact.value}'
         for key, fact in ledger.facts.items()
         if fact.value is not None and key not in ledger.lapsing
     ]
+    lines.extend(f'{key} is held' for key in ledger.held)
     return zlib.crc32('\n'.join(sorted(lines)).encode())
 
 
@@ -269,9 +271,28 @@
         told.extend(held.values())
         held = {}
     changed = _take_values(known, told, complete)
+    changed |= _renew_removals(known, absences.list_ends(ledger.held, report))
     return ledger._replace(held=held), changed
 
 
+def _renew_removals(
+    known: dict[facts.Key, facts.Fact], ends: Iterable[facts.Fact]
+) -> set[facts.Key]:
+    """Take removals anew that are of a later era; return what has changed.
+
+    They are passed on: others may hold what the copy had.
+    """
+    changed: set[facts.Key] = set()
+    for end in ends:
+        before = known.get(end.key)
+        if before is None or before.value is not None:
+            continue
+        if before.era < end.era:
+            known[end.key] = end._replace(born=before.born)
+            changed.add(end.key)
+    return changed
+
+
 def _hold(
     known: Mapping[facts.Key, facts.Fact],
     told: Iterable[facts.Fact],
--- a/tests/routing/test_restores.py
+++ b/tests/routing/test_restores.py
@@ -415,3 +415,25 @@
     assert not facts.list_quarantines(ledger)
     ledger = take(ledger, watch(1, 77, make_quarantine(77, 0, 3)), 3)
     assert facts.list_quarantines(ledger)
+
+
+def test_passes_on_the_end_of_what_others_hold() -> None:
+    """Symptom: one host sends to a target that is gone, after a restore.
+
+    Both hold what the copy has of it. One of them reads that it is gone, which
+    it knew before the restore; the other would believe the copy in the end.
+    """
+    both = (make_fact('a', 40), make_fact('b', 41))
+    hosts = [begin(*both, life=life) for life in (1, 2)]
+    for place, known in enumerate(hosts):
+        gone = take(known, watch(1, 76, make_removal('a', 75)), 1)
+        hosts[place] = take(gone, read(2, 71, *both), 5)
+    reader, other = hosts
+    other = tell(reader, other, 5)
+    cursor = reader.cursor
+    reader = take(reader, watch(2, 72, make_removal('a', 72)), 8)
+    late = tell(reader, other, 8)
+    told = ledgers.list_changes(reader, cursor, 8)
+    for known in (take(other, told, 8, None), late):
+        known = take(known, watch(2, 73), 60, None)
+        assert list_names(known) == {'b'}
