--- a/fuchsiahaven/routing/absences.py
+++ b/fuchsiahaven/routing/absences.py
@@ -98,6 +98,23 @@
     }
 
 
+def list_unwritten(
+    known: Mapping[facts.Key, facts.Fact], report: facts.Report
+) -> set[facts.Key]:
+    """List what is known from an earlier era and is not there in this one.
+
+    Nobody says that it is gone: it may not have been written again yet.
+    """
+    if not report.whole:
+        return set()
+    told = {fact.key for fact in report.facts}
+    return {
+        key
+        for key, fact in known.items()
+        if fact.value is not None and fact.era < report.era and key not in told
+    }
+
+
 def list_present(report: facts.Report) -> set[facts.Key]:
     """List what a report tells to be there."""
     return {fact.key for fact in report.facts if fact.value is not None}
--- a/fuchsiahaven/routing/ledgers.py
+++ b/fuchsiahaven/routing/ledgers.py
@@ -231,7 +231,13 @@
     for present in absences.list_present(report):
         lapsing.pop(present, None)
     doubted = absences.list_doubted(ledger.facts, report)
-    return {**absences.find_lapses(doubted, now), **lapsing}
+    absent = absences.list_unwritten(ledger.facts, report)
+    waiting = absences.find_lapses(absent, ledger.restored)
+    return {
+        **absences.find_lapses(doubted, now),
+        **{key: until for key, until in waiting.items() if until > now},
+        **lapsing,
+    }
 
 
 def _read_on(
--- a/tests/routing/test_restores.py
+++ b/tests/routing/test_restores.py
@@ -437,3 +437,37 @@
     for known in (take(other, told, 8, None), late):
         known = take(known, watch(2, 73), 60, None)
         assert list_names(known) == {'b'}
+
+
+def test_keeps_what_others_keep_though_its_own_listing_lacks_it() -> None:
+    """Symptom: a data centre that is evacuated gets work after a restore.
+
+    A host heard of the restore and of the order from another, which keeps it;
+    then it lists the store itself, where the order is not written again yet.
+    """
+    reader = begin(make_order(73), make_fact('b', 72))
+    reader = take(reader, read(2, 71), 5)
+    ledger = tell(reader, ledgers.begin(2), 5)
+    ledger = take(ledger, read(2, 71), 5.5)
+    assert 'north' in facts.list_evacuations(ledger)
+    assert list_names(ledger) == {'b'}
+    ledger = take(ledger, watch(2, 71), 5 + absences.RETURN_S)
+    assert not list_names(ledger)
+    ledger = take(ledger, read(2, 72), 60)
+    assert not facts.list_evacuations(ledger)
+
+
+def test_waits_for_entries_that_lapse_in_a_later_outage() -> None:
+    """Symptom: all requests are refused after an outage, long after a restore.
+
+    The host heard of the restore from one that knew the same, so all that it
+    knows is of the era before.
+    """
+    targets = [make_fact(f'target-{number}', number) for number in range(20)]
+    ledger = begin(*targets)
+    ledger = tell(take(ledgers.begin(2), read(2, 71, *targets), 5), ledger, 5)
+    assert ledger.stamp == (2, 71)
+    ledger = take(ledger, read(2, 90), 200)
+    assert len(list_names(ledger)) == 20
+    ledger = take(ledger, read(2, 90), 200 + absences.RETURN_S)
+    assert not list_names(ledger)
