--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -27,6 +27,8 @@
 IN_FORCE_S: Final = 4.5
 START_S: Final = 10.0
 SETTLE_S: Final = 6.0
+#: What a store that came back from a copy has lost is written again by then.
+WRITTEN_S: Final = 2.0
 #: Seconds from one fault to the next, and how long each lasts.
 GAPS: Final = (0.2, 1.2)
 LASTS: Final = (0.3, 3.0)
@@ -40,6 +42,13 @@
     faults: list[str]
 
 
+class Entry(NamedTuple):
+    """Hold what a target has entered of itself."""
+
+    service: str
+    address: str
+
+
 class Field:
     """Own all that one run consists of."""
 
@@ -54,6 +63,7 @@
         ]
         self.targets: dict[str, targets.Target] = {}
         self.ways: dict[str, proxies.Proxy] = {}
+        self.entered: dict[str, Entry] = {}
         self.left: dict[str, float] = {}
         self.chosen: set[str] = set()
         self.faults: list[str] = []
@@ -96,17 +106,38 @@
         await way.listen()
         self.targets[name] = target
         self.ways[name] = way
+        self.entered[name] = Entry(service, way.address)
         self.store.put_target(name, service, way.address)
 
+    def withdraw(self, name: str) -> None:
+        """Take a target's entry out of the store."""
+        self.entered.pop(name, None)
+        if f'servers/{name}' in self.store.items:
+            self.store.remove(f'servers/{name}')
+            if not self.store.down:
+                self.left[name] = time.monotonic()
+
     def change(self) -> None:
         """Put another version in force: other shards, another service."""
         self.version += 1
+        self._put_configuration()
+
+    def _put_configuration(self) -> None:
         turn = self.version % 2
         self.store.put(
             'op/config',
             make_configuration(self.version, SETS[turn], SINGLES[turn]),
         )
 
+    def write_again(self) -> None:
+        """Write what the store has lost, and remove what is back in it."""
+        self._put_configuration()
+        for name, entry in self.entered.items():
+            if f'servers/{name}' not in self.store.items:
+                self.store.put_target(name, entry.service, entry.address)
+        for name in self.targets.keys() - self.entered.keys():
+            self.withdraw(name)
+
     async def start_again(self, host: hosts.Host) -> None:
         """Start a host that has ended."""
         await host.start(self._list_seeds())
@@ -190,9 +221,7 @@
     field.chosen.add(name)
     service = field.targets[name].service
     await field.add_target(service)
-    field.store.remove(f'servers/{name}')
-    if not field.store.down:
-        field.left[name] = time.monotonic()
+    field.withdraw(name)
     await asyncio.sleep(LEAVING_S)
     field.targets[name].crash()
 
@@ -212,6 +241,18 @@
     field.store.down = False
 
 
+async def restore_store(field: Field, lasts: float) -> None:
+    """Have the store come back from a copy; its writers write again."""
+    copy = field.store.copy()
+    await asyncio.sleep(lasts)
+    field.store.down = True
+    await asyncio.sleep(lasts / 4)
+    field.store.restore(copy)
+    field.store.down = False
+    await asyncio.sleep(field.random.uniform(0, WRITTEN_S))
+    field.write_again()
+
+
 ACTS: Final[tuple[Act, ...]] = (
     kill_host,
     stop_host,
@@ -222,6 +263,7 @@
     lose_target,
     change_configuration,
     take_store_down,
+    restore_store,
 )
 
 
--- a/fuchsiahaven/operate/command_watch.py
+++ b/fuchsiahaven/operate/command_watch.py
@@ -5,7 +5,7 @@
 import json
 import sys
 import time
-from typing import Final
+from typing import Final, NamedTuple
 
 from fuchsiahaven.core import errors
 from fuchsiahaven.core.configuration import audits, manifests, readings
@@ -28,6 +28,13 @@
 """
 
 
+class Seen(NamedTuple):
+    """Hold the last revision that was printed, and the store's of then."""
+
+    last: int
+    above: int
+
+
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Declare the arguments of the command."""
     parser.epilog = EPILOG
@@ -61,20 +68,32 @@
     *,
     as_json: bool,
 ) -> None:
-    last, above = loaded.manifest.configuration.revision, loaded.revision
-    print(f'revision {last}', file=sys.stderr, flush=True)
+    seen = Seen(loaded.manifest.configuration.revision, loaded.revision)
+    print(f'revision {seen.last}', file=sys.stderr, flush=True)
     while (left := end - time.monotonic()) > 0:
         try:
-            entry = platform.watch(
-                manifests.MANIFEST_KEY, above, min(left, WAIT_S)
-            )
+            seen = look(platform, seen, min(left, WAIT_S), as_json=as_json)
         except store.StoreError as error:
             print(f'! not watching: {error}', file=sys.stderr, flush=True)
             time.sleep(PAUSE_S)
-            continue
-        if entry is not None:
-            above = entry.revision
-            last = show_news(platform, entry.value, last, as_json=as_json)
+
+
+def look(
+    platform: store.Store, seen: Seen, seconds: float, *, as_json: bool
+) -> Seen:
+    """Print what is accepted in so many seconds; return what was seen.
+
+    Raises store.StoreError.
+    """
+    key = manifests.MANIFEST_KEY
+    entry = platform.watch(key, seen.above, seconds)
+    if entry is None:
+        # A platform that came back from an older copy counts from below.
+        entry = platform.read(key)
+        if entry is None or entry.revision >= seen.above:
+            return seen
+    last = show_news(platform, entry.value, seen.last, as_json=as_json)
+    return Seen(last, entry.revision)
 
 
 def show_news(
@@ -87,7 +106,7 @@
         return last
     if head.revision < last:
         print(f'! the platform went back from {last} to {head.revision}')
-        return last
+        return head.revision
     steps = readings.read_archived(head.changes, last)
     older = editor.run_steps(steps, platform)
     if isinstance(older, errors.Failure):
--- a/tests/operate/test_operators.py
+++ b/tests/operate/test_operators.py
@@ -381,3 +381,31 @@
     assert command_watch.show_news(opened, entry.value, 1, as_json=True) == 5
     opened.close()
     assert [json.loads(line)['revision'] for line in shown] == [2, 3, 4, 5]
+
+
+def test_watch_tells_that_the_platform_went_back(
+    filled: World, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Symptom: `watch` is silent while changes are accepted.
+
+    The platform came back from an older copy, and counts anew from a revision
+    below the one after which `watch` asks.
+    """
+    filled.platform.control({'save': True})
+    filled.change('group', 'label', 'g', 'a=w')
+    filled.change('group', 'label', 'g', 'a=x')
+    opened = store.Store(f'http://{filled.address}')
+    entry = opened.read(manifests.MANIFEST_KEY)
+    assert entry is not None
+    head = manifests.read_head(entry.value)
+    assert not isinstance(head, errors.Failure)
+    filled.platform.control({'restore': True})
+    shown: list[str] = []
+    monkeypatch.setattr('builtins.print', lambda it, **_: shown.append(it))
+    seen = command_watch.Seen(head.revision, entry.revision)
+    seen = command_watch.look(opened, seen, 0.1, as_json=True)
+    filled.change('group', 'label', 'g', 'a=y')
+    command_watch.look(opened, seen, 1.0, as_json=True)
+    opened.close()
+    assert 'went back' in shown[0]
+    assert json.loads(shown[-1])['revision'] == head.revision - 1
