--- a/tests/relay/test_restores.py
+++ b/tests/relay/test_restores.py
@@ -1,5 +1,6 @@
 """Test hosts whose store comes back from an older copy of itself."""
 
+import asyncio
 import time
 
 from fuchsiahaven.core import suspects
@@ -24,8 +25,7 @@
                 world.store.put('op/config', worlds.make_configuration(version))
             await world.wait_for_version(9)
             world.store.restore(copy)
-            world.store.put('op/config', worlds.make_configuration(12))
-            await world.wait_for_version(12)
+            await world.accept(12)
 
     peers.run(check())
 
@@ -42,11 +42,9 @@
             await world.add_host('host-1')
             await world.settle()
             copy = world.store.copy()
-            world.store.put('op/config', worlds.make_configuration(9))
-            await world.wait_for_version(9)
+            await world.accept(9)
             world.store.restore(copy)
-            world.store.put('op/config', worlds.make_configuration(12))
-            await world.wait_for_version(12)
+            await world.accept(12)
 
     peers.run(check())
 
@@ -131,3 +129,60 @@
             await peers.wait_for(lambda: test_notices.KEY in world.store.items)
 
     peers.run(check())
+
+
+def test_passes_a_restore_on_to_a_host_that_the_store_turns_away() -> None:
+    """Symptom: one host stays in the era before, and at its version."""
+
+    async def check() -> None:
+        async with worlds.make() as world:
+            await world.add_hosts('host-1', 'host-2')
+            second = world.hosts[1]
+            second.news.store.address = '127.0.0.1:1'
+            second.news.store.close()
+            copy = world.store.copy()
+            await world.accept(9)
+            world.store.restore(copy)
+            await world.accept(12)
+            assert second.news.ledger.era == world.store.era
+
+    peers.run(check())
+
+
+def test_follows_two_restores_within_a_second() -> None:
+    """Symptom: the second return is taken for the first one."""
+
+    async def check() -> None:
+        async with worlds.make() as world:
+            await world.add_hosts('host-1', 'host-2')
+            older = world.store.copy()
+            await world.accept(9)
+            newer = world.store.copy()
+            await world.accept(10)
+            world.store.restore(newer)
+            await asyncio.sleep(0.3)
+            world.store.restore(older, 2)
+            await world.accept(12)
+            assert all(it.news.ledger.era == 4 for it in world.hosts)
+
+    peers.run(check())
+
+
+def test_a_host_that_starts_after_a_restore_is_not_set_back() -> None:
+    """Symptom: a host that restarts serves the version of the copy.
+
+    The operator has not written again yet; the other host has the version.
+    """
+
+    async def check() -> None:
+        async with worlds.make() as world:
+            first = await world.add_host('host-1')
+            await world.settle()
+            copy = world.store.copy()
+            await world.accept(9)
+            world.store.restore(copy)
+            await peers.wait_for(lambda: first.news.ledger.era == 2)
+            await world.add_host('host-2')
+            await world.wait_for_version(9)
+
+    peers.run(check())
--- a/tests/relay/worlds.py
+++ b/tests/relay/worlds.py
@@ -136,6 +136,11 @@
             )
         )
 
+    async def accept(self, version: int) -> None:
+        """Accept a version and wait until it is in force."""
+        self.store.put('op/config', make_configuration(version))
+        await self.wait_for_version(version)
+
     async def wait_for_version(self, version: int) -> None:
         """Wait until all hosts have a version in force, as long as promised."""
         async with asyncio.timeout(IN_FORCE_S):
