--- a/fuchsiahaven/routing/absences.py
+++ b/fuchsiahaven/routing/absences.py
@@ -37,7 +37,7 @@
 def find_gone(
     known: Mapping[facts.Key, facts.Fact], report: facts.Report
 ) -> set[facts.Key]:
-    """Find which facts a report tells to be gone, by a word or by silence."""
+    """Find which facts a report removes, or leaves out if it is whole."""
     # A target may go and return between two readings: what is gone by then is
     # what was written before its removal.
     gone = {it.key: it for it in report.facts if it.value is None}
@@ -82,11 +82,11 @@
 def list_doubted(
     known: Mapping[facts.Key, facts.Fact], report: facts.Report
 ) -> set[facts.Key]:
-    """List the starts of targets that may have ended with an earlier one.
+    """List later starts of targets whose earlier start is told to be gone.
 
-    Who tells of the end of that one never heard of the later one: its entry
-    was written over by a late one of the earlier start, and may be back, or it
-    has gone unheard.
+    The host that tells it never heard of the later start. A late entry of the
+    earlier one may have overwritten it, and it will be back; or it has ended
+    too.
     """
     return {
         removal.key
@@ -101,9 +101,9 @@
 def list_unwritten(
     known: Mapping[facts.Key, facts.Fact], report: facts.Report
 ) -> set[facts.Key]:
-    """List what is known from an earlier era and is not there in this one.
+    """List what is known from an earlier era and left out in this one.
 
-    Nobody says that it is gone: it may not have been written again yet.
+    It may not have been written again yet.
     """
     if not report.whole:
         return set()
@@ -123,7 +123,7 @@
 def list_ends(
     held: Mapping[facts.Key, facts.Fact], report: facts.Report
 ) -> list[facts.Fact]:
-    """List the removals that a report tells, of what was held as well."""
+    """List what a report removes, and what was held and is left out."""
     told = [fact for fact in report.facts if fact.value is None]
     if report.whole:
         present = list_present(report)
@@ -139,7 +139,7 @@
 def list_standing(
     held: Mapping[facts.Key, facts.Fact], report: facts.Report
 ) -> dict[facts.Key, facts.Fact]:
-    """List which facts stand that were held before a report."""
+    """List which held facts a report neither repeats nor removes."""
     told = list_present(report)
     gone = find_gone(held, report)
     return {
--- a/fuchsiahaven/routing/ledgers.py
+++ b/fuchsiahaven/routing/ledgers.py
@@ -15,8 +15,6 @@
 #: How long a removal is remembered for hosts that ask what has changed. A
 #: host that was silent for longer gets everything.
 REMEMBER_S: Final = 60.0
-
-
 #: How often targets renew their entries where that is not told, in seconds.
 HEARTBEAT_S: Final = 1.2
 
@@ -71,7 +69,7 @@
 ) -> facts.Merged:
     """Take in a report of an era that has ended.
 
-    Only a configuration still counts: its version says more than the store.
+    Only a configuration still counts, because versions order it in all eras.
     """
     known = dict(ledger.facts)
     accepted = [
@@ -89,8 +87,8 @@
 ) -> facts.Merged:
     """Go over to a later era.
 
-    What it lacks is kept until it can have been written again: thrown away, all
-    that was confirmed would go back, until it is.
+    What it lacks is kept until it can have been written again: dropped at
+    once, all that was confirmed in between would go back until then.
     """
     known = dict(ledger.facts)
     since = report.since or report.revision
@@ -284,9 +282,9 @@
 def _renew_removals(
     known: dict[facts.Key, facts.Fact], ends: Iterable[facts.Fact]
 ) -> set[facts.Key]:
-    """Take removals anew that are of a later era; return what has changed.
+    """Note known removals that are repeated in a later era; return their keys.
 
-    They are passed on: others may hold what the copy had.
+    They are passed on: other hosts may still hold what the copy had.
     """
     changed: set[facts.Key] = set()
     for end in ends:
@@ -304,7 +302,7 @@
     told: Iterable[facts.Fact],
     copied: facts.Stamp,
 ) -> tuple[list[facts.Fact], dict[facts.Key, facts.Fact]]:
-    """Part what is told from what only a copy says against what is known."""
+    """Separate what is taken from what only a copy says against the known."""
     taken: list[facts.Fact] = []
     held: dict[facts.Key, facts.Fact] = {}
     for fact in told:
@@ -336,7 +334,8 @@
 def _is_repeated(before: facts.Fact, fact: facts.Fact) -> bool:
     """Tell whether a fact says what was known, so that it is not passed on.
 
-    What was written again in a new era is: others may hold it for undone.
+    What was written again in a new era is passed on, because other hosts may
+    hold an entry of the copy against it.
     """
     if fact.era != before.era or fact.value is None:
         return False
--- a/fuchsiahaven/routing/ranks.py
+++ b/fuchsiahaven/routing/ranks.py
@@ -9,7 +9,6 @@
 from fuchsiahaven.core import suspects
 from fuchsiahaven.routing import configs, facts, instances
 
-
 #: More than a quarantine counts of crashes, so that clears count first.
 CRASHES_MOST: Final = 100_000
 
