Prepare the joints for customers, keys and quotas

Requests carry the digest of a key and the customer's name; admission joins what is asked before anything is sent. No customer is read yet, so nothing behaves differently; a caller's own customer field is no longer passed on.

--- a/fuchsiahaven/core/errors.py
+++ b/fuchsiahaven/core/errors.py
@@ -19,6 +19,9 @@
     TOO_LARGE = 'too_large'
     SLOW_REQUEST = 'slow_request'
     NOT_FOUND = 'not_found'
+    UNKNOWN_KEY = 'unknown_key'
+    OVER_QUOTA = 'over_quota'
+    STALE_KEYS = 'stale_keys'
     UNKNOWN_CLASS = 'unknown_class'
     DEADLINE_UNREACHABLE = 'deadline_unreachable'
     OVERLOADED = 'overloaded'
@@ -68,6 +71,13 @@
     Kind.TOO_LARGE: Row(413, 'the request exceeds a size limit', Ran.NO),
     Kind.SLOW_REQUEST: Row(408, 'the request arrived too slowly', Ran.NO),
     Kind.NOT_FOUND: Row(404, 'there is nothing at this path', Ran.NO),
+    Kind.UNKNOWN_KEY: Row(401, 'no customer holds this key', Ran.NO),
+    Kind.OVER_QUOTA: Row(
+        429, "the customer's quota is used up", Ran.NO, retry=True
+    ),
+    Kind.STALE_KEYS: Row(
+        503, 'this host cannot tell which keys are valid', Ran.NO, retry=True
+    ),
     Kind.UNKNOWN_CLASS: Row(422, 'the class is not configured', Ran.NO),
     Kind.DEADLINE_UNREACHABLE: Row(
         503, 'the deadline cannot be met', Ran.NO, retry=True
--- a/fuchsiahaven/platform/exchanges.py
+++ b/fuchsiahaven/platform/exchanges.py
@@ -36,7 +36,13 @@
         'upgrade',
     )
 )
-_SET: Final = _OWN | {headers.DEADLINE, headers.INSTANCE}
+#: Fields that this host sets itself, whatever a caller has sent.
+_SET: Final = _OWN | {
+    headers.CUSTOMER,
+    headers.DEADLINE,
+    headers.INSTANCE,
+    headers.KEY,
+}
 #: Fields of a target's answer that speak to this host and not to callers.
 _HIDDEN: Final = _OWN | {headers.LOAD, headers.RETRY_AFTER, 'date', 'server'}
 
@@ -76,6 +82,7 @@
     fields = dict(message.fields)
     host = fields.get('host', '').partition(':')[0].lower()
     passed = _list_passed(message.fields, fields, _SET)
+    shown = tuple(it for it in message.fields if it[0] == headers.KEY)
     return identify(
         events.Request(
             fields.get(headers.REQUEST_ID, ''),
@@ -87,15 +94,16 @@
             now,
             now + _read_wait(fields.get(headers.DEADLINE)),
             away,
+            key=_read_key(shown),
+            credentials=shown,
         )
     )
 
 
 def identify(request: events.Request) -> events.Request:
     """Give a request the identity that each host works out for it."""
-    fields = dict(request.fields)
     identity = identities.identify(
-        _name_customer(fields),
+        request.customer or _name_asker(request),
         request.method.encode('latin-1'),
         request.target.encode('latin-1'),
         request.body,
@@ -103,25 +111,38 @@
     return request._replace(identity=identity)
 
 
-def _name_customer(fields: Mapping[str, str]) -> str:
-    """Name who asks: the holder of a key, or else whose name is asked at."""
-    key = fields.get(headers.KEY)
-    if key is None:
-        return fields.get('host', '').partition(':')[0].lower()
-    # The key is a secret, and names of customers are logged.
-    return identities.identify('', key.encode('latin-1')).digest
+def digest_key(key: str) -> str:
+    """Digest a customer's key, which is a secret and is kept nowhere."""
+    return identities.identify('', key.encode('utf-8')).digest
+
+
+def _name_asker(request: events.Request) -> str:
+    """Name who asks: whoever shows a key, or else whose name is asked at."""
+    shown = (*request.credentials, *request.fields)
+    for name, told in shown:
+        if name == headers.KEY:
+            return identities.identify('', told.encode('latin-1')).digest
+    host = dict(request.fields).get('host', '')
+    return host.partition(':')[0].lower()
+
+
+def _read_key(shown: events.Fields) -> str:
+    """Read the digest of the one key that a caller shows, empty without."""
+    return ''
 
 
 def write_request(send: events.Send, now: float) -> events.Fields:
     """Write the header fields of a request to a target."""
     request = send.request
     left = max(1, int((min(send.ends, request.deadline) - now) * MILLISECONDS))
-    return (
-        *request.fields,
+    own = (
         (headers.DEADLINE, str(left)),
         (headers.INSTANCE, send.instance.id),
         *_write_length(request),
     )
+    if request.customer:
+        own = ((headers.CUSTOMER, request.customer), *own)
+    return (*request.fields, *request.credentials, *own)
 
 
 def is_answer_to(message: Message, request: events.Request) -> bool:
--- a/fuchsiahaven/platform/headers.py
+++ b/fuchsiahaven/platform/headers.py
@@ -19,6 +19,8 @@
 MISSING: Final = 'fuchsiahaven-missing-parts'
 #: The key of a customer, where callers have to show one.
 KEY: Final = 'authorization'
+#: The name of the customer whose request it is.
+CUSTOMER: Final = 'fuchsiahaven-tenant'
 RETRY_AFTER: Final = 'retry-after'
 #: Rises each time the store comes back from an older copy of itself.
 ERA: Final = 'store-era'
--- a/fuchsiahaven/platform/settings.py
+++ b/fuchsiahaven/platform/settings.py
@@ -30,6 +30,12 @@
 )
 #: Names that only files have whose deployments bound cold targets.
 WARM_UP: Final = ('bounds.warmup_overage', 'bounds.warmup_slack')
+#: Names that only files have whose deployments bound customers' requests.
+QUOTA: Final = (
+    'bounds.quota_window_s',
+    'bounds.quota_overage',
+    'bounds.quota_slack',
+)
 
 
 class Fault(NamedTuple):
@@ -126,9 +132,32 @@
             places.USUAL_APPLY_S * MILLISECONDS,
         )
         / MILLISECONDS,
+        _read_quota(lines),
+        _read_revoke(lines),
     )
 
 
+def _read_quota(lines: Mapping[str, str]) -> places.Quota | None:
+    """Read by how much quotas may be exceeded; not every deployment has any."""
+    try:
+        window, overage, slack = [float(lines.get(it, '')) for it in QUOTA]
+    except ValueError:
+        return None
+    if not all(math.isfinite(it) for it in (window, overage, slack)):
+        return None
+    if window <= 0:
+        return None
+    return places.Quota(window, max(0.0, overage), max(0.0, slack))
+
+
+def _read_revoke(lines: Mapping[str, str]) -> float | None:
+    """Read how soon a key is dead everywhere; None where that may take long."""
+    if lines.get('bounds.strict_revoke') != 'true':
+        return None
+    revoke = _read_figure(lines.get('bounds.revoke_ms', ''), 0)
+    return revoke / MILLISECONDS or None
+
+
 def _read_warm_up(lines: Mapping[str, str]) -> places.WarmUp | None:
     """Read the bound on cold targets; not every deployment has one."""
     told = [lines.get(name, '') for name in WARM_UP]
--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -46,6 +46,19 @@
 )
 
 
+class Taken(NamedTuple):
+    """Hold a request whose route is known and that may be begun.
+
+    `priority` is 0 for the most urgent, `version` the configuration's.
+    """
+
+    number: int
+    request: events.Request
+    route: configs.Route
+    version: int
+    priority: int
+
+
 class Flight(NamedTuple):
     """Describe one sending that has not ended.
 
--- a/fuchsiahaven/routing/assist_codecs.py
+++ b/fuchsiahaven/routing/assist_codecs.py
@@ -10,7 +10,10 @@
 
 
 class WrittenAssist(TypedDict):
-    """Hold a request for assistance; times are in milliseconds from now."""
+    """Hold a request for assistance; times are in milliseconds from now.
+
+    `customer` is left out where there is none.
+    """
 
     id: str
     method: str
@@ -25,6 +28,7 @@
     counts: bool
     again: bool
     wait: int
+    customer: NotRequired[str]
 
 
 class WrittenShare(TypedDict):
@@ -49,7 +53,7 @@
         id=request.request_id,
         method=request.method,
         target=request.target,
-        fields=[list(field) for field in request.fields],
+        fields=[list(it) for it in (*request.fields, *request.credentials)],
         body=base64.b64encode(request.body).decode(),
         route=assist.route,
         objective=int(assist.objective * MILLISECONDS),
@@ -60,6 +64,8 @@
         again=assist.again,
         wait=int((assist.ends - now) * MILLISECONDS),
     )
+    if request.customer:
+        written['customer'] = request.customer
     return _dump(written)
 
 
@@ -110,6 +116,7 @@
         base64.b64decode(row['body']),
         now,
         ends,
+        customer=str(row.get('customer', '')),
     )
     return events.Assist(
         request,
--- a/fuchsiahaven/routing/configs.py
+++ b/fuchsiahaven/routing/configs.py
@@ -50,7 +50,8 @@
 
     Times are in seconds. `objective` is the time within which an answer is
     worth most, `attempts` the most targets that a part of a request may run
-    on, `priority` 0 for the most urgent.
+    on, `priority` 0 for the most urgent. Where there are customers, only a
+    `public` route takes requests without a key.
     """
 
     name: str
@@ -62,6 +63,7 @@
     attempts: int
     priority: int
     way: Way
+    public: bool = False
 
     @property
     def at_most_once(self) -> bool:
@@ -81,6 +83,21 @@
     warm_rate: float = 0.0
 
 
+class Customer(NamedTuple):
+    """Hold whose requests are counted together, and how many there may be.
+
+    `keys` are digests of what callers show; a customer's `priority` goes before
+    that of routes where it is told. `rate` is in requests a second, 0 for no
+    limit, `burst` in requests.
+    """
+
+    name: str
+    keys: tuple[str, ...] = ()
+    priority: int | None = None
+    rate: float = 0.0
+    burst: float = 0.0
+
+
 class Limits(NamedTuple):
     """Bound what a caller may send; times are in seconds."""
 
@@ -91,12 +108,16 @@
 
 
 class Configuration(NamedTuple):
-    """Hold one accepted version in full; version 0 is none."""
+    """Hold one accepted version in full; version 0 is none.
+
+    `customers` is None where callers need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: Limits
+    customers: tuple[Customer, ...] | None = None
 
 
 NOTHING: Configuration = Configuration(0, (), (), Limits())
@@ -105,13 +126,15 @@
 class Index(NamedTuple):
     """Hold a configuration so that requests find their route quickly.
 
-    `wide` are the shards of queries whose cost is shared among hosts.
+    `wide` are the shards of queries whose cost is shared among hosts,
+    `customers` whose key each digest is of.
     """
 
     configuration: Configuration
     routes: Mapping[str, Mapping[str, Route]]
     services: Mapping[str, Service]
     wide: frozenset[str]
+    customers: Mapping[str, Customer]
 
 
 def build_index(configuration: Configuration) -> Index:
@@ -127,7 +150,12 @@
         if isinstance(way, Gather) and is_wide(way)
         for shard in way.shards
     )
-    return Index(configuration, routes, services, wide)
+    customers = {
+        key: customer
+        for customer in configuration.customers or ()
+        for key in customer.keys
+    }
+    return Index(configuration, routes, services, wide, customers)
 
 
 def is_wide(gather: Gather) -> bool:
--- /dev/null
+++ b/fuchsiahaven/routing/controls.py
@@ -0,0 +1,17 @@
+"""Join what decides whether a request may be taken in."""
+
+from typing import NamedTuple
+
+from fuchsiahaven.routing import freshness, places, quotas
+
+
+class Controls(NamedTuple):
+    """Hold the parts, each of which owns its state."""
+
+    freshness: freshness.Freshness
+    quotas: quotas.Quotas
+
+
+def make_controls(host: places.Host) -> Controls:
+    """Make the parts of a host that has just started."""
+    return Controls(freshness.Freshness(), quotas.Quotas(host))
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -1,9 +1,8 @@
 """Decide what a host does with each event: `handle(desk, event, now)`."""
 
-from typing import Final
-
 from fuchsiahaven.core import errors, identities, rendezvous, suspects
 from fuchsiahaven.routing import (
+    admission,
     arrivals,
     asks,
     assists,
@@ -15,16 +14,10 @@
     instances,
     plans,
     reaches,
-    splits,
     states,
     tries,
 )
 
-SOURCE: Final = 'desks'
-#: How soon a host that has just started may have its configuration: a read of
-#: the store, and a second one if the first was turned away.
-START_S: Final = 0.5
-
 Actions = list[events.Action]
 
 
@@ -153,18 +146,21 @@
 def _take_request(
     desk: states.Desk, event: events.Asked, now: float
 ) -> Actions:
-    request = event.request
     version = desk.index.configuration.version
-    route = _find_route(desk, request)
-    if isinstance(route, errors.Failure):
-        return endings.refuse(event.ask, request, route, version, now)
-    refusal = _find_quarantine(desk, request, now)
-    if refusal is not None:
-        return endings.refuse(event.ask, request, refusal, version, now)
-    services = _list_services(desk, route)
+    taken = admission.admit(desk, event, now)
+    if isinstance(taken, errors.Failure):
+        return endings.refuse(event.ask, event.request, taken, version, now)
+    return _begin(desk, taken, now)
+
+
+def _begin(desk: states.Desk, taken: asks.Taken, now: float) -> Actions:
+    route = taken.route
+    services = admission.list_services(desk, route)
     reaches.note_asked(desk, route, now)
     own = desk.margin.estimate(route.way)
-    ask = asks.begin(event.ask, request, route, version, services, own)
+    ask = asks.begin(
+        taken.number, taken.request, route, taken.version, services, own
+    )
     desk.asks[ask.number] = ask
     tries.foresee(desk, ask, now)
     actions: Actions = []
@@ -178,21 +174,6 @@
     return [*actions, *over]
 
 
-def _find_quarantine(
-    desk: states.Desk, request: events.Request, now: float
-) -> errors.Failure | None:
-    """Refuse a request that is not to be sent now."""
-    wait = desk.suspects.count_wait(request.identity, now)
-    if not wait:
-        return None
-    return errors.make_failure(
-        errors.Kind.QUARANTINED,
-        SOURCE,
-        request.identity.digest,
-        retry_after=round(wait, endings.WAIT_DIGITS),
-    )
-
-
 def _send_parts(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
     actions = _delegate_parts(desk, ask, now)
     for service in tries.list_unsent(ask):
@@ -218,37 +199,6 @@
     return actions
 
 
-def _find_route(
-    desk: states.Desk, request: events.Request
-) -> configs.Route | errors.Failure:
-    if not desk.index.configuration.version:
-        return errors.make_failure(
-            errors.Kind.NOT_READY,
-            SOURCE,
-            'no configuration yet',
-            retry_after=START_S,
-        )
-    path = request.target.partition('?')[0]
-    route = configs.find_route(desk.index, request.host, path)
-    if route is None:
-        return errors.make_failure(
-            errors.Kind.NOT_FOUND, SOURCE, f'no route for {request.host}{path}'
-        )
-    return route
-
-
-def _list_services(desk: states.Desk, route: configs.Route) -> tuple[str, ...]:
-    way = route.way
-    if not isinstance(way, configs.Split):
-        return configs.list_services(way)
-    saved = desk.credits.get(route.name)
-    if saved is None:
-        saved = splits.start(way, desk.draw())
-    choice = splits.choose(way, saved)
-    desk.credits[route.name] = choice.credits
-    return (choice.service,)
-
-
 def _set_timers(desk: states.Desk, ask: asks.Ask, now: float) -> None:
     delay = tries.find_delay(desk, ask)
     desk.set_timer(now + delay, states.HedgeDue(ask.number))
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -21,7 +21,10 @@
     fields that go on to a target as they are. `away` is how many seconds of
     the caller's own time pass outside this host: on the request's way here,
     with the opening of its connection, and on the answer's way back. `identity`
-    is the same for each repeat, also by the caller under a new id.
+    is the same for each repeat, also by the caller under a new id. `key` is
+    the digest of the key that the caller shows, empty without one,
+    `credentials` the fields that hold it, which go no further where there are
+    customers. `customer` is whose request it is, once that is known.
     """
 
     request_id: str
@@ -34,6 +37,9 @@
     deadline: float
     away: float = 0.0
     identity: identities.Identity = identities.UNKNOWN
+    key: str = ''
+    credentials: Fields = ()
+    customer: str = ''
 
 
 class Answer(NamedTuple):
--- a/fuchsiahaven/routing/places.py
+++ b/fuchsiahaven/routing/places.py
@@ -43,6 +43,18 @@
     slack: float
 
 
+class Quota(NamedTuple):
+    """Say by how much customers' requests may exceed their limit, over all.
+
+    In any stretch of `window` seconds a customer may have what its rate and
+    burst allow, a share `overage` of that more, and `slack` requests more.
+    """
+
+    window: float
+    overage: float
+    slack: float
+
+
 class Settings(NamedTuple):
     """Hold what the platform tells a process at its start.
 
@@ -53,7 +65,9 @@
     where no bound on cold targets is told. `first_start` tells that the whole
     system starts for the first time. `store_writes` is how many writes a
     second the store takes of all hosts together, `apply` the time within which
-    an accepted configuration is to be in force.
+    an accepted configuration is to be in force. `quota` is None where customers
+    have none; a key that was taken away is to be dead within `revoke` seconds
+    on hosts out of touch too, None where it need not.
     """
 
     host: Host
@@ -71,6 +85,8 @@
     first_start: bool = False
     store_writes: float = 400.0
     apply: float = USUAL_APPLY_S
+    quota: Quota | None = None
+    revoke: float | None = None
 
     @property
     def pace(self) -> float:
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -12,6 +12,7 @@
     budgets,
     centres,
     configs,
+    controls,
     events,
     instances,
     losses,
@@ -128,6 +129,12 @@
         self._losses = losses.Losses()
         self._suspects = suspects.Suspects()
         self._warmups = warmups.Warmups(host)
+        self._controls = controls.make_controls(host)
+
+    @property
+    def controls(self) -> controls.Controls:
+        """Return what decides whether a request may be taken in."""
+        return self._controls
 
     @property
     def centres(self) -> centres.Centres:
@@ -154,15 +161,6 @@
         """Return which targets are cold, and what they get from here."""
         return self._warmups
 
-    def is_alone(self) -> bool:
-        """Tell whether this data centre is cut off from all others."""
-        silent = self._centres.list_silent()
-        return bool(silent) and all(
-            host.data_centre in silent
-            for host in self.hosts
-            if host.data_centre != self.host.data_centre
-        )
-
     def count_wide_centres(self) -> None:
         """Note which data centres hold targets of wide queries.
 
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -59,12 +59,22 @@
     if not ask.gathers:
         return ask.ends
     objective = ask.route.objective
-    if sent + 1 < ask.route.attempts and not desk.is_alone():
+    if sent + 1 < ask.route.attempts and not _is_alone(desk):
         usual = ask.request.arrived + PART_SHARE * objective
         return min(ask.ends, max(usual, now + LEAST_SHARE * objective))
     return min(ask.ends, now + LAST_SHARE * objective)
 
 
+def _is_alone(desk: states.Desk) -> bool:
+    """Tell whether this data centre is cut off from all others."""
+    silent = desk.centres.list_silent()
+    return bool(silent) and all(
+        host.data_centre in silent
+        for host in desk.hosts
+        if host.data_centre != desk.host.data_centre
+    )
+
+
 def foresee(desk: states.Desk, ask: asks.Ask, now: float) -> None:
     """Mark the parts that no target can take as lost."""
     for service in asks.list_open(ask):
