Send a part again to a target it was only taken back from

Cause: once a target ends under a request, everything of that request that has not left is withdrawn, so that one target at a time is tried. A part whose first target was unreachable waited at its second one for a connection; taken back, that target still counted as tried, no candidate was left, and the part was lost. With two such parts of five the query could not be whole. Ruled out: the trial's choice, the bound on repeats (nothing was charged), targets that were left out (the second ones lived). Change: a pool tells a sending that was withdrawn from one that could not be sent; the part may go to that target again. A refusal to connect still counts, or a fresh connection that cannot be had would be asked for without end. Test: a part that was taken back is sent after the trial; it failed before. test_pools and the model of test_quarantines state the new word of the pool.

--- a/fuchsiahaven/relay/pools.py
+++ b/fuchsiahaven/relay/pools.py
@@ -68,7 +68,7 @@
         for send in self._queue:
             if send.key == key:
                 self._queue.remove(send)
-                self._report(events.Unsent(key, unreachable=False))
+                self._report(events.Unsent(key, False, withdrawn=True))
                 return
         carried = [
             it for it, busy in self._busy.items() if busy.send.key == key
--- a/fuchsiahaven/routing/arrivals.py
+++ b/fuchsiahaven/routing/arrivals.py
@@ -148,8 +148,13 @@
         return []
     _note_try(ask, event.key, aloft, 'not sent')
     part = land(ask, event.key)
+    tried = part.tried
+    if event.withdrawn:
+        # Nothing is known against the target, which may be the last one left.
+        tried = tuple(it for it in tried if it != aloft.instance)
     ask.parts[service] = part._replace(
         sent=part.sent - 1,
+        tried=tried,
         reason=part.reason or coverage.Reason.UNREACHABLE,
     )
     return go_on(desk, ask, service, now)
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -107,11 +107,13 @@
     """Tell that a request did not leave this host and will not.
 
     `unreachable` tells that no connection could be had, as opposed to one
-    that was not waited for any longer.
+    that was not waited for any longer; `withdrawn` that it was asked to be
+    taken back, which says nothing of the target.
     """
 
     key: FlightKey
     unreachable: bool
+    withdrawn: bool = False
 
 
 class Reached(NamedTuple):
--- a/tests/relay/test_pools.py
+++ b/tests/relay/test_pools.py
@@ -313,7 +313,7 @@
             await peers.wait_for(lambda: server.heads)
             bench.pool.stop(first, also_sent=False)
             bench.pool.stop(second, also_sent=False)
-            unsent = events.Unsent(second, unreachable=False)
+            unsent = events.Unsent(second, False, withdrawn=True)
             assert bench.list_ends() == [unsent]
 
     peers.run(check())
--- a/tests/routing/desk_rig.py
+++ b/tests/routing/desk_rig.py
@@ -150,10 +150,14 @@
         self.post(events.Ended(send.instance.name))
 
     def fail_to_send(
-        self, send: events.Send, *, unreachable: bool = True
+        self,
+        send: events.Send,
+        *,
+        unreachable: bool = True,
+        withdrawn: bool = False,
     ) -> None:
         """Bring word that a sending has not left."""
-        self.post(events.Unsent(send.key, unreachable=unreachable))
+        self.post(events.Unsent(send.key, unreachable, withdrawn))
 
     def pass_time(self, seconds: float) -> None:
         """Let time pass, timer by timer."""
--- a/tests/routing/test_crashes.py
+++ b/tests/routing/test_crashes.py
@@ -127,3 +127,37 @@
     rig.pass_time(0.001)
     assert len(rig.take_sent()) == len(shards) - 1
     assert not any(isinstance(it, events.Delegate) for it in rig.others)
+
+
+def test_a_part_that_was_taken_back_is_sent_after_the_trial() -> None:
+    """Guard against a part that is lost because it waited for a connection.
+
+    Its first target cannot be reached. The request becomes suspect at another
+    shard while the part waits at its second target, the only one left.
+    """
+    search = desk_rig.make_route(configs.Gather(('a', 'b'), 2, 1.0))
+    rig = desk_rig.Rig([search], desk_rig.make_instances(('a', 'b')))
+    rig.ask()
+    first, other = rig.take_sent()
+    rig.fail_to_send(first)
+    (second,) = rig.take_sent()
+    rig.now += 0.02
+    rig.end_target(other)
+    assert events.Withdraw(second.key) in rig.others
+    rig.fail_to_send(second, unreachable=False, withdrawn=True)
+    rig.pass_time(0.01)
+    assert not rig.replies
+    (trial,) = rig.take_sent()
+    rig.answer(trial)
+    rig.pass_time(0.001)
+    (last,) = rig.take_sent()
+    rig.answer(last)
+    assert isinstance(rig.take_outcome(), events.Merged)
+    assert {trial.instance.name, last.instance.name} == {
+        second.instance.name,
+        *[
+            it.name
+            for it in desk_rig.make_instances(['b'])
+            if it.name != other.instance.name
+        ],
+    }
--- a/tests/routing/test_quarantines.py
+++ b/tests/routing/test_quarantines.py
@@ -180,7 +180,7 @@
     def _withdraw(self, host: int, key: events.FlightKey) -> None:
         if (host, key) in self._aloft and (host, key) not in self._left:
             self._aloft.pop((host, key))
-            self.post(host, events.Unsent(key, unreachable=False))
+            self.post(host, events.Unsent(key, False, withdrawn=True))
 
     def _take(self, host: int, event: events.Event) -> None:
         if isinstance(event, events.Cancel):
