Hold back queries that end their targets, in the own interface too

Callers of the product's own interface saw targets end one after the other under one query: 18 sendings where 6 are wanted. Cause: its pools did not look whether a target has ended, and nothing was remembered against a query. Change: a pool that lost a sub-request with its connection opens another one; a port that is closed tells that the target has ended. The decisions are those of core/suspects, as on the platform: one trial at a time, success clears, quarantine after three moments. A part waits 50 ms for word at most. Left: hosts of the own interface do not tell each other, and a trial does not take a fresh connection.

--- a/fuchsiahaven/core/queries/dispatch.py
+++ b/fuchsiahaven/core/queries/dispatch.py
@@ -36,6 +36,8 @@
             return state, gather.take_refusal(state, event, now)
         case messages.Broken():
             return state, gather.take_fault(state, event, now)
+        case messages.Looked():
+            return state, gather.take_look(state, event, now)
         case messages.Submitted():
             return state, submissions.submit(state, event, now)
         case messages.Ticked():
@@ -103,6 +105,8 @@
             return repeats.hedge(state, due, now)
         case tables.RetryDue():
             return gather.retry_later(state, due, now)
+        case tables.DoubtDue():
+            return gather.stop_doubting(state, due, now)
         case tables.RoomDue(name):
             return scatter.serve_queue(state, name, now)
         case tables.StartDue():
--- a/fuchsiahaven/core/queries/gather.py
+++ b/fuchsiahaven/core/queries/gather.py
@@ -2,8 +2,9 @@
 
 from typing import Final
 
-from fuchsiahaven.core import coverage
+from fuchsiahaven.core import coverage, suspects
 from fuchsiahaven.core.queries import (
+    crashes,
     endings,
     flights,
     queries,
@@ -45,6 +46,8 @@
     target_events.note_version(state, event.target, event.health_version, now)
     actions: list[messages.Action] = []
     run = state.tables.runs.get(event.part.query)
+    if run is not None:
+        crashes.note_answer(state, run, event.part)
     losers = run and queries.accept(run, event.part, event.rows)
     if run is None or losers is None:
         state.tables.counts[tables.Count.LATE] += 1
@@ -86,10 +89,43 @@
     flying = flights.land_fault(state, event, now)
     if flying is None:
         return []
+    run = state.tables.runs.get(event.part.query)
+    lost = event.fault is messages.Fault.CONNECTION_LOST
+    if run is not None and lost and not run.at_most_once:
+        crashes.note_loss(state, run, event, flying.sent, now)
     reason = FAULT_REASONS[event.fault]
     return _end_attempt(state, event, reason, now, may_have_run=True)
 
 
+def take_look(
+    state: states.State, event: messages.Looked, now: float
+) -> list[messages.Action]:
+    """Go on with the parts that waited for word of their target."""
+    actions: list[messages.Action] = []
+    for part in crashes.take_look(state, event, now):
+        actions.extend(_go_on(state, part, now))
+    return actions
+
+
+def stop_doubting(
+    state: states.State, due: tables.DoubtDue, now: float
+) -> list[messages.Action]:
+    """Go on with a part of whose target nobody has told in time."""
+    if crashes.stop_doubting(state, due):
+        return _go_on(state, due.part, now)
+    return []
+
+
+def _go_on(
+    state: states.State, part: messages.PartKey, now: float
+) -> list[messages.Action]:
+    run = state.tables.runs.get(part.query)
+    part_id = queries.PartId(part.group, part.shard)
+    if run is None or part_id not in run.open_parts:
+        return []
+    return _try_again(state, run, part_id, now, free=False)
+
+
 def retry_later(
     state: states.State, due: tables.RetryDue, now: float
 ) -> list[messages.Action]:
@@ -97,7 +133,8 @@
     run = state.tables.runs.get(due.number)
     if run is None or due.part_id not in run.open_parts:
         return []
-    return _try_again(state, run, due.part_id, now, free=False)
+    unsent = run.parts[due.part_id].attempt == run.first_attempt
+    return _try_again(state, run, due.part_id, now, free=unsent)
 
 
 def _end_attempt(
@@ -115,12 +152,23 @@
             run, event.part, reason, may_have_run=may_have_run
         )
         free = reason in repeats.FREE and not may_have_run
-        if part is not None:
+        doubted = _is_doubted(state, event)
+        if not doubted:
+            crashes.end_trial(state, run, event.part)
+        if part is not None and not doubted:
             part_id = queries.PartId(event.part.group, event.part.shard)
             actions = _try_again(state, run, part_id, now, free=free)
     return [*actions, *scatter.serve_queue(state, event.target, now)]
 
 
+def _is_doubted(
+    state: states.State, event: messages.Refused | messages.Broken
+) -> bool:
+    """Tell whether nobody knows yet whether the target has ended."""
+    losses = state.tables.losses.get(event.target, ())
+    return any(loss.part == event.part for loss in losses)
+
+
 def _try_again(
     state: states.State,
     run: queries.Run,
@@ -135,12 +183,45 @@
         return []
     actions = None
     if not (run.at_most_once and part.may_have_run):
-        actions = repeats.retry(state, run, part_id, now, free=free)
+        actions = _repeat(state, run, part_id, now, free=free)
     if actions is not None:
         return actions
     if repeats.wait(state, run, part_id, now):
         return []
+    part = run.parts[part_id]
     queries.give_up(run, part_id, part.reason or coverage.Reason.REFUSED)
     if part.reason is coverage.Reason.SNAPSHOT_GONE:
         return endings.restart(state, run, now)
     return endings.settle(state, run, now)
+
+
+def _repeat(
+    state: states.State,
+    run: queries.Run,
+    part_id: queries.PartId,
+    now: float,
+    *,
+    free: bool,
+) -> list[messages.Action] | None:
+    """Send a part as what is known against its query allows.
+
+    None where it is not to be sent any more.
+    """
+    match crashes.find_gate(state, run.query, now):
+        case suspects.Gate.CLOSED:
+            part = run.parts[part_id]
+            reason = coverage.Reason.QUARANTINED
+            run.parts[part_id] = part._replace(reason=reason)
+            return None
+        case suspects.Gate.HELD:
+            repeats.put_off(state, run, part_id, now)
+            return []
+        case suspects.Gate.TRIAL:
+            if scatter.is_full(state, run, part_id, now):
+                # What waits at a target would leave after the trial too.
+                repeats.put_off(state, run, part_id, now)
+                return []
+            sent = repeats.retry(state, run, part_id, now, free=free)
+            crashes.begin_trial(state, run, sent or [], now)
+            return sent
+    return repeats.retry(state, run, part_id, now, free=free)
--- a/fuchsiahaven/core/queries/outcomes.py
+++ b/fuchsiahaven/core/queries/outcomes.py
@@ -20,6 +20,7 @@
     coverage.Reason.BROKEN_ANSWER: 0.5,
     coverage.Reason.SNAPSHOT_GONE: 0.5,
     coverage.Reason.TIMED_OUT: 0.5,
+    coverage.Reason.QUARANTINED: 1.0,
 }
 
 
@@ -84,6 +85,8 @@
 
 
 def _choose_kind(reasons: list[coverage.Reason]) -> errors.Kind:
+    if coverage.Reason.QUARANTINED in reasons:
+        return errors.Kind.QUARANTINED
     if coverage.Reason.SNAPSHOT_GONE in reasons:
         return errors.Kind.NO_SNAPSHOT
     if coverage.Reason.TIMED_OUT in reasons:
--- a/fuchsiahaven/core/queries/repeats.py
+++ b/fuchsiahaven/core/queries/repeats.py
@@ -2,9 +2,10 @@
 
 from typing import Final
 
-from fuchsiahaven.core import coverage, policies
+from fuchsiahaven.core import coverage, policies, suspects
 from fuchsiahaven.core.queries import (
     budgets,
+    crashes,
     hedges,
     queries,
     scatter,
@@ -90,9 +91,19 @@
         return False
     if not scatter.list_candidates(state, run, part_id):
         return False
+    put_off(state, run, part_id, now)
+    return True
+
+
+def put_off(
+    state: states.State,
+    run: queries.Run,
+    part_id: queries.PartId,
+    now: float,
+) -> None:
+    """Have a part looked at again a little later."""
     due = tables.RetryDue(run.number, part_id)
     states.set_timer(state, now + RETRY_PAUSE_S * (1 + state.draw()), due)
-    return True
 
 
 def hedge(
@@ -102,6 +113,8 @@
     run = state.tables.runs.get(due.number)
     if run is None:
         return []
+    if crashes.find_gate(state, run.query, now) is not suspects.Gate.OPEN:
+        return []
     kind = tables.ClassGroup(run.policy.name, due.group)
     slow = [
         part_id
--- a/fuchsiahaven/core/queries/scatter.py
+++ b/fuchsiahaven/core/queries/scatter.py
@@ -4,8 +4,14 @@
 from collections.abc import Sequence
 from typing import Final
 
-from fuchsiahaven.core import policies
-from fuchsiahaven.core.queries import flights, queries, states, tables
+from fuchsiahaven.core import policies, suspects
+from fuchsiahaven.core.queries import (
+    crashes,
+    flights,
+    queries,
+    states,
+    tables,
+)
 from fuchsiahaven.core.targets import limits, messages, routes
 
 #: Time kept back from the deadline to merge and send the answer, in seconds
@@ -72,6 +78,18 @@
     return [flight.target for flight in run.parts[part_id].flights[:-1]]
 
 
+def is_full(
+    state: states.State,
+    run: queries.Run,
+    part_id: queries.PartId,
+    now: float,
+) -> bool:
+    """Tell whether there are replicas to ask, none of which has room."""
+    candidates = list_candidates(state, run, part_id)
+    free = any(has_room(state, name, now) for name in candidates)
+    return bool(candidates) and not free
+
+
 def has_room(state: states.State, name: str, now: float) -> bool:
     """Tell whether a target may be sent one more sub-request now."""
     stats = state.tables.stats.get(name, routes.UNSEEN)
@@ -121,10 +139,15 @@
     while queue and has_room(state, name, now):
         waiter = queue.popleft()
         run = state.tables.runs.get(waiter.number)
-        if run is not None and _still_waits(run, waiter, name):
+        if run is None or not _still_waits(run, waiter, name):
+            continue
+        if crashes.find_gate(state, run.query, now) is suspects.Gate.OPEN:
             actions.append(
                 send(state, run, waiter.part_id, name, now, waiter.purpose)
             )
+        else:
+            due = tables.RetryDue(run.number, waiter.part_id)
+            states.set_timer(state, now, due)
     _await_room(state, name, now)
     return actions
 
--- a/fuchsiahaven/core/queries/starts.py
+++ b/fuchsiahaven/core/queries/starts.py
@@ -2,9 +2,16 @@
 
 from typing import NamedTuple
 
-from fuchsiahaven.core import coverage
+from fuchsiahaven.core import coverage, suspects
 from fuchsiahaven.core.configuration import configurations
-from fuchsiahaven.core.queries import queries, scatter, states, tables, views
+from fuchsiahaven.core.queries import (
+    crashes,
+    queries,
+    scatter,
+    states,
+    tables,
+    views,
+)
 from fuchsiahaven.core.targets import messages, snapshots
 
 
@@ -81,6 +88,12 @@
     due = tables.RunDue(run.number)
     states.set_timer(state, scatter.answer_time(run), due)
     actions: list[messages.Action] = []
+    if crashes.find_gate(state, run.query, now) is not suspects.Gate.OPEN:
+        # One part is tried first, the others wait for what comes of it.
+        for waiting in run.parts:
+            retry = tables.RetryDue(run.number, waiting)
+            states.set_timer(state, now, retry)
+        return actions
     for part_id in run.parts:
         placed = scatter.place(state, run, part_id, now, queries.Purpose.FIRST)
         if placed is None:
--- a/fuchsiahaven/core/queries/submissions.py
+++ b/fuchsiahaven/core/queries/submissions.py
@@ -2,11 +2,12 @@
 
 from typing import Final
 
-from fuchsiahaven.core import errors, policies
+from fuchsiahaven.core import errors, policies, suspects
 from fuchsiahaven.core.claims import claims
 from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.core.queries import (
     admission,
+    crashes,
     endings,
     queues,
     replies,
@@ -32,6 +33,7 @@
     """Take one query in: start it, queue it or refuse it."""
     policy = states.find_class(state, event.query.class_name)
     obstacle = _find_obstacle(state, event.query, policy)
+    obstacle = obstacle or _find_quarantine(state, event.query, now)
     if obstacle is not None or policy is None:
         assert obstacle is not None
         return [messages.Reply(event.token, obstacle)]
@@ -153,6 +155,19 @@
     return None
 
 
+def _find_quarantine(
+    state: states.State, query: messages.Query, now: float
+) -> errors.Failure | None:
+    """Refuse a query that is not to be sent now."""
+    if crashes.find_gate(state, query, now) is not suspects.Gate.CLOSED:
+        return None
+    identity = crashes.name_query(query)
+    wait = state.tables.suspects.count_wait(identity, now)
+    return errors.make_failure(
+        errors.Kind.QUARANTINED, SOURCE, identity.digest, retry_after=wait
+    )
+
+
 def _cap_deadline(
     policy: configurations.RequestClass, event: messages.Submitted
 ) -> messages.Submitted:
--- a/fuchsiahaven/core/queries/tables.py
+++ b/fuchsiahaven/core/queries/tables.py
@@ -9,6 +9,7 @@
 import itertools
 from typing import NamedTuple
 
+from fuchsiahaven.core import identities, suspects
 from fuchsiahaven.core.configuration import configurations, selectors
 from fuchsiahaven.core.queries import admission, budgets, hedges, queries
 from fuchsiahaven.core.targets import (
@@ -35,6 +36,7 @@
     CANCELLED = 'cancelled'
     LATE = 'late'
     RESTARTED = 'restarted'
+    CRASHED = 'crashed'
 
 
 class RunDue(NamedTuple):
@@ -70,6 +72,13 @@
     part_id: queries.PartId
 
 
+class DoubtDue(NamedTuple):
+    """Say that nobody has told in time whether a target has ended."""
+
+    target: str
+    part: messages.PartKey
+
+
 class RoomDue(NamedTuple):
     """Say that a target may have room again."""
 
@@ -95,6 +104,7 @@
     | ClaimDue
     | HedgeDue
     | RetryDue
+    | DoubtDue
     | ProbeDue
     | RoomDue
     | StartDue
@@ -131,6 +141,15 @@
     cancelled: float = 0.0
 
 
+class Loss(NamedTuple):
+    """Hold a sub-request that was lost with its connection."""
+
+    identity: identities.Identity
+    part: messages.PartKey
+    sent: float
+    lost: float
+
+
 class AdmissionKey(NamedTuple):
     """Identify the queries that are admitted together.
 
@@ -187,7 +206,8 @@
     `probes` is when each is asked next, `reported` when it last told its
     health, and `versions` what version of it; `confirmed` is when an answer
     last said that this version still stands. `in_use` is each group's snapshot
-    that was pinned last.
+    that was pinned last. `losses` are by target until it is known whether
+    that has ended; `suspects` are the queries under which targets end.
     """
 
     numbers: 'itertools.count[int]'
@@ -222,6 +242,8 @@
     in_use: 'collections.Counter[str]'
     reached: dict[str, tuple[selectors.Reached, ...]]
     views: dict[tuple[str, tuple[str, ...]], View]
+    losses: dict[str, list[Loss]]
+    suspects: suspects.Suspects
 
 
 def make_tables() -> Tables:
@@ -259,4 +281,6 @@
         in_use=collections.Counter(),
         reached={},
         views={},
+        losses={},
+        suspects=suspects.Suspects(),
     )
--- a/fuchsiahaven/core/targets/messages.py
+++ b/fuchsiahaven/core/targets/messages.py
@@ -160,6 +160,16 @@
     fault: Fault
 
 
+class Looked(NamedTuple):
+    """Tell whether a target has ended: its port is closed.
+
+    It follows a lost connection that carried a sub-request.
+    """
+
+    target: str
+    ended: bool
+
+
 class Configured(NamedTuple):
     """Bring a configuration in force; lower revisions are ignored."""
 
@@ -310,6 +320,7 @@
     | Answered
     | Refused
     | Broken
+    | Looked
     | Configured
     | Probed
     | HostListed
--- a/fuchsiahaven/edge/connectors.py
+++ b/fuchsiahaven/edge/connectors.py
@@ -27,10 +27,14 @@
 
 
 class Unopened(NamedTuple):
-    """Say that a connection could not be opened."""
+    """Say that a connection could not be opened.
+
+    `refused` tells that the target's port is closed.
+    """
 
     target: configurations.Target
     detail: str
+    refused: bool = False
 
 
 Outcome = Opened | Unopened
@@ -80,7 +84,8 @@
             connection.connect()
         except (urllib3.exceptions.HTTPError, OSError) as error:
             connection.close()
-            return Unopened(target, str(error))
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return Unopened(target, str(error), refused)
         connection.sock.settimeout(0)
         return Opened(target, connection)
 
--- a/fuchsiahaven/edge/pools.py
+++ b/fuchsiahaven/edge/pools.py
@@ -11,7 +11,7 @@
 
 from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.edge import connectors, exchanges, frames, links
+from fuchsiahaven.edge import connectors, exchanges, frames, links, looks
 
 BACK_OFF_S: Final = 0.1
 LONGEST_BACK_OFF_S: Final = 2.0
@@ -44,6 +44,7 @@
         self._queue: collections.deque[exchanges.Exchange] = collections.deque()
         self._failures = 0
         self._closed_until = 0.0
+        self._look = looks.Look()
 
     def place(self, exchange: exchanges.Exchange, now: float) -> None:
         """Send at once where a connection is idle, or else when one is."""
@@ -91,6 +92,7 @@
     def take(self, outcome: connectors.Outcome, now: float) -> None:
         """Take a connection that was asked for, or the news of none."""
         self._opening -= 1
+        self._shop.report(self._look.end(outcome))
         match outcome:
             case connectors.Opened(target, connection):
                 link = links.Link(target.address, connection)
@@ -208,6 +210,9 @@
         self._discard(link)
         if exchange is not None:
             self._shop.report(exchanges.give_up(exchange, fault))
+            if self._look.begin(exchange, fault) and not self._opening:
+                self._opening += 1
+                self._shop.ask(self.target)
         self._open_more(now)
 
     def _discard(self, link: links.Link) -> None:
--- a/tests/core/queries/test_dispatch.py
+++ b/tests/core/queries/test_dispatch.py
@@ -552,6 +552,6 @@
             sends = [
                 again
                 for send in sends
-                for again in rig.find_sends(host.lose(send))
+                for again in rig.find_sends(host.end_target(send))
             ]
     assert lost <= 6
--- a/tests/core/rig.py
+++ b/tests/core/rig.py
@@ -125,8 +125,22 @@
         send: messages.Send,
         fault: messages.Fault = messages.Fault.CONNECTION_LOST,
     ) -> list[messages.Action]:
-        """Break a sub-request with unknown outcome."""
-        return self.tell(messages.Broken(send.part, send.target.name, fault))
+        """Break a sub-request with unknown outcome; its target lives on.
+
+        Its pool looks whether it does where a connection was lost.
+        """
+        name = send.target.name
+        done = self.tell(messages.Broken(send.part, name, fault))
+        if fault is messages.Fault.CONNECTION_LOST:
+            done += self.tell(messages.Looked(name, ended=False))
+        return done
+
+    def end_target(self, send: messages.Send) -> list[messages.Action]:
+        """End the target that runs a sub-request."""
+        lost = messages.Fault.CONNECTION_LOST
+        name = send.target.name
+        done = self.tell(messages.Broken(send.part, name, lost))
+        return done + self.tell(messages.Looked(name, ended=True))
 
     def replies(self) -> list[messages.Reply]:
         """List the replies given so far."""
--- a/tests/edge/test_pools.py
+++ b/tests/edge/test_pools.py
@@ -50,6 +50,25 @@
     def _ask(self, target: configurations.Target) -> None:
         self.asked += 1
 
+    def send(self) -> messages.Send:
+        """Send a sub-request on the one connection."""
+        part = messages.PartKey(1, 'web', 0, 1)
+        request = messages.PartRequest(
+            'id-1', 'price-check', 'web', 0, 1, 1, {}, 1.0, at_most_once=False
+        )
+        send = messages.Send(part, TARGET, request)
+        self.pool.allot(1, 0)
+        self.pool.place(exchanges.Exchange(send, 1.0), 0)
+        self.open_asked()
+        return send
+
+    def cut(self) -> None:
+        """Let the target close every connection."""
+        for far in self.ends.values():
+            far.close()
+        for link in tuple(self.pool.links):
+            self.pool.serve(link, selectors.EVENT_READ, 0)
+
 
 @pytest.fixture
 def bench() -> Iterator[Bench]:
@@ -118,3 +137,17 @@
     assert len(bench.pool.links) == 2
     sent = [far.recv(1000) for far in bench.ends.values()]
     assert sent[1].startswith(b'POST /v1/cancel')
+
+
+@pytest.mark.parametrize('ended', [True, False])
+def test_looks_whether_a_target_has_ended(bench: Bench, ended: bool) -> None:
+    """Guard against an end that is taken for a reset, and the reverse."""
+    bench.send()
+    bench.cut()
+    asked = bench.asked
+    assert asked == 2
+    if ended:
+        bench.pool.take(connectors.Unopened(TARGET, 'refused', refused=True), 0)
+    else:
+        bench.open_asked()
+    assert messages.Looked(TARGET.name, ended) in bench.events
