Tell whose request it is by the key that its caller shows

Cause: no key was read; each was passed on to targets, and requests without one were served. The configuration's customers are decoded with digests in place of keys, a spoilt one refuses the version; a key on a request is digested at once, and the customer's name takes its place in all that is sent. Errors of reading no longer quote an encoding's whole text, which holds keys. Lines, /v1/state and the metrics tell of customers where there are any.

--- a/fuchsiahaven/operate/command_inspect.py
+++ b/fuchsiahaven/operate/command_inspect.py
@@ -3,6 +3,7 @@
 import argparse
 import json
 import sys
+from collections.abc import Mapping
 from typing import Any, Final
 
 from fuchsiahaven.operate import exits
@@ -60,8 +61,25 @@
     # A host of the version before tells no era.
     lines = [f'{name}: {told.get(name, NOT_TOLD)}' for name in SHOWN]
     lines.append(f'hosts: {", ".join(sorted(told["hosts"]))}')
+    lines.extend(list_customers(told.get('customers')))
     for service, targets in sorted(told['targets'].items()):
         stands = ', '.join(f'{name} {how}' for name, how in targets.items())
         left = told['budgets'][service]
         lines.append(f'{service}: {stands}; {left} repeats left')
     return lines
+
+
+def list_customers(told: Mapping[str, Any] | None) -> list[str]:
+    """List how customers' requests ended, where there are customers."""
+    if told is None:
+        return []
+    rows = {
+        **{f'customer {name}': it for name, it in told['largest'].items()},
+        'other customers': told['others'],
+        'unknown keys': told['unknown_keys'],
+    }
+    lines = [f'customers: {told["known"]}']
+    for name, results in rows.items():
+        counts = ', '.join(f'{it} {count}' for it, count in results.items())
+        lines.append(f'{name}: {counts or "none"}')
+    return lines
--- a/fuchsiahaven/platform/exchanges.py
+++ b/fuchsiahaven/platform/exchanges.py
@@ -1,6 +1,7 @@
 """Translate between HTTP messages and the events of the decisions."""
 
 import math
+import re
 from collections.abc import Iterable, Mapping
 from http import HTTPStatus
 from typing import Final, NamedTuple
@@ -20,6 +21,13 @@
 READINESS_PATH: Final = '/ready'
 LOAD_FIGURES: Final = 3
 
+#: How callers show their keys, in any case.
+SCHEME: Final = 'token'
+#: Bytes of a key; whoever shows a longer one shows none.
+LONGEST_KEY: Final = 4096
+#: What parts a scheme from a key, and what a field may end in.
+BLANKS: Final = ' \t'
+
 #: Fields that concern one connection only, or that are written anew here.
 _OWN: Final = frozenset(
     (
@@ -83,6 +91,7 @@
     host = fields.get('host', '').partition(':')[0].lower()
     passed = _list_passed(message.fields, fields, _SET)
     shown = tuple(it for it in message.fields if it[0] == headers.KEY)
+    credentials = _list_passed(shown, fields, _OWN)
     return identify(
         events.Request(
             fields.get(headers.REQUEST_ID, ''),
@@ -95,7 +104,7 @@
             now + _read_wait(fields.get(headers.DEADLINE)),
             away,
             key=_read_key(shown),
-            credentials=shown,
+            credentials=credentials,
         )
     )
 
@@ -113,7 +122,11 @@
 
 def digest_key(key: str) -> str:
     """Digest a customer's key, which is a secret and is kept nowhere."""
-    return identities.identify('', key.encode('utf-8')).digest
+    return _digest_bytes(key.encode('utf-8'))
+
+
+def _digest_bytes(key: bytes) -> str:
+    return identities.identify('', key).digest
 
 
 def _name_asker(request: events.Request) -> str:
@@ -128,7 +141,17 @@
 
 def _read_key(shown: events.Fields) -> str:
     """Read the digest of the one key that a caller shows, empty without."""
-    return ''
+    if len(shown) != 1:
+        return ''
+    ((_, told),) = shown
+    scheme, *keys = re.split(f'[{BLANKS}]+', told.strip(BLANKS))
+    if scheme.lower() != SCHEME or len(keys) != 1:
+        return ''
+    (key,) = keys
+    if len(key) > LONGEST_KEY:
+        return ''
+    # Fields are read byte by byte, and keys are kept by their bytes.
+    return _digest_bytes(key.encode('latin-1'))
 
 
 def write_request(send: events.Send, now: float) -> events.Fields:
@@ -141,7 +164,9 @@
         *_write_length(request),
     )
     if request.customer:
-        own = ((headers.CUSTOMER, request.customer), *own)
+        # Fields are written byte by byte.
+        name = request.customer.encode('utf-8').decode('latin-1')
+        own = ((headers.CUSTOMER, name), *own)
     return (*request.fields, *request.credentials, *own)
 
 
--- a/fuchsiahaven/platform/records.py
+++ b/fuchsiahaven/platform/records.py
@@ -9,6 +9,7 @@
 
 from fuchsiahaven.core import suspects
 from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.platform import tenants
 from fuchsiahaven.routing import (
     configs,
     facts,
@@ -29,8 +30,6 @@
 #: What a target says of itself, and whether it is leaving then. Any other
 #: word is not known, and an entry with it names no target to use.
 STATES: Final = {'ready': False, 'draining': True}
-#: JSON readers agree on whole numbers up to here.
-LARGEST_WHOLE: Final = 9_007_199_254_740_991
 LAST_PORT: Final = 65_535
 #: What reading a value raises where its bytes or its shape are wrong. Text
 #: nested too deeply ends in the last.
@@ -79,8 +78,18 @@
         row = json.loads(base64.b64decode(encoded, validate=True))
         return _read_value(key, row)
     except FAULTS as error:
-        reason = f'{key.subject} {key.name}: {error!r}'
-        raise Malformed(reason[:LONGEST_REASON]) from error
+        reason = f'{key.subject} {key.name}: {describe(error)}'
+        raise Malformed(reason[:LONGEST_REASON]) from None
+
+
+def describe(error: Exception) -> str:
+    """Describe a fault of what was read, without the text itself.
+
+    The error of an encoding holds all that was read, and with it keys.
+    """
+    if isinstance(error, UnicodeError):
+        return f'{type(error).__name__}()'
+    return repr(error)
 
 
 def write_host(host: places.Host) -> tuple[str, str]:
@@ -121,6 +130,7 @@
             for service in row['services']
         ),
         _read_limits(row.get('limits', {})),
+        tenants.read_customers(row),
     )
 
 
@@ -158,6 +168,7 @@
         int(row.get('max_attempts', 1)),
         int(row.get('priority', 0)),
         _read_way(row),
+        tenants.read_public(row),
     )
 
 
@@ -215,7 +226,7 @@
 def _read_whole(told: object) -> int:
     # A truth value is a number in this language, but not in an entry.
     if isinstance(told, int) and not isinstance(told, bool):
-        if 0 <= told <= LARGEST_WHOLE:
+        if 0 <= told <= tenants.LARGEST_WHOLE:
             return told
     raise ValueError(f'no whole number: {told!r}')
 
--- a/fuchsiahaven/platform/store.py
+++ b/fuchsiahaven/platform/store.py
@@ -68,7 +68,7 @@
     try:
         return _read_page(json.loads(body), era, decode)
     except (ValueError, KeyError, TypeError) as error:
-        raise records.Malformed(repr(error)) from error
+        raise records.Malformed(records.describe(error)) from None
 
 
 def _read_page(read: Mapping[str, Any], era: int, decode: Decode) -> Page:
@@ -102,7 +102,7 @@
         found = [_read_event(row, era, decode) for row in read['events']]
         revision = int(read['store_revision'])
     except (ValueError, KeyError, TypeError) as error:
-        raise records.Malformed(repr(error)) from error
+        raise records.Malformed(records.describe(error)) from None
     kept = tuple(fact for fact in found if fact is not None)
     return Page(revision, kept, None)
 
@@ -118,7 +118,7 @@
     try:
         return int(json.loads(body)['lease'])
     except (ValueError, KeyError, TypeError) as error:
-        raise records.Malformed(repr(error)) from error
+        raise records.Malformed(records.describe(error)) from None
 
 
 def renew_lease(lease: int) -> Call:
--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -12,7 +12,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import suspects
-from fuchsiahaven.relay import news, runner
+from fuchsiahaven.relay import accounts, news, runner
 from fuchsiahaven.routing import events
 
 #: Seconds; finer where the objectives of the routes lie.
@@ -65,6 +65,7 @@
         self.extra = 0
         self.missing = 0
         self.crashes = 0
+        self.accounts = accounts.Accounts()
         self._by_bucket: collections.Counter[int] = collections.Counter()
 
     def note(self, story: events.Story) -> None:
@@ -74,6 +75,7 @@
         self.latency_sum += story.took
         self.extra += story.hedges
         self.missing += story.missing
+        self.accounts.note(story)
 
     def list_latencies(self) -> list[tuple[str, int]]:
         """List how many took so many seconds at most, for each bound."""
--- a/fuchsiahaven/relay/pages.py
+++ b/fuchsiahaven/relay/pages.py
@@ -68,10 +68,43 @@
             'Requests under way at targets that ended.',
             self._counted.crashes,
         )
+        yield from self._count_customers()
         yield self._count_bytes()
         for (name, text), figure in zip(GAUGES, self._gauges, strict=True):
             yield core.GaugeMetricFamily(f'{PREFIX}_{name}', text, figure)
 
+    def _count_customers(self) -> Iterator[core.Metric]:
+        """Give the figures of customers where there are any."""
+        counted = self._counted.accounts
+        named = core.CounterMetricFamily(
+            f'{PREFIX}_customer_requests',
+            'Requests of the customers that asked most, by how they ended.',
+            None,
+            ['customer', 'result'],
+        )
+        for account in counted.list_largest():
+            for result, count in account.results.items():
+                named.add_metric([account.customer, result], count)
+        others = core.CounterMetricFamily(
+            f'{PREFIX}_other_customers_requests',
+            'Requests of all other customers, by how they ended.',
+            None,
+            ['result'],
+        )
+        for result, count in counted.sum_others().items():
+            others.add_metric([result], count)
+        unknown = core.CounterMetricFamily(
+            f'{PREFIX}_unknown_keys',
+            'Requests of no customer, by why.',
+            None,
+            ['why'],
+        )
+        for why, count in counted.unknown.items():
+            unknown.add_metric([why], count)
+        for family in (named, others, unknown):
+            if family.samples:
+                yield family
+
     def _count_bytes(self) -> core.Metric:
         """Give the bytes by what they were for and how far they went."""
         flows = core.CounterMetricFamily(
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -46,6 +46,8 @@
 CHECK_S: Final = 0.05
 #: How often the settings file is looked at.
 SETTINGS_S: Final = 2.0
+#: What lines tell only where callers show keys.
+KEYED: Final = ('customer', 'why')
 
 
 class Process:
@@ -254,13 +256,12 @@
         self.meters.note(story)
         age = time.monotonic() - self.news.ledger.read
         good = story.result in {'complete', 'partial', 'relayed 200'}
-        told = story._replace(took=round(story.took, 4))
+        told = story._replace(took=round(story.took, 4))._asdict()
+        for name in KEYED:
+            if not told[name]:
+                told.pop(name)
         self.log.tell_request(
-            'request',
-            'ended',
-            good=good,
-            news_age=round(age, 1),
-            **told._asdict(),
+            'request', 'ended', good=good, news_age=round(age, 1), **told
         )
 
 
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -4,7 +4,7 @@
 import importlib
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from types import ModuleType
 from typing import Final
@@ -161,7 +161,7 @@
         """Tell what this host believes, for people."""
         now = time.monotonic()
         desk = self._runner.desk
-        told = {
+        told: dict[str, object] = {
             'ready': self._find_obstacle() or 'yes',
             'version': desk.index.configuration.version,
             'news_age': round(now - self._news.ledger.read, 2),
@@ -196,9 +196,24 @@
             },
             'waiting': self._runner.count_waiting(),
         }
+        customers = desk.index.configuration.customers
+        if customers is not None:
+            told['customers'] = self._tell_customers(len(customers))
         body = json.dumps(told).encode()
         return exchanges.Written(HTTPStatus.OK, JSON, body)
 
+    def _tell_customers(self, known: int) -> Mapping[str, object]:
+        counted = self._meters.accounts
+        return {
+            'known': known,
+            'largest': {
+                account.customer: account.results
+                for account in counted.list_largest()
+            },
+            'others': counted.sum_others(),
+            'unknown_keys': counted.unknown,
+        }
+
     def _tell_metrics(self, caller: ports.Caller) -> Callable[[], object]:
         """Answer with the page, once what writes it is there.
 
--- a/fuchsiahaven/routing/admission.py
+++ b/fuchsiahaven/routing/admission.py
@@ -47,6 +47,20 @@
     return desk.controls.quotas.charge(customer, taken, now)
 
 
+def find_asked(desk: states.Desk, request: events.Request) -> customers.Asked:
+    """Find what a refused request asked for; nothing without customers."""
+    index = desk.index
+    if index.configuration.customers is None:
+        return customers.NOBODY
+    path = request.target.partition('?')[0]
+    route = configs.find_route(index, request.host, path)
+    customer = index.customers.get(request.key)
+    return customers.Asked(
+        '' if route is None else route.name,
+        '' if customer is None else customer.name,
+    )
+
+
 def list_services(desk: states.Desk, route: configs.Route) -> tuple[str, ...]:
     """List the services that a request reaches, one of a split in turn."""
     way = route.way
--- a/fuchsiahaven/routing/codecs.py
+++ b/fuchsiahaven/routing/codecs.py
@@ -96,22 +96,44 @@
 
 def _write_value(known: facts.Value) -> Mapping[str, Any]:
     match known:
-        case configs.Configuration(version, routes, services, limits):
-            return {
-                'version': version,
-                'routes': [_write_route(route) for route in routes],
-                'services': [list(service) for service in services],
-                'limits': list(limits),
-            }
+        case configs.Configuration():
+            return _write_configuration(known)
         case suspects.News():
             return {**suspect_codecs.write_news(known)}
         case _:
             return known._asdict()
 
 
+def _write_configuration(
+    configuration: configs.Configuration,
+) -> Mapping[str, Any]:
+    """Write a configuration; what only some have is left out of others.
+
+    The public routes stand beside the routes: hosts of the version before
+    take no route with a field more.
+    """
+    written: dict[str, Any] = {
+        'version': configuration.version,
+        'routes': [_write_route(route) for route in configuration.routes],
+        'services': [list(service) for service in configuration.services],
+        'limits': list(configuration.limits),
+    }
+    public = [
+        place
+        for place, route in enumerate(configuration.routes)
+        if route.public
+    ]
+    if public:
+        written['public'] = public
+    if configuration.customers is not None:
+        written['customers'] = [list(it) for it in configuration.customers]
+    return written
+
+
 def _write_route(route: configs.Route) -> Mapping[str, Any]:
     written = route._asdict()
     written['way'] = _write_way(route.way)
+    written.pop('public')
     return written
 
 
@@ -151,12 +173,7 @@
 ) -> facts.Value:
     match subject:
         case facts.Subject.CONFIGURATION:
-            return configs.Configuration(
-                written['version'],
-                tuple(_read_route(row) for row in written['routes']),
-                tuple(configs.Service(*row) for row in written['services']),
-                configs.Limits(*written['limits']),
-            )
+            return _read_configuration(written)
         case facts.Subject.INSTANCE:
             return instances.Instance(**written)
         case facts.Subject.HOST:
@@ -167,8 +184,31 @@
             return suspect_codecs.read_news(written)
 
 
-def _read_route(row: Mapping[str, Any]) -> configs.Route:
-    read = {**row, 'way': _read_way(row['way'])}
+def _read_configuration(written: Mapping[str, Any]) -> configs.Configuration:
+    public = set(written.get('public', ()))
+    customers = written.get('customers')
+    if customers is not None:
+        customers = tuple(_read_customer(*row) for row in customers)
+    return configs.Configuration(
+        written['version'],
+        tuple(
+            _read_route(row, public=place in public)
+            for place, row in enumerate(written['routes'])
+        ),
+        tuple(configs.Service(*row) for row in written['services']),
+        configs.Limits(*written['limits']),
+        customers,
+    )
+
+
+def _read_customer(
+    name: str, keys: list[str], *figures: Any
+) -> configs.Customer:
+    return configs.Customer(name, tuple(keys), *figures)
+
+
+def _read_route(row: Mapping[str, Any], *, public: bool) -> configs.Route:
+    read = {**row, 'way': _read_way(row['way']), 'public': public}
     read['repeat'] = configurations.Repeat(row['repeat'])
     return configs.Route(**read)
 
--- a/fuchsiahaven/routing/customers.py
+++ b/fuchsiahaven/routing/customers.py
@@ -1,5 +1,6 @@
 """Tell whose request it is, by the key that its caller shows."""
 
+import enum
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import errors, identities
@@ -8,6 +9,14 @@
 SOURCE: Final = 'customers'
 
 
+class Reason(enum.StrEnum):
+    """Say why a request is of no customer."""
+
+    NONE = 'no key was shown'
+    UNUSABLE = 'what was shown is no key'
+    UNKNOWN = 'no customer holds the key'
+
+
 class Admitted(NamedTuple):
     """Hold a request and the customer that it is of, if any."""
 
@@ -15,6 +24,16 @@
     customer: configs.Customer | None
 
 
+class Asked(NamedTuple):
+    """Name the route and the customer of a request, empty where unknown."""
+
+    route: str
+    customer: str
+
+
+NOBODY: Final = Asked('', '')
+
+
 def admit(
     index: configs.Index,
     known: freshness.Freshness,
@@ -28,7 +47,6 @@
     """
     if index.configuration.customers is None:
         return Admitted(request, None)
-    request = request._replace(credentials=())
     wait = known.find_wait()
     if wait and not route.public:
         return errors.make_failure(
@@ -39,17 +57,38 @@
         )
     customer = index.customers.get(request.key) if not wait else None
     if customer is None and not route.public:
-        return errors.make_failure(errors.Kind.UNKNOWN_KEY, SOURCE)
-    if customer is None:
-        return Admitted(request, None)
+        return errors.make_failure(
+            errors.Kind.UNKNOWN_KEY, SOURCE, _explain(request)
+        )
+    return Admitted(_name(request, customer), customer)
+
+
+def _explain(request: events.Request) -> str:
+    """Say why a request is of no customer, without what it shows."""
+    if request.key:
+        return Reason.UNKNOWN
+    return Reason.UNUSABLE if request.credentials else Reason.NONE
+
+
+def _name(
+    request: events.Request, customer: configs.Customer | None
+) -> events.Request:
+    """Name whose request it is, in place of what its caller shows.
+
+    A host that helps with it gets no key, and must know it by the same name.
+    """
+    asker = customer.name if customer is not None else request.host
     identity = identities.identify(
-        customer.name,
+        asker,
         request.method.encode('latin-1'),
         request.target.encode('latin-1'),
         request.body,
     )
-    named = request._replace(customer=customer.name, identity=identity)
-    return Admitted(named, customer)
+    return request._replace(
+        customer=customer.name if customer is not None else '',
+        identity=identity,
+        credentials=(),
+    )
 
 
 def find_priority(
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -149,7 +149,9 @@
     version = desk.index.configuration.version
     taken = admission.admit(desk, event, now)
     if isinstance(taken, errors.Failure):
-        return endings.refuse(event.ask, event.request, taken, version, now)
+        request = event.request
+        asked = admission.find_asked(desk, request)
+        return endings.refuse(event.ask, request, taken, version, now, asked)
     return _begin(desk, taken, now)
 
 
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -5,7 +5,14 @@
 from typing import Final
 
 from fuchsiahaven.core import errors
-from fuchsiahaven.routing import asks, assists, events, standings, states
+from fuchsiahaven.routing import (
+    asks,
+    assists,
+    customers,
+    events,
+    standings,
+    states,
+)
 
 Actions = list[events.Action]
 
@@ -109,14 +116,19 @@
     failure: errors.Failure,
     version: int,
     now: float,
+    asked: customers.Asked = customers.NOBODY,
 ) -> Actions:
     """Refuse a request that has no route or cannot be served."""
     took = now - request.arrived
     result = failure.kind.value
     story = events.Story(
-        request.request_id, '', version, result, took, 0, 0, 0, ()
+        request.request_id, asked.route, version, result, took, 0, 0, 0, ()
+    )
+    story = story._replace(
+        digest=request.identity.digest,
+        customer=asked.customer,
+        why=failure.detail if asked.route else '',
     )
-    story = story._replace(digest=request.identity.digest)
     return [events.Reply(ask, failure), story]
 
 
@@ -146,6 +158,7 @@
         ask.route.objective,
         ask.assists,
         ask.request.identity.digest,
+        ask.request.customer,
     )
 
 
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -347,7 +347,8 @@
     the first few parts that are not in.
     `objective` is in seconds; 0 where there is no route. `assists` tells that
     these are parts that another host asked for. `digest` is the same for each
-    repeat of the request.
+    repeat of the request. `customer` is whose it is, empty where callers need
+    no key, and `why` tells more of a refusal there.
     """
 
     request_id: str
@@ -363,6 +364,8 @@
     objective: float = 0.0
     assists: bool = False
     digest: str = ''
+    customer: str = ''
+    why: str = ''
 
 
 class Crash(NamedTuple):
