--- a/tests/operate/test_command_inspect.py
+++ b/tests/operate/test_command_inspect.py
@@ -32,6 +32,22 @@
     assert lines[-1] == 'records: i-1 12 ms, i-2 left out; 5.5 repeats left'
 
 
+def test_lists_how_customers_requests_ended() -> None:
+    """Where callers need no key there is no such line."""
+    assert not command_inspect.list_customers(None)
+    told = {
+        'known': 3,
+        'largest': {'shop': {'complete': 7, 'over_quota': 1}},
+        'others': {},
+        'unknown_keys': {'no key was shown': 2},
+    }
+    lines = command_inspect.list_lines({**TOLD, 'customers': told})
+    assert 'customers: 3' in lines
+    assert 'customer shop: complete 7, over_quota 1' in lines
+    assert 'other customers: none' in lines
+    assert 'unknown keys: no key was shown 2' in lines
+
+
 def test_says_that_nobody_answers(capsys: pytest.CaptureFixture[str]) -> None:
     """A host that is gone ends the command with the code for that."""
     code = commands.main(['inspect', '--at', '127.0.0.1:1'])
--- a/tests/platform/test_exchanges.py
+++ b/tests/platform/test_exchanges.py
@@ -3,14 +3,20 @@
 from collections.abc import Mapping
 
 import pytest
+from hypothesis import given, strategies
 
-from fuchsiahaven.core import errors
+from fuchsiahaven.core import errors, identities
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import exchanges, headers
 from fuchsiahaven.routing import events
 from tests.routing import desk_rig
 
 SIGNED = {headers.SIGNATURE: 'abc', headers.REQUEST_ID: 'id-1'}
+LONG = 'k' * 8192
+KEY = 'wbr9bc582dm2buc7takh'
+SHOWN = exchanges.digest_key(KEY)
+#: What bytes that are no text are digested to; no configuration can hold it.
+NO_TEXT = identities.identify('', b'\xff\x00\x80').digest
 (INSTANCE,) = desk_rig.make_instances(['records'], 1)
 
 
@@ -184,3 +190,75 @@
     message = make_message(0, {headers.KEY: 'Token secret', 'host': 'a'})
     request = exchanges.read_request(message, 50.0)
     assert 'secret' not in str(request.identity)
+
+
+@pytest.mark.parametrize(
+    ('told', 'wanted'),
+    [
+        ([f'Token {KEY}'], SHOWN),
+        ([f'token {KEY}'], SHOWN),
+        ([f'TOKEN {KEY}'], SHOWN),
+        ([f' \tToken \t {KEY} \t'], SHOWN),
+        (['Token cl\xc3\xa9'], exchanges.digest_key('cl\xe9')),
+        (['Token \xff\x00\x80'], NO_TEXT),
+        ([f'Token {LONG}'], ''),
+        ([KEY], ''),
+        (['Token'], ''),
+        (['Token '], ''),
+        ([''], ''),
+        (['   '], ''),
+        ([f'Bearer {KEY}'], ''),
+        ([f'Token{KEY}'], ''),
+        ([f'Token {KEY} {KEY}'], ''),
+        ([f'Token {KEY}, Token {KEY}'], ''),
+        ([f'Token\xa0{KEY}'], ''),
+        ([f'Token {KEY}', f'Token {KEY}'], ''),
+        ([f'Token {KEY}', 'Bearer x'], ''),
+        ([], ''),
+    ],
+)
+def test_reads_the_one_key_that_is_shown(told: list[str], wanted: str) -> None:
+    """Any other field shows no key, and is no error of the program."""
+    fields = tuple((headers.KEY, it) for it in told)
+    message = exchanges.Message('/a/1', 0, fields, b'', 'GET')
+    assert exchanges.read_request(message, 50.0).key == wanted
+
+
+@given(strategies.lists(strategies.binary(max_size=40), max_size=3))
+def test_whatever_is_shown_is_a_key_or_none(told: list[bytes]) -> None:
+    """Symptom: a caller's bytes end in an answer 500."""
+    raw = [(headers.KEY.encode(), it) for it in told]
+    fields = exchanges.read_fields(raw)
+    message = exchanges.Message('/a/1', 0, fields, b'', 'GET')
+    assert len(exchanges.read_request(message, 50.0).key) in {0, len(SHOWN)}
+
+
+def test_drops_the_name_of_a_customer_that_a_caller_sends() -> None:
+    """Symptom: a caller is taken for another customer by the target."""
+    raw = [
+        (b'Fuchsiahaven-Tenant', b'bank'),
+        (b'FUCHSIAHAVEN-TENANT', b'shop'),
+        (b'X-Mine', b'1'),
+    ]
+    fields = exchanges.read_fields(raw)
+    message = exchanges.Message('/a/1', 0, fields, b'', 'GET')
+    request = exchanges.read_request(message, 50.0)
+    assert request.fields == (('x-mine', '1'),)
+
+
+def test_writes_the_name_of_a_customer_as_text_in_any_language() -> None:
+    """Symptom: requests of a customer end in an error of the program."""
+    send = make_send({})
+    named = send._replace(request=send.request._replace(customer='Cl\xe9'))
+    written = dict(exchanges.write_request(named, 50.0))
+    assert written[headers.CUSTOMER].encode('latin-1') == b'Cl\xc3\xa9'
+
+
+def test_passes_credentials_on_where_nobody_needs_a_key() -> None:
+    """What a deployment without customers sends stays as it was."""
+    fields = {headers.KEY: 'Basic abc', 'host': 'shop.example'}
+    written = dict(exchanges.write_request(make_send(fields), 50.0))
+    assert written[headers.KEY] == 'Basic abc'
+    named = {**fields, 'connection': 'authorization'}
+    written = dict(exchanges.write_request(make_send(named), 50.0))
+    assert headers.KEY not in written
--- a/tests/relay/peers.py
+++ b/tests/relay/peers.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 from fuchsiahaven.routing import instances
 
@@ -12,13 +12,14 @@
 LONGEST_S: Final = 20.0
 END_OF_HEAD: Final = b'\r\n\r\n'
 
+Result = TypeVar('Result')
 #: Takes the head of a request and writes what the script says.
 Script = Callable[[bytes, asyncio.StreamWriter], Awaitable[None]]
 
 
-def run(test: Coroutine[Any, Any, None]) -> None:
+def run(test: Coroutine[Any, Any, Result]) -> Result:
     """Run a test's coroutine, and end it if it hangs."""
-    asyncio.run(asyncio.wait_for(test, LONGEST_S))
+    return asyncio.run(asyncio.wait_for(test, LONGEST_S))
 
 
 class Server:
--- a/tests/relay/test_meters.py
+++ b/tests/relay/test_meters.py
@@ -40,6 +40,22 @@
     assert f'fuchsiahaven_relay_bytes_total{{{sent}}} 570.0' in lines
 
 
+def test_tells_of_customers_only_where_there_are_any() -> None:
+    """Nothing comes on top for deployments without keys."""
+    counted = meters.Meters()
+    counted.note(STORY)
+    assert b'customer' not in pages.write(counted, GAUGES, COUNTED)
+    counted.note(STORY._replace(customer='a "b"'))
+    why = 'no key was shown'
+    counted.note(STORY._replace(result='unknown_key', why=why))
+    lines = pages.write(counted, GAUGES, COUNTED).decode().splitlines()
+    labels = 'customer="a \\"b\\"",result="complete"'
+    assert (
+        f'fuchsiahaven_relay_customer_requests_total{{{labels}}} 1.0' in lines
+    )
+    assert f'fuchsiahaven_relay_unknown_keys_total{{why="{why}"}} 1.0' in lines
+
+
 def test_a_start_does_not_wait_for_the_library_of_the_page() -> None:
     """All hosts that lost power serve nobody until they have started.
 
--- a/tests/relay/worlds.py
+++ b/tests/relay/worlds.py
@@ -62,6 +62,8 @@
         self.store = metadata_store.Store()
         self.targets: dict[str, peers.Server] = {}
         self.hosts: list[process.Process] = []
+        #: Where hosts that are started write their logs.
+        self.log = os.devnull
         self._stack = stack
         self._address = ''
 
@@ -92,9 +94,9 @@
         return server
 
     async def add_host(
-        self, name: str, data_centre: str = 'south'
+        self, name: str, data_centre: str = 'south', *, ready: bool = True
     ) -> process.Process:
-        """Start a host and wait until it is ready."""
+        """Start a host and wait until it is ready, if it can be."""
         ports = [hosts.find_port() for _ in range(4)]
         addresses = [f'{peers.LOOPBACK}:{port}' for port in ports]
         seeds = tuple(host.settings.host.address for host in self.hosts)
@@ -110,14 +112,14 @@
             1.2,
             6.0,
         )
-        output = os.open(os.devnull, os.O_WRONLY)
+        output = os.open(self.log, os.O_WRONLY | os.O_APPEND)
         log = journal.Journal(name, output)
         self._stack.callback(log.close)
         host = process.Process(settings, log)
         task = asyncio.create_task(host.run())
         self._stack.push_async_callback(end, task)
         self.hosts.append(host)
-        await peers.wait_for(lambda: not host.find_obstacle())
+        await peers.wait_for(lambda: not (ready and host.find_obstacle()))
         return host
 
     async def add_hosts(self, *names: str) -> None:
@@ -179,15 +181,21 @@
         await task
 
 
-async def fetch(address: str, path: str) -> tuple[int, str, bytes]:
+async def fetch(
+    address: str, path: str, *fields: str
+) -> tuple[int, str, bytes]:
     """Get a path; return the status, the head and the body."""
     host, _, port = address.rpartition(':')
     reader, writer = await asyncio.open_connection(host, int(port))
-    request = (
-        f'GET {path} HTTP/1.1\r\nHost: shop.example\r\n'
-        'Fuchsiahaven-Request-Id: id-7\r\nFuchsiahaven-Deadline-Ms: 3000\r\n'
-        'Connection: close\r\n\r\n'
+    lines = (
+        f'GET {path} HTTP/1.1',
+        'Host: shop.example',
+        'Fuchsiahaven-Request-Id: id-7',
+        'Fuchsiahaven-Deadline-Ms: 3000',
+        'Connection: close',
+        *fields,
     )
+    request = '\r\n'.join((*lines, '', ''))
     writer.write(request.encode())
     answer = await reader.read()
     writer.close()
--- a/tests/routing/desk_rig.py
+++ b/tests/routing/desk_rig.py
@@ -83,10 +83,15 @@
         self.post(events.Counted(hosts))
         self.direct(targets)
 
-    def configure(self, version: int, routes: Iterable[configs.Route]) -> None:
+    def configure(
+        self,
+        version: int,
+        routes: Iterable[configs.Route],
+        customers: tuple[configs.Customer, ...] | None = None,
+    ) -> None:
         """Bring a version."""
         configuration = configs.Configuration(
-            version, tuple(routes), (), configs.Limits()
+            version, tuple(routes), (), configs.Limits(), customers
         )
         self.post(events.Configured(configuration))
 
@@ -98,9 +103,8 @@
         self, target: str = '/search/1', wait: float = 0.8, away: float = 0.006
     ) -> int:
         """Bring a request; return its number."""
-        self._last += 1
         request = events.Request(
-            f'id-{self._last}',
+            f'id-{self._last + 1}',
             'GET',
             target,
             'shop.example',
@@ -111,6 +115,11 @@
             away,
             identities.identify('shop.example', target.encode()),
         )
+        return self.bring(request)
+
+    def bring(self, request: events.Request) -> int:
+        """Bring a request as it was read; return its number."""
+        self._last += 1
         self.post(events.Asked(self._last, request))
         return self._last
 
