Let the soak's callers show keys, and check whose requests targets get

Cause: no test over several real processes under faults had customers. Each request is of one of two customers or shows a key that was never valid; targets note the customer they are shown and any key.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -7,7 +7,7 @@
 import time
 from typing import Final
 
-from bench.soak import checks, hosts, targets
+from bench.soak import checks, customers, hosts, targets
 
 PATHS: Final = {'search': '/search/1', 'one': '/one/1', 'once': '/once/1'}
 DEADLINE_MS: Final = 1500
@@ -16,6 +16,8 @@
 PAUSE_S: Final = 0.05
 ASK_READY_S: Final = 0.5
 MISSES: Final = 2
+#: Requests of a hundred that show a key that was never valid.
+STRANGE: Final = 4
 
 
 class Balancer:
@@ -89,11 +91,13 @@
     ) -> bool:
         kind = self._random.choice(tuple(PATHS))
         request_id = f'{self._name}x{next(self._numbers)}'
+        customer = self._draw_customer()
         method = 'POST' if kind == 'once' else 'GET'
         text = (
             f'{method} {PATHS[kind]} HTTP/1.1\r\nHost: shop.example\r\n'
             f'Fuchsiahaven-Request-Id: {request_id}\r\n'
             f'Fuchsiahaven-Deadline-Ms: {DEADLINE_MS}\r\n'
+            f'Authorization: Token {customers.find_key(customer)}\r\n'
             'Content-Length: 0\r\n\r\n'
         )
         sent = time.monotonic()
@@ -114,10 +118,16 @@
                 host.stopping and not host.hurt,
                 # What crosses the end of an idle connection was not read.
                 ended - sent > PAUSE_S,
+                customer,
             )
         )
         return status > 0 and fields.get('connection') != 'close'
 
+    def _draw_customer(self) -> str:
+        if self._random.randrange(100) < STRANGE:
+            return customers.STRANGER
+        return self._random.choice(tuple(customers.KEYS))
+
 
 async def _read_answer(
     reader: asyncio.StreamReader,
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -15,7 +15,8 @@
 
     `status` is 0 where the connection ended without a whole answer. Times are
     on the monotonic clock; `stopping` tells that its host had been asked to
-    stop, and was neither killed nor paused.
+    stop, and was neither killed nor paused. `customer` is whose key was shown,
+    empty for one that was never valid.
     """
 
     request_id: str
@@ -27,6 +28,7 @@
     ended: float
     stopping: bool
     read: bool
+    customer: str = ''
 
 
 def check_search(seen: Seen, sets: Collection[tuple[str, ...]]) -> list[str]:
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -9,7 +9,14 @@
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
-from bench.soak import callers, checks, hosts, proxies, targets
+from bench.soak import (
+    callers,
+    checks,
+    customers,
+    hosts,
+    proxies,
+    targets,
+)
 from standins import metadata_store
 
 SETS: Final = (
@@ -299,6 +306,7 @@
         'routes': routes,
         'services': services,
         'limits': {},
+        'tenants': customers.write(),
     }
 
 
@@ -362,6 +370,7 @@
             faults.append(f'{one.kind} {one.request_id}: {fault}')
     for stray in field.ledger.strays:
         faults.append(f'a request without an id: {stray}')
+    faults.extend(customers.check_all(seen, field.ledger))
     faults.extend(_judge_end(field, seen, settled))
     return faults
 
@@ -373,7 +382,9 @@
     late = [
         it
         for it in seen
-        if it.sent > settled + IN_FORCE_S and it.kind == 'search'
+        if it.sent > settled + IN_FORCE_S
+        and it.kind == 'search'
+        and it.customer != customers.STRANGER
     ]
     wanted = set(SETS[field.version % 2])
     faults = []
--- a/bench/soak/targets.py
+++ b/bench/soak/targets.py
@@ -23,13 +23,29 @@
 
 
 class Ledger:
-    """Own what all targets ran."""
+    """Own what all targets ran.
+
+    `customers` are those that targets were shown with a request, `keys` the
+    requests with which they were shown a key.
+    """
 
     def __init__(self) -> None:
         """Start with nothing run."""
         self.runs: list[Run] = []
         self.strays: list[str] = []
         self.counts: collections.Counter[str] = collections.Counter()
+        self.customers: dict[str, set[str]] = {}
+        self.keys: set[str] = set()
+
+    def note(self, fields: dict[str, str], target: str) -> None:
+        """Note that a target runs a request with these fields."""
+        request_id = fields['fuchsiahaven-request-id']
+        self.runs.append(Run(request_id, target, time.monotonic()))
+        self.counts[request_id] += 1
+        customer = fields.get('fuchsiahaven-tenant', '')
+        self.customers.setdefault(request_id, set()).add(customer)
+        if 'authorization' in fields:
+            self.keys.add(request_id)
 
 
 def make_records(request_id: str, service: str) -> list[bytes]:
@@ -98,8 +114,7 @@
                 b'HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n'
             )
             return
-        self._ledger.runs.append(Run(request_id, self.name, time.monotonic()))
-        self._ledger.counts[request_id] += 1
+        self._ledger.note(fields, self.name)
         await asyncio.sleep(WORK_S * self.slow)
         body = b''.join(make_records(request_id, self.service))
         head = (
--- a/tests/bench/test_soak_checks.py
+++ b/tests/bench/test_soak_checks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bench.soak import checks, targets
+from bench.soak import checks, customers, targets
 
 SETS = (('a1', 'a2', 'a3'), ('b1', 'b2'))
 
@@ -91,3 +91,36 @@
     assert not checks.check(seen, SETS, targets.Ledger())
     other = seen._replace(request_id='id-9')
     assert checks.check(other, SETS, targets.Ledger())
+
+
+@pytest.mark.parametrize(
+    ('shown', 'customer', 'status', 'fault'),
+    [
+        ('shop', 'shop', 200, ''),
+        ('', '', 401, ''),
+        ('bank', 'shop', 200, 'targets were shown'),
+        ('', 'shop', 200, 'targets were shown'),
+        ('shop', 'shop', 401, 'a valid key is refused'),
+        ('bank', '', 502, 'ran with an unknown key'),
+        ('', '', 200, 'ran with an unknown key'),
+    ],
+)
+def test_finds_a_request_that_is_not_its_customers(
+    shown: str, customer: str, status: int, fault: str
+) -> None:
+    """Other names, valid keys refused, strangers served."""
+    ledger = targets.Ledger()
+    if shown or status == checks.OK:
+        ledger.customers['id-1'] = {shown}
+    seen = make_search(('a1',), 2, customer=customer, status=status)
+    faults = customers.check_all([seen], ledger)
+    assert bool(faults) == bool(fault)
+    assert fault in ' '.join(faults)
+
+
+def test_finds_a_key_at_a_target() -> None:
+    """Whatever else the request was."""
+    ledger = targets.Ledger()
+    fields = {'fuchsiahaven-request-id': 'id-1', 'authorization': 'Token k'}
+    ledger.note(fields, 'i-1')
+    assert customers.check_all([], ledger) == ['id-1 was shown a key']
