--- a/fuchsiahaven/platform/records.py
+++ b/fuchsiahaven/platform/records.py
@@ -82,6 +82,14 @@
         raise Malformed(reason[:LONGEST_REASON]) from None
 
 
+def read_configuration(text: bytes) -> configs.Configuration:
+    """Read a configuration as operators write it; raises Malformed."""
+    key = facts.Key(facts.Subject.CONFIGURATION, '')
+    read = read_value(key, base64.b64encode(text).decode())
+    assert isinstance(read, configs.Configuration)
+    return read
+
+
 def describe(error: Exception) -> str:
     """Describe a fault of what was read, without the text itself.
 
--- a/tests/operate/test_command_inspect.py
+++ b/tests/operate/test_command_inspect.py
@@ -66,3 +66,25 @@
     path.write_text(test_settings.TEXT.replace('=56', '=many'))
     assert commands.main(words) == exits.FAILED
     assert "bounds.retry_slack 'many' is not" in capsys.readouterr().out
+
+
+def test_checks_a_version_for_the_store(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """What hosts would refuse is told before it is written, without a key."""
+    path = tmp_path / 'next.json'
+    words = ['check', '--configuration', str(path)]
+    shop = {'name': 'shop', 'api_keys': ['k-secret']}
+    written = {'version': 4, 'routes': [], 'services': [], 'tenants': [shop]}
+    path.write_text(json.dumps(written))
+    assert commands.main(words) == exits.DONE
+    assert 'version 4: 0 routes, 1 customers' in capsys.readouterr().out
+    shop['api_keys'] = ['k-secret', 'k-secret']
+    path.write_text(json.dumps(written))
+    assert commands.main(words) == exits.FAILED
+    told = capsys.readouterr().out
+    assert "customer 'shop': a key is there twice" in told
+    assert 'k-secret' not in told
+    assert commands.main(['check', '--configuration', 'none.json']) == (
+        exits.FAILED
+    )
