Refuse requests with keys where no proof is recent enough

Cause: a host out of touch served keys that were taken away for as long as it lasted. Each host now holds up to when it knows all that the store had acknowledged: reads count from when they left, what others tell from when the question left plus the teller's lead, on the clock that counts suspension. What waits for a trial or a connection is checked again before it first leaves.

--- a/fuchsiahaven/platform/store.py
+++ b/fuchsiahaven/platform/store.py
@@ -63,6 +63,20 @@
     return Call('GET', f'/kv-range?{urllib.parse.urlencode(query)}')
 
 
+def read_configuration() -> Call:
+    """Ask for the configuration alone."""
+    query = urllib.parse.urlencode({'key': records.CONFIGURATION})
+    return Call('GET', f'/kv-key?{query}')
+
+
+def read_item(body: bytes, era: int, decode: Decode) -> facts.Fact | None:
+    """Read one item of an era; raises records.Malformed."""
+    try:
+        return _read_item(json.loads(body), era, decode)
+    except (ValueError, KeyError, TypeError) as error:
+        raise records.Malformed(repr(error)) from error
+
+
 def read_page(body: bytes, era: int, decode: Decode) -> Page:
     """Read a page of an era; raises records.Malformed."""
     try:
--- a/fuchsiahaven/relay/askers.py
+++ b/fuchsiahaven/relay/askers.py
@@ -1,16 +1,19 @@
 """Answer other hosts that ask for news, once there is any."""
 
 import asyncio
+import math
 import time
 import urllib.parse
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from fuchsiahaven.relay import listings
-from fuchsiahaven.routing import codecs, facts, ledgers, sources
+from fuchsiahaven.routing import codecs, facts, freshness, ledgers, sources
 
 #: How long a host that asks is kept waiting where there is nothing new.
 HOLD_S: Final = 0.7
+#: Where a question says how old the knowledge of keys is, in seconds.
+KEYS_AGE: Final = 'keys_age'
 
 
 class State(NamedTuple):
@@ -21,21 +24,30 @@
 
 
 class Held(NamedTuple):
-    """Hold a question that is answered when there is something new."""
+    """Hold a question that is answered when there is something new.
+
+    `keys_age` is how old the knowledge of keys was of who asked, `arrived` when
+    that was, by the clock that counts suspension.
+    """
 
     cursor: facts.Cursor
     known: int
     tell: Callable[[bytes], None]
+    keys_age: float | None
+    arrived: float
 
 
 class Askers:
     """Own the questions that wait for an answer."""
 
-    def __init__(self, find_state: Callable[[], State]) -> None:
+    def __init__(
+        self, find_state: Callable[[], State], keys: freshness.Freshness
+    ) -> None:
         """Start with nobody waiting."""
         self._find_state = find_state
+        self._keys = keys
         self._held: dict[asyncio.TimerHandle, Held] = {}
-        self._listings = listings.Listings()
+        self._listings = listings.Listings(keys)
 
     def take(
         self, asked: str, tell: Callable[[bytes], None]
@@ -47,8 +59,14 @@
         fields = urllib.parse.parse_qs(asked)
         cursor = codecs.read_cursor(fields.get('after', [''])[0])
         told = fields.get('known', ['0'])[0]
-        held = Held(cursor, int(told) if told.isdigit() else 0, tell)
-        if self._has_news(cursor):
+        held = Held(
+            cursor,
+            int(told) if told.isdigit() else 0,
+            tell,
+            _read_age(fields.get(KEYS_AGE, [''])[0]),
+            self._keys.read_clock(),
+        )
+        if self._has_news(cursor) or self._is_worth_telling(held):
             self._tell(held)
             return None
         loop = asyncio.get_running_loop()
@@ -69,6 +87,18 @@
             timer.cancel()
             self._tell(one)
 
+    def tell_fresher(self) -> None:
+        """Tell those whose knowledge of keys gains by it."""
+        held = self._held
+        gaining = {it for it in held if self._is_worth_telling(held[it])}
+        self._held = {it: held[it] for it in held if it not in gaining}
+        for timer in gaining:
+            timer.cancel()
+            self._tell(held[timer])
+
+    def _is_worth_telling(self, held: Held) -> bool:
+        return self._keys.is_worth_telling(held.arrived, held.keys_age)
+
     def _has_news(self, cursor: facts.Cursor) -> bool:
         ledger, lost = self._find_state()
         known = ledger.revision > 0
@@ -85,4 +115,14 @@
         report = ledgers.list_changes(
             ledger, held.cursor, now, known=held.known
         )
-        held.tell(codecs.write_report(report._replace(lost=lost)))
+        proof = self._keys.prove(held.arrived)
+        held.tell(codecs.write_report(report._replace(lost=lost, proof=proof)))
+
+
+def _read_age(text: str) -> float | None:
+    """Read how old the knowledge of keys is; None where none is told."""
+    try:
+        age = float(text)
+    except ValueError:
+        return None
+    return None if math.isnan(age) else age
--- a/fuchsiahaven/relay/fleets.py
+++ b/fuchsiahaven/relay/fleets.py
@@ -4,6 +4,7 @@
 
 from fuchsiahaven.relay import pools, traffic
 from fuchsiahaven.routing import (
+    admission,
     duties,
     events,
     instances,
@@ -94,11 +95,16 @@
         if pool is None:
             far = instance.data_centre != self._desk.host.data_centre
             tally = self._traffic.find(traffic.Kind.PARTS, far=far)
-            pool = pools.Pool(instance, self._report, self._clock, tally)
+            pool = pools.Pool(
+                instance, self._report, self._clock, tally, self._may_leave
+            )
             self._pools[instance.name] = pool
             self._seat(pool)
         return pool
 
+    def _may_leave(self, key: events.FlightKey) -> bool:
+        return admission.may_leave(self._desk, key)
+
     def _seat(self, pool: pools.Pool) -> None:
         desk = self._desk
         service = desk.index.services.get(pool.instance.service)
--- a/fuchsiahaven/relay/listings.py
+++ b/fuchsiahaven/relay/listings.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from fuchsiahaven.routing import codecs, facts, ledgers
+from fuchsiahaven.routing import codecs, facts, freshness, ledgers
 
 #: How old a listing may be, in seconds. A whole data centre asks its first
 #: host within a few tenths when all have just started, and would wait for one
@@ -11,27 +11,36 @@
 
 
 class Written(NamedTuple):
-    """Hold a listing, and what it was written of and when."""
+    """Hold a listing, and what it was written of and when.
+
+    `uptime` is when it was written by the clock that counts suspension.
+    """
 
     cursor: facts.Cursor
     lost: bool
     at: float
     body: bytes
+    uptime: float = float('-inf')
 
 
 class Listings:
     """Own the listing that was written last."""
 
-    def __init__(self) -> None:
+    def __init__(self, keys: freshness.Freshness) -> None:
         """Start with nothing written."""
+        self._keys = keys
         self._last = Written(facts.START, False, float('-inf'), b'')
 
     def write(self, ledger: facts.Ledger, now: float, *, lost: bool) -> bytes:
         """Write a listing, or return the last one if it says the same."""
         last = self._last
+        uptime = self._keys.read_clock()
         same = last.cursor == ledger.cursor and last.lost == lost
-        if not same or now >= last.at + FRESH_S:
+        old = now >= last.at + FRESH_S or uptime >= last.uptime + FRESH_S
+        if not same or old:
             report = ledgers.list_changes(ledger, facts.START, now)
-            body = codecs.write_report(report._replace(lost=lost))
-            self._last = Written(ledger.cursor, lost, now, body)
+            # Whoever is given it has asked before it is old.
+            proof = self._keys.prove(uptime + FRESH_S)
+            body = codecs.write_report(report._replace(lost=lost, proof=proof))
+            self._last = Written(ledger.cursor, lost, now, body, uptime)
         return self._last.body
--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -40,7 +40,9 @@
     `version` is the configuration's, `age` the seconds since the news was
     read, `links` the open connections to targets, `opened` those opened so
     far, `calls` the calls to the store so far, `era` the store's (-1 without
-    one), `forgotten` the watches that it answered with its history gone.
+    one), `forgotten` the watches that it answered with its history gone,
+    `keys_age` the seconds that the knowledge of keys is old at most, None where
+    keys need not die in time.
     """
 
     version: int
@@ -53,6 +55,7 @@
     quarantined: int
     era: int
     forgotten: int
+    keys_age: float | None = None
 
 
 class Meters:
@@ -85,6 +88,7 @@
 def read_gauges(driven: runner.Runner, known: news.News) -> Gauges:
     """Read what the decisions, the connections and the news are like now."""
     now = time.monotonic()
+    keys = driven.desk.controls.freshness
     known_suspects = driven.desk.suspects.list_all(now)
     return Gauges(
         version=driven.desk.index.configuration.version,
@@ -97,4 +101,5 @@
         quarantined=len(suspects.pick_quarantined(known_suspects)),
         era=-1 if known.eras.heard is None else known.eras.heard,
         forgotten=known.forgotten,
+        keys_age=keys.count_age() if keys.is_on else None,
     )
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import random
 import time
 import urllib.parse
@@ -19,7 +20,14 @@
     readers,
     traffic,
 )
-from fuchsiahaven.routing import codecs, facts, ledgers, places, sources
+from fuchsiahaven.routing import (
+    codecs,
+    facts,
+    freshness,
+    ledgers,
+    places,
+    sources,
+)
 
 PART: Final = 'news'
 #: The least time between two such calls: many changes come in one answer.
@@ -63,8 +71,10 @@
         log: journal.Journal,
         learn: Learn,
         counted: traffic.Traffic,
+        keys: freshness.Freshness,
     ) -> None:
         """Start with nothing known."""
+        self._keys = keys
         self.ledger = ledgers.begin(
             random.SystemRandom().getrandbits(LIFE_BITS), settings.heartbeat
         )
@@ -78,12 +88,14 @@
         self._log = log
         self._learn = learn
         self._peers = calls.Clients(counted)
-        self._reader = readers.Reader(self.store, log, self.eras, settings.pace)
+        self._reader = readers.Reader(
+            self.store, log, self.eras, keys, settings.pace
+        )
         self._cursors: dict[str, facts.Cursor] = {}
         self._doubted: dict[str, float] = {}
         self._behind: dict[str, float] = {}
         self._failures: collections.Counter[str] = collections.Counter()
-        self.askers = askers.Askers(self._tell_state)
+        self.askers = askers.Askers(self._tell_state, keys)
         self._patient = time.monotonic() + PATIENT_S
         self._store_doubted = 0.0
         self.lost = False
@@ -104,6 +116,19 @@
     def _tell_state(self) -> askers.State:
         return askers.State(self.ledger, self.lost)
 
+    def take_configuration(self, report: facts.Report) -> bool:
+        """Take in a configuration that was learned by another way.
+
+        What is of a later era is not taken: only a listing tells what else
+        has changed.
+        """
+        if report.era > self.ledger.era:
+            return False
+        # It tells nothing of when the rest of what is known was read.
+        silent = report._replace(age=math.inf)
+        self._take(silent, time.monotonic(), -math.inf)
+        return True
+
     def close(self) -> None:
         """Close the connections."""
         self.store.close()
@@ -129,7 +154,10 @@
         match source:
             case sources.Store():
                 read = await self._read_store()
-                return GATHER_S * self.settings.pace if read else None
+                pause = min(
+                    GATHER_S * self.settings.pace, self._keys.find_pause()
+                )
+                return pause if read else None
             case sources.Peer(address):
                 self.source = address
                 # What this host has heard from others may lack removals that
@@ -179,7 +207,9 @@
         # What was learned here may differ from what others know by now, and
         # they would tell only what changes for them.
         self._cursors.clear()
+        self._keys.note_read(self._reader.left, report.era)
         self._take(report, now, self._returned)
+        self.askers.tell_fresher()
         return True
 
     async def _ask(self, address: str) -> bool:
@@ -190,8 +220,11 @@
             'after': codecs.write_cursor(cursor),
             'known': 0 if cursor.life else ledgers.digest(self.ledger),
         }
+        if self._keys.is_on:
+            asked[askers.KEYS_AGE] = f'{self._keys.count_age():.3f}'
         target = f'{FACTS_PATH}{urllib.parse.urlencode(asked)}'
         connect = calls.CONNECT_S if self.ledger.revision else START_CONNECT_S
+        left = self._keys.read_clock()
         try:
             done = await client.call(
                 store.Call('GET', target),
@@ -204,7 +237,9 @@
             self._doubt(address, str(error))
             return False
         self._cursors[address] = report.cursor
+        self._keys.note_told(left, report.proof, report.era)
         merged = self._take(report, time.monotonic(), None)
+        self.askers.tell_fresher()
         if self._is_behind(report, merged):
             self._pass_over(address, report)
             return False
@@ -243,31 +278,37 @@
         begun = not self.ledger.revision
         merged = ledgers.merge(self.ledger, report, now, returned=returned)
         self.ledger = merged.ledger
-        self._tell_restore(merged)
+        _tell_restore(self._log, merged, self.source)
+        if facts.Subject.CONFIGURATION in merged.changed:
+            known = facts.find_configuration(self.ledger)
+            self._keys.note_configuration(known)
         if merged.changed or merged.restore or begun:
             self.askers.tell_all()
             self._learn(merged)
         return merged
 
-    def _tell_restore(self, merged: facts.Merged) -> None:
-        if merged.restore is not None:
-            told = merged.restore
-            self._log.tell(
-                PART,
-                'the store came back from a copy',
-                era_before=told.before.era,
-                era=told.after.era,
-                revision_before=told.before.revision,
-                revision=told.after.revision,
-                kept=told.kept,
-                taken=told.taken,
-                source=self.source,
-            )
-        if merged.dropped:
-            names = [f'{key.subject} {key.name}' for key in merged.dropped]
-            self._log.tell(
-                PART,
-                'dropped after a restore',
-                count=len(names),
-                names=names[:MOST_NAMED],
-            )
+
+def _tell_restore(
+    log: journal.Journal, merged: facts.Merged, source: str
+) -> None:
+    if merged.restore is not None:
+        told = merged.restore
+        log.tell(
+            PART,
+            'the store came back from a copy',
+            era_before=told.before.era,
+            era=told.after.era,
+            revision_before=told.before.revision,
+            revision=told.after.revision,
+            kept=told.kept,
+            taken=told.taken,
+            source=source,
+        )
+    if merged.dropped:
+        names = [f'{key.subject} {key.name}' for key in merged.dropped]
+        log.tell(
+            PART,
+            'dropped after a restore',
+            count=len(names),
+            names=names[:MOST_NAMED],
+        )
--- a/fuchsiahaven/relay/pages.py
+++ b/fuchsiahaven/relay/pages.py
@@ -19,6 +19,7 @@
     ('quarantined', 'Requests in quarantine.'),
     ('store_era', 'Era of the store; -1 where it tells none.'),
     ('watches_forgotten', 'Watches answered that the history is gone.'),
+    ('keys_age_seconds', 'Age of the knowledge of keys, at most.'),
 )
 
 
@@ -70,7 +71,8 @@
         )
         yield self._count_bytes()
         for (name, text), figure in zip(GAUGES, self._gauges, strict=True):
-            yield core.GaugeMetricFamily(f'{PREFIX}_{name}', text, figure)
+            if figure is not None:
+                yield core.GaugeMetricFamily(f'{PREFIX}_{name}', text, figure)
 
     def _count_bytes(self) -> core.Metric:
         """Give the bytes by what they were for and how far they went."""
--- a/fuchsiahaven/relay/pools.py
+++ b/fuchsiahaven/relay/pools.py
@@ -23,6 +23,10 @@
 KEEP_ALIVE: Final = 'timeout='
 
 
+def _go_always(key: events.FlightKey) -> bool:
+    return True
+
+
 class Busy(NamedTuple):
     """Hold what a connection carries, and until when."""
 
@@ -39,8 +43,14 @@
         report: Callable[[events.Event], None],
         clock: Callable[[], float],
         tally: traffic.Tally | None = None,
+        may_leave: Callable[[events.FlightKey], bool] = _go_always,
     ) -> None:
-        """Start without a connection; bytes go into the tally."""
+        """Start without a connection; bytes go into the tally.
+
+        `may_leave` tells whether what has waited for a connection is still to
+        be sent.
+        """
+        self._may_leave = may_leave
         self.instance = instance
         self.seats = 1
         self._report = report
@@ -148,10 +158,13 @@
         )
 
     def _release(self, link: links.Link, until: float) -> None:
-        if self._queue:
-            self._start(link, self._queue.popleft(), self._clock())
-        else:
-            self._idle.put(link, until)
+        while self._queue:
+            send = self._queue.popleft()
+            if self._may_leave(send.key):
+                self._start(link, send, self._clock())
+                return
+            self._report(events.Unsent(send.key, unreachable=False))
+        self._idle.put(link, until)
 
     def _open_more(self, now: float) -> None:
         if len(self._queue) <= self.opener.count():
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -14,6 +14,7 @@
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.platform import settings as settings_files
 from fuchsiahaven.relay import (
+    confirmations,
     entries,
     journal,
     lessons,
@@ -65,7 +66,14 @@
         self.lessons = lessons.Lessons(
             settings, self.runner, log, self.find_obstacle
         )
-        self.news = news.News(settings, log, self._learn, self.runner.traffic)
+        self.keys = self.desk.controls.freshness
+        self.keys.revoke = settings.revoke
+        self.news = news.News(
+            settings, log, self._learn, self.runner.traffic, self.keys
+        )
+        self.confirmations = confirmations.Confirmations(
+            settings, self.news, self.keys, log, self.runner.traffic
+        )
         self.quarantines = quarantines.Quarantines(self.desk, self.news, log)
         self.notices = notices.Notices(
             self.desk,
@@ -105,6 +113,7 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self.runner.close)
             stack.callback(self.news.close)
+            stack.callback(self.confirmations.close)
             stack.callback(self.quarantines.close)
             stack.callback(self.notices.close)
             await self._listen(stack)
@@ -112,6 +121,7 @@
                 running = [
                     tasks.create_task(self.news.follow()),
                     tasks.create_task(self._entry.stay()),
+                    tasks.create_task(self.confirmations.stay()),
                     tasks.create_task(self.notices.learn()),
                     tasks.create_task(self.runner.sweep()),
                     tasks.create_task(self._watch_settings()),
@@ -198,6 +208,7 @@
         self.lessons.settings = reading.settings
         self.desk.change_extra_load(reading.settings.extra_load)
         self.desk.warmups.terms = reading.settings.warm_up
+        self.keys.revoke = reading.settings.revoke
         self.log.tell(PART, 'reloaded', settings=self.settings)
 
     def _make_port(self, handle: ports.Handler) -> ports.Port:
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -12,6 +12,7 @@
 from fuchsiahaven.core import suspects
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.relay import (
+    confirmations,
     encodings,
     evacuations,
     meters,
@@ -49,6 +50,7 @@
         note_probe: Callable[[], object],
     ) -> None:
         """Take whom to ask."""
+        self._keys = driven.desk.controls.freshness
         self._runner = driven
         self._news = known
         self._meters = counted
@@ -71,6 +73,9 @@
                     query,
                     lambda body: caller.answer(_write(body, packed=packed)),
                 )
+            case confirmations.PATH:
+                told = confirmations.tell(self._news, self._keys, query)
+                caller.answer(_write(told, packed=False))
             case '/v1/assist':
                 return self._assist(message, caller)
             case notices.PATH:
@@ -196,6 +201,10 @@
             },
             'waiting': self._runner.count_waiting(),
         }
+        if self._keys.is_on:
+            # Before anything is proved the age has no end.
+            told['keys_age'] = f'{self._keys.count_age():.2f}'
+            told['keys_stale'] = self._keys.find_wait() > 0
         body = json.dumps(told).encode()
         return exchanges.Written(HTTPStatus.OK, JSON, body)
 
--- a/fuchsiahaven/relay/readers.py
+++ b/fuchsiahaven/relay/readers.py
@@ -5,7 +5,7 @@
 
 from fuchsiahaven.platform import store
 from fuchsiahaven.relay import calls, decoders, eras, journal
-from fuchsiahaven.routing import facts
+from fuchsiahaven.routing import facts, freshness
 
 PART: Final = eras.PART
 #: How long the reader waits for changes in one call. Changes come at once, and
@@ -24,7 +24,8 @@
 class Reader:
     """Own what the readings of the store go on from.
 
-    `forgotten` counts the watches that met a history that is gone.
+    `forgotten` counts the watches that met a history that is gone. `left` is
+    when the last reading began, by the clock that counts suspension.
     """
 
     def __init__(
@@ -32,6 +33,7 @@
         client: calls.Client,
         log: journal.Journal,
         heard: eras.Eras,
+        keys: freshness.Freshness,
         pace: float = 1.0,
     ) -> None:
         """Begin with a listing; waits take a share `pace` of the usual."""
@@ -40,6 +42,8 @@
         self._store = client
         self._log = log
         self._eras = heard
+        self._keys = keys
+        self.left = float('-inf')
         self._decoder = decoders.Decoder(log)
         self._list_at = 0.0
 
@@ -63,8 +67,10 @@
 
     async def _watch(self, ledger: facts.Ledger) -> facts.Report | None:
         """Read what has changed; None if only a listing tells."""
-        call = store.watch_everything(ledger.revision, self._wait)
-        done = await self._store.call(call, self._wait + WATCH_ANSWER_S)
+        wait = min(self._wait, self._keys.find_watch())
+        call = store.watch_everything(ledger.revision, wait)
+        self.left = self._keys.read_clock()
+        done = await self._store.call(call, wait + WATCH_ANSWER_S)
         era = self._find_era(done, ledger)
         if era != ledger.era:
             # The revision was of another history. If the store has passed it
@@ -111,6 +117,7 @@
     async def _list_era(self, ledger: facts.Ledger) -> facts.Report | None:
         """List everything; None if the pages are not of one era."""
         began = time.monotonic()
+        self.left = self._keys.read_clock()
         found: list[facts.Fact] = []
         eras_read: set[int] = set()
         revision = 0
--- a/fuchsiahaven/routing/admission.py
+++ b/fuchsiahaven/routing/admission.py
@@ -47,6 +47,34 @@
     return desk.controls.quotas.charge(customer, taken, now)
 
 
+def refuse_late(
+    desk: states.Desk, ask: asks.Ask, now: float
+) -> list[events.Action] | None:
+    """Refuse what has waited here too long; None where it may go on.
+
+    The check of its key bounds when a request was sent. One that waited for a
+    trial or for a connection, maybe while the host stood still, is checked
+    again, as long as it can be refused as one that has not run.
+    """
+    if any(part.sent or part.flights for part in ask.parts.values()):
+        return None
+    wait = _find_stale_wait(desk, ask)
+    if not wait:
+        return None
+    return endings.refuse_late(desk, ask, customers.make_stale(wait), now)
+
+
+def may_leave(desk: states.Desk, key: events.FlightKey) -> bool:
+    """Tell whether a sending that has waited for a connection may leave.
+
+    Of a query over several parts others have left by then.
+    """
+    ask = desk.asks.get(key.ask)
+    if ask is None or len(ask.parts) > 1 or ask.parts[key.service].sent > 1:
+        return True
+    return not _find_stale_wait(desk, ask)
+
+
 def list_services(desk: states.Desk, route: configs.Route) -> tuple[str, ...]:
     """List the services that a request reaches, one of a split in turn."""
     way = route.way
@@ -79,6 +107,12 @@
     return route
 
 
+def _find_stale_wait(desk: states.Desk, ask: asks.Ask) -> float:
+    if ask.assists or ask.route.public or not ask.request.customer:
+        return 0.0
+    return desk.controls.freshness.find_wait()
+
+
 def _find_quarantine(
     desk: states.Desk, request: events.Request, now: float
 ) -> errors.Failure | None:
--- a/fuchsiahaven/routing/arrivals.py
+++ b/fuchsiahaven/routing/arrivals.py
@@ -6,6 +6,7 @@
 from fuchsiahaven.core.queries import hedges
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import (
+    admission,
     asks,
     crashes,
     endings,
@@ -152,6 +153,9 @@
         sent=part.sent - 1,
         reason=part.reason or coverage.Reason.UNREACHABLE,
     )
+    refused = admission.refuse_late(desk, ask, now)
+    if refused is not None:
+        return refused
     return go_on(desk, ask, service, now)
 
 
--- a/fuchsiahaven/routing/codecs.py
+++ b/fuchsiahaven/routing/codecs.py
@@ -1,8 +1,9 @@
 """Write facts as the JSON that hosts send each other, and read them."""
 
 import json
+import math
 from collections.abc import Mapping
-from typing import Any, TypedDict
+from typing import Any, Final, NotRequired, TypedDict
 
 from fuchsiahaven.core import suspects
 from fuchsiahaven.core.configuration import configurations
@@ -15,6 +16,10 @@
 )
 
 
+#: A proof is written in thousandths of a second, rounded to the safe side.
+THOUSANDTHS: Final = 1000
+
+
 class WrittenFact(TypedDict):
     """Hold one fact on the wire; `value` is null where it is gone."""
 
@@ -26,6 +31,13 @@
     era: int
 
 
+class WrittenProof(TypedDict):
+    """Hold a proof on the wire; `lead` is in seconds."""
+
+    lead: float
+    era: int
+
+
 class WrittenReport(TypedDict):
     """Hold a report on the wire; `age` is in seconds.
 
@@ -41,6 +53,7 @@
     era: int
     since: int
     facts: list[WrittenFact]
+    proof: NotRequired[WrittenProof]
 
 
 class Malformed(Exception):
@@ -59,6 +72,8 @@
         since=report.since,
         facts=[_write_fact(fact) for fact in report.facts],
     )
+    if report.proof is not None:
+        written['proof'] = _write_proof(report.proof)
     return json.dumps(written, separators=(',', ':')).encode()
 
 
@@ -83,6 +98,11 @@
     return facts.START
 
 
+def _write_proof(proof: facts.Proof) -> WrittenProof:
+    lead = math.floor(proof.lead * THOUSANDTHS) / THOUSANDTHS
+    return WrittenProof(lead=lead, era=proof.era)
+
+
 def _write_fact(fact: facts.Fact) -> WrittenFact:
     return WrittenFact(
         subject=fact.key.subject.value,
@@ -135,9 +155,16 @@
         bool(written['lost']),
         int(written.get('era', facts.NO_ERA)),
         int(written.get('since', 0)),
+        _read_proof(written.get('proof')),
     )
 
 
+def _read_proof(written: WrittenProof | None) -> facts.Proof | None:
+    if written is None:
+        return None
+    return facts.Proof(float(written['lead']), int(written['era']))
+
+
 def _read_fact(row: WrittenFact) -> facts.Fact:
     key = facts.Key(facts.Subject(row['subject']), row['name'])
     written = row['value']
--- a/fuchsiahaven/routing/customers.py
+++ b/fuchsiahaven/routing/customers.py
@@ -6,6 +6,8 @@
 from fuchsiahaven.routing import configs, events, freshness
 
 SOURCE: Final = 'customers'
+#: Digits after the point of the seconds that a caller is told to wait.
+WAIT_DIGITS: Final = 2
 
 
 class Admitted(NamedTuple):
@@ -31,12 +33,7 @@
     request = request._replace(credentials=())
     wait = known.find_wait()
     if wait and not route.public:
-        return errors.make_failure(
-            errors.Kind.STALE_KEYS,
-            SOURCE,
-            'no recent word of which keys are valid',
-            retry_after=wait,
-        )
+        return make_stale(wait)
     customer = index.customers.get(request.key) if not wait else None
     if customer is None and not route.public:
         return errors.make_failure(errors.Kind.UNKNOWN_KEY, SOURCE)
@@ -52,6 +49,16 @@
     return Admitted(named, customer)
 
 
+def make_stale(wait: float) -> errors.Failure:
+    """Refuse a request because no recent word of its key is at hand."""
+    return errors.make_failure(
+        errors.Kind.STALE_KEYS,
+        SOURCE,
+        'no recent word of which keys are valid',
+        retry_after=round(wait, WAIT_DIGITS),
+    )
+
+
 def find_priority(
     customer: configs.Customer | None, route: configs.Route
 ) -> int:
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -76,6 +76,10 @@
         return ignorance
     if reaches.is_cut_off(desk, now):
         return 'too few targets can be reached'
+    if desk.index.configuration.customers is None:
+        return ''
+    if desk.controls.freshness.find_wait():
+        return 'no recent word of which keys are valid'
     return ''
 
 
@@ -245,6 +249,9 @@
 def _resume_ask(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
     idle = [it for it in asks.list_open(ask) if asks.is_idle(ask, it)]
     lost = [it for it in idle if ask.parts[it].number]
+    refused = admission.refuse_late(desk, ask, now)
+    if refused is not None:
+        return refused
     # Each request is tried at another of the shards that several have lost.
     ranked = rendezvous.rank(ask.request.identity.digest, lost)
     return [
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -42,6 +42,17 @@
     ]
 
 
+def refuse_late(
+    desk: states.Desk, ask: asks.Ask, failure: errors.Failure, now: float
+) -> Actions:
+    """Refuse an ask that was begun and of which nothing has left."""
+    desk.asks.pop(ask.number, None)
+    return [
+        events.Reply(ask.number, failure),
+        _tell(ask, name_result(failure), now),
+    ]
+
+
 def _advise(
     desk: states.Desk, ask: asks.Ask, outcome: events.Outcome, now: float
 ) -> events.Outcome:
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -80,6 +80,17 @@
 START: Final = Cursor()
 
 
+class Proof(NamedTuple):
+    """Tell another host up to when everything acknowledged is known.
+
+    `lead` is by how many seconds that is after the arrival of its question;
+    mostly it is before. `era` is the store's whose reads count as proofs.
+    """
+
+    lead: float
+    era: int
+
+
 class Report(NamedTuple):
     """Bring news: what has changed, or, if `whole`, everything there is.
 
@@ -87,7 +98,7 @@
     seconds ago the store itself was read. `cursor` is where to go on from the
     next time. `lost` tells that whoever reports cannot read the store just now.
     `since` is the first revision that was read in this era; 0 where it is this
-    one.
+    one. `proof` is given where customers' keys have to be fresh.
     """
 
     revision: int
@@ -98,6 +109,7 @@
     lost: bool = False
     era: int = NO_ERA
     since: int = 0
+    proof: Proof | None = None
 
     @property
     def stamp(self) -> Stamp:
--- a/fuchsiahaven/routing/sources.py
+++ b/fuchsiahaven/routing/sources.py
@@ -27,6 +27,12 @@
 #: Hosts of a data centre beside them that try the store in one round, of which
 #: there are some four in a second.
 READERS: Final = 0.5
+#: The share of tries by a second way that read the store, at most, how many
+#: hosts of a data centre do so in one round, and the share of other tries that
+#: stay in the data centre.
+SECOND_SHARE: Final = 0.5
+SECOND_READERS: Final = 2.0
+NEAR_SHARE: Final = 0.5
 
 
 class Store(NamedTuple):
@@ -86,6 +92,27 @@
     return _choose_any(view, near, now, draw)
 
 
+def choose_second(
+    own: places.Host, hosts: Collection[places.Host], draw: float
+) -> Source:
+    """Choose whom to ask beside the first way, anew for each try.
+
+    A few hosts of each data centre read the store. Of the other tries half go
+    to the own data centre, which may be cut off, the rest to any.
+    """
+    others = [it for it in hosts if it.name != own.name]
+    near = [it for it in others if it.data_centre == own.data_centre]
+    share = min(SECOND_SHARE, SECOND_READERS / (1 + len(near)))
+    if not others or draw < share:
+        return Store()
+    place = (draw - share) / (1 - share)
+    if near and place < NEAR_SHARE:
+        return Peer(near[int(place / NEAR_SHARE * len(near))].address)
+    if near:
+        place = (place - NEAR_SHARE) / (1 - NEAR_SHARE)
+    return Peer(others[int(place * len(others))].address)
+
+
 def _list_near(view: View, now: float) -> list[places.Host]:
     """List the hosts of the data centre that may answer, in their order."""
     found = {
@@ -152,6 +179,11 @@
     return figures[0] == figures[1]
 
 
+def is_alike(one: str, other: str) -> bool:
+    """Tell whether two addresses look as if of one data centre."""
+    return _count_alike(one, other) >= ALIKE
+
+
 def is_near(view: View, address: str) -> bool:
     """Tell whether a host is in the own data centre, or looks as if it were.
 
@@ -160,7 +192,7 @@
     for host in view.hosts:
         if host.address == address:
             return host.data_centre == view.own.data_centre
-    return _count_alike(view.own.address, address) >= ALIKE
+    return is_alike(view.own.address, address)
 
 
 def count_doubt(times: int, *, starting: bool) -> float:
--- a/tests/relay/test_listings.py
+++ b/tests/relay/test_listings.py
@@ -1,7 +1,7 @@
 """Test that a listing is written once for all that ask for it."""
 
 from fuchsiahaven.relay import listings
-from fuchsiahaven.routing import codecs, facts, ledgers, places
+from fuchsiahaven.routing import codecs, facts, freshness, ledgers, places
 
 
 def make_ledger(revision: int) -> facts.Ledger:
@@ -19,7 +19,7 @@
     All hosts of a data centre have just started and ask the first one for
     everything; it writes the same 190 kB for each of them.
     """
-    written = listings.Listings()
+    written = listings.Listings(freshness.Freshness())
     ledger = make_ledger(5)
     first = written.write(ledger, 10, lost=False)
     assert written.write(ledger, 10.05, lost=False) is first
@@ -28,7 +28,7 @@
 
 def test_writes_what_has_changed_anew() -> None:
     """News, the loss of the store and time make another listing."""
-    written = listings.Listings()
+    written = listings.Listings(freshness.Freshness())
     ledger = make_ledger(5)
     first = written.write(ledger, 10, lost=False)
     assert codecs.read_report(written.write(ledger, 10, lost=True)).lost
--- a/tests/relay/test_readers.py
+++ b/tests/relay/test_readers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from fuchsiahaven.relay import calls, eras, readers
-from fuchsiahaven.routing import facts, ledgers
+from fuchsiahaven.routing import facts, freshness, ledgers
 from tests.relay import peers, test_decoders
 
 #: A page of a listing that is not the last one, and one that is.
@@ -43,7 +43,9 @@
     async with peers.listen(script.answer) as server:
         client = calls.Client(server.address)
         log = test_decoders.Log()
-        yield readers.Reader(client, log, eras.Eras(log), pace)
+        yield readers.Reader(
+            client, log, eras.Eras(log), freshness.Freshness(), pace
+        )
         client.close()
 
 
