--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -154,9 +154,8 @@
         match source:
             case sources.Store():
                 read = await self._read_store()
-                pause = min(
-                    GATHER_S * self.settings.pace, self._keys.find_pause()
-                )
+                usual = GATHER_S * self.settings.pace
+                pause = self._keys.limit(usual, freshness.PAUSE_SHARE)
                 return pause if read else None
             case sources.Peer(address):
                 self.source = address
--- a/fuchsiahaven/routing/freshness.py
+++ b/fuchsiahaven/routing/freshness.py
@@ -17,7 +17,7 @@
 #: for clocks that do not go at the same rate:
 MARGIN_SHARE: Final = 0.02
 #: how long the reader waits for changes, and pauses between two reads;
-WATCH_SHARE: Final = 0.06
+WATCH_SHARE: Final = 0.05
 PAUSE_SHARE: Final = 0.08
 #: by how much what another host knows has to be newer to be told at once;
 GAIN_SHARE: Final = 0.09
@@ -124,18 +124,11 @@
             return math.inf
         return URGENT_SHARE * self.revoke - self.count_age()
 
-    def find_watch(self) -> float:
-        """Return how long the reader may wait for changes."""
-        return self._share(WATCH_SHARE)
-
-    def find_pause(self) -> float:
-        """Return how long the reader may pause between two reads."""
-        return self._share(PAUSE_SHARE)
-
-    def _share(self, share: float) -> float:
+    def limit(self, usual: float, share: float) -> float:
+        """Limit a time to a share of that within which keys have to die."""
         if not self.is_on or self.revoke is None:
-            return math.inf
-        return share * self.revoke
+            return usual
+        return min(usual, share * self.revoke)
 
     def _is_rewritten(self, left: float, era: int) -> bool:
         return era == self._heard and left >= self._turned + REWRITTEN_S
