--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -4,7 +4,7 @@
 import importlib
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from types import ModuleType
 from typing import Final
@@ -166,7 +166,7 @@
         """Tell what this host believes, for people."""
         now = time.monotonic()
         desk = self._runner.desk
-        told = {
+        told: dict[str, object] = {
             'ready': self._find_obstacle() or 'yes',
             'version': desk.index.configuration.version,
             'news_age': round(now - self._news.ledger.read, 2),
@@ -205,9 +205,24 @@
             # Before anything is proved the age has no end.
             told['keys_age'] = f'{self._keys.count_age():.2f}'
             told['keys_stale'] = self._keys.find_wait() > 0
+        customers = desk.index.configuration.customers
+        if customers is not None:
+            told['customers'] = self._tell_customers(len(customers))
         body = json.dumps(told).encode()
         return exchanges.Written(HTTPStatus.OK, JSON, body)
 
+    def _tell_customers(self, known: int) -> Mapping[str, object]:
+        counted = self._meters.accounts
+        return {
+            'known': known,
+            'largest': {
+                account.customer: account.results
+                for account in counted.list_largest()
+            },
+            'others': counted.sum_others(),
+            'unknown_keys': counted.unknown,
+        }
+
     def _tell_metrics(self, caller: ports.Caller) -> Callable[[], object]:
         """Answer with the page, once what writes it is there.
 
--- a/tests/routing/test_freshness.py
+++ b/tests/routing/test_freshness.py
@@ -131,7 +131,8 @@
         """Start by reading."""
         self.keys = make(clock)
         self._draw = draw
-        self._left = self._answered = clock.now
+        self._left = clock.now
+        self._answered = clock.now
 
     def go_on(self) -> None:
         """Do what is due."""
