Test proofs hop by hop, and what waits here before it first leaves

Codecs, readers, listings, askers, sources of the second way, admission after a freeze. The check of clocks becomes stricter: clocks may be read by their number in one module only, and only the one that counts suspension.

--- a/tests/relay/test_listings.py
+++ b/tests/relay/test_listings.py
@@ -1,7 +1,14 @@
 """Test that a listing is written once for all that ask for it."""
 
 from fuchsiahaven.relay import listings
-from fuchsiahaven.routing import codecs, facts, freshness, ledgers, places
+from fuchsiahaven.routing import (
+    codecs,
+    configs,
+    facts,
+    freshness,
+    ledgers,
+    places,
+)
 
 
 def make_ledger(revision: int) -> facts.Ledger:
@@ -36,3 +43,25 @@
     assert codecs.read_report(later).age - codecs.read_report(first).age == 2
     newer = ledger._replace(cursor=facts.Cursor(1, 9), facts={})
     assert not codecs.read_report(written.write(newer, 12, lost=False)).facts
+
+
+def test_proves_no_more_to_whoever_asks_while_it_is_kept() -> None:
+    """Symptom: who asks late counts what was proved as so much fresher."""
+    now = 50.0
+    keys = freshness.Freshness(5, lambda: now)
+    keys.note_configuration(configs.NOTHING._replace(customers=()))
+    keys.note_read(now, facts.NO_ERA)
+    written = listings.Listings(keys)
+    told = codecs.read_report(written.write(make_ledger(5), 10, lost=False))
+    assert told.proof is not None
+    assert told.proof.lead <= -listings.FRESH_S
+
+
+def test_writes_anew_after_the_host_was_suspended() -> None:
+    """Symptom: the same, as the steady clock stood still meanwhile."""
+    uptime = [50.0]
+    written = listings.Listings(freshness.Freshness(5, lambda: uptime[0]))
+    ledger = make_ledger(5)
+    first = written.write(ledger, 10, lost=False)
+    uptime[0] += 3
+    assert written.write(ledger, 10, lost=False) is not first
--- a/tests/relay/test_readers.py
+++ b/tests/relay/test_readers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from fuchsiahaven.relay import calls, eras, readers
-from fuchsiahaven.routing import facts, freshness, ledgers
+from fuchsiahaven.routing import configs, facts, freshness, ledgers
 from tests.relay import peers, test_decoders
 
 #: A page of a listing that is not the last one, and one that is.
@@ -37,14 +37,14 @@
 
 @contextlib.asynccontextmanager
 async def read(
-    script: Script, pace: float = 1
+    script: Script, pace: float = 1, keys: freshness.Freshness | None = None
 ) -> AsyncIterator[readers.Reader]:
     """Read a store that answers by a script."""
     async with peers.listen(script.answer) as server:
         client = calls.Client(server.address)
         log = test_decoders.Log()
         yield readers.Reader(
-            client, log, eras.Eras(log), freshness.Freshness(), pace
+            client, log, eras.Eras(log), keys or freshness.Freshness(), pace
         )
         client.close()
 
@@ -154,3 +154,38 @@
             assert script.asked[1].endswith('wait_ms=900')
 
     peers.run(check())
+
+
+def test_waits_for_a_share_of_the_time_in_which_keys_have_to_die() -> None:
+    """Symptom: calm hosts refuse keys where nothing changes in the store.
+
+    A reading proves the moment at which it left, however long it waited.
+    """
+
+    async def check() -> None:
+        now = [20.0]
+        keys = freshness.Freshness(4, lambda: now[0])
+        script = Script((200, '', page(74)), (200, '', events(74)))
+        async with read(script, keys=keys) as reader:
+            ledger = take(await reader.read(ledgers.begin(1)))
+            keys.note_configuration(configs.NOTHING._replace(customers=()))
+            now[0] += 5
+            await reader.read(ledger)
+            assert script.asked[1].endswith('wait_ms=200')
+            assert reader.left == 25
+
+    peers.run(check())
+
+
+def test_counts_a_listing_from_its_first_page() -> None:
+    """The configuration may stand on a page that was read before a change."""
+
+    async def check() -> None:
+        now = iter((20.0, 30.0))
+        keys = freshness.Freshness(4, lambda: next(now))
+        script = Script((200, '', page(74, more=True)), (200, '', page(75)))
+        async with read(script, keys=keys) as reader:
+            await reader.read(ledgers.begin(1))
+            assert reader.left == 20
+
+    peers.run(check())
--- /dev/null
+++ b/tests/routing/test_admission.py
@@ -0,0 +1,108 @@
+"""Test requests that wait here before they first leave."""
+
+from typing import Final
+
+from fuchsiahaven.core import errors
+from fuchsiahaven.routing import (
+    admission,
+    configs,
+    desks,
+    events,
+    facts,
+    freshness,
+)
+from tests.routing import desk_rig
+
+REVOKE_S: Final = 5.0
+KEY: Final = '12ab'
+CUSTOMERS: Final = (configs.Customer('shop', (KEY,)),)
+SINGLE: Final = desk_rig.make_route(configs.Single('records'))
+WIDE: Final = desk_rig.make_route(
+    configs.Gather(('one', 'two'), 3, 0.5), prefix='/wide/'
+)
+
+
+class Rig(desk_rig.Rig):
+    """Own the decisions of a host whose knowledge of keys is fresh."""
+
+    def __init__(self, *, public: bool = False) -> None:
+        """Put routes with customers in force."""
+        routes = (SINGLE._replace(public=public), WIDE)
+        targets = desk_rig.make_instances(('records', 'one', 'two'))
+        super().__init__(routes, targets)
+        self.configure(2, routes, CUSTOMERS)
+        keys = self.desk.controls.freshness
+        keys.revoke = REVOKE_S
+        keys.note_configuration(self.desk.index.configuration)
+        keys.note_read(keys.read_clock(), facts.NO_ERA)
+
+    def show(self, target: str = '/search/1') -> int:
+        """Bring a request with a key."""
+        request = events.Request(
+            f'id {target}',
+            'GET',
+            target,
+            'shop.example',
+            (),
+            b'',
+            self.now,
+            self.now + 0.8,
+            key=KEY,
+        )
+        return self.bring(request)
+
+    def stand_still(self) -> None:
+        """Have the host be frozen for longer than keys may live."""
+        self.desk.controls.freshness.confirmed -= REVOKE_S
+
+
+def test_refuses_what_waited_for_a_connection_while_the_host_stood_still() -> (
+    None
+):
+    """Symptom: a frozen host sends on what it had taken in before."""
+    rig = Rig()
+    rig.show()
+    send = rig.sent[0]
+    assert admission.may_leave(rig.desk, send.key)
+    rig.stand_still()
+    assert not admission.may_leave(rig.desk, send.key)
+    rig.post(events.Unsent(send.key, unreachable=False))
+    outcome = rig.replies[0].outcome
+    assert isinstance(outcome, errors.Failure)
+    assert outcome.kind is errors.Kind.STALE_KEYS
+    assert outcome.ran is errors.Ran.NO
+    assert outcome.retry_after == freshness.LEAST_WAIT_S
+    assert len(rig.sent) == 1
+
+
+def test_sends_on_what_was_sent_before_the_host_stood_still() -> None:
+    """It was sent in time, and another target may answer it."""
+    rig = Rig()
+    rig.show('/wide/1')
+    rig.stand_still()
+    assert all(admission.may_leave(rig.desk, it.key) for it in rig.sent)
+    rig.post(events.Unsent(rig.sent[0].key, unreachable=True))
+    assert not rig.replies
+    assert len(rig.sent) == 3
+
+
+def test_sends_on_requests_of_public_routes() -> None:
+    """They need no key, so nothing is known too late of it."""
+    rig = Rig(public=True)
+    rig.show()
+    rig.stand_still()
+    assert admission.may_leave(rig.desk, rig.sent[0].key)
+    rig.post(events.Unsent(rig.sent[0].key, unreachable=True))
+    assert not rig.replies
+
+
+def test_is_not_ready_while_it_has_to_refuse_keys() -> None:
+    """Symptom: callers are sent to a host that refuses nearly all of them."""
+    rig = Rig()
+    assert not desks.find_obstacle(rig.desk, rig.now)
+    rig.stand_still()
+    assert desks.find_obstacle(rig.desk, rig.now)
+    rig.show()
+    outcome = rig.replies[0].outcome
+    assert isinstance(outcome, errors.Failure)
+    assert outcome.kind is errors.Kind.STALE_KEYS
--- a/tests/routing/test_codecs.py
+++ b/tests/routing/test_codecs.py
@@ -77,3 +77,15 @@
     row = json.loads(codecs.write_report(report))
     assert row['facts'][0]['value'].keys().isdisjoint(('customers', 'public'))
     assert codecs.read_report(json.dumps(row).encode()) == report
+
+
+def test_writes_a_proof_rounded_to_the_safe_side() -> None:
+    """Symptom: knowledge of keys seems fresher than it is, with each hop."""
+    report = make_report((ROUTE,), CUSTOMERS)
+    for lead, told in ((-0.2001, -0.201), (0.3009, 0.3)):
+        proof = facts.Proof(lead, 2)
+        read = codecs.read_report(
+            codecs.write_report(report._replace(proof=proof))
+        )
+        assert read.proof == facts.Proof(told, 2)
+    assert 'proof' not in json.loads(codecs.write_report(report))
--- a/tests/routing/test_sources.py
+++ b/tests/routing/test_sources.py
@@ -195,3 +195,25 @@
     ]
     assert chosen[0] == sources.Store()
     assert set(chosen[1:]) == {sources.Peer(near[2].address)}
+
+
+def test_tries_a_few_hosts_and_the_store_by_a_second_way() -> None:
+    """Symptom: all hosts of a data centre press a store that is back."""
+    near = [places.Host(f'a{n}', f'10.0.2.{n}:1', 'north') for n in range(19)]
+    hosts = (*near, OWN, FAR)
+
+    def choose(draw: float, failed: tuple[str, ...] = ()) -> sources.Source:
+        return sources.choose_second(OWN, hosts, failed, draw)
+
+    assert choose(0.09) == sources.Store()
+    assert choose(0.11) == sources.Peer(near[0].address)
+    assert choose(0.11, (near[0].address,)) == sources.Peer(near[1].address)
+    assert choose(0.999) == sources.Peer(FAR.address)
+    everybody = tuple(host.address for host in hosts)
+    assert choose(0.999, everybody) == sources.Store()
+
+
+def test_reads_the_store_by_a_second_way_where_no_other_host_is_known() -> None:
+    """A host that is alone proves by itself what it knows."""
+    assert sources.choose_second(OWN, (), (), 0.9) == sources.Store()
+    assert sources.choose_second(OWN, (OWN,), (), 0.9) == sources.Store()
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -11,6 +11,11 @@
 PACKAGES: Final = ('core', 'routing', 'platform', 'relay')
 #: Readings of the time of day, which a correction moves in either direction.
 READINGS: Final = frozenset(('time', 'time_ns', 'localtime', 'gmtime'))
+#: Readings of a clock that is named by a number. Only the one that counts the
+#: time for which the machine was suspended is read so, in one place.
+NAMED: Final = frozenset(('clock_gettime', 'clock_gettime_ns'))
+UPTIME: Final = 'core/uptimes.py'
+CLOCK: Final = 'time.CLOCK_BOOTTIME'
 #: Each line of the log carries the time of day, for people.
 ALLOWED: Final = {'relay/journal.py'}
 
@@ -46,3 +51,29 @@
         if reads_time_of_day(path)
     }
     assert found == ALLOWED
+
+
+def list_named_clocks(path: Path) -> Iterator[str]:
+    """List the clocks that a module reads by their number."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        match node:
+            case ast.Call(func=ast.Attribute(attr=attr), args=[clock, *_]):
+                if attr in NAMED:
+                    yield ast.unparse(clock)
+            case ast.Attribute(attr=attr) if attr.startswith('CLOCK_'):
+                yield ast.unparse(node)
+
+
+def test_no_clock_is_read_by_its_number_but_the_one_of_suspensions() -> None:
+    """Symptom: the same, by a reading that goes under another name.
+
+    The age of what is known of keys has to count the time for which the
+    machine was suspended; the time of day counts it too, and jumps.
+    """
+    found = {
+        str(path.relative_to(ROOT)): set(list_named_clocks(path))
+        for package in PACKAGES
+        for path in ROOT.joinpath(package).rglob('*.py')
+    }
+    assert found.pop(UPTIME) == {CLOCK}
+    assert not any(found.values())
