--- a/fuchsiahaven/relay/confirmations.py
+++ b/fuchsiahaven/relay/confirmations.py
@@ -19,7 +19,7 @@
 PATH: Final = '/v1/keys'
 VERSION: Final = 'version'
 #: How often it is looked at whether a second way is needed, in seconds.
-LOOK_S: Final = 0.25
+LOOK_S: Final = 0.5
 #: The same where keys need not die in time.
 IDLE_S: Final = 2.0
 #: A try is given up after so many seconds; the next one asks somebody else.
