Find the hosts on duty among those of their data centre, by ranks kept

Cause: for each chunk of a query, the host that takes it asked of all 132 others whether they are alive: 0.17 ms of its 0.84 ms for 90 shards.

Ruled out: keeping the rank of the living, which each change of a standing would have to invalidate. Ranks depend on names alone and are kept already; the dead are few and passed over.

Change: data centres know their hosts, which are ranked whoever is alive; the first living ones are on duty, as before. Links make their state machine in functions of the module.

--- a/fuchsiahaven/relay/links.py
+++ b/fuchsiahaven/relay/links.py
@@ -151,8 +151,11 @@
         return True
 
     def _feed(self, data: bytes) -> None:
+        assert self.exchange is not None
+        if self._machine is None:
+            self._machine = _begin(self.exchange)
         try:
-            self._begin_reading().receive_data(data)
+            self._machine.receive_data(data)
             self._pull()
         except h11.RemoteProtocolError:
             fault = messages.Fault.MALFORMED
@@ -160,15 +163,6 @@
                 fault = messages.Fault.CONNECTION_LOST
             self.close(fault)
 
-    def _begin_reading(self) -> h11.Connection:
-        if self._machine is None:
-            assert self.exchange is not None
-            # It has to see a request before an answer; this one has been
-            # sent already.
-            self._machine = h11.Connection(h11.CLIENT)
-            write(self._machine, self.exchange)
-        return self._machine
-
     def _pull(self) -> None:
         while self._machine is not None and not self.closed:
             event = self._machine.next_event()
@@ -211,8 +205,7 @@
         self._head = None
         self._body.clear()
         if self.exchange.belongs(message):
-            whole = self._is_done() and not self._list_rest()
-            self._settle(message, whole=whole)
+            self._settle(message, whole=_is_whole(self._machine))
         else:
             self._pass_over()
 
@@ -220,7 +213,7 @@
         self.exchange = None
         self._machine = None
         # What follows an answer belongs to nobody.
-        self.reusable = whole and self._is_open()
+        self.reusable = whole and _is_open(self._transport)
         self._owner.take_message(self, message)
         if self.exchange is None and not self.reusable:
             self.close(messages.Fault.CONNECTION_LOST)
@@ -232,34 +225,42 @@
         next answer is due. Breaking off there would leave the outcome of the
         request under way unknown.
         """
-        rest = self._list_rest()
+        assert self._machine is not None
+        assert self.exchange is not None
+        before = self._machine
         self._stray += 1
-        whole = self._is_done() and self._is_open()
+        whole = before.their_state is h11.DONE and _is_open(self._transport)
         if self._stray > MOST_STRAY or not whole:
             self.close(messages.Fault.MISMATCHED)
             return
-        self._machine = None
-        machine = self._begin_reading()
+        self._machine = _begin(self.exchange)
+        rest, _ = before.trailing_data
         if rest:
-            machine.receive_data(rest)
+            self._machine.receive_data(rest)
 
-    def _is_done(self) -> bool:
-        """Tell whether an answer has come to its end, and others may follow."""
-        assert self._machine is not None
-        return self._machine.their_state is h11.DONE
 
-    def _list_rest(self) -> bytes:
-        assert self._machine is not None
-        return self._machine.trailing_data[0]
+def _begin(exchange: Exchange) -> h11.Connection:
+    """Make what reads the answer to a request that was sent already."""
+    machine = h11.Connection(h11.CLIENT)
+    # It has to see a request before an answer.
+    write(machine, exchange)
+    return machine
 
-    def _is_open(self) -> bool:
-        """Tell whether a connection goes on after an answer."""
-        assert self._transport is not None
-        if self._transport.is_closing():
-            return False
-        # A target may answer before it has read a long body; the rest of that
-        # body must not be followed by another request.
-        return not self._transport.get_write_buffer_size()
+
+def _is_whole(machine: h11.Connection | None) -> bool:
+    """Tell whether an answer has ended, with nothing behind it."""
+    if machine is None or machine.their_state is not h11.DONE:
+        return False
+    return not machine.trailing_data[0]
+
+
+def _is_open(transport: asyncio.Transport | None) -> bool:
+    """Tell whether a connection goes on after an answer."""
+    if transport is None or transport.is_closing():
+        return False
+    # A target may answer before it has read a long body; the rest of that
+    # body must not be followed by another request.
+    return not transport.get_write_buffer_size()
 
 
 def write(machine: h11.Connection, exchange: Exchange) -> bytes:
--- a/fuchsiahaven/relay/wires.py
+++ b/fuchsiahaven/relay/wires.py
@@ -6,6 +6,7 @@
 """
 
 import re
+from collections.abc import Iterable
 from typing import Final
 
 from fuchsiahaven.platform import exchanges
@@ -40,27 +41,30 @@
     """Write a whole request; None where h11 is to look at it."""
     if method not in _METHODS or not _TARGET.fullmatch(target):
         return None
-    hosts = []
+    hosts = [it for it in fields if it[0].lower() == HOST]
+    others = [it for it in fields if it[0].lower() != HOST]
+    if len(hosts) != 1 or not _is_length(others, body):
+        return None
+    lines = _write_fields((*hosts, *others))
+    if lines is None:
+        return None
+    return f'{method} {target} HTTP/1.1\r\n{lines}\r\n'.encode() + body
+
+
+def _write_fields(fields: events.Fields) -> str | None:
     lines = []
-    lengths = []
     for name, told in fields:
         if not _NAME.fullmatch(name) or not _TOLD.fullmatch(told):
             return None
-        lower = name.lower()
-        if lower in _FRAMING:
+        if name.lower() in _FRAMING:
             return None
-        if lower == LENGTH:
-            lengths.append(told)
-        chosen = hosts if lower == HOST else lines
-        chosen.append(f'{name}: {told}\r\n')
-    if len(hosts) != 1 or not _is_length(lengths, body):
-        return None
-    head = f'{method} {target} HTTP/1.1\r\n{hosts[0]}{"".join(lines)}\r\n'
-    return head.encode() + body
+        lines.append(f'{name}: {told}\r\n')
+    return ''.join(lines)
 
 
-def _is_length(lengths: list[str], body: bytes) -> bool:
-    """Tell whether the length of a body is stated as it is."""
+def _is_length(fields: Iterable[tuple[str, str]], body: bytes) -> bool:
+    """Tell whether the length of a body is stated once, as it is."""
+    lengths = [told for name, told in fields if name.lower() == LENGTH]
     if lengths:
         return lengths == [str(len(body))]
     return not body
@@ -72,20 +76,21 @@
     if found is None:
         return None
     status = int(found[1])
-    fields = []
-    length = ''
-    for line in found[2].decode('ascii').split('\r\n')[:-1]:
-        name, _, told = line.partition(':')
-        name = name.lower()
-        told = told.strip(' \t')
-        if name in _FRAMING or (name == LENGTH and length):
-            return None
-        if name == LENGTH:
-            length = told
-        fields.append((name, told))
+    fields = _read_fields(found[2].decode('ascii'))
     body = data[found.end() :]
-    if status in _EMPTY or not _LENGTH.fullmatch(length):
+    lengths = [told for name, told in fields if name == LENGTH]
+    if status in _EMPTY or len(lengths) != 1:
+        return None
+    if not _FRAMING.isdisjoint(name for name, _ in fields):
         return None
-    if int(length) != len(body):
+    if not _LENGTH.fullmatch(lengths[0]) or int(lengths[0]) != len(body):
         return None
-    return exchanges.Message('', status, tuple(fields), body)
+    return exchanges.Message('', status, fields, body)
+
+
+def _read_fields(text: str) -> events.Fields:
+    fields = []
+    for line in text.split('\r\n')[:-1]:
+        name, _, told = line.partition(':')
+        fields.append((name.lower(), told.strip(' \t')))
+    return tuple(fields)
--- a/fuchsiahaven/routing/centres.py
+++ b/fuchsiahaven/routing/centres.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
+from fuchsiahaven.routing import places
+
 #: Silence after which a data centre counts as lost, in seconds: pauses of
 #: targets take 0.2 s, and never all of them at once.
 SILENT_S: Final = 0.3
@@ -41,7 +43,7 @@
 
 
 class Centres:
-    """Own what is known of the way to each other data centre."""
+    """Own what is known of each data centre, and of the way to it."""
 
     def __init__(self, own: str) -> None:
         """Start with all of them reached."""
@@ -51,6 +53,22 @@
         self._hints: dict[str, float] = {}
         self._silent: frozenset[str] = frozenset()
         self._reviewed = 0.0
+        self._hosts: dict[str, tuple[places.Host, ...]] = {}
+
+    def note_hosts(self, hosts: Iterable[places.Host]) -> None:
+        """Take in which hosts there are, the own one among them."""
+        found: dict[str, list[places.Host]] = {}
+        for host in hosts:
+            found.setdefault(host.data_centre, []).append(host)
+        self._hosts = dict(zip(found, map(tuple, found.values()), strict=True))
+
+    def list_hosts(self, name: str) -> tuple[places.Host, ...]:
+        """List the hosts of a data centre, also of the own one."""
+        return self._hosts.get(name, ())
+
+    def list_settled(self) -> frozenset[str]:
+        """List the data centres that have hosts, the own one included."""
+        return frozenset(self._hosts)
 
     def note_sent(self, name: str, peer: str, now: float) -> None:
         """Take in that something was sent to a host or target there."""
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -140,6 +140,7 @@
         case events.Counted(total, hosts):
             desk.host_count = max(1, total)
             desk.hosts = tuple(it for it in hosts if it.name != desk.host.name)
+            desk.centres.note_hosts((*desk.hosts, desk.host))
             desk.warmups.note_hosts(hosts, now)
 
 
--- a/fuchsiahaven/routing/plans.py
+++ b/fuchsiahaven/routing/plans.py
@@ -1,6 +1,7 @@
 """Plan which parts of a query other hosts gather, and which ones."""
 
 import collections
+import itertools
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Final, NamedTuple
 
@@ -176,23 +177,43 @@
     silent: places.Host | None = None,
 ) -> places.Host | None:
     """Find the host to ask; None where this one is to send for itself."""
-    alive = [
-        host
-        for host in desk.hosts
-        if not standings.is_dead(desk.helpers.get(host.name), now)
-        and not desk.centres.is_silent(host.data_centre)
-    ]
     if wide:
-        ranked = duties.rank_hosts(duty, [*alive, desk.host])
-        on_duty = [it for it in ranked[: duties.ON_DUTY] if it != silent]
+        on_duty = [it for it in _list_on_duty(desk, duty, now) if it != silent]
         on_duty.append(desk.host)
         late = [it for it in on_duty if _is_late(desk, it, now)]
         chosen = next((it for it in on_duty if it not in late), on_duty[0])
         return None if chosen.name == desk.host.name else chosen
-    near = [host for host in alive if host.data_centre == duty.data_centre]
+    near = [
+        host
+        for host in desk.centres.list_hosts(duty.data_centre)
+        if host != desk.host and _is_alive(desk, host, now)
+    ]
     return _choose_helper(desk, near, now) if near else None
 
 
+def _list_on_duty(
+    desk: states.Desk, duty: duties.Duty, now: float
+) -> list[places.Host]:
+    """List the hosts on duty; those after them take the place of the dead.
+
+    All hosts are ranked, whoever of them is alive: that is known already, and
+    only the first few have to be looked at.
+    """
+    ranked = duties.rank_hosts(duty, desk.centres.list_hosts(duty.data_centre))
+    alive = (
+        host
+        for host in ranked
+        if host == desk.host or _is_alive(desk, host, now)
+    )
+    return list(itertools.islice(alive, duties.ON_DUTY))
+
+
+def _is_alive(desk: states.Desk, host: places.Host, now: float) -> bool:
+    if desk.centres.is_silent(host.data_centre):
+        return False
+    return not standings.is_dead(desk.helpers.get(host.name), now)
+
+
 def _is_late(desk: states.Desk, host: places.Host, now: float) -> bool:
     known = desk.helpers.get(host.name)
     return standings.measure_silence(known, now) is not None
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -125,6 +125,7 @@
         self._order = itertools.count()
         self._wide_centres: frozenset[str] = frozenset()
         self._centres = centres.Centres(host.data_centre)
+        self._centres.note_hosts((host,))
         self._margin = margins.Margin()
         self._losses = losses.Losses()
         self._suspects = suspects.Suspects()
@@ -178,8 +179,7 @@
 
     def find_wide_centres(self) -> frozenset[str]:
         """Find the data centres whose hosts on duty send repeats."""
-        own = frozenset((self.host.data_centre,))
-        known = own.union(host.data_centre for host in self.hosts)
+        known = self._centres.list_settled()
         return self._wide_centres & known or known
 
     def find_budget(self, service: str) -> budgets.Budget:
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -166,12 +166,12 @@
     way = ask.route.way
     if not isinstance(way, configs.Gather) or service not in desk.index.wide:
         return desk.host_count
-    hosts = (*desk.hosts, desk.host)
     centres = desk.find_wide_centres()
     on_duty = ask.assists
     if not on_duty and desk.host.data_centre in centres:
         chunk = duties.find_chunks(way).get(service, service)
         duty = duties.Duty(desk.host.data_centre, chunk)
+        hosts = desk.centres.list_hosts(desk.host.data_centre)
         first = duties.rank_hosts(duty, hosts)[: duties.ON_DUTY]
         on_duty = desk.host in first
     return duties.count_slack_sharers(
--- a/tests/relay/test_wires.py
+++ b/tests/relay/test_wires.py
@@ -58,13 +58,15 @@
     st.binary(max_size=80),
     st.lists(st.sampled_from(PIECES), max_size=8).map(b''.join),
     st.lists(st.sampled_from(PIECES[8:25]), max_size=4).map(
-        lambda found: b'HTTP/1.1 200 OK\r\n' + b''.join(found) + b'\r\nbody'
+        lambda found: b''.join((PIECES[0], *found, b'\r\nbody'))
     ),
-    st.tuples(st.integers(0, len(USUAL)), st.binary(max_size=3)).map(
-        lambda cut: USUAL[: cut[0]] + cut[1] + USUAL[cut[0] :]
-    ),
-    st.tuples(st.integers(0, len(USUAL) - 1), st.binary(max_size=2)).map(
-        lambda cut: USUAL[: cut[0]] + cut[1] + USUAL[cut[0] + 1 :]
+    st.builds(
+        lambda start, new, gone: b''.join(
+            (USUAL[:start], new, USUAL[start + gone :])
+        ),
+        st.integers(0, len(USUAL)),
+        st.binary(max_size=3),
+        st.integers(0, 2),
     ),
 )
 TEXTS: Final = st.one_of(
@@ -126,7 +128,7 @@
 def test_writes_nothing_that_h11_would_not_write(
     method: str, target: str, fields: tuple[tuple[str, str], ...], body: bytes
 ) -> None:
-    """Symptom: a caller's odd field becomes two fields of a target's request."""
+    """Symptom: one odd field of a caller becomes two for a target."""
     written = wires.write(method, target, fields, body)
     if written is None:
         return
@@ -142,7 +144,7 @@
 @pytest.mark.parametrize(
     'data',
     [
-        USUAL + b'x',
+        b'%sx' % USUAL,
         USUAL[:-1],
         USUAL.replace(b'200 OK', b'204 No Content'),
         USUAL.replace(b'200 OK', b'100 Continue'),
