--- a/fuchsiahaven/routing/assists.py
+++ b/fuchsiahaven/routing/assists.py
@@ -118,7 +118,9 @@
         share = _make_share(ask, answered, over)
         return [share._replace(pending=tuple(waiting), lost=tuple(lost))]
     shares = [_make_share(ask, [service], last=False) for service in answered]
-    if lost or over:
+    if shares and over and not lost:
+        shares[-1] = shares[-1]._replace(last=True)
+    elif lost or over:
         share = _make_share(ask, [], over)
         shares.append(share._replace(lost=tuple(lost)))
     return shares
