Keep customers' quotas by tokens that are split over holders (first draft, untested)

Change: a quota is a token bucket, split into slots that two hosts of each data centre hold; a token is given once, so the sum holds whatever hosts see of each other.

--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -15,6 +15,7 @@
 from fuchsiahaven.platform import settings as settings_files
 from fuchsiahaven.relay import (
     confirmations,
+    datagrams,
     entries,
     journal,
     lessons,
@@ -33,6 +34,7 @@
     events,
     facts,
     places,
+    quota_words,
     states,
     suspect_codecs,
 )
@@ -84,6 +86,13 @@
             self.runner.traffic,
             self.runner.post,
         )
+        self._datagrams = datagrams.Datagrams(
+            settings,
+            self.desk.controls.quotas,
+            log,
+            self.runner.traffic,
+            self.runner.post,
+        )
         self.readiness = readiness.Readiness(self._find_obstacle, log)
         self.callers = ports.Port(
             ports.Terms(
@@ -155,6 +164,8 @@
         settings = self.settings
         peers = await self.peers.listen(settings.host.address)
         stack.callback(peers.close)
+        stack.callback(self._datagrams.close)
+        await self._datagrams.open()
         metrics = await self.peers.listen(settings.metrics)
         stack.callback(metrics.close)
         balancer = await self.balancer.listen(settings.readiness)
@@ -211,6 +222,7 @@
         self.desk.change_extra_load(reading.settings.extra_load)
         self.desk.warmups.terms = reading.settings.warm_up
         self.keys.revoke = reading.settings.revoke
+        self._datagrams.reload(reading.settings)
         self.log.tell(PART, 'reloaded', settings=self.settings)
 
     def _make_port(self, handle: ports.Handler) -> ports.Port:
@@ -235,6 +247,10 @@
 
     def _tell(self, told: events.Told) -> None:
         match told:
+            case quota_words.Tell():
+                own = self.settings.host.data_centre
+                near = self.desk.centres.list_hosts(own)
+                self._datagrams.tell(told, near)
             case events.Story():
                 self._tell_story(told)
             case events.Crash():
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -208,6 +208,8 @@
         customers = desk.index.configuration.customers
         if customers is not None:
             told['customers'] = self._tell_customers(len(customers))
+            duties = desk.controls.quotas.buckets.list_duties()
+            told['quotas'] = [duty._asdict() for duty in duties]
         body = json.dumps(told).encode()
         return exchanges.Written(HTTPStatus.OK, JSON, body)
 
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -36,6 +36,7 @@
 def finish(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
     """Reply to the caller; what waits to be sent is not needed any more."""
     outcome = _advise(desk, ask, asks.build_outcome(ask), now)
+    _end_charge(desk, ask, now)
     desk.asks.pop(ask.number, None)
     due = ask.cut if ask.open and isinstance(outcome, events.Merged) else 0
     if now > ask.cut + LONGEST_DELAY_S:
@@ -60,6 +61,12 @@
     ]
 
 
+def _end_charge(desk: states.Desk, ask: asks.Ask, now: float) -> None:
+    """Charge nobody for a request that has not run."""
+    ran = asks.say_ran(ask) is not errors.Ran.NO
+    desk.controls.quotas.end(ask.number, now, ran=ran)
+
+
 def _advise(
     desk: states.Desk, ask: asks.Ask, outcome: events.Outcome, now: float
 ) -> events.Outcome:
@@ -102,7 +109,10 @@
     """
     ask = desk.asks.pop(number, None)
     if ask is None:
+        # It may wait for a word about its customer.
+        desk.controls.quotas.end(number, now, ran=False)
         return []
+    _end_charge(desk, ask, now)
     flights = asks.list_flights(ask)
     actions: Actions = [events.Withdraw(key) for key in flights]
     if not ask.route.at_most_once:
--- /dev/null
+++ b/fuchsiahaven/routing/quota_holders.py
@@ -0,0 +1,78 @@
+"""Know which hosts hold the slots of quotas, and in which order to ask them."""
+
+from collections.abc import Mapping
+from typing import Final
+
+from fuchsiahaven.core import rendezvous
+from fuchsiahaven.routing import places, quota_slots
+
+#: How long a holder that did not answer is asked last, in seconds.
+SILENT_S: Final = 1.0
+#: How long a slot without a token is not asked for again, at most.
+EMPTY_S: Final = 0.1
+
+
+class Holders:
+    """Own what this host knows of the holders."""
+
+    def __init__(self, host: places.Host) -> None:
+        """Start with this host alone."""
+        self._own = host
+        self._hosts: Mapping[str, tuple[places.Host, ...]] = {}
+        self._names: dict[str, str] = {}
+        self._silent: dict[str, float] = {}
+        self._empty: dict[tuple[str, int], float] = {}
+
+    def note_hosts(self, hosts: tuple[places.Host, ...]) -> bool:
+        """Take in which hosts there are; tell whether that has changed."""
+        found: dict[str, list[places.Host]] = {}
+        for one in sorted({*hosts, self._own}):
+            found.setdefault(one.data_centre, []).append(one)
+        known = {centre: tuple(it) for centre, it in found.items()}
+        changed = known != self._hosts
+        self._hosts = known
+        self._names = {host.address: host.name for host in hosts}
+        return changed
+
+    def name_host(self, address: str) -> str:
+        """Name the host at an address; empty where none is known."""
+        return self._names.get(address, '')
+
+    def find(
+        self, limit: quota_slots.Limit, slots: quota_slots.Slots, slot: int
+    ) -> places.Host | None:
+        """Find which host holds a slot; None if none does."""
+        return quota_slots.find_holder(limit.customer, slots, slot, self._hosts)
+
+    def order(
+        self, limit: quota_slots.Limit, slots: quota_slots.Slots, now: float
+    ) -> tuple[int, ...]:
+        """Order the slots: near ones first, those of silent holders last."""
+        names = [str(slot) for slot in range(len(slots.shares))]
+        # Each host begins elsewhere, so that all slots are used alike.
+        spread = [int(it) for it in rendezvous.rank(self._own.name, names)]
+
+        def rank(slot: int) -> tuple[bool, bool]:
+            holder = self.find(limit, slots, slot)
+            silent = holder is None or now < self._silent.get(holder.name, 0)
+            return silent, slots.centres[slot] != self._own.data_centre
+
+        return tuple(sorted(spread, key=rank))
+
+    def note_silent(self, name: str, now: float) -> None:
+        """Take in that a holder did not answer in time."""
+        self._silent[name] = now + SILENT_S
+
+    def note_heard(self, name: str) -> None:
+        """Take in that a holder has answered."""
+        self._silent.pop(name, None)
+
+    def note_empty(
+        self, customer: str, slot: int, wait: float, now: float
+    ) -> None:
+        """Take in that a slot has no token for so many seconds."""
+        self._empty[customer, slot] = now + min(EMPTY_S, wait)
+
+    def count_empty(self, customer: str, slot: int, now: float) -> float:
+        """Count the seconds for which a slot is known to have no token."""
+        return max(0.0, self._empty.get((customer, slot), 0.0) - now)
--- a/fuchsiahaven/routing/quotas.py
+++ b/fuchsiahaven/routing/quotas.py
@@ -1,18 +1,326 @@
-"""Keep each customer's requests within its quota, over all hosts."""
+"""Keep each customer's requests within its quota, over all hosts.
+
+A customer's quota is a bucket of tokens, split into slots that hosts of all
+data centres hold. A request is taken in against one token of any of them.
+Tokens are only ever given once, so their sum bounds what all hosts take in,
+whatever is lost or late between them.
+"""
+
+import itertools
+import zlib
+from collections.abc import Mapping
+from typing import Final, NamedTuple
 
 from fuchsiahaven.core import errors
-from fuchsiahaven.routing import asks, configs, places
+from fuchsiahaven.routing import (
+    asks,
+    configs,
+    places,
+    quota_buckets,
+    quota_holders,
+    quota_purses,
+    quota_slots,
+    quota_words,
+)
+
+SOURCE: Final = 'quotas'
+#: How long a holder has to answer, and all of them together.
+ANSWER_S: Final = 0.015
+PATIENCE_S: Final = 0.06
+#: What a caller is told to wait where no holder could be asked, in seconds.
+UNKNOWN_WAIT_S: Final = 0.3
+#: Part of a wait by which callers are spread.
+SPREAD: Final = 0.25
+WAIT_DIGITS: Final = 2
+LEAST_WAIT_S: Final = 0.01
+LARGEST_DRAW: Final = 0xFFFF_FFFF
+
+
+class Terms(NamedTuple):
+    """Hold what the deployment tells, and a number that names this start."""
+
+    quota: places.Quota | None
+    centres: tuple[str, ...]
+    start: int
+
+
+class Waiting(NamedTuple):
+    """Hold a request that waits for a token.
+
+    `left` are the slots to be asked yet, `asked` the holder that was asked last
+    and `due` until when it may answer; `ends` is when to give up.
+    """
+
+    taken: asks.Taken
+    limit: quota_slots.Limit
+    left: tuple[int, ...]
+    ends: float
+    slot: int = 0
+    asked: str = ''
+    due: float = 0.0
+    waits: tuple[float, ...] = ()
+
+
+class Decided(NamedTuple):
+    """Hold a request that has its token, or the failure to refuse it with."""
+
+    taken: asks.Taken
+    failure: errors.Failure | None
+
+
+class News(NamedTuple):
+    """Hold what came of a call; `due` is when to call `check` next."""
+
+    decided: tuple[Decided, ...]
+    told: tuple[quota_words.Tell, ...]
+    due: float | None
+
+
+Charged = errors.Failure | asks.Taken | Waiting
 
 
 class Quotas:
-    """Own what this host knows of how much customers have used."""
+    """Own the tokens of this host, and the requests that wait for some."""
 
     def __init__(self, host: places.Host) -> None:
-        """Start with nothing counted."""
+        """Start with nothing bounded."""
         self.host = host
+        self.terms = Terms(None, (host.data_centre,), 0)
+        self.buckets = quota_buckets.Buckets()
+        #: Whether anything was decided or is to be told or waited for: looked
+        #: at by far more often than it happens.
+        self.has_news = False
+        self._told: list[quota_words.Tell] = []
+        self._decided: list[Decided] = []
+        self._holders = quota_holders.Holders(host)
+        self._purse = quota_purses.Purse()
+        self._customers: Mapping[str, configs.Customer] = {}
+        self._waiting: dict[int, Waiting] = {}
+        self._paid: dict[int, str] = {}
+        self._numbers = itertools.count(1)
+
+    def note_hosts(self, hosts: tuple[places.Host, ...], now: float) -> None:
+        """Take in which hosts there are."""
+        if self._holders.note_hosts(hosts):
+            self.buckets.renew(now)
+
+    def note_customers(self, known: tuple[configs.Customer, ...]) -> None:
+        """Take in the customers of the configuration in force."""
+        self._customers = {it.name: it for it in known}
+        self.buckets.keep_only(frozenset(self._customers))
+        self._purse.keep_only(frozenset(self._customers))
 
     def charge(
         self, customer: configs.Customer, taken: asks.Taken, now: float
-    ) -> errors.Failure | asks.Taken:
-        """Charge a request to its customer, or say why it is refused."""
-        return taken
+    ) -> Charged:
+        """Charge a request to its customer, or say why it is refused.
+
+        Where it has to wait for a word, it is among those that are `decided`
+        then.
+        """
+        if self.terms.quota is None or customer.rate <= 0:
+            return taken
+        limit = quota_slots.find_limit(customer)
+        if self._purse.spend(limit.customer, now):
+            self._paid[taken.number] = limit.customer
+            return taken
+        self.has_news = True
+        slots = _split(limit, self.terms)
+        left = self._holders.order(limit, slots, now)
+        waiting = Waiting(taken, limit, left, now + PATIENCE_S)
+        return self._go_on(waiting, now)
+
+    def end(self, number: int, now: float, *, ran: bool) -> None:
+        """Take in that a request is over; what has not run costs nothing."""
+        self._waiting = {
+            key: it
+            for key, it in self._waiting.items()
+            if it.taken.number != number
+        }
+        customer = self._paid.pop(number, '')
+        if customer and not ran:
+            self._purse.keep(customer, 1, now)
+
+    def hear(self, heard: quota_words.Heard, now: float) -> None:
+        """Take in a word of another host."""
+        if self.terms.quota is None:
+            return
+        # What was waited for while this host stood still is over.
+        self.check(now)
+        match heard.word:
+            case quota_words.Ask():
+                self._answer(heard.word, heard.sender, now)
+            case quota_words.Verdict():
+                self._take_verdict(heard.word, heard.sender, now)
+
+    def check(self, now: float) -> None:
+        """Go on with what was not answered in time."""
+        self.has_news = True
+        late = [it for it in self._waiting.items() if it[1].due <= now]
+        for number, waiting in late:
+            self._waiting.pop(number)
+            self._holders.note_silent(waiting.asked, now)
+            done = self._go_on(waiting, now)
+            self._decided.extend(_list_decided(done, waiting))
+
+    def take_news(self) -> News:
+        """Take what was decided, what is to be told, and when to check."""
+        due = min((it.due for it in self._waiting.values()), default=None)
+        news = News(tuple(self._decided), tuple(self._told), due)
+        self._decided.clear()
+        self._told.clear()
+        self.has_news = False
+        return news
+
+    def _go_on(self, waiting: Waiting, now: float) -> Charged:
+        """Ask the next holder, as long as there are any and time is left."""
+        if self.terms.quota is None:
+            return waiting.taken
+        slots = _split(waiting.limit, self.terms)
+        while waiting.left and now < waiting.ends:
+            slot, *left = waiting.left
+            waiting = waiting._replace(left=tuple(left), slot=slot)
+            holder = self._holders.find(waiting.limit, slots, slot)
+            done = self._try(waiting, holder, slots.shares[slot], now)
+            if done is not None:
+                return done
+            waiting = _note_none(waiting, self._holders, now)
+        return _refuse(waiting)
+
+    def _try(
+        self,
+        waiting: Waiting,
+        holder: places.Host | None,
+        share: quota_slots.Share,
+        now: float,
+    ) -> Charged | None:
+        """Ask one holder; None where it has no token or there is none."""
+        limit = waiting.limit
+        empty = self._holders.count_empty(limit.customer, waiting.slot, now)
+        if holder is None or empty:
+            return None
+        if holder.name != self.host.name:
+            return self._ask(waiting, holder, now)
+        wanted = self._purse.count_wanted(limit.customer, now)
+        given = self.buckets.give(limit, waiting.slot, share, wanted, now)
+        return self._take_given(waiting, given, now)
+
+    def _ask(
+        self, waiting: Waiting, holder: places.Host, now: float
+    ) -> Waiting:
+        number = next(self._numbers)
+        waiting = waiting._replace(
+            asked=holder.name, due=min(now + ANSWER_S, waiting.ends)
+        )
+        self._waiting[number] = waiting
+        customer = waiting.limit.customer
+        wanted = self._purse.count_wanted(customer, now)
+        word = quota_words.Ask(
+            customer, waiting.slot, number, self.terms.start, wanted
+        )
+        self._told.append(quota_words.Tell(word, holder.address))
+        return waiting
+
+    def _answer(self, ask: quota_words.Ask, sender: str, now: float) -> None:
+        """Give tokens of a slot that this host holds; else say nothing."""
+        customer = self._customers.get(ask.customer)
+        if customer is None or not self._holders.name_host(sender):
+            return
+        given = self._give(quota_slots.find_limit(customer), ask, now)
+        if given is not None:
+            word = quota_words.Verdict(ask.number, ask.start, *given)
+            self._told.append(quota_words.Tell(word, sender))
+
+    def _give(
+        self, limit: quota_slots.Limit, ask: quota_words.Ask, now: float
+    ) -> quota_buckets.Given | None:
+        if self.terms.quota is None or limit.rate <= 0:
+            # The asker has an earlier configuration, which bounded it.
+            return quota_buckets.Given(1, 0.0)
+        slots = _split(limit, self.terms)
+        if ask.slot >= len(slots.shares):
+            return None
+        if self._holders.find(limit, slots, ask.slot) != self.host:
+            return None
+        wanted = min(quota_purses.MOST_WANTED, ask.wanted)
+        share = slots.shares[ask.slot]
+        return self.buckets.give(limit, ask.slot, share, wanted, now)
+
+    def _take_verdict(
+        self, verdict: quota_words.Verdict, sender: str, now: float
+    ) -> None:
+        waiting = self._waiting.get(verdict.number)
+        if waiting is None or verdict.start != self.terms.start:
+            return
+        if self._holders.name_host(sender) != waiting.asked:
+            return
+        self._waiting.pop(verdict.number)
+        self._holders.note_heard(waiting.asked)
+        given = quota_buckets.Given(verdict.granted, verdict.wait)
+        done: Charged | None = self._take_given(waiting, given, now)
+        if done is None:
+            left = _note_none(waiting, self._holders, now)
+            done = self._go_on(left, now)
+        self._decided.extend(_list_decided(done, waiting))
+
+    def _take_given(
+        self, waiting: Waiting, given: quota_buckets.Given, now: float
+    ) -> asks.Taken | None:
+        """Take what a holder gave; None if that is nothing."""
+        customer = waiting.limit.customer
+        if not given.tokens:
+            self._holders.note_empty(customer, waiting.slot, given.wait, now)
+            return None
+        self._paid[waiting.taken.number] = customer
+        self._purse.keep(customer, given.tokens - 1, now)
+        return waiting.taken
+
+
+def _split(limit: quota_slots.Limit, terms: Terms) -> quota_slots.Slots:
+    assert terms.quota is not None
+    return quota_slots.split(limit, terms.quota, terms.centres)
+
+
+def _note_none(
+    waiting: Waiting, known: quota_holders.Holders, now: float
+) -> Waiting:
+    """Note for how long the slot that was tried has no token, if known."""
+    wait = known.count_empty(waiting.limit.customer, waiting.slot, now)
+    if not wait:
+        return waiting
+    return waiting._replace(waits=(*waiting.waits, wait))
+
+
+def _list_decided(done: Charged, waiting: Waiting) -> list[Decided]:
+    match done:
+        case asks.Taken():
+            return [Decided(done, None)]
+        case errors.Failure():
+            return [Decided(waiting.taken, done)]
+    return []
+
+
+def _refuse(waiting: Waiting) -> errors.Failure:
+    """Refuse a request that no holder has a token for."""
+    limit = waiting.limit
+    detail = f'{limit.customer}: {limit.rate:g}/s, burst {limit.burst:g}'
+    if not waiting.waits:
+        return errors.make_failure(
+            errors.Kind.NOT_READY,
+            SOURCE,
+            f'{detail}; no holder of its quota answers',
+            retry_after=UNKNOWN_WAIT_S,
+        )
+    spread = 1 + SPREAD * _draw(waiting.taken.request.request_id)
+    wait = min(waiting.waits) * spread
+    return errors.make_failure(
+        errors.Kind.OVER_QUOTA,
+        SOURCE,
+        f'{detail}; {len(waiting.waits)} slots are empty',
+        retry_after=round(max(wait, LEAST_WAIT_S), WAIT_DIGITS),
+    )
+
+
+def _draw(name: str) -> float:
+    """Draw a number from 0 to 1 that is another for each request."""
+    return zlib.crc32(name.encode()) / LARGEST_DRAW
