--- a/fuchsiahaven/routing/quota_slots.py
+++ b/fuchsiahaven/routing/quota_slots.py
@@ -17,8 +17,11 @@
 #: Parts of what a customer may have beyond its quota: what all slots together
 #: hold beyond its burst, and what they have after a start of their holders,
 #: when nobody knows what was spent before.
-RESERVE_SHARE: Final = 0.5
+RESERVE_SHARE: Final = 0.6
 START_SHARE: Final = 0.25
+#: Part of the reserve that may be out of reach, as no slot gives a part of a
+#: token.
+STRANDED_SHARE: Final = 0.5
 _RANKS: Final = 4096
 
 
@@ -60,13 +63,13 @@
 def split(limit: Limit, quota: places.Quota, centres: tuple[str, ...]) -> Slots:
     """Split a quota into slots over the data centres of a deployment.
 
-    No slot ever gives a part of a token, so up to one of each is out of reach;
-    there are not more slots than the reserve makes up for.
+    There are as many as may be, but for the tokens that would be out of reach.
     """
     excess = count_excess(limit, quota)
     reserve = RESERVE_SHARE * excess
     order = rendezvous.rank(limit.customer, centres)
-    count = max(1, min(IN_CENTRE * len(order), math.floor(reserve)))
+    most = math.floor(STRANDED_SHARE * reserve)
+    count = max(1, min(IN_CENTRE * len(order), most))
     start = math.floor(START_SHARE * excess)
     shares = tuple(
         Share(
--- /dev/null
+++ b/tests/routing/test_quota_codecs.py
@@ -0,0 +1,52 @@
+"""Test the datagrams about quotas."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies as some
+
+from fuchsiahaven.routing import codecs, quota_codecs, quota_words
+
+
+@pytest.mark.parametrize(
+    'word',
+    [
+        quota_words.Ask('Café 9', 3, 71, 12, 4),
+        quota_words.Verdict(71, 12, 0, 0.25),
+    ],
+)
+def test_reads_what_was_written(word: quota_words.Word) -> None:
+    datagram = quota_codecs.write_word(word)
+    assert quota_codecs.read_word(datagram) == word
+    assert len(datagram) < 100
+
+
+@pytest.mark.parametrize(
+    'datagram',
+    [
+        b'',
+        b'\xff\xfe',
+        b'[' * 30_000,
+        b'{"ask":1}',
+        b'["ask","shop",1,2,3]',
+        b'["ask","shop",1,2,3,-1]',
+        b'["ask","shop",1,2,3,1e3]',
+        b'["ask","shop",1,2,3,NaN]',
+        b'["ask","shop",true,2,3,4]',
+        b'["ask",7,1,2,3,4]',
+        b'["verdict",1,2,3,Infinity]',
+        b'["verdict",1,2,3,99999999999999999999999]',
+    ],
+)
+def test_refuses_what_is_no_word(datagram: bytes) -> None:
+    """Guard against bytes of something else that end a host's loop."""
+    with pytest.raises(codecs.Malformed):
+        quota_codecs.read_word(datagram)
+
+
+@hypothesis.given(some.binary(max_size=200))
+def test_any_bytes_are_a_word_or_malformed(datagram: bytes) -> None:
+    """Guard against an error that nobody expects."""
+    try:
+        quota_codecs.read_word(datagram)
+    except codecs.Malformed:
+        return
