Keep each customer's requests within its quota, over all hosts

Each host now admits alone while the customer is far from its limit and reports right after; the first host in the customer's rendezvous order counts, and near the limit hosts ask it first. Votes of a few hosts, given for a lease, let one counter at a time say yes up to the quota; what is tolerated beyond it is split among all that cannot ask.

--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -65,6 +65,7 @@
         self.extra = 0
         self.missing = 0
         self.crashes = 0
+        self.over_quota = 0
         self._by_bucket: collections.Counter[int] = collections.Counter()
 
     def note(self, story: events.Story) -> None:
--- a/fuchsiahaven/relay/pages.py
+++ b/fuchsiahaven/relay/pages.py
@@ -68,6 +68,11 @@
             'Requests under way at targets that ended.',
             self._counted.crashes,
         )
+        yield core.CounterMetricFamily(
+            f'{PREFIX}_over_quota',
+            'Requests refused because their customer had used up its quota.',
+            self._counted.over_quota,
+        )
         yield self._count_bytes()
         for (name, text), figure in zip(GAUGES, self._gauges, strict=True):
             yield core.GaugeMetricFamily(f'{PREFIX}_{name}', text, figure)
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -14,6 +14,7 @@
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.platform import settings as settings_files
 from fuchsiahaven.relay import (
+    datagrams,
     entries,
     journal,
     lessons,
@@ -32,6 +33,7 @@
     events,
     facts,
     places,
+    quota_words,
     states,
     suspect_codecs,
 )
@@ -75,6 +77,10 @@
             self.runner.post,
         )
         self.readiness = readiness.Readiness(self._find_obstacle, log)
+        self.datagrams = datagrams.Datagrams(
+            settings, log, self.runner.traffic, self.runner.post
+        )
+        self.desk.controls.quotas.begin(datagrams.make_terms(settings))
         self.callers = ports.Port(
             ports.Terms(
                 self._take_request,
@@ -143,6 +149,7 @@
         settings = self.settings
         peers = await self.peers.listen(settings.host.address)
         stack.callback(peers.close)
+        await self.datagrams.listen(stack)
         metrics = await self.peers.listen(settings.metrics)
         stack.callback(metrics.close)
         balancer = await self.balancer.listen(settings.readiness)
@@ -198,6 +205,7 @@
         self.lessons.settings = reading.settings
         self.desk.change_extra_load(reading.settings.extra_load)
         self.desk.warmups.terms = reading.settings.warm_up
+        self.desk.controls.quotas.change_quota(reading.settings.quota)
         self.log.tell(PART, 'reloaded', settings=self.settings)
 
     def _make_port(self, handle: ports.Handler) -> ports.Port:
@@ -222,6 +230,13 @@
 
     def _tell(self, told: events.Told) -> None:
         match told:
+            case quota_words.Tell(word, address):
+                self.datagrams.tell(word, address, self.desk.hosts)
+            case quota_words.Refusal():
+                self.meters.over_quota += 1
+                self.log.tell_request(
+                    'quotas', 'refused', good=False, **told._asdict()
+                )
             case events.Story():
                 self._tell_story(told)
             case events.Crash():
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -194,6 +194,9 @@
                 )
                 for service in desk.directory.by_service
             },
+            'quotas': [
+                duty._asdict() for duty in desk.controls.quotas.list_duties(now)
+            ],
             'waiting': self._runner.count_waiting(),
         }
         body = json.dumps(told).encode()
--- a/fuchsiahaven/relay/traffic.py
+++ b/fuchsiahaven/relay/traffic.py
@@ -13,13 +13,15 @@
     """Say what a connection carries.
 
     PARTS are requests to targets, SHARES what other hosts gather, NEWS what
-    hosts tell each other of the store, STORE the calls to it.
+    hosts tell each other of the store, STORE the calls to it, QUOTAS what hosts
+    tell each other of customers' use.
     """
 
     PARTS = enum.auto()
     SHARES = enum.auto()
     NEWS = enum.auto()
     STORE = enum.auto()
+    QUOTAS = enum.auto()
 
 
 class Flow(NamedTuple):
--- a/fuchsiahaven/routing/admission.py
+++ b/fuchsiahaven/routing/admission.py
@@ -9,6 +9,7 @@
     customers,
     endings,
     events,
+    quotas,
     splits,
     states,
 )
@@ -19,10 +20,8 @@
 START_S: Final = 0.5
 
 
-def admit(
-    desk: states.Desk, event: events.Asked, now: float
-) -> asks.Taken | errors.Failure:
-    """Take a request in, or say why it is refused."""
+def admit(desk: states.Desk, event: events.Asked, now: float) -> quotas.Charged:
+    """Take a request in, have it wait, or say why it is refused."""
     route = _find_route(desk, event.request)
     if isinstance(route, errors.Failure):
         return route
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -11,8 +11,8 @@
     delegations,
     endings,
     events,
-    instances,
     plans,
+    quota_words,
     reaches,
     states,
     tries,
@@ -26,9 +26,28 @@
     actions = _handle(desk, event, now)
     actions.extend(desk.standings.take_changes())
     actions.extend(desk.helpers.take_changes())
+    actions.extend(_take_quotas(desk, now))
     return actions
 
 
+def _take_quotas(desk: states.Desk, now: float) -> Actions:
+    """Go on with what was decided on by a word about its customer."""
+    quotas = desk.controls.quotas
+    actions: Actions = []
+    for taken, failure in quotas.take_decided():
+        if failure is None:
+            actions.extend(_begin(desk, taken, now))
+            continue
+        actions.extend(
+            endings.refuse(
+                taken.number, taken.request, failure, taken.version, now
+            )
+        )
+    for wake in quotas.take_wakes(now):
+        desk.set_timer(wake, states.QuotaDue())
+    return [*actions, *quotas.take_told()]
+
+
 def _handle(desk: states.Desk, event: events.Event, now: float) -> Actions:
     match event:
         case events.Asked():
@@ -108,8 +127,8 @@
             return crashes.take_reached(desk, instance, now)
         case events.Ended(instance):
             return crashes.take_end(desk, instance, now)
-        case events.Directed(directory):
-            return _direct(desk, directory, now)
+        case events.Directed():
+            return _direct(desk, event, now)
         case events.Suspected():
             return crashes.take_news(desk, event, now)
 
@@ -121,9 +140,8 @@
         desk.centres.note_heard(known.data_centre)
 
 
-def _direct(
-    desk: states.Desk, directory: instances.Directory, now: float
-) -> Actions:
+def _direct(desk: states.Desk, event: events.Directed, now: float) -> Actions:
+    directory = event.directory
     desk.warmups.note_targets(desk.directory, directory, now)
     desk.directory = directory
     desk.count_wide_centres()
@@ -133,14 +151,20 @@
 
 def _learn(desk: states.Desk, event: events.Event, now: float) -> None:
     match event:
+        case quota_words.Heard():
+            desk.controls.quotas.hear(event, now)
         case events.Configured(configuration):
             if configuration.version > desk.index.configuration.version:
                 desk.index = configs.build_index(configuration)
                 desk.count_wide_centres()
+                desk.controls.quotas.note_customers(
+                    configuration.customers or ()
+                )
         case events.Counted(total, hosts):
             desk.host_count = max(1, total)
             desk.hosts = tuple(it for it in hosts if it.name != desk.host.name)
             desk.warmups.note_hosts(hosts, now)
+            desk.controls.quotas.note_hosts(hosts, now)
 
 
 def _take_request(
@@ -150,7 +174,9 @@
     taken = admission.admit(desk, event, now)
     if isinstance(taken, errors.Failure):
         return endings.refuse(event.ask, event.request, taken, version, now)
-    return _begin(desk, taken, now)
+    if isinstance(taken, asks.Taken):
+        return _begin(desk, taken, now)
+    return []
 
 
 def _begin(desk: states.Desk, taken: asks.Taken, now: float) -> Actions:
@@ -220,6 +246,9 @@
             return crashes.stop_doubting(desk, due, now)
         case states.HeldDue(identity):
             return _resume(desk, identity, now)
+        case states.QuotaDue():
+            desk.controls.quotas.check(now)
+            return []
     ask = desk.asks.get(due.ask)
     if ask is None:
         return []
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -29,6 +29,7 @@
 def finish(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
     """Reply to the caller; what waits to be sent is not needed any more."""
     outcome = _advise(desk, ask, asks.build_outcome(ask), now)
+    _give_back(desk, ask, now)
     desk.asks.pop(ask.number, None)
     due = ask.cut if ask.open and isinstance(outcome, events.Merged) else 0
     if now > ask.cut + LONGEST_DELAY_S:
@@ -42,6 +43,12 @@
     ]
 
 
+def _give_back(desk: states.Desk, ask: asks.Ask, now: float) -> None:
+    """Charge nobody for a request of which nothing was sent."""
+    if asks.say_ran(ask) is errors.Ran.NO:
+        desk.controls.quotas.give_back(ask.number, now)
+
+
 def _advise(
     desk: states.Desk, ask: asks.Ask, outcome: events.Outcome, now: float
 ) -> events.Outcome:
@@ -84,7 +91,10 @@
     """
     ask = desk.asks.pop(number, None)
     if ask is None:
+        # It may wait for a word about its customer.
+        desk.controls.quotas.give_back(number, now)
         return []
+    _give_back(desk, ask, now)
     flights = asks.list_flights(ask)
     actions: Actions = [events.Withdraw(key) for key in flights]
     if not ask.route.at_most_once:
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -9,7 +9,7 @@
 
 from fuchsiahaven.core import errors, identities, suspects
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.routing import configs, instances, places
+from fuchsiahaven.routing import configs, instances, places, quota_words
 
 Fields = tuple[tuple[str, str], ...]
 
@@ -417,7 +417,10 @@
     | Shared
     | Unassisted
     | Assisted
+    | quota_words.Heard
 )
 #: What is only told: to the log, or to other hosts.
-Told = Story | Crash | Suspicion | Belief
+Told = (
+    Story | Crash | Suspicion | Belief | quota_words.Refusal | quota_words.Tell
+)
 Action = Delegate | Dismiss | Give | Send | Withdraw | Cancel | Reply | Told
--- /dev/null
+++ b/fuchsiahaven/routing/quota_shares.py
@@ -0,0 +1,112 @@
+"""Split what a customer may use into shares that add up over all hosts.
+
+Beyond its quota the deployment tolerates some requests. These cover what hosts
+that cannot agree in time admit: a counter that lacks the votes, the first host
+of each data centre, and what was admitted and not yet reported.
+"""
+
+import collections
+import math
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from fuchsiahaven.core import rendezvous
+from fuchsiahaven.routing import configs, places
+
+#: Parts of what is tolerated: for the first counter without votes, and for the
+#: data centres. The rest is for what is not yet reported.
+FREE_PART: Final = 0.3
+CENTRES_PART: Final = 0.4
+#: Part of the quota above which hosts ask before they admit.
+NEAR_PART: Final = 0.95
+#: Hosts that may vote for a customer's counter. The loss of a data centre, and
+#: lists of hosts that differ by one, leave one majority among them.
+VOTERS: Final = 12
+
+
+class Shares(NamedTuple):
+    """Hold how many requests in a window who may admit.
+
+    `full` is for the counter that has the votes, `free` for the first one
+    without them, `centre` for the first host of a data centre. From `near` on
+    hosts ask first. `window` is in seconds.
+    """
+
+    quota: float
+    full: int
+    free: int
+    centre: int
+    near: float
+    window: float
+
+
+class Places(NamedTuple):
+    """Name the hosts that count a customer's requests.
+
+    `second` is the first one outside the data centre of the `first`, if any;
+    `near` is the first one of this host's data centre.
+    """
+
+    first: places.Host
+    second: places.Host | None
+    near: places.Host
+
+    @property
+    def targets(self) -> tuple[places.Host, ...]:
+        """List whom a host tells of its admissions, each once."""
+        named = {
+            it.name: it for it in (self.first, self.second, self.near) if it
+        }
+        return tuple(named.values())
+
+
+def find_quota(customer: configs.Customer, window: float) -> float:
+    """Return how many requests a customer may have in any window."""
+    return customer.rate * window + customer.burst
+
+
+def split(quota: float, terms: places.Quota, centres: int) -> Shares:
+    """Split a quota and what is tolerated beyond it."""
+    spare = terms.overage * quota + terms.slack
+    # Two counters may each take themselves for the first one.
+    free = min(FREE_PART * spare, (quota + FREE_PART * spare) / 2)
+    full = max(quota, free)
+    return Shares(
+        quota,
+        math.floor(full),
+        math.floor(free),
+        math.floor(CENTRES_PART * spare / max(1, centres)),
+        max(free, NEAR_PART * quota),
+        terms.window,
+    )
+
+
+def find_places(
+    customer: str, own: places.Host, hosts: tuple[places.Host, ...]
+) -> Places:
+    """Find who counts a customer's requests."""
+    by_name = {host.name: host for host in (*hosts, own)}
+    order = [by_name[name] for name in rendezvous.rank(customer, by_name)]
+    first = order[0]
+    return Places(
+        first,
+        next((it for it in order if it.data_centre != first.data_centre), None),
+        next(it for it in order if it.data_centre == own.data_centre),
+    )
+
+
+def find_voters(
+    customer: str, hosts: Iterable[places.Host]
+) -> tuple[places.Host, ...]:
+    """Find the hosts that vote for a customer's counter.
+
+    They are spread evenly over the data centres.
+    """
+    by_name = {host.name: host for host in hosts}
+    turns: collections.Counter[str] = collections.Counter()
+    ranked = []
+    for place, name in enumerate(rendezvous.rank(customer, by_name)):
+        centre = by_name[name].data_centre
+        turns[centre] += 1
+        ranked.append((turns[centre], place, by_name[name]))
+    return tuple(host for _, _, host in sorted(ranked)[:VOTERS])
--- /dev/null
+++ b/fuchsiahaven/routing/quota_votes.py
@@ -0,0 +1,90 @@
+"""Hold the votes that let one host at a time count for all."""
+
+import math
+from typing import Final, NamedTuple
+
+from fuchsiahaven.routing import places, quota_shares
+
+#: How long a vote holds, and how often votes are asked for, in seconds.
+LEASE_S: Final = 3.0
+RENEW_S: Final = 1.2
+#: How soon the second counter asks again for votes that it did not get.
+AGAIN_S: Final = 2 * LEASE_S
+#: How soon votes are in, in seconds.
+UNDER_WAY_S: Final = 0.08
+
+
+class Role(NamedTuple):
+    """Say what a host is to a customer at this moment.
+
+    A `grown` host has run for a whole window. `free_to_call` tells that its own
+    vote is not another's, `voters` names the hosts that vote.
+    """
+
+    own: places.Host
+    counts: quota_shares.Places
+    grown: bool
+    free_to_call: bool
+    voters: frozenset[str]
+
+    @property
+    def is_first(self) -> bool:
+        """Tell whether this host is the first counter."""
+        return self.counts.first == self.own
+
+    @property
+    def leads(self) -> bool:
+        """Tell whether this host is the first counter or the second."""
+        return self.is_first or self.counts.second == self.own
+
+    @property
+    def may_call(self) -> bool:
+        """Tell whether this host may ask for votes."""
+        return self.leads and self.grown and self.free_to_call
+
+
+class Votes:
+    """Own the votes that one host was given for a customer."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.since: float | None = None
+        self._until: dict[str, float] = {}
+        self._number = 0
+        self._called = -math.inf
+
+    def call(self, now: float) -> int:
+        """Ask for votes anew, and return the number of the call."""
+        self._number += 1
+        self._called = now
+        return self._number
+
+    def is_due(self, role: Role, now: float) -> bool:
+        """Tell whether it is time for another call."""
+        # The second counter leaves the votes that it did not get to the first.
+        patient = not role.is_first and not self.are_held(role, now)
+        return now >= self._called + (AGAIN_S if patient else RENEW_S)
+
+    def are_under_way(self, now: float) -> bool:
+        """Tell whether votes may come in that were asked for just now."""
+        return now < self._called + UNDER_WAY_S
+
+    def note(self, voter: str, number: int, role: Role, now: float) -> None:
+        """Take in a vote for a call, which holds from when the call left."""
+        until = self._called + LEASE_S
+        if number == self._number and now < until:
+            self._until[voter] = until
+        if self.are_held(role, now) and self.since is None:
+            self.since = now
+
+    def are_held(self, role: Role, now: float) -> bool:
+        """Tell whether more than half of the voters vote for this host."""
+        votes = sum(
+            1
+            for voter, until in self._until.items()
+            if until > now and voter in role.voters
+        )
+        held = role.grown and 2 * votes > len(role.voters)
+        if not held:
+            self.since = None
+        return held
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -52,7 +52,11 @@
     identity: identities.Identity
 
 
-Due = HedgeDue | CutDue | DoubtDue | HeldDue
+class QuotaDue(NamedTuple):
+    """Look at the requests that wait for a word about their customer."""
+
+
+Due = HedgeDue | CutDue | DoubtDue | HeldDue | QuotaDue
 
 
 class Aloft(NamedTuple):
