--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -40,7 +40,12 @@
             continue
         actions.extend(
             endings.refuse(
-                taken.number, taken.request, failure, taken.version, now
+                taken.number,
+                taken.request,
+                failure,
+                taken.version,
+                now,
+                admission.find_asked(desk, taken.request),
             )
         )
     for wake in quotas.take_wakes(now):
@@ -173,7 +178,9 @@
     version = desk.index.configuration.version
     taken = admission.admit(desk, event, now)
     if isinstance(taken, errors.Failure):
-        return endings.refuse(event.ask, event.request, taken, version, now)
+        request = event.request
+        asked = admission.find_asked(desk, request)
+        return endings.refuse(event.ask, request, taken, version, now, asked)
     if isinstance(taken, asks.Taken):
         return _begin(desk, taken, now)
     return []
--- a/fuchsiahaven/routing/quota_votes.py
+++ b/fuchsiahaven/routing/quota_votes.py
@@ -63,7 +63,8 @@
         """Tell whether it is time for another call."""
         # The second counter leaves the votes that it did not get to the first.
         patient = not role.is_first and not self.are_held(role, now)
-        return now >= self._called + (AGAIN_S if patient else RENEW_S)
+        pause = AGAIN_S if patient else RENEW_S
+        return now >= self._called + pause
 
     def are_under_way(self, now: float) -> bool:
         """Tell whether votes may come in that were asked for just now."""
