--- a/fuchsiahaven/routing/quota_exchanges.py
+++ b/fuchsiahaven/routing/quota_exchanges.py
@@ -26,6 +26,8 @@
 #: A request that no counter decided on may come back after this to twice this.
 AGAIN_S: Final = 0.5
 SPREAD: Final = 97
+#: What a caller waits at least, and beyond the moment at which there is room.
+LEAST_WAIT_S: Final = 0.02
 WAIT_DIGITS: Final = 2
 TIME_DIGITS: Final = 4
 
@@ -217,7 +219,7 @@
 ) -> quota_words.Refusal:
     again = AGAIN_S * (1 + wait.taken.number % SPREAD / SPREAD)
     if verdict is not None and verdict.wait:
-        again = verdict.wait
+        again = verdict.wait + LEAST_WAIT_S
     return quota_words.Refusal(
         uses.customer,
         wait.taken.request.request_id,
--- a/fuchsiahaven/routing/quota_shares.py
+++ b/fuchsiahaven/routing/quota_shares.py
@@ -1,8 +1,9 @@
 """Split what a customer may use into shares that add up over all hosts.
 
-Beyond its quota the deployment tolerates some requests. These cover what hosts
-that cannot agree in time admit: a counter that lacks the votes, the first host
-of each data centre, and what was admitted and not yet reported.
+Beyond its quota the deployment tolerates some requests. A part of them is
+served as the quota is; the others cover what hosts that cannot agree in time
+admit: a counter that lacks the votes, the first host of each data centre, and
+what was admitted and not yet reported.
 """
 
 import collections
@@ -13,12 +14,15 @@
 from fuchsiahaven.core import rendezvous
 from fuchsiahaven.routing import configs, places
 
-#: Parts of what is tolerated: for the first counter without votes, and for the
-#: data centres. The rest is for what is not yet reported.
-FREE_PART: Final = 0.3
-CENTRES_PART: Final = 0.4
-#: Part of the quota above which hosts ask before they admit.
-NEAR_PART: Final = 0.95
+#: Parts of what is tolerated: for the counter with the votes, for the first one
+#: without them, and for the data centres.
+FULL_PART: Final = 0.3
+FREE_PART: Final = 0.25
+CENTRES_PART: Final = 0.2
+#: The part for what is not yet reported.
+LAG_PART: Final = 0.25
+#: Part of what may be admitted above which hosts ask before they admit.
+NEAR_PART: Final = 0.8
 #: Hosts that may vote for a customer's counter. The loss of a data centre, and
 #: lists of hosts that differ by one, leave one majority among them.
 VOTERS: Final = 12
@@ -68,15 +72,13 @@
 def split(quota: float, terms: places.Quota, centres: int) -> Shares:
     """Split a quota and what is tolerated beyond it."""
     spare = terms.overage * quota + terms.slack
-    # Two counters may each take themselves for the first one.
-    free = min(FREE_PART * spare, (quota + FREE_PART * spare) / 2)
-    full = max(quota, free)
+    full = math.floor(quota + FULL_PART * spare)
     return Shares(
         quota,
-        math.floor(full),
-        math.floor(free),
+        full,
+        math.floor(FREE_PART * spare),
         math.floor(CENTRES_PART * spare / max(1, centres)),
-        max(free, NEAR_PART * quota),
+        NEAR_PART * full,
         terms.window,
     )
 
--- a/fuchsiahaven/routing/tallies.py
+++ b/fuchsiahaven/routing/tallies.py
@@ -134,7 +134,8 @@
     ) -> quota_words.Verdict:
         """Say that a host's word has come, and whether it is to ask."""
         used = self.count(now)
-        alone = used >= self.shares.free and not self.votes.are_held(role, now)
+        led = self.votes.are_held(role, now) or self.votes.are_under_way(now)
+        alone = used >= self.shares.free and not led
         return quota_words.Verdict(
             customer=self._customer,
             host=role.own.name,
