Ask another host while going through those that were asked

A host ends what another one has forgotten, and the parts go to the next host at once. The fault is as old as the table; the test ends in the same error without the change.

--- a/fuchsiahaven/relay/assistants.py
+++ b/fuchsiahaven/relay/assistants.py
@@ -190,15 +190,19 @@
 
     def dismiss(self, key: events.AssistKey) -> None:
         """End the assistance for a caller that has left."""
-        for helper in self._helpers.values():
+        for helper in self._list_helpers():
             helper.dismiss(key)
 
     def sweep(self, now: float) -> None:
         """End what the hosts have forgotten."""
-        for helper in self._helpers.values():
+        for helper in self._list_helpers():
             helper.sweep(now)
 
     def close(self) -> None:
         """Close every connection."""
-        for helper in self._helpers.values():
+        for helper in self._list_helpers():
             helper.close()
+
+    def _list_helpers(self) -> tuple[Helper, ...]:
+        # What ends at one host may be asked of another one at once.
+        return tuple(self._helpers.values())
