Tell two counters of each admission, and wake less for it

The nearest counter gives only tokens of its own and needs no reports; the word is written once for all it goes to; a timer looks for the acknowledgement once unless it is missing; decisions that concern no customer pass over the quotas.

--- a/fuchsiahaven/relay/datagrams.py
+++ b/fuchsiahaven/relay/datagrams.py
@@ -57,6 +57,7 @@
         self._traffic = counted
         self._post = post
         self._transport: asyncio.DatagramTransport | None = None
+        self._last: tuple[quota_words.Word, bytes] | None = None
 
     async def listen(self, stack: contextlib.AsyncExitStack) -> None:
         """Listen on the port where this host answers other hosts."""
@@ -70,6 +71,14 @@
         stack.callback(transport.close)
         self._transport = transport
 
+    @property
+    def address(self) -> str:
+        """Return where this host listens; empty where it does not."""
+        if self._transport is None:
+            return ''
+        host, port = self._transport.get_extra_info('sockname')
+        return f'{host}:{port}'
+
     def tell(
         self,
         word: quota_words.Word,
@@ -79,8 +88,8 @@
         """Send a word to a host."""
         if self._transport is None:
             return
-        datagram = quota_codecs.write_word(word)
-        self._transport.sendto(datagram, _read_address(address))
+        datagram = self._write(word)
+        self.send(datagram, address)
         own = self._settings.host.data_centre
         far = any(
             host.address == address and host.data_centre != own
@@ -89,6 +98,17 @@
         tally = self._traffic.find(traffic.Kind.QUOTAS, far=far)
         tally.sent += len(datagram) + HEAD_BYTES
 
+    def send(self, datagram: bytes, address: str) -> None:
+        """Send bytes to an address."""
+        if self._transport is not None:
+            self._transport.sendto(datagram, _read_address(address))
+
+    def _write(self, word: quota_words.Word) -> bytes:
+        # Most words go to several hosts, one after the other.
+        if self._last is None or self._last[0] is not word:
+            self._last = (word, quota_codecs.write_word(word))
+        return self._last[1]
+
     def _take(self, datagram: bytes, sender: str) -> None:
         try:
             word = quota_codecs.read_word(datagram)
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -194,14 +194,13 @@
                 )
                 for service in desk.directory.by_service
             },
-            'quotas': [
-                duty._asdict() for duty in desk.controls.quotas.list_duties(now)
-            ],
             'waiting': self._runner.count_waiting(),
         }
         customers = desk.index.configuration.customers
         if customers is not None:
             told['customers'] = self._tell_customers(len(customers))
+            duties = desk.controls.quotas.list_duties(now)
+            told['quotas'] = [duty._asdict() for duty in duties]
         body = json.dumps(told).encode()
         return exchanges.Written(HTTPStatus.OK, JSON, body)
 
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -26,7 +26,8 @@
     actions = _handle(desk, event, now)
     actions.extend(desk.standings.take_changes())
     actions.extend(desk.helpers.take_changes())
-    actions.extend(_take_quotas(desk, now))
+    if desk.controls.quotas.has_news:
+        actions.extend(_take_quotas(desk, now))
     return actions
 
 
--- a/fuchsiahaven/routing/quota_codecs.py
+++ b/fuchsiahaven/routing/quota_codecs.py
@@ -63,7 +63,7 @@
             list(admitted),
             list(wanted),
             int(about),
-            bool(answered),
+            str(first),
             bool(lost),
         ]:
             return quota_words.Usage(
@@ -79,7 +79,7 @@
                 ),
                 tuple(int(number) for number in wanted[-MOST_ADMITTED:]),
                 about,
-                answered,
+                first,
                 lost,
             )
         case [
--- a/fuchsiahaven/routing/quota_counts.py
+++ b/fuchsiahaven/routing/quota_counts.py
@@ -103,7 +103,7 @@
             case quota_words.Purpose.VOTE:
                 tally.votes.note(word.host, word.about, role, now)
                 told += self._judge_held(tally, role, now)
-            case quota_words.Purpose.REPORT if word.answered:
+            case quota_words.Purpose.REPORT if word.first == self._own.name:
                 verdict = tally.acknowledge(word, role, now)
                 told.append(quota_words.Tell(verdict, sender))
             case quota_words.Purpose.ASK if fresh:
--- a/fuchsiahaven/routing/quota_exchanges.py
+++ b/fuchsiahaven/routing/quota_exchanges.py
@@ -116,7 +116,7 @@
         uses.report = quota_uses.Report(self.mail.serial + 1, now)
         if first != self._host:
             self._silences.await_words((first.name,), now)
-            self.mail.wake_at(now + REPEAT_S, now + quota_silences.SILENT_S)
+            self.mail.wake_at(now + REPEAT_S)
         self.mail.tell_counters(uses, quota_words.Purpose.REPORT, 0, now)
 
     def _ask(
@@ -183,6 +183,7 @@
             uses.note_alert(now, asking=True)
         elif now >= report.since + REPEAT_S and not report.repeated:
             uses.report = report._replace(repeated=True)
+            self.mail.wake_at(report.since + quota_silences.SILENT_S)
             self.mail.tell_counters(uses, quota_words.Purpose.REPORT, 0, now)
 
     def _decide(
--- a/fuchsiahaven/routing/quota_mail.py
+++ b/fuchsiahaven/routing/quota_mail.py
@@ -44,10 +44,12 @@
         With `lost` it is silent or lacks the votes.
         """
         counters = self._counts.find_places(uses.customer)
-        word = self.write_usage(uses, purpose, about, now)._replace(lost=lost)
-        for host in counters.targets:
-            answered = host == counters.first
-            self.tell(word._replace(answered=answered), host.address)
+        word = self.write_usage(uses, purpose, about, now)._replace(
+            first=counters.first.name, lost=lost
+        )
+        asked = purpose is quota_words.Purpose.ASK
+        for host in counters.targets if asked else counters.leading:
+            self.tell(word, host.address)
 
     def write_usage(
         self,
--- a/fuchsiahaven/routing/quota_shares.py
+++ b/fuchsiahaven/routing/quota_shares.py
@@ -55,13 +55,16 @@
     second: places.Host | None
     near: places.Host
 
+    @property
+    def leading(self) -> tuple[places.Host, ...]:
+        """List whom a host tells of its admissions."""
+        return (self.first, self.second) if self.second else (self.first,)
+
     @property
     def targets(self) -> tuple[places.Host, ...]:
-        """List whom a host tells of its admissions, each once."""
-        named = {
-            it.name: it for it in (self.first, self.second, self.near) if it
-        }
-        return tuple(named.values())
+        """List whom a host asks, each once."""
+        leading = self.leading
+        return leading if self.near in leading else (*leading, self.near)
 
 
 def find_quota(customer: configs.Customer, window: float) -> float:
--- a/fuchsiahaven/routing/quota_votes.py
+++ b/fuchsiahaven/routing/quota_votes.py
@@ -6,8 +6,8 @@
 from fuchsiahaven.routing import places, quota_shares
 
 #: How long a vote holds, and how often votes are asked for, in seconds.
-LEASE_S: Final = 3.0
-RENEW_S: Final = 1.2
+LEASE_S: Final = 4.0
+RENEW_S: Final = 1.8
 #: How soon the second counter asks again for votes that it did not get.
 AGAIN_S: Final = 2 * LEASE_S
 #: How soon votes are in, in seconds.
--- a/fuchsiahaven/routing/quota_words.py
+++ b/fuchsiahaven/routing/quota_words.py
@@ -24,9 +24,9 @@
 
     `start` tells apart the starts of a host, `serial` grows with each of its
     words. `wanted` are the requests that wait for a word. An ASK is for the
-    request `about`, a VOTE for the call `about`. With `answered` the counter is
-    to answer, `limit` is the quota that the host knows.
-    With `lost` the first counter is silent or lacks the votes.
+    request `about`, a VOTE for the call `about`. The counter `first` is to
+    answer a REPORT, with `lost` it is silent or lacks the votes. `limit` is the
+    quota that the host knows.
     """
 
     purpose: Purpose
@@ -38,7 +38,7 @@
     admitted: tuple[Admission, ...]
     wanted: tuple[int, ...] = ()
     about: int = 0
-    answered: bool = False
+    first: str = ''
     lost: bool = False
 
 
--- a/fuchsiahaven/routing/quotas.py
+++ b/fuchsiahaven/routing/quotas.py
@@ -48,6 +48,9 @@
         self._terms = Terms(None, 1, 0, 0)
         self._counts = quota_counts.Counts(host)
         self._exchange = quota_exchanges.Exchange(host, self._counts)
+        #: Whether anything was decided or is to be told: looked at by far more
+        #: often than it happens.
+        self.has_news = False
 
     def begin(self, terms: Terms) -> None:
         """Take the terms in."""
@@ -79,17 +82,20 @@
         """
         if self._terms.quota is None or customer.rate <= 0:
             return taken
+        self.has_news = True
         return self._exchange.charge(customer, taken, self._read(now))
 
     def give_back(self, number: int, now: float) -> None:
         """Take back the charge of a request that has not run."""
         if self._terms.quota is not None:
+            self.has_news = True
             self._exchange.give_back(number, self._read(now))
 
     def hear(self, heard: quota_words.Heard, now: float) -> None:
         """Take in a word of another host."""
         if self._terms.quota is None:
             return
+        self.has_news = True
         when = self._read(now)
         # What this host waited for too long while it stood still is over.
         self._exchange.check(when)
@@ -98,6 +104,7 @@
     def check(self, now: float) -> None:
         """Decide on what has waited long enough."""
         if self._terms.quota is not None:
+            self.has_news = True
             self._exchange.check(self._read(now))
 
     def list_duties(self, now: float) -> list[quota_counts.Duty]:
@@ -112,6 +119,7 @@
 
     def take_told(self) -> list[quota_words.Tell | quota_words.Refusal]:
         """Take what is to be told to other hosts, and to the log."""
+        self.has_news = False
         return self._exchange.mail.take_told()
 
     def take_wakes(self, now: float) -> list[float]:
--- a/tests/routing/test_quotas.py
+++ b/tests/routing/test_quotas.py
@@ -436,7 +436,7 @@
         (quota_words.Admission(4, 0.25),),
         (5, 6),
         5,
-        answered=True,
+        first='host-2',
     ),
     quota_words.Verdict('c', 'h', 1, 2, True, False, 3, 4.5, 0.25, True),
     quota_words.Call('c', 'h', 3, 2.0),
