--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -116,6 +116,7 @@
 def _review(desk: states.Desk, now: float) -> Actions:
     desk.losses.forget_old(now)
     desk.suspects.forget_old(now)
+    desk.controls.quotas.note_alive(now)
     return [
         events.Belief(name, 'left out', 'the data centre is silent')
         for name in desk.centres.review(now)
--- a/fuchsiahaven/routing/quota_exchanges.py
+++ b/fuchsiahaven/routing/quota_exchanges.py
@@ -43,7 +43,7 @@
         self._host = host
         self._counts = counts
         self._book = quota_uses.Book()
-        self._silences = quota_silences.Silences()
+        self.silences = quota_silences.Silences()
         self.decided: list[quota_uses.Decided] = []
 
     def charge(
@@ -52,7 +52,7 @@
         """Admit a request, have it wait for a word, or say why not."""
         uses = self._book.find(customer.name)
         uses.limit = quota_shares.find_quota(customer, self._counts.window)
-        unsure = self._silences.is_cautious(now)
+        unsure = self.silences.is_cautious(now)
         if unsure or not self._counts.is_grown(now) or uses.has_to_ask():
             self._ask(uses, taken, now)
         else:
@@ -79,7 +79,7 @@
 
     def check(self, now: float) -> None:
         """Decide on what has waited long enough."""
-        self._silences.check(now)
+        self.silences.check(now)
         for uses in self._book.list_open():
             for wait in tuple(uses.waits.values()):
                 self._check_wait(uses, wait, now)
@@ -115,7 +115,7 @@
         first = self._counts.find_places(uses.customer).first
         uses.report = quota_uses.Report(self.mail.serial + 1, now)
         if first != self._host:
-            self._silences.await_words((first.name,), now)
+            self.silences.await_words((first.name,), now)
             self.mail.wake_at(now + REPEAT_S)
         self.mail.tell_counters(uses, quota_words.Purpose.REPORT, 0, now)
 
@@ -124,9 +124,9 @@
     ) -> None:
         counters = self._counts.find_places(uses.customer)
         names = frozenset(host.name for host in counters.targets)
-        silent = self._silences.list_silent(now)
+        silent = self.silences.list_silent(now)
         self._book.begin_wait(uses, quota_uses.Wait(taken, now, names - silent))
-        self._silences.await_words(names - {self._host.name}, now)
+        self.silences.await_words(names - {self._host.name}, now)
         self.mail.wake_at(
             now + SURE_S, now + LAST_S, now + quota_silences.SILENT_S
         )
@@ -149,7 +149,7 @@
         self.mail.tell(word, sender)
 
     def _take_verdict(self, verdict: quota_words.Verdict, now: float) -> None:
-        self._silences.note_heard(verdict.host)
+        self.silences.note_heard(verdict.host)
         uses = self._book.find(verdict.customer)
         first = self._counts.find_places(verdict.customer).first
         uses.note_verdict(verdict, first.name, now)
--- a/fuchsiahaven/routing/quota_shares.py
+++ b/fuchsiahaven/routing/quota_shares.py
@@ -16,11 +16,13 @@
 
 #: Parts of what is tolerated: for the counter with the votes, for the first one
 #: without them, and for the data centres.
-FULL_PART: Final = 0.3
-FREE_PART: Final = 0.25
+FULL_PART: Final = 0.25
+FREE_PART: Final = 0.2
 CENTRES_PART: Final = 0.2
+#: For what a counter with the votes admits between two rounds of votes.
+ROUND_PART: Final = 0.15
 #: The part for what is not yet reported.
-LAG_PART: Final = 0.25
+LAG_PART: Final = 0.2
 #: Part of what may be admitted above which hosts ask before they admit.
 NEAR_PART: Final = 0.8
 #: Hosts that may vote for a customer's counter. The loss of a data centre, and
@@ -32,7 +34,8 @@
     """Hold how many requests in a window who may admit.
 
     `full` is for the counter that has the votes, `free` for the first one
-    without them, `centre` for the first host of a data centre. From `near` on
+    without them, `centre` for the first host of a data centre, `round` for what
+    is admitted between two rounds of votes. From `near` on
     hosts ask first. `window` is in seconds.
     """
 
@@ -40,6 +43,7 @@
     full: int
     free: int
     centre: int
+    round: int
     near: float
     window: float
 
@@ -81,6 +85,7 @@
         full,
         math.floor(FREE_PART * spare),
         math.floor(CENTRES_PART * spare / max(1, centres)),
+        math.floor(ROUND_PART * spare),
         NEAR_PART * full,
         terms.window,
     )
--- a/fuchsiahaven/routing/quota_silences.py
+++ b/fuchsiahaven/routing/quota_silences.py
@@ -8,6 +8,8 @@
 #: this host then asks before it admits anything, in seconds.
 SILENT_S: Final = 0.1
 CAUTIOUS_S: Final = 1.0
+#: A host that did nothing for so long stood still, and may have lost touch.
+STILL_S: Final = 0.5
 #: For how long a host that was silent is not waited for, unless it is heard of.
 KNOWN_S: Final = 20.0
 
@@ -20,6 +22,7 @@
         self._owed: dict[str, float] = {}
         self._silent: dict[str, float] = {}
         self._cautious = -math.inf
+        self._alive = math.inf
 
     def await_words(self, hosts: Iterable[str], now: float) -> None:
         """Take in that hosts owe a word from now on."""
@@ -39,9 +42,15 @@
                 self._silent[host] = now + KNOWN_S
                 self._cautious = now + CAUTIOUS_S
 
+    def note_alive(self, now: float) -> None:
+        """Take in that this host runs; it is told so several times a second."""
+        if now > self._alive + STILL_S:
+            self._cautious = now + CAUTIOUS_S
+        self._alive = now
+
     def is_cautious(self, now: float) -> bool:
         """Tell whether this host may have lost touch with others."""
-        return now < self._cautious
+        return now < self._cautious or now > self._alive + STILL_S
 
     def list_silent(self, now: float) -> frozenset[str]:
         """List the hosts of which no word is expected."""
--- a/fuchsiahaven/routing/quota_votes.py
+++ b/fuchsiahaven/routing/quota_votes.py
@@ -8,10 +8,12 @@
 #: Kept longer than a window: clocks of hosts run at slightly different speeds.
 KEPT: Final = 1.02
 #: How long a vote holds, and how often votes are asked for, in seconds.
-LEASE_S: Final = 4.0
-RENEW_S: Final = 1.8
+LEASE_S: Final = 1.5
+RENEW_S: Final = 0.6
 #: How soon the second counter asks again for votes that it did not get.
-AGAIN_S: Final = 2 * LEASE_S
+AGAIN_S: Final = 1.8
+#: How soon votes may be asked for again where many requests come.
+SOONEST_S: Final = 0.03
 #: How soon votes are in, in seconds.
 UNDER_WAY_S: Final = 0.08
 
@@ -59,20 +61,38 @@
         """Start with none."""
         self.since: float | None = None
         self._until: dict[str, float] = {}
+        self.allowance = 1
         self._number = 0
         self._called = -math.inf
+        self._given: set[str] = set()
+        self._admitted = 0
+        self._called_at = 0
+        self._confirmed_at = 0
+
+    def note_admitted(self, count: int) -> None:
+        """Take in that requests were admitted which the next holder may miss.
+
+        Only `allowance` of them may be between two rounds of votes: another
+        host that gets the votes knows nothing of what this one cannot tell.
+        """
+        self._admitted += count
 
     def call(self, now: float) -> int:
         """Ask for votes anew, and return the number of the call."""
         self._number += 1
         self._called = now
+        self._given = set()
+        self._called_at = self._admitted
         return self._number
 
     def is_due(self, role: Role, now: float) -> bool:
         """Tell whether it is time for another call."""
         # The second counter leaves the votes that it did not get to the first.
-        patient = not role.is_first and not self.are_held(role, now)
-        pause = AGAIN_S if patient else RENEW_S
+        pause = RENEW_S
+        if self._admitted - self._called_at >= self.allowance - 1:
+            pause = SOONEST_S
+        if not role.is_first and not self._are_valid(role, now):
+            pause = AGAIN_S
         return now >= self._called + pause
 
     def are_under_way(self, now: float) -> bool:
@@ -84,20 +104,28 @@
         until = self._called + LEASE_S
         if number == self._number and now < until:
             self._until[voter] = until
+            self._given.add(voter)
+        if 2 * len(self._given & role.voters) > len(role.voters):
+            self._confirmed_at = self._called_at
         if self.are_held(role, now) and self.since is None:
             self.since = now
 
     def are_held(self, role: Role, now: float) -> bool:
+        """Tell whether this host may say yes for all."""
+        spent = self._admitted - self._confirmed_at > self.allowance
+        held = self._are_valid(role, now) and not spent
+        if not held:
+            self.since = None
+        return held
+
+    def _are_valid(self, role: Role, now: float) -> bool:
         """Tell whether more than half of the voters vote for this host."""
         votes = sum(
             1
             for voter, until in self._until.items()
             if until > now and voter in role.voters
         )
-        held = role.grown and 2 * votes > len(role.voters)
-        if not held:
-            self.since = None
-        return held
+        return role.grown and 2 * votes > len(role.voters)
 
 
 class Promise(NamedTuple):
--- a/fuchsiahaven/routing/quotas.py
+++ b/fuchsiahaven/routing/quotas.py
@@ -107,6 +107,11 @@
             self.has_news = True
             self._exchange.check(self._read(now))
 
+    def note_alive(self, now: float) -> None:
+        """Take in that this host runs; it is told so several times a second."""
+        if self._terms.quota is not None:
+            self._exchange.silences.note_alive(self._read(now))
+
     def list_duties(self, now: float) -> list[quota_counts.Duty]:
         """List the fullest customers that this host counts, for people."""
         return self._counts.list_duties(self._read(now))
--- a/fuchsiahaven/routing/tallies.py
+++ b/fuchsiahaven/routing/tallies.py
@@ -64,6 +64,9 @@
             if (key, number) not in self._refused:
                 times[number] = before.get(number, now)
         self._known[key] = Known(word.serial, now, times)
+        fresh = [it for it in word.admitted if it.number not in before]
+        self.votes.allowance = self.shares.round
+        self.votes.note_admitted(len(fresh))
         return True
 
     def count(self, now: float) -> int:
@@ -105,7 +108,8 @@
         asking = self._has_to_be_asked(role, now, part)
         due = now >= self._alerted + REPEAT_S
         changed = asking != self._told_asking
-        speaks = role.is_first or self.votes.are_held(role, now)
+        lost = role.leads and now < self._lost + self.shares.window
+        speaks = role.is_first or lost or self.votes.are_held(role, now)
         if not speaks or not (changed or asking):
             return None
         if not due and (self._told_asking or not changed):
@@ -125,7 +129,9 @@
         if not sure:
             granted = self._give_own(role, now)
         wait = 0.0
-        if not granted:
+        if granted:
+            self.votes.note_admitted(1)
+        else:
             self._refuse(word, now)
             wait = self._find_wait(role, now)
         return self.acknowledge(word, role, now)._replace(
--- a/tests/routing/quota_rig.py
+++ b/tests/routing/quota_rig.py
@@ -22,6 +22,8 @@
 CENTRES: Final = ('north', 'south', 'east', 'west')
 LEAST_DELAY_S: Final = 0.0002
 TIMER_LATE_S: Final = 0.002
+#: How often hosts look after what is under way.
+BEAT_S: Final = 0.1
 BEGIN_S: Final = 100.0
 ROUTE: Final = desk_rig.make_route(configs.Single('records'))
 
@@ -100,6 +102,7 @@
         )
         self.tell_hosts(node)
         node.quotas.note_customers(self.customers)
+        self._beat(node, start)
 
     def tell_hosts(
         self, node: Node, seen: Iterable[places.Host] | None = None
@@ -183,6 +186,15 @@
             if isinstance(told, quota_words.Tell):
                 self._send(node, told)
 
+    def _beat(self, node: Node, start: int) -> None:
+        if not node.alive or node.start != start:
+            return
+        if self.now < node.busy:
+            self.at(node.busy, lambda: self._beat(node, start))
+            return
+        node.quotas.note_alive(self.now - node.slept)
+        self.at(self.now + BEAT_S, lambda: self._beat(node, start))
+
     def _set_timer(self, node: Node, start: int, when: float) -> None:
         self.at(when, lambda: self._check(node, start))
 
