--- a/fuchsiahaven/routing/quota_shares.py
+++ b/fuchsiahaven/routing/quota_shares.py
@@ -16,13 +16,13 @@
 
 #: Parts of what is tolerated: for the counter with the votes, for the first one
 #: without them, and for the data centres.
-FULL_PART: Final = 0.25
+FULL_PART: Final = 0.2
 FREE_PART: Final = 0.2
 CENTRES_PART: Final = 0.2
 #: For what a counter with the votes admits between two rounds of votes.
 ROUND_PART: Final = 0.15
 #: The part for what is not yet reported.
-LAG_PART: Final = 0.2
+LAG_PART: Final = 0.25
 #: Part of what may be admitted above which hosts ask before they admit.
 NEAR_PART: Final = 0.8
 #: Hosts that may vote for a customer's counter. The loss of a data centre, and
--- a/tests/routing/test_quotas.py
+++ b/tests/routing/test_quotas.py
@@ -283,6 +283,11 @@
         ((Cut(8.8, 5, 'west'),), NETWORK, 1),
         ((Cut(9, 5, 'west'),), NETWORK, 1),
         ((Freeze(9, 2.4, 1.0, False),), NETWORK, 2),
+        (
+            (Split(5.881707550096619, 7.486682208094137, 'west'),),
+            quota_rig.Network(0.02, 0, 0.1),
+            32,
+        ),
     ],
 )
 def test_two_sides_do_not_each_use_the_quota(
