Mend what a review of the tokens found, each with a test

Change: buckets of slots that are another's are dropped, tokens keep the time of their giving, a host that is not on its list holds nothing, a customer that is back begins with its start, one token always fits. A stale host gives nothing.

--- a/fuchsiahaven/relay/datagrams.py
+++ b/fuchsiahaven/relay/datagrams.py
@@ -77,6 +77,8 @@
 
     def close(self) -> None:
         """Close the socket."""
+        for task in tuple(self._opening):
+            task.cancel()
         if self._transport is not None:
             self._transport.close()
             self._transport = None
--- a/fuchsiahaven/routing/controls.py
+++ b/fuchsiahaven/routing/controls.py
@@ -14,4 +14,5 @@
 
 def make_controls(host: places.Host) -> Controls:
     """Make the parts of a host that has just started."""
-    return Controls(freshness.Freshness(), quotas.Quotas(host))
+    known = freshness.Freshness()
+    return Controls(known, quotas.Quotas(host, known.find_wait))
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -164,7 +164,7 @@
                 desk.index = configs.build_index(configuration)
                 desk.count_wide_centres()
                 known = configuration.customers or ()
-                desk.controls.quotas.note_customers(known)
+                desk.controls.quotas.note_customers(known, now)
         case events.Counted(total, hosts):
             desk.host_count = max(1, total)
             desk.hosts = tuple(it for it in hosts if it.name != desk.host.name)
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -54,6 +54,7 @@
     desk: states.Desk, ask: asks.Ask, failure: errors.Failure, now: float
 ) -> Actions:
     """Refuse an ask that was begun and of which nothing has left."""
+    desk.controls.quotas.end(ask.number, now, ran=False)
     desk.asks.pop(ask.number, None)
     return [
         events.Reply(ask.number, failure),
--- a/fuchsiahaven/routing/quota_buckets.py
+++ b/fuchsiahaven/routing/quota_buckets.py
@@ -1,5 +1,6 @@
 """Give out the tokens of the slots that this host holds."""
 
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from fuchsiahaven.routing import quota_slots
@@ -50,11 +51,18 @@
         """Start without any."""
         self._buckets: dict[Key, Bucket] = {}
         self._shares: dict[Key, quota_slots.Share] = {}
+        self._since: dict[str, float] = {}
         self._renewed = 0.0
 
-    def renew(self, now: float) -> None:
-        """Take note that other hosts may hold slots than did until now."""
+    def renew(self, now: float, is_held: Callable[[str, int], bool]) -> None:
+        """Take note that other hosts may hold slots than did until now.
+
+        Whoever holds a slot that was this host's gives its tokens meanwhile.
+        """
         self._renewed = now
+        lost = [key for key in self._buckets if not is_held(*key)]
+        for key in lost:
+            self._buckets.pop(key)
 
     def give(
         self,
@@ -88,12 +96,19 @@
         ]
         return sorted(duties, key=lambda it: it.tokens / it.most)[:MOST_TOLD]
 
-    def keep_only(self, customers: frozenset[str]) -> None:
-        """Forget the customers that there are no more."""
-        gone = [it for it in self._buckets if it.customer not in customers]
-        for key in gone:
-            self._buckets.pop(key)
-            self._shares.pop(key, None)
+    def note_customers(self, customers: frozenset[str], now: float) -> None:
+        """Take in which customers there are; forget the others.
+
+        One that is back may have spent its tokens before it went.
+        """
+        for new in customers - self._since.keys():
+            self._since[new] = now
+        for gone in self._since.keys() - customers:
+            self._since.pop(gone)
+        lost = [it for it in self._shares if it.customer not in customers]
+        for key in lost:
+            self._shares.pop(key)
+            self._buckets.pop(key, None)
 
     def _fill(self, key: Key, share: quota_slots.Share, now: float) -> Bucket:
         """Fill a bucket by the time that has passed.
@@ -102,7 +117,8 @@
         """
         bucket = self._buckets.get(key)
         if bucket is None:
-            bucket = Bucket(share.start, self._renewed)
+            since = self._since.get(key.customer, now)
+            bucket = Bucket(share.start, max(self._renewed, since))
         passed = max(0.0, now - bucket.noted)
         level = min(share.most, bucket.level + share.rate * passed)
         return bucket._replace(level=level, noted=now)
--- a/fuchsiahaven/routing/quota_holders.py
+++ b/fuchsiahaven/routing/quota_holders.py
@@ -10,6 +10,8 @@
 SILENT_S: Final = 1.0
 #: How long a slot without a token is not asked for again, at most.
 EMPTY_S: Final = 0.1
+#: Customers whose holders are remembered at most.
+MOST_FOUND: Final = 100_000
 
 
 class Empty(NamedTuple):
@@ -27,20 +29,37 @@
         self._own = host
         self._hosts: Mapping[str, tuple[places.Host, ...]] = {}
         self._names: dict[str, str] = {}
+        self._found: dict[
+            tuple[str, tuple[str, ...]], tuple[places.Host | None, ...]
+        ] = {}
         self._silent: dict[str, float] = {}
         self._empty: dict[tuple[str, int], Empty] = {}
 
     def note_hosts(self, hosts: tuple[places.Host, ...]) -> bool:
         """Take in which hosts there are; tell whether that has changed."""
         found: dict[str, list[places.Host]] = {}
-        for one in sorted({*hosts, self._own}):
+        # A host that is not on the list is nobody's holder, this one neither:
+        # others would take another one for it.
+        for one in sorted(set(hosts)):
             found.setdefault(one.data_centre, []).append(one)
         known = {centre: tuple(it) for centre, it in found.items()}
         changed = known != self._hosts
+        if changed:
+            self._found.clear()
+            self._silent.clear()
+            self._empty.clear()
         self._hosts = known
         self._names = {host.address: host.name for host in hosts}
         return changed
 
+    def holds(
+        self, limit: quota_slots.Limit, slots: quota_slots.Slots, slot: int
+    ) -> bool:
+        """Tell whether this host holds a slot."""
+        return slot < len(slots.shares) and (
+            self.find(limit, slots, slot) == self._own
+        )
+
     def name_host(self, address: str) -> str:
         """Name the host at an address; empty where none is known."""
         return self._names.get(address, '')
@@ -49,7 +68,14 @@
         self, limit: quota_slots.Limit, slots: quota_slots.Slots, slot: int
     ) -> places.Host | None:
         """Find which host holds a slot; None if none does."""
-        return quota_slots.find_holder(limit.customer, slots, slot, self._hosts)
+        key = (limit.customer, slots.centres)
+        found = self._found.get(key)
+        if found is None:
+            if len(self._found) >= MOST_FOUND:
+                self._found.clear()
+            found = quota_slots.list_holders(limit.customer, slots, self._hosts)
+            self._found[key] = found
+        return found[slot]
 
     def order(
         self, limit: quota_slots.Limit, slots: quota_slots.Slots, now: float
--- a/fuchsiahaven/routing/quota_slots.py
+++ b/fuchsiahaven/routing/quota_slots.py
@@ -4,6 +4,7 @@
 their shares add up whatever the hosts know of each other.
 """
 
+import collections
 import functools
 import math
 from collections.abc import Mapping, Sequence
@@ -14,15 +15,13 @@
 
 #: Holders in each data centre, so that one may fail.
 IN_CENTRE: Final = 2
-#: Parts of what a customer may have beyond its quota: what all slots together
-#: hold beyond its burst, and what they have after a start of their holders,
-#: when nobody knows what was spent before.
-RESERVE_SHARE: Final = 0.6
+#: Parts of what is tolerated beyond a quota: what all slots together hold
+#: beyond its burst, what they give beyond its rate in a window, and what they
+#: have after a start of their holders, when nobody knows what was spent.
+BURST_SHARE: Final = 0.3
+RATE_SHARE: Final = 0.3
 START_SHARE: Final = 0.25
-#: Part of the reserve that may be out of reach, as no slot gives a part of a
-#: token.
-STRANDED_SHARE: Final = 0.5
-_RANKS: Final = 4096
+_LIMITS: Final = 4096
 
 
 class Limit(NamedTuple):
@@ -59,24 +58,21 @@
     return quota.overage * allowed + quota.slack
 
 
-@functools.lru_cache(maxsize=_RANKS)
+@functools.lru_cache(maxsize=_LIMITS)
 def split(limit: Limit, quota: places.Quota, centres: tuple[str, ...]) -> Slots:
     """Split a quota into slots over the data centres of a deployment.
 
-    There are as many as may be, but for the tokens that would be out of reach.
+    No slot gives a part of a token, so that up to one of each is out of reach;
+    there are no more of them than the burst goes without.
     """
     excess = count_excess(limit, quota)
-    reserve = RESERVE_SHARE * excess
+    spare = BURST_SHARE * excess
     order = rendezvous.rank(limit.customer, centres)
-    most = math.floor(STRANDED_SHARE * reserve)
-    count = max(1, min(IN_CENTRE * len(order), most))
+    count = max(1, min(IN_CENTRE * len(order), math.floor(spare)))
+    rate, most = _find_whole(limit, quota)
     start = math.floor(START_SHARE * excess)
     shares = tuple(
-        Share(
-            limit.rate / count,
-            (limit.burst + reserve) / count,
-            (start + count - 1 - place) // count,
-        )
+        Share(rate / count, most / count, (start + count - 1 - place) // count)
         for place in range(count)
     )
     return Slots(
@@ -84,22 +80,34 @@
     )
 
 
-def find_holder(
+def _find_whole(limit: Limit, quota: places.Quota) -> tuple[float, float]:
+    """Find the rate of all slots together, and the most that they hold.
+
+    At least one token has to fit, or there would never be any.
+    """
+    excess = count_excess(limit, quota)
+    most = limit.burst + BURST_SHARE * excess
+    rate = limit.rate + RATE_SHARE * excess / quota.window
+    lacking = max(0.0, 1 - most)
+    return max(rate / 2, rate - lacking / quota.window), max(1.0, most)
+
+
+def list_holders(
     customer: str,
     slots: Slots,
-    slot: int,
     hosts: Mapping[str, Sequence[places.Host]],
-) -> places.Host | None:
-    """Find which of the hosts, by data centre, holds a slot; None if none."""
-    centre = slots.centres[slot]
-    found = hosts.get(centre, ())
-    place = slots.centres[:slot].count(centre)
-    ranked = _rank(customer, tuple(host.name for host in found))
-    if place >= len(ranked):
-        return None
-    return next(host for host in found if host.name == ranked[place])
-
-
-@functools.lru_cache(maxsize=_RANKS)
-def _rank(customer: str, names: tuple[str, ...]) -> tuple[str, ...]:
-    return rendezvous.rank(customer, names)
+) -> tuple[places.Host | None, ...]:
+    """List the holder of each slot among hosts by data centre, None if none."""
+    ranked = {
+        centre: collections.deque(_rank(customer, hosts.get(centre, ())))
+        for centre in set(slots.centres)
+    }
+    return tuple(
+        ranked[centre].popleft() if ranked[centre] else None
+        for centre in slots.centres
+    )
+
+
+def _rank(customer: str, hosts: Sequence[places.Host]) -> list[places.Host]:
+    by_name = {host.name: host for host in hosts}
+    return [by_name[name] for name in rendezvous.rank(customer, list(by_name))]
--- a/fuchsiahaven/routing/quotas.py
+++ b/fuchsiahaven/routing/quotas.py
@@ -6,9 +6,10 @@
 whatever is lost or late between them.
 """
 
+import functools
 import itertools
 import zlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import errors
@@ -63,6 +64,13 @@
     waits: tuple[float, ...] = ()
 
 
+class Paid(NamedTuple):
+    """Hold whose token a request has, and until when that may be spent."""
+
+    customer: str
+    until: float
+
+
 class Decided(NamedTuple):
     """Hold a request that has its token, or the failure to refuse it with."""
 
@@ -81,12 +89,25 @@
 Charged = errors.Failure | asks.Taken | Waiting
 
 
+def _wait_never() -> float:
+    return 0.0
+
+
 class Quotas:
     """Own the tokens of this host, and the requests that wait for some."""
 
-    def __init__(self, host: places.Host) -> None:
-        """Start with nothing bounded."""
+    def __init__(
+        self,
+        host: places.Host,
+        find_wait: Callable[[], float] = _wait_never,
+    ) -> None:
+        """Start with nothing bounded.
+
+        `find_wait` tells for how long this host takes no customers' requests,
+        as it is out of touch: others may hold its slots by then.
+        """
         self.host = host
+        self._find_wait = find_wait
         self.terms = Terms(None, (host.data_centre,), 0)
         self.buckets = quota_buckets.Buckets()
         #: Whether anything was decided or is to be told or waited for: looked
@@ -98,18 +119,23 @@
         self._purse = quota_purses.Purse()
         self._customers: Mapping[str, configs.Customer] = {}
         self._waiting: dict[int, Waiting] = {}
-        self._paid: dict[int, str] = {}
+        self._paid: dict[int, Paid] = {}
         self._numbers = itertools.count(1)
 
     def note_hosts(self, hosts: tuple[places.Host, ...], now: float) -> None:
         """Take in which hosts there are."""
         if self._holders.note_hosts(hosts):
-            self.buckets.renew(now)
+            held = functools.partial(
+                _holds, self._holders, self._customers, self.terms
+            )
+            self.buckets.renew(now, held)
 
-    def note_customers(self, known: tuple[configs.Customer, ...]) -> None:
+    def note_customers(
+        self, known: tuple[configs.Customer, ...], now: float
+    ) -> None:
         """Take in the customers of the configuration in force."""
         self._customers = {it.name: it for it in known}
-        self.buckets.keep_only(frozenset(self._customers))
+        self.buckets.note_customers(frozenset(self._customers), now)
         self._purse.keep_only(frozenset(self._customers))
 
     def charge(
@@ -123,8 +149,9 @@
         if self.terms.quota is None or customer.rate <= 0:
             return taken
         limit = quota_slots.find_limit(customer)
-        if self._purse.spend(limit.customer, now):
-            self._paid[taken.number] = limit.customer
+        until = self._purse.spend(limit.customer, now)
+        if until is not None:
+            self._paid[taken.number] = Paid(limit.customer, until)
             return taken
         self.has_news = True
         slots = _split(limit, self.terms)
@@ -139,9 +166,9 @@
             for key, it in self._waiting.items()
             if it.taken.number != number
         }
-        customer = self._paid.pop(number, '')
-        if customer and not ran:
-            self._purse.keep(customer, 1, now)
+        paid = self._paid.pop(number, None)
+        if paid is not None and not ran:
+            self._purse.keep(paid.customer, 1, paid.until)
 
     def hear(self, heard: quota_words.Heard, now: float) -> None:
         """Take in a word of another host."""
@@ -203,6 +230,8 @@
             return None
         if holder.name != self.host.name:
             return self._ask(waiting, holder, now)
+        if self._find_wait():
+            return None
         wanted = self._purse.count_wanted(limit.customer, now)
         given = self.buckets.give(limit, waiting.slot, share, wanted, now)
         return self._take_given(waiting, given, now)
@@ -225,24 +254,23 @@
 
     def _answer(self, ask: quota_words.Ask, sender: str, now: float) -> None:
         """Give tokens of a slot that this host holds; else say nothing."""
-        customer = self._customers.get(ask.customer)
-        if customer is None or not self._holders.name_host(sender):
+        if not self._holders.name_host(sender) or self._find_wait():
             return
-        given = self._give(quota_slots.find_limit(customer), ask, now)
+        given = self._give(ask, now)
         if given is not None:
             word = quota_words.Verdict(ask.number, ask.start, *given)
             self._told.append(quota_words.Tell(word, sender))
 
     def _give(
-        self, limit: quota_slots.Limit, ask: quota_words.Ask, now: float
+        self, ask: quota_words.Ask, now: float
     ) -> quota_buckets.Given | None:
-        if self.terms.quota is None or limit.rate <= 0:
-            # The asker has an earlier configuration, which bounded it.
-            return quota_buckets.Given(1, 0.0)
+        customer = self._customers.get(ask.customer)
+        if customer is None or customer.rate <= 0 or self.terms.quota is None:
+            # One of the two hosts has an earlier configuration.
+            return quota_buckets.Given(0, UNKNOWN_WAIT_S)
+        limit = quota_slots.find_limit(customer)
         slots = _split(limit, self.terms)
-        if ask.slot >= len(slots.shares):
-            return None
-        if self._holders.find(limit, slots, ask.slot) != self.host:
+        if not self._holders.holds(limit, slots, ask.slot):
             return None
         wanted = min(quota_purses.MOST_WANTED, ask.wanted)
         share = slots.shares[ask.slot]
@@ -273,11 +301,28 @@
         if not given.tokens:
             self._holders.note_empty(customer, waiting.slot, given.wait, now)
             return None
-        self._paid[waiting.taken.number] = customer
-        self._purse.keep(customer, given.tokens - 1, now)
+        until = now + quota_purses.KEPT_S
+        self._paid[waiting.taken.number] = Paid(customer, until)
+        ahead = min(given.tokens, quota_purses.MOST_WANTED) - 1
+        self._purse.keep(customer, ahead, until)
         return waiting.taken
 
 
+def _holds(
+    holders: quota_holders.Holders,
+    customers: Mapping[str, configs.Customer],
+    terms: Terms,
+    name: str,
+    slot: int,
+) -> bool:
+    """Tell whether this host holds a slot of a customer by its name."""
+    customer = customers.get(name)
+    if customer is None or terms.quota is None:
+        return False
+    limit = quota_slots.find_limit(customer)
+    return holders.holds(limit, _split(limit, terms), slot)
+
+
 def _split(limit: quota_slots.Limit, terms: Terms) -> quota_slots.Slots:
     assert terms.quota is not None
     return quota_slots.split(limit, terms.quota, terms.centres)
--- a/tests/routing/test_quotas.py
+++ b/tests/routing/test_quotas.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as some
 
 from fuchsiahaven.core import errors
-from fuchsiahaven.routing import configs, places, quotas
+from fuchsiahaven.routing import configs, places, quota_slots, quotas
 from tests.routing import quota_model
 
 LARGE: Final = quota_model.LARGE
@@ -258,6 +258,58 @@
             self.world.tell_hosts(host, tuple(self.world.hosts))
 
 
+def test_holds_over_an_outage_in_which_nothing_runs() -> None:
+    """Guard against tokens that are given back for as long as nothing runs."""
+    world = quota_model.World(16)
+    ends = world.now + 8
+    while world.now < ends:
+        world.play(0.05, {LARGE: 300.0})
+        for host in world.hosts:
+            life = world._lives[host.name]
+            for number in tuple(life._paid):
+                life.end(number, world.now, ran=False)
+    world.admitted.clear()
+    world.play(6.0, {LARGE: 300.0})
+    check_bounds(world)
+
+
+def test_holds_when_a_holder_leaves_and_comes_back_twice() -> None:
+    """Guard against a former holder that has saved tokens up meanwhile."""
+    large = LARGE._replace(burst=100.0)
+    world = quota_model.World(16, known=(large,))
+    slots = quota_slots.split(
+        quota_slots.find_limit(large), quota_model.QUOTA, quota_model.CENTRES
+    )
+    by_centre = {
+        centre: [it for it in world.hosts if it.data_centre == centre]
+        for centre in quota_model.CENTRES
+    }
+    gone = set(quota_slots.list_holders(large.name, slots, by_centre))
+    left = tuple(it for it in world.hosts if it not in gone)
+    for _ in range(2):
+        world.play(2.0, {large: 300.0})
+        for host in world.hosts:
+            world.tell_hosts(host, left)
+        world.play(2.0, {large: 300.0})
+        for host in world.hosts:
+            world.tell_hosts(host, tuple(world.hosts))
+        world.run_to(world.now + 100)
+    world.play(2.0, {large: 300.0})
+    for host in world.hosts:
+        world.tell_hosts(host, left)
+    world.play(3.0, {large: 300.0})
+    check_bounds(world)
+
+
+def test_a_host_that_knows_no_other_gives_nothing() -> None:
+    """Guard against hosts that all take themselves for holders at a start."""
+    world = quota_model.World(73)
+    for host in world.hosts:
+        world.tell_hosts(host, ())
+    world.play(5.0, HOT)
+    assert not world.admitted
+
+
 STEPS: Final = (
     'cut north',
     'cut two',
