Send again near the decision only what coverage lacks

Cause: of 90 parts 13 may be missing, yet a host that came to its slow parts some milliseconds before it had to decide had all of them sent a second time.

With less than 10 ms left only as many as coverage lacks are sent, with as few hosts asked as that takes.

--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -199,6 +199,15 @@
     return not _covers(ask, sum(1 for it in ask.parts.values() if it.lost))
 
 
+def count_spare(ask: Ask) -> int:
+    """Count how many more parts may be lost before no answer can be made."""
+    lost = sum(1 for part in ask.parts.values() if part.lost)
+    most = len(ask.parts)
+    return next(
+        (it for it in range(most) if not _covers(ask, lost + it + 1)), 0
+    )
+
+
 def _covers(ask: Ask, missing: int) -> bool:
     total = len(ask.parts)
     needed = float(total)
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -20,6 +20,7 @@
     events,
     places,
     plans,
+    second_sendings,
     states,
     tries,
 )
@@ -55,9 +56,10 @@
         if ask.parts[service].sent < ask.route.attempts:
             helper = _find_second(desk, ask, service, now)
             shared.setdefault(helper or desk.host, []).append(service)
-    own = shared.pop(desk.host, [])
-    actions = tries.hedge_all(desk, ask, own, now)
-    for helper, services in shared.items():
+    worth = second_sendings.count_worth(ask, len(slow), now)
+    kept = second_sendings.keep_worth(desk.host, shared, worth)
+    actions = tries.hedge_all(desk, ask, kept.pop(desk.host, []), now)
+    for helper, services in kept.items():
         # The helper sees to the shared bound on repeats.
         planned = plans.Plan(helper, tuple(services))
         actions.append(start(desk, ask, planned, now))
--- a/tests/routing/test_delegations.py
+++ b/tests/routing/test_delegations.py
@@ -324,9 +324,10 @@
 ]
 
 
-def make_member() -> desk_rig.Rig:
+def make_member(coverage: float = 0.95, objective: float = 0.1) -> desk_rig.Rig:
     """Make one of 63 hosts, with two near targets of each shard."""
-    route = desk_rig.make_route(configs.Gather(WIDE, 2, 0.95))
+    route = desk_rig.make_route(configs.Gather(WIDE, 2, coverage))
+    route = route._replace(objective=objective)
     rig = desk_rig.Rig([route], desk_rig.make_instances(WIDE, 2))
     rig.post(events.Counted(63, (desk_rig.HOST, *FLEET)))
     return rig
@@ -373,6 +374,43 @@
     assert not outcome.missing
 
 
+def make_late_share(delegate: events.Delegate, waiting: int) -> events.Share:
+    """Make a share without the first so many parts, which are still out."""
+    services = delegate.assist.services
+    pending = tuple(
+        events.PartOut(it, f'{it}-0', arrived=True) for it in services[:waiting]
+    )
+    return make_share(services[waiting:])._replace(pending=pending)
+
+
+@pytest.mark.parametrize(
+    ('when', 'waiting', 'again'),
+    [(0.03, 12, 12), (0.046, 12, 3), (0.046, 9, 0), (0.07, 12, 3)],
+)
+def test_sends_again_near_the_end_what_coverage_needs(
+    when: float, waiting: int, again: int
+) -> None:
+    """Symptom: small hosts answer late for parts that coverage lets go.
+
+    Of 45 parts 9 may be missing. What is sent a second time some milliseconds
+    before the answer is decided is not in by then, and reading what comes of
+    it makes the answer late. Without enough parts there is no answer at all.
+    """
+    rig = make_member(0.8, 0.059)
+    rig.ask()
+    first = take_delegates(rig)
+    rig.now += when
+    for delegate in first:
+        share = make_late_share(delegate, waiting)
+        waiting -= len(share.pending)
+        rig.post(events.Shared(delegate.key, share))
+    rig.pass_time(0)
+    sent = [it.key.service for it in rig.take_sent()]
+    for second in take_delegates(rig):
+        sent.extend(second.assist.services)
+    assert len(sent) == again
+
+
 def test_gives_a_part_up_that_failed_as_often_as_it_may() -> None:
     """A route allows two attempts: what fails at both is sent no more."""
     rig = make_member()
