Have the hosts of a data centre that is cut off refuse and report as one

Change: where the configuration names customers, hosts that notice tell those beside them; two are believed by whoever heard nothing from there for a second; it is taken back by the first that hears again. While a data centre is silent, what a host can serve counts by parts, wide routes also where it was not asked. Elsewhere nothing is sent, logged or counted differently.

--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -25,6 +25,7 @@
     questions,
     readiness,
     runner,
+    silences,
 )
 from fuchsiahaven.routing import (
     configs,
@@ -74,6 +75,7 @@
             self.runner.traffic,
             self.runner.post,
         )
+        self.silences = silences.Silences(self.desk, log, self.runner.traffic)
         self.readiness = readiness.Readiness(self._find_obstacle, log)
         self.callers = ports.Port(
             ports.Terms(
@@ -87,7 +89,7 @@
             self.news,
             self.meters,
             self.lessons.evacuations,
-            self.notices,
+            questions.Told(self.notices, self.silences),
             self.find_obstacle,
             self.readiness.tell_balancer,
         )
@@ -107,12 +109,14 @@
             stack.callback(self.news.close)
             stack.callback(self.quarantines.close)
             stack.callback(self.notices.close)
+            stack.callback(self.silences.close)
             await self._listen(stack)
             async with asyncio.TaskGroup() as tasks:
                 running = [
                     tasks.create_task(self.news.follow()),
                     tasks.create_task(self._entry.stay()),
                     tasks.create_task(self.notices.learn()),
+                    tasks.create_task(self.silences.tell()),
                     tasks.create_task(self.runner.sweep()),
                     tasks.create_task(self._watch_settings()),
                 ]
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from types import ModuleType
-from typing import Final
+from typing import Final, NamedTuple
 
 from fuchsiahaven.core import suspects
 from fuchsiahaven.platform import exchanges
@@ -19,12 +19,14 @@
     notices,
     ports,
     runner,
+    silences,
 )
 from fuchsiahaven.routing import (
     assist_codecs,
     codecs,
     desks,
     events,
+    rooms,
     standings,
     suspect_codecs,
 )
@@ -35,6 +37,13 @@
 PAGES: Final = 'fuchsiahaven.relay.pages'
 
 
+class Told(NamedTuple):
+    """Hold who takes in what other hosts tell."""
+
+    notices: notices.Notices
+    silences: silences.Silences
+
+
 class Questions:
     """Join what is asked to who knows the answer."""
 
@@ -44,7 +53,7 @@
         known: news.News,
         counted: meters.Meters,
         orders: evacuations.Evacuations,
-        told: notices.Notices,
+        told: Told,
         find_obstacle: Callable[[], str],
         note_probe: Callable[[], object],
     ) -> None:
@@ -53,7 +62,8 @@
         self._news = known
         self._meters = counted
         self._evacuations = orders
-        self._notices = told
+        self._notices = told.notices
+        self._silences = told.silences
         self._find_obstacle = find_obstacle
         self._note_probe = note_probe
 
@@ -75,6 +85,8 @@
                 return self._assist(message, caller)
             case notices.PATH:
                 caller.answer(self._take_notice(message))
+            case silences.PATH:
+                caller.answer(_take_word(message, self._silences.take))
             case '/v1/state':
                 caller.answer(self._tell_state())
             case '/metrics':
@@ -161,7 +173,7 @@
         """Tell what this host believes, for people."""
         now = time.monotonic()
         desk = self._runner.desk
-        told = {
+        told: dict[str, object] = {
             'ready': self._find_obstacle() or 'yes',
             'version': desk.index.configuration.version,
             'news_age': round(now - self._news.ledger.read, 2),
@@ -196,6 +208,8 @@
             },
             'waiting': self._runner.count_waiting(),
         }
+        if rooms.is_contended(desk.index):
+            told['silent'] = sorted(desk.centres.list_silent())
         body = json.dumps(told).encode()
         return exchanges.Written(HTTPStatus.OK, JSON, body)
 
@@ -221,6 +235,17 @@
         return loading.cancel
 
 
+def _take_word(
+    message: exchanges.Message, take: Callable[[bytes], None]
+) -> exchanges.Written:
+    """Take in what another host tells of what it sees."""
+    try:
+        take(message.body)
+    except ValueError as error:
+        return _refuse(str(error), HTTPStatus.BAD_REQUEST)
+    return exchanges.Written(HTTPStatus.OK, JSON, b'{}')
+
+
 def _write(body: bytes, *, packed: bool) -> exchanges.Written:
     if packed:
         fields = (*JSON, encodings.CONTENT)
--- a/fuchsiahaven/routing/centres.py
+++ b/fuchsiahaven/routing/centres.py
@@ -7,6 +7,7 @@
 way there that is lost, and all of it is left out at once.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -23,6 +24,15 @@
 #: How long another host's word that a data centre is silent is believed. Hosts
 #: that gather for others notice first, because they send most.
 HINT_S: Final = 1.0
+#: The same for what a host beside this one tells all that are beside it, which
+#: it repeats and takes back.
+WORD_S: Final = 3.0
+#: Whoever was heard of as lately as this is in reach, whatever others say.
+HEARD_S: Final = 1.0
+NEVER: Final = float('-inf')
+#: One host may have asked none but targets that are gone; so many hosts beside
+#: each other have not.
+WITNESSES: Final = 2
 
 
 class Centre(NamedTuple):
@@ -40,6 +50,24 @@
 ALIVE: Final = Centre()
 
 
+class Word(NamedTuple):
+    """Hold all other data centres that a host hears nothing of."""
+
+    host: str
+    data_centre: str
+    silent: tuple[str, ...]
+
+
+class Told(NamedTuple):
+    """Hold what a host beside this one told, and until when it counts."""
+
+    silent: frozenset[str]
+    until: float
+
+
+UNTOLD: Final = Told(frozenset(), 0.0)
+
+
 class Centres:
     """Own what is known of the way to each other data centre."""
 
@@ -49,6 +77,8 @@
         self._known: dict[str, Centre] = {}
         self._noticed: frozenset[str] = frozenset()
         self._hints: dict[str, float] = {}
+        self._words: dict[str, Told] = {}
+        self._heard: dict[str, float] = {}
         self._silent: frozenset[str] = frozenset()
         self._reviewed = 0.0
 
@@ -65,10 +95,11 @@
     def note_heard(self, name: str) -> None:
         """Take in a sign of life from anybody there."""
         self._known.pop(name, None)
+        self._heard[name] = self._reviewed
         if name in self._silent:
             self._noticed -= {name}
             self._hints.pop(name, None)
-            self._join()
+            self._join(self._reviewed)
 
     def take_hints(self, names: Iterable[str], now: float) -> None:
         """Take in which data centres a host beside this one finds silent."""
@@ -76,7 +107,27 @@
         hints.pop(self._own, None)
         if hints:
             self._hints.update(hints)
-            self._join()
+            self._join(now)
+
+    def take_word(self, word: Word, now: float) -> None:
+        """Take in what a host beside this one hears nothing of.
+
+        It takes the place of what the same host told before. Where that host
+        has heard again, the way is open for all beside it.
+        """
+        silent = frozenset(word.silent)
+        before = self._words.get(word.host, UNTOLD).silent
+        self._words[word.host] = Told(silent, now + WORD_S)
+        for name in before - silent:
+            self.note_heard(name)
+        self._join(now)
+
+    def list_untold(self, now: float) -> frozenset[str]:
+        """List those found silent here of which too few others tell."""
+        counts = self._count_witnesses(now + WORD_S / 2)
+        return frozenset(
+            name for name in self._noticed if counts[name] < WITNESSES
+        )
 
     def note_failed(self, name: str, peer: str) -> None:
         """Take in that a connection there broke or could not be had."""
@@ -104,7 +155,10 @@
         self._hints = {
             name: until for name, until in self._hints.items() if until > now
         }
-        self._join()
+        self._words = {
+            host: told for host, told in self._words.items() if told.until > now
+        }
+        self._join(now)
         return self._silent - before
 
     def is_silent(self, name: str) -> bool:
@@ -123,8 +177,24 @@
         """
         return self._noticed
 
-    def _join(self) -> None:
-        self._silent = self._noticed.union(self._hints)
+    def _join(self, now: float) -> None:
+        words = {
+            name
+            for name, count in self._count_witnesses(now).items()
+            if count >= WITNESSES
+            and name != self._own
+            and now - self._heard.get(name, NEVER) > HEARD_S
+        }
+        self._silent = self._noticed.union(self._hints, words)
+
+    def _count_witnesses(self, when: float) -> collections.Counter[str]:
+        """Count whose word of each data centre still counts at a time."""
+        return collections.Counter(
+            name
+            for told in self._words.values()
+            if told.until > when
+            for name in told.silent
+        )
 
 
 def _is_silent(known: Centre, now: float) -> bool:
--- a/fuchsiahaven/routing/reaches.py
+++ b/fuchsiahaven/routing/reaches.py
@@ -7,7 +7,13 @@
 
 from typing import Final
 
-from fuchsiahaven.routing import configs, instances, standings, states
+from fuchsiahaven.routing import (
+    configs,
+    instances,
+    rooms,
+    standings,
+    states,
+)
 
 #: Requests on a route count half after so many seconds: a host sees some of
 #: each frequent kind in that time.
@@ -15,6 +21,8 @@
 #: A host that cannot serve more than this share of what it is asked sends
 #: the rest of it to others as well: they can serve all of it.
 BLOCKED_SHARE: Final = 0.5
+#: A wide route counts as if it had been asked this often at the least.
+LEAST_WEIGHT: Final = 1.0
 #: Targets of a silent data centre to which connections are tried at a time.
 TRIED: Final = 4
 
@@ -30,16 +38,41 @@
 
 def is_cut_off(desk: states.Desk, now: float) -> bool:
     """Tell whether most of what callers ask could not be served now."""
+    by_parts = bool(desk.centres.list_silent()) and rooms.is_contended(
+        desk.index
+    )
     total = 0.0
     blocked = 0.0
-    for known in desk.asked.values():
+    for known in _list_asked(desk, by_parts=by_parts):
         weight = known.weight * _decay(now - known.noted)
+        if by_parts:
+            weight = max(weight, LEAST_WEIGHT) * _count_parts(known.route.way)
         total += weight
         if _is_blocked(desk, known.route.way, now):
             blocked += weight
     return blocked > BLOCKED_SHARE * total
 
 
+def _list_asked(desk: states.Desk, *, by_parts: bool) -> list[states.Asked]:
+    """List the routes that were asked here lately.
+
+    Inside a data centre that is cut off, `by_parts` adds the wide ones that
+    others beside this host are asked: callers move only if all hosts say that
+    they are not ready, also those that are asked little themselves.
+    """
+    known = dict(desk.asked)
+    if by_parts:
+        for route in desk.index.configuration.routes:
+            if configs.is_wide_way(route.way):
+                idle = states.Asked(route, 0.0, 0.0)
+                known.setdefault(route.name, idle)
+    return list(known.values())
+
+
+def _count_parts(way: configs.Way) -> int:
+    return len(way.shards) if isinstance(way, configs.Gather) else 1
+
+
 def misses_targets(desk: states.Desk, now: float) -> bool:
     """Tell whether ways should be tried that no request takes just now.
 
--- a/tests/routing/test_centres.py
+++ b/tests/routing/test_centres.py
@@ -197,3 +197,89 @@
     rig.desk.centres.take_hints(('south', 'west'), rig.now)
     rig.ask()
     assert find_wait(rig) > 2 * usual
+
+
+HOSTS_BESIDE = ('host-2', 'host-3')
+
+
+def tell(known: centres.Centres, now: float, *silent: str) -> None:
+    """Have two hosts beside this one tell what they hear nothing of."""
+    for host in HOSTS_BESIDE:
+        known.take_word(centres.Word(host, 'north', silent), now)
+
+
+def lose_south(known: centres.Centres) -> None:
+    """Have a host notice by itself that the south is silent, at 5.5 s."""
+    known.review(4.9)
+    for name in ('a', 'b', 'c'):
+        known.note_sent('south', name, 4.9)
+    for tenth in range(50, 56):
+        known.review(tenth / 10)
+
+
+def test_believes_what_hosts_beside_it_tell_until_they_take_it_back() -> None:
+    """Symptom: hosts that are asked little begin what cannot be whole."""
+    known = centres.Centres('north')
+    known.review(5.0)
+    tell(known, 5.0, 'south', 'west', 'north')
+    assert known.list_silent() == {'south', 'west'}
+    # It is not this host's own finding, and is not told on.
+    assert not known.list_untold(5.0)
+    tell(known, 6.0, 'west')
+    assert known.list_silent() == {'west'}
+    for tenth in range(51, 95):
+        known.review(tenth / 10)
+    assert not known.list_silent()
+
+
+def test_does_not_believe_a_single_host() -> None:
+    """Symptom: the targets of a data centre that lives are left out.
+
+    One host has asked three targets there, and all three were gone.
+    """
+    known = centres.Centres('north')
+    known.review(5.0)
+    known.take_word(centres.Word('host-2', 'north', ('south',)), 5.0)
+    assert not known.list_silent()
+    known.take_word(centres.Word('host-3', 'north', ('west',)), 5.1)
+    assert not known.list_silent()
+
+
+def test_believes_no_word_against_whom_it_has_just_heard() -> None:
+    """Hosts whose own way is lost do not empty their data centre."""
+    known = centres.Centres('north')
+    known.review(5.0)
+    known.note_heard('south')
+    tell(known, 5.1, 'south')
+    assert not known.is_silent('south')
+    # The word stands; it counts once nothing has been heard for long enough.
+    for tenth in range(52, 62):
+        known.review(tenth / 10)
+    assert known.is_silent('south')
+    known.note_heard('south')
+    assert not known.is_silent('south')
+
+
+def test_leaves_the_telling_to_hosts_that_tell_already() -> None:
+    """The word of two hosts is enough for all beside them."""
+    known = centres.Centres('north')
+    lose_south(known)
+    assert known.list_untold(5.6) == {'south'}
+    known.take_word(centres.Word('host-2', 'north', ('south',)), 5.6)
+    assert known.list_untold(5.6) == {'south'}
+    tell(known, 5.6, 'south')
+    assert not known.list_untold(5.6)
+    assert known.list_untold(5.6 + centres.WORD_S / 2) == {'south'}
+
+
+def test_comes_back_as_soon_as_a_host_beside_it_has_heard() -> None:
+    """Symptom: some hosts stay unready for seconds after a cut.
+
+    They are sent nothing, and open no connection by which they would notice.
+    """
+    known = centres.Centres('north')
+    lose_south(known)
+    assert known.list_noticed() == {'south'}
+    tell(known, 5.6, 'south')
+    known.take_word(centres.Word('host-2', 'north', ()), 5.7)
+    assert not known.list_silent()
--- a/tests/routing/test_reaches.py
+++ b/tests/routing/test_reaches.py
@@ -1,7 +1,9 @@
 """Test when a host tells its balancer that it is cut off."""
 
+import pytest
+
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.routing import configs, desks, events
+from fuchsiahaven.routing import centres, configs, desks, events
 from tests.routing import desk_rig
 
 SHARDS = tuple(f'shard-{number:02}' for number in range(10))
@@ -70,3 +72,63 @@
     for _ in range(5):
         rig.ask('/one/1')
     assert not desks.find_obstacle(rig.desk, rig.now)
+
+
+WIDE = tuple(f'wide-{number:02}' for number in range(45))
+#: Shards of which there are targets in this data centre.
+NEAR = 30
+
+
+def make_wide_rig(*, customers: bool) -> desk_rig.Rig:
+    """Make a host that reaches 30 of 45 shards without the other centre."""
+    wide = desk_rig.make_route(configs.Gather(WIDE, 3, 0.8))
+    targets = [
+        *desk_rig.make_instances((*WIDE[:NEAR], 'records')),
+        *desk_rig.make_instances(WIDE[NEAR:], 2, 'south'),
+    ]
+    rig = desk_rig.Rig([], targets)
+    routes = (
+        wide._replace(public=True),
+        SINGLE._replace(public=True),
+    )
+    rig.post(
+        events.Configured(
+            configs.Configuration(
+                2, routes, (), configs.Limits(), () if customers else None
+            )
+        )
+    )
+    return rig
+
+
+def tell(rig: desk_rig.Rig, *silent: str) -> None:
+    """Have two hosts beside it tell what they hear nothing of."""
+    for name in ('host-2', 'host-3'):
+        word = centres.Word(name, 'north', silent)
+        rig.desk.centres.take_word(word, rig.now)
+
+
+@pytest.mark.parametrize('customers', [True, False])
+def test_a_host_that_is_asked_little_counts_what_others_are_asked(
+    *, customers: bool
+) -> None:
+    """Symptom: callers stay in a data centre that is cut off for all the cut.
+
+    The balancer moves them only if no host there says that it is ready, and
+    hosts that are asked for nothing wide just then did not notice.
+    """
+    rig = make_wide_rig(customers=customers)
+    for _ in range(5):
+        rig.ask('/one/1')
+    tell(rig, 'south')
+    assert bool(desks.find_obstacle(rig.desk, rig.now)) is customers
+    tell(rig)
+    assert not desks.find_obstacle(rig.desk, rig.now)
+
+
+def test_stays_ready_while_another_data_centre_is_cut_off() -> None:
+    """The shards that it reaches suffice, so its callers are served here."""
+    rig = make_wide_rig(customers=True)
+    rig.direct(desk_rig.make_instances((*WIDE, 'records')))
+    tell(rig, 'south')
+    assert not desks.find_obstacle(rig.desk, rig.now)
