--- a/fuchsiahaven/relay/links.py
+++ b/fuchsiahaven/relay/links.py
@@ -10,7 +10,7 @@
 
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import exchanges
-from fuchsiahaven.relay import traffic
+from fuchsiahaven.relay import traffic, wires
 from fuchsiahaven.routing import events
 
 #: The largest answer that is taken in; the largest of a target are 36 kB, a
@@ -77,7 +77,9 @@
         self.fields: events.Fields = ()
         self._owner = owner
         self._transport: asyncio.Transport | None = None
-        self._machine = h11.Connection(h11.CLIENT)
+        # Made only where an exchange is not of the usual shape.
+        self._machine: h11.Connection | None = None
+        self._stream: wires.Stream | None = None
         self._head: h11.Response | None = None
         self._body = bytearray()
         self._stray = 0
@@ -95,7 +97,12 @@
         self.exchange = exchange
         self.reusable = False
         self._stray = 0
-        written = self._write(exchange)
+        written = wires.write(
+            exchange.method, exchange.target, exchange.fields, exchange.body
+        )
+        if written is None:
+            self._machine = h11.Connection(h11.CLIENT)
+            written = write(self._machine, exchange)
         self._tally.sent += len(written)
         self._transport.write(written)
 
@@ -107,7 +114,8 @@
             # the next request.
             self.close(messages.Fault.MISMATCHED)
             return
-        self._feed(data)
+        if self._machine is not None or not self._take_usual(data):
+            self._feed(data)
 
     def eof_received(self) -> bool:
         """Take the end of an answer that has no length."""
@@ -131,23 +139,44 @@
             self._transport.abort()
         self._owner.take_end(self, fault)
 
-    def _write(self, exchange: Exchange) -> bytes:
-        fields = [
-            (name.encode('latin-1'), told.encode('latin-1'))
-            for name, told in exchange.fields
-        ]
-        head = h11.Request(
-            method=exchange.method,
-            target=exchange.target.encode('latin-1'),
-            headers=fields,
-        )
-        data = self._machine.send(head) or b''
-        if exchange.body:
-            data += self._machine.send(h11.Data(data=exchange.body)) or b''
-        data += self._machine.send(h11.EndOfMessage()) or b''
-        return data
+    def _take_usual(self, data: bytes) -> bool:
+        """Take bytes of an answer of the usual shape; False for others."""
+        assert self.exchange is not None
+        if self.exchange.take_chunk is not None:
+            return self._take_pieces(data, self.exchange.take_chunk)
+        message = wires.read(data)
+        if message is None or not self.exchange.belongs(message):
+            return False
+        self.fields = message.fields
+        self._settle(message, whole=True)
+        return True
+
+    def _take_pieces(
+        self, data: bytes, take_chunk: Callable[[bytes], None]
+    ) -> bool:
+        """Take pieces of a body; the machine goes on with what is not whole."""
+        stream = self._stream or wires.read_stream(data)
+        if stream is None or stream.status != OK:
+            return False
+        pieces = wires.read_pieces(data if self._stream else stream.rest)
+        self._stream = stream
+        self.fields = stream.fields
+        for body in pieces.bodies:
+            if not self.closed:
+                take_chunk(body)
+        if self.closed:
+            return True
+        if pieces.ended:
+            message = exchanges.Message('', OK, stream.fields, b'')
+            self._settle(message, whole=not pieces.rest)
+        elif pieces.rest:
+            self._feed(stream.head + pieces.rest)
+        return True
 
     def _feed(self, data: bytes) -> None:
+        assert self.exchange is not None
+        if self._machine is None:
+            self._machine = _begin(self.exchange)
         try:
             self._machine.receive_data(data)
             self._pull()
@@ -158,23 +187,20 @@
             self.close(fault)
 
     def _pull(self) -> None:
-        while self.exchange is not None and not self.closed:
+        while self._machine is not None and not self.closed:
             event = self._machine.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            self._take_event(event)
-
-    def _take_event(self, event: object) -> None:
-        match event:
-            case h11.Response():
-                self._head = event
-                self.fields = exchanges.read_fields(event.headers)
-            case h11.Data():
-                self._take_data(event.data)
-            case h11.EndOfMessage():
-                self._end_message()
-            case h11.ConnectionClosed():
-                self.close(messages.Fault.CONNECTION_LOST)
+            match event:
+                case h11.Response():
+                    self._head = event
+                    self.fields = exchanges.read_fields(event.headers)
+                case h11.Data():
+                    self._take_data(event.data)
+                case h11.EndOfMessage():
+                    self._end_message()
+                case h11.ConnectionClosed():
+                    self.close(messages.Fault.CONNECTION_LOST)
+                case h11.NEED_DATA | h11.PAUSED:
+                    return
 
     def _take_data(self, chunk: bytes) -> None:
         assert self._head is not None
@@ -199,18 +225,16 @@
         self._head = None
         self._body.clear()
         if self.exchange.belongs(message):
-            self._settle(message)
+            self._settle(message, whole=_is_whole(self._machine))
         else:
             self._pass_over()
 
-    def _settle(self, message: exchanges.Message) -> None:
-        assert self._transport is not None
-        rest, _ = self._machine.trailing_data
+    def _settle(self, message: exchanges.Message, *, whole: bool) -> None:
         self.exchange = None
+        self._machine = None
+        self._stream = None
         # What follows an answer belongs to nobody.
-        self.reusable = _is_whole(self._machine, self._transport) and not rest
-        if self.reusable:
-            self._machine.start_next_cycle()
+        self.reusable = whole and _is_open(self._transport)
         self._owner.take_message(self, message)
         if self.exchange is None and not self.reusable:
             self.close(messages.Fault.CONNECTION_LOST)
@@ -222,30 +246,60 @@
         next answer is due. Breaking off there would leave the outcome of the
         request under way unknown.
         """
-        rest, _ = self._machine.trailing_data
-        assert self._transport is not None
+        assert self._machine is not None
         assert self.exchange is not None
+        before = self._machine
         self._stray += 1
-        whole = _is_whole(self._machine, self._transport)
+        whole = before.their_state is h11.DONE and _is_open(self._transport)
         if self._stray > MOST_STRAY or not whole:
             self.close(messages.Fault.MISMATCHED)
             return
-        # The machine of the protocol has to see a request before an answer;
-        # this one has been sent already.
-        self._machine = h11.Connection(h11.CLIENT)
-        self._write(self.exchange)
+        self._machine = _begin(self.exchange)
+        rest, _ = before.trailing_data
         if rest:
             self._machine.receive_data(rest)
 
 
-def _is_whole(machine: h11.Connection, transport: asyncio.Transport) -> bool:
+def _begin(exchange: Exchange) -> h11.Connection:
+    """Make what reads the answer to a request that was sent already."""
+    machine = h11.Connection(h11.CLIENT)
+    # It has to see a request before an answer.
+    write(machine, exchange)
+    return machine
+
+
+def _is_whole(machine: h11.Connection | None) -> bool:
+    """Tell whether an answer has ended, with nothing behind it."""
+    if machine is None or machine.their_state is not h11.DONE:
+        return False
+    return not machine.trailing_data[0]
+
+
+def _is_open(transport: asyncio.Transport | None) -> bool:
     """Tell whether a connection goes on after an answer."""
-    if transport.is_closing():
+    if transport is None or transport.is_closing():
         return False
     # A target may answer before it has read a long body; the rest of that
     # body must not be followed by another request.
-    unsent = transport.get_write_buffer_size()
-    return machine.their_state is h11.DONE and not unsent
+    return not transport.get_write_buffer_size()
+
+
+def write(machine: h11.Connection, exchange: Exchange) -> bytes:
+    """Write a request of any shape, so that its answer can be read."""
+    fields = [
+        (name.encode('latin-1'), told.encode('latin-1'))
+        for name, told in exchange.fields
+    ]
+    head = h11.Request(
+        method=exchange.method,
+        target=exchange.target.encode('latin-1'),
+        headers=fields,
+    )
+    data = machine.send(head) or b''
+    if exchange.body:
+        data += machine.send(h11.Data(data=exchange.body)) or b''
+    data += machine.send(h11.EndOfMessage()) or b''
+    return data
 
 
 class Way(NamedTuple):
--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -12,7 +12,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import suspects
-from fuchsiahaven.relay import news, runner
+from fuchsiahaven.relay import accounts, news, runner
 from fuchsiahaven.routing import events
 
 #: Seconds; finer where the objectives of the routes lie.
@@ -40,7 +40,9 @@
     `version` is the configuration's, `age` the seconds since the news was
     read, `links` the open connections to targets, `opened` those opened so
     far, `calls` the calls to the store so far, `era` the store's (-1 without
-    one), `forgotten` the watches that it answered with its history gone.
+    one), `forgotten` the watches that it answered with its history gone,
+    `keys_age` the seconds that the knowledge of keys is old at most, None where
+    keys need not die in time.
     """
 
     version: int
@@ -53,6 +55,7 @@
     quarantined: int
     era: int
     forgotten: int
+    keys_age: float | None = None
 
 
 class Meters:
@@ -65,6 +68,7 @@
         self.extra = 0
         self.missing = 0
         self.crashes = 0
+        self.accounts = accounts.Accounts()
         self._by_bucket: collections.Counter[int] = collections.Counter()
 
     def note(self, story: events.Story) -> None:
@@ -74,6 +78,7 @@
         self.latency_sum += story.took
         self.extra += story.hedges
         self.missing += story.missing
+        self.accounts.note(story)
 
     def list_latencies(self) -> list[tuple[str, int]]:
         """List how many took so many seconds at most, for each bound."""
@@ -85,6 +90,7 @@
 def read_gauges(driven: runner.Runner, known: news.News) -> Gauges:
     """Read what the decisions, the connections and the news are like now."""
     now = time.monotonic()
+    keys = driven.desk.controls.freshness
     known_suspects = driven.desk.suspects.list_all(now)
     return Gauges(
         version=driven.desk.index.configuration.version,
@@ -97,4 +103,5 @@
         quarantined=len(suspects.pick_quarantined(known_suspects)),
         era=-1 if known.eras.heard is None else known.eras.heard,
         forgotten=known.forgotten,
+        keys_age=keys.count_age() if keys.is_on else None,
     )
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -14,6 +14,7 @@
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.platform import settings as settings_files
 from fuchsiahaven.relay import (
+    confirmations,
     entries,
     journal,
     lessons,
@@ -47,6 +48,8 @@
 CHECK_S: Final = 0.05
 #: How often the settings file is looked at.
 SETTINGS_S: Final = 2.0
+#: What lines tell only where callers show keys.
+KEYED: Final = ('customer', 'why')
 
 
 class Process:
@@ -66,16 +69,24 @@
         self.lessons = lessons.Lessons(
             settings, self.runner, log, self.find_obstacle
         )
-        self.news = news.News(settings, log, self._learn, self.runner.traffic)
+        self.keys = self.desk.controls.freshness
+        self.keys.revoke = settings.revoke
+        self.news = news.News(
+            settings, log, self._learn, self.runner.traffic, self.keys
+        )
+        self.confirmations = confirmations.Confirmations(
+            settings, self.news, self.keys, log, self.runner.traffic
+        )
         self.quarantines = quarantines.Quarantines(self.desk, self.news, log)
-        self.notices = notices.Notices(
+        spread = notices.Notices(
             self.desk,
             self.quarantines,
             log,
             self.runner.traffic,
             self.runner.post,
         )
-        self.silences = silences.Silences(self.desk, log, self.runner.traffic)
+        silence = silences.Silences(self.desk, log, self.runner.traffic)
+        self.told = questions.Told(spread, silence)
         self.readiness = readiness.Readiness(self._find_obstacle, log)
         self.callers = ports.Port(
             ports.Terms(
@@ -89,7 +100,7 @@
             self.news,
             self.meters,
             self.lessons.evacuations,
-            questions.Told(self.notices, self.silences),
+            self.told,
             self.find_obstacle,
             self.readiness.tell_balancer,
         )
@@ -107,16 +118,18 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self.runner.close)
             stack.callback(self.news.close)
+            stack.callback(self.confirmations.close)
             stack.callback(self.quarantines.close)
-            stack.callback(self.notices.close)
-            stack.callback(self.silences.close)
+            stack.callback(self.told.notices.close)
+            stack.callback(self.told.silences.close)
             await self._listen(stack)
             async with asyncio.TaskGroup() as tasks:
                 running = [
                     tasks.create_task(self.news.follow()),
                     tasks.create_task(self._entry.stay()),
-                    tasks.create_task(self.notices.learn()),
-                    tasks.create_task(self.silences.tell()),
+                    tasks.create_task(self.confirmations.stay()),
+                    tasks.create_task(self.told.notices.learn()),
+                    tasks.create_task(self.told.silences.tell()),
                     tasks.create_task(self.runner.sweep()),
                     tasks.create_task(self._watch_settings()),
                 ]
@@ -202,6 +215,7 @@
         self.lessons.settings = reading.settings
         self.desk.change_extra_load(reading.settings.extra_load)
         self.desk.warmups.terms = reading.settings.warm_up
+        self.keys.revoke = reading.settings.revoke
         self.log.tell(PART, 'reloaded', settings=self.settings)
 
     def _make_port(self, handle: ports.Handler) -> ports.Port:
@@ -240,7 +254,7 @@
             case events.Suspicion(found, passed_on):
                 self._tell_suspicion(found)
                 if passed_on:
-                    self.notices.tell(found)
+                    self.told.notices.tell(found)
             case events.Belief(target, text, why):
                 self.log.tell_request(
                     'targets', text, good=False, target=target, why=why
@@ -258,13 +272,12 @@
         self.meters.note(story)
         age = time.monotonic() - self.news.ledger.read
         good = story.result in {'complete', 'partial', 'relayed 200'}
-        told = story._replace(took=round(story.took, 4))
+        told = story._replace(took=round(story.took, 4))._asdict()
+        for name in KEYED:
+            if not told[name]:
+                told.pop(name)
         self.log.tell_request(
-            'request',
-            'ended',
-            good=good,
-            news_age=round(age, 1),
-            **told._asdict(),
+            'request', 'ended', good=good, news_age=round(age, 1), **told
         )
 
 
--- a/fuchsiahaven/relay/questions.py
+++ b/fuchsiahaven/relay/questions.py
@@ -4,7 +4,7 @@
 import importlib
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from types import ModuleType
 from typing import Final, NamedTuple
@@ -12,6 +12,7 @@
 from fuchsiahaven.core import suspects
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.relay import (
+    confirmations,
     encodings,
     evacuations,
     meters,
@@ -58,6 +59,7 @@
         note_probe: Callable[[], object],
     ) -> None:
         """Take whom to ask."""
+        self._keys = driven.desk.controls.freshness
         self._runner = driven
         self._news = known
         self._meters = counted
@@ -81,6 +83,9 @@
                     query,
                     lambda body: caller.answer(_write(body, packed=packed)),
                 )
+            case confirmations.PATH:
+                told = confirmations.tell(self._news, self._keys, query)
+                caller.answer(_write(told, packed=False))
             case '/v1/assist':
                 return self._assist(message, caller)
             case notices.PATH:
@@ -210,9 +215,28 @@
         }
         if rooms.is_contended(desk.index):
             told['silent'] = sorted(desk.centres.list_silent())
+        if self._keys.is_on:
+            # Before anything is proved the age has no end.
+            told['keys_age'] = f'{self._keys.count_age():.2f}'
+            told['keys_stale'] = self._keys.find_wait() > 0
+        customers = desk.index.configuration.customers
+        if customers is not None:
+            told['customers'] = self._tell_customers(len(customers))
         body = json.dumps(told).encode()
         return exchanges.Written(HTTPStatus.OK, JSON, body)
 
+    def _tell_customers(self, known: int) -> Mapping[str, object]:
+        counted = self._meters.accounts
+        return {
+            'known': known,
+            'largest': {
+                account.customer: account.results
+                for account in counted.list_largest()
+            },
+            'others': counted.sum_others(),
+            'unknown_keys': counted.unknown,
+        }
+
     def _tell_metrics(self, caller: ports.Caller) -> Callable[[], object]:
         """Answer with the page, once what writes it is there.
 
--- a/fuchsiahaven/routing/arrivals.py
+++ b/fuchsiahaven/routing/arrivals.py
@@ -6,6 +6,7 @@
 from fuchsiahaven.core.queries import hedges
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import (
+    admission,
     asks,
     crashes,
     endings,
@@ -148,10 +149,18 @@
         return []
     _note_try(ask, event.key, aloft, 'not sent')
     part = land(ask, event.key)
+    tried = part.tried
+    if event.withdrawn:
+        # Nothing is known against the target, which may be the last one left.
+        tried = tuple(it for it in tried if it != aloft.instance)
     ask.parts[service] = part._replace(
         sent=part.sent - 1,
+        tried=tried,
         reason=part.reason or coverage.Reason.UNREACHABLE,
     )
+    refused = admission.refuse_late(desk, ask, now)
+    if refused is not None:
+        return refused
     return go_on(desk, ask, service, now)
 
 
--- a/fuchsiahaven/routing/centres.py
+++ b/fuchsiahaven/routing/centres.py
@@ -8,9 +8,11 @@
 """
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
+from fuchsiahaven.routing import places
+
 #: Silence after which a data centre counts as lost, in seconds: pauses of
 #: targets take 0.2 s, and never all of them at once.
 SILENT_S: Final = 0.3
@@ -69,7 +71,7 @@
 
 
 class Centres:
-    """Own what is known of the way to each other data centre."""
+    """Own what is known of each data centre, and of the way to it."""
 
     def __init__(self, own: str) -> None:
         """Start with all of them reached."""
@@ -81,6 +83,22 @@
         self._heard: dict[str, float] = {}
         self._silent: frozenset[str] = frozenset()
         self._reviewed = 0.0
+        self._hosts: dict[str, tuple[places.Host, ...]] = {}
+
+    def note_hosts(self, hosts: Iterable[places.Host]) -> None:
+        """Take in which hosts there are, the own one among them."""
+        found: dict[str, list[places.Host]] = {}
+        for host in hosts:
+            found.setdefault(host.data_centre, []).append(host)
+        self._hosts = dict(zip(found, map(tuple, found.values()), strict=True))
+
+    def list_hosts(self, name: str) -> tuple[places.Host, ...]:
+        """List the hosts of a data centre, also of the own one."""
+        return self._hosts.get(name, ())
+
+    def list_settled(self) -> frozenset[str]:
+        """List the data centres that have hosts, the own one included."""
+        return frozenset(self._hosts)
 
     def note_sent(self, name: str, peer: str, now: float) -> None:
         """Take in that something was sent to a host or target there."""
@@ -124,7 +142,7 @@
 
     def list_untold(self, now: float) -> frozenset[str]:
         """List those found silent here of which too few others tell."""
-        counts = self._count_witnesses(now + WORD_S / 2)
+        counts = _count_witnesses(self._words, now + WORD_S / 2)
         return frozenset(
             name for name in self._noticed if counts[name] < WITNESSES
         )
@@ -180,21 +198,24 @@
     def _join(self, now: float) -> None:
         words = {
             name
-            for name, count in self._count_witnesses(now).items()
+            for name, count in _count_witnesses(self._words, now).items()
             if count >= WITNESSES
             and name != self._own
             and now - self._heard.get(name, NEVER) > HEARD_S
         }
         self._silent = self._noticed.union(self._hints, words)
 
-    def _count_witnesses(self, when: float) -> collections.Counter[str]:
-        """Count whose word of each data centre still counts at a time."""
-        return collections.Counter(
-            name
-            for told in self._words.values()
-            if told.until > when
-            for name in told.silent
-        )
+
+def _count_witnesses(
+    words: Mapping[str, Told], when: float
+) -> collections.Counter[str]:
+    """Count whose word of each data centre still counts at a time."""
+    return collections.Counter(
+        name
+        for told in words.values()
+        if told.until > when
+        for name in told.silent
+    )
 
 
 def _is_silent(known: Centre, now: float) -> bool:
--- a/fuchsiahaven/routing/codecs.py
+++ b/fuchsiahaven/routing/codecs.py
@@ -1,8 +1,9 @@
 """Write facts as the JSON that hosts send each other, and read them."""
 
 import json
+import math
 from collections.abc import Mapping
-from typing import Any, TypedDict
+from typing import Any, Final, NotRequired, TypedDict
 
 from fuchsiahaven.core import suspects
 from fuchsiahaven.core.configuration import configurations
@@ -15,6 +16,10 @@
 )
 
 
+#: A proof is written in thousandths of a second, rounded to the safe side.
+THOUSANDTHS: Final = 1000
+
+
 class WrittenFact(TypedDict):
     """Hold one fact on the wire; `value` is null where it is gone."""
 
@@ -26,6 +31,13 @@
     era: int
 
 
+class WrittenProof(TypedDict):
+    """Hold a proof on the wire; `lead` is in seconds."""
+
+    lead: float
+    era: int
+
+
 class WrittenReport(TypedDict):
     """Hold a report on the wire; `age` is in seconds.
 
@@ -41,6 +53,7 @@
     era: int
     since: int
     facts: list[WrittenFact]
+    proof: NotRequired[WrittenProof]
 
 
 class Malformed(Exception):
@@ -59,6 +72,8 @@
         since=report.since,
         facts=[_write_fact(fact) for fact in report.facts],
     )
+    if report.proof is not None:
+        written['proof'] = _write_proof(report.proof)
     return json.dumps(written, separators=(',', ':')).encode()
 
 
@@ -83,6 +98,11 @@
     return facts.START
 
 
+def _write_proof(proof: facts.Proof) -> WrittenProof:
+    lead = math.floor(proof.lead * THOUSANDTHS) / THOUSANDTHS
+    return WrittenProof(lead=lead, era=proof.era)
+
+
 def _write_fact(fact: facts.Fact) -> WrittenFact:
     return WrittenFact(
         subject=fact.key.subject.value,
@@ -96,22 +116,44 @@
 
 def _write_value(known: facts.Value) -> Mapping[str, Any]:
     match known:
-        case configs.Configuration(version, routes, services, limits):
-            return {
-                'version': version,
-                'routes': [_write_route(route) for route in routes],
-                'services': [list(service) for service in services],
-                'limits': list(limits),
-            }
+        case configs.Configuration():
+            return _write_configuration(known)
         case suspects.News():
             return {**suspect_codecs.write_news(known)}
         case _:
             return known._asdict()
 
 
+def _write_configuration(
+    configuration: configs.Configuration,
+) -> Mapping[str, Any]:
+    """Write a configuration; what only some have is left out of others.
+
+    The public routes stand beside the routes: hosts of the version before
+    take no route with a field more.
+    """
+    written: dict[str, Any] = {
+        'version': configuration.version,
+        'routes': [_write_route(route) for route in configuration.routes],
+        'services': [list(service) for service in configuration.services],
+        'limits': list(configuration.limits),
+    }
+    public = [
+        place
+        for place, route in enumerate(configuration.routes)
+        if route.public
+    ]
+    if public:
+        written['public'] = public
+    if configuration.customers is not None:
+        written['customers'] = [list(it) for it in configuration.customers]
+    return written
+
+
 def _write_route(route: configs.Route) -> Mapping[str, Any]:
     written = route._asdict()
     written['way'] = _write_way(route.way)
+    written.pop('public')
     return written
 
 
@@ -135,9 +177,16 @@
         bool(written['lost']),
         int(written.get('era', facts.NO_ERA)),
         int(written.get('since', 0)),
+        _read_proof(written.get('proof')),
     )
 
 
+def _read_proof(written: WrittenProof | None) -> facts.Proof | None:
+    if written is None:
+        return None
+    return facts.Proof(float(written['lead']), int(written['era']))
+
+
 def _read_fact(row: WrittenFact) -> facts.Fact:
     key = facts.Key(facts.Subject(row['subject']), row['name'])
     written = row['value']
@@ -151,12 +200,7 @@
 ) -> facts.Value:
     match subject:
         case facts.Subject.CONFIGURATION:
-            return configs.Configuration(
-                written['version'],
-                tuple(_read_route(row) for row in written['routes']),
-                tuple(configs.Service(*row) for row in written['services']),
-                configs.Limits(*written['limits']),
-            )
+            return _read_configuration(written)
         case facts.Subject.INSTANCE:
             return instances.Instance(**written)
         case facts.Subject.HOST:
@@ -167,8 +211,31 @@
             return suspect_codecs.read_news(written)
 
 
-def _read_route(row: Mapping[str, Any]) -> configs.Route:
-    read = {**row, 'way': _read_way(row['way'])}
+def _read_configuration(written: Mapping[str, Any]) -> configs.Configuration:
+    public = set(written.get('public', ()))
+    customers = written.get('customers')
+    if customers is not None:
+        customers = tuple(_read_customer(*row) for row in customers)
+    return configs.Configuration(
+        written['version'],
+        tuple(
+            _read_route(row, public=place in public)
+            for place, row in enumerate(written['routes'])
+        ),
+        tuple(configs.Service(*row) for row in written['services']),
+        configs.Limits(*written['limits']),
+        customers,
+    )
+
+
+def _read_customer(
+    name: str, keys: list[str], *figures: Any
+) -> configs.Customer:
+    return configs.Customer(name, tuple(keys), *figures)
+
+
+def _read_route(row: Mapping[str, Any], *, public: bool) -> configs.Route:
+    read = {**row, 'way': _read_way(row['way']), 'public': public}
     read['repeat'] = configurations.Repeat(row['repeat'])
     return configs.Route(**read)
 
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -76,6 +76,10 @@
         return ignorance
     if reaches.is_cut_off(desk, now):
         return 'too few targets can be reached'
+    if desk.index.configuration.customers is None:
+        return ''
+    if desk.controls.freshness.find_wait():
+        return 'no recent word of which keys are valid'
     return ''
 
 
@@ -140,6 +144,7 @@
         case events.Counted(total, hosts):
             desk.host_count = max(1, total)
             desk.hosts = tuple(it for it in hosts if it.name != desk.host.name)
+            desk.centres.note_hosts((*desk.hosts, desk.host))
             desk.warmups.note_hosts(hosts, now)
 
 
@@ -149,7 +154,9 @@
     version = desk.index.configuration.version
     taken = admission.admit(desk, event, now)
     if isinstance(taken, errors.Failure):
-        return endings.refuse(event.ask, event.request, taken, version, now)
+        request = event.request
+        asked = admission.find_asked(desk, request)
+        return endings.refuse(event.ask, request, taken, version, now, asked)
     return _begin(desk, taken, now)
 
 
@@ -245,6 +252,9 @@
 def _resume_ask(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
     idle = [it for it in asks.list_open(ask) if asks.is_idle(ask, it)]
     lost = [it for it in idle if ask.parts[it].number]
+    refused = admission.refuse_late(desk, ask, now)
+    if refused is not None:
+        return refused
     # Each request is tried at another of the shards that several have lost.
     ranked = rendezvous.rank(ask.request.identity.digest, lost)
     return [
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -27,9 +27,13 @@
 UNKNOWN_SHARE: Final = 0.3
 #: Hedges later than this share of the objective are too late to help.
 LATEST_SHARE: Final = 0.6
-#: A helper tells what is in after 0.4 of the objective at the latest; one that
-#: has told nothing by then is taken for lost.
+#: A helper tells what is in well before; one that has told nothing by this
+#: share of the objective is taken for lost.
 HELPED_SHARE: Final = 0.5
+#: But not sooner than so long after other hedges are due: two small hosts may
+#: take this to read, send and write what they do for one query. Sending all of
+#: its parts a second time would keep this one from reading the first answers.
+HELPED_S: Final = 0.02
 #: Hedges sooner than this share of the objective bring nothing that counts,
 #: and most of what is slow then, because its target pauses, ends by itself.
 EARLIEST_SHARE: Final = 0.4
@@ -166,12 +170,12 @@
     way = ask.route.way
     if not isinstance(way, configs.Gather) or service not in desk.index.wide:
         return desk.host_count
-    hosts = (*desk.hosts, desk.host)
     centres = desk.find_wide_centres()
     on_duty = ask.assists
     if not on_duty and desk.host.data_centre in centres:
         chunk = duties.find_chunks(way).get(service, service)
         duty = duties.Duty(desk.host.data_centre, chunk)
+        hosts = desk.centres.list_hosts(desk.host.data_centre)
         first = duties.rank_hosts(duty, hosts)[: duties.ON_DUTY]
         on_duty = desk.host in first
     return duties.count_slack_sharers(
@@ -184,7 +188,7 @@
     if ask.route.at_most_once:
         return []
     delay = find_delay(desk, ask)
-    helped = max(delay, HELPED_SHARE * ask.route.objective)
+    helped = max(delay + HELPED_S, HELPED_SHARE * ask.route.objective)
     return [
         service
         for service in asks.list_open(ask)
--- a/tests/relay/test_notices.py
+++ b/tests/relay/test_notices.py
@@ -23,7 +23,7 @@
     """Have a host find out that ONE ends its targets."""
     news = suspects.News(ONE, 0, crashes, suspects.QUARANTINE_S)
     host.runner.post(events.Suspected((news,)))
-    host.notices.tell(news)
+    host.told.notices.tell(news)
 
 
 def test_tells_every_host_of_a_small_fleet_at_once() -> None:
