Play several customers on the same shards in simulated time

Change: a model's shape can name customers, each with a route, an objective and a rate of its own, for a time a multiple of it. What a query waits for a busy host counts as part of its time. Two tests: a customer at 4 and 7 times its usual beside two others, and 2.4 times as much from all for five seconds while one target in six is slow by eight. Collapse is that less is answered in time than without the burst; recovered is two seconds after it as before.

--- a/bench/model.py
+++ b/bench/model.py
@@ -32,6 +32,8 @@
 
     took: float
     covered: float
+    asked: float = 0.0
+    customer: str = ''
 
 
 class Result(NamedTuple):
@@ -62,7 +64,7 @@
         self._numbers = random.Random(seed)
         self._order = itertools.count()
         self._due: list[Work] = []
-        self._asked: dict[tuple[int, int], float] = {}
+        self._asked: dict[tuple[int, int], events.Request] = {}
         self._helped: dict[tuple[int, int], tuple[int, events.AssistKey]] = {}
         self._connected: set[tuple[int, str]] = set()
         self._endings: list[Ending] = []
@@ -72,17 +74,15 @@
         self._numbers_by_name = {
             desk.host.name: int(desk.host.address) for desk in self._hosts
         }
+        self._flows = {flow.customer: flow for flow in shapes.list_flows(shape)}
         self._targets = self._make_targets(load)
         self._wakes: dict[int, float] = {}
         self._busy: dict[int, float] = {}
 
     def play(self, seconds: float) -> Result:
         """Ask at random hosts and times for so long."""
-        when = 0.0
-        while when < seconds:
-            when += self._numbers.expovariate(self._shape.rate)
-            host = self._numbers.randrange(len(self._hosts))
-            self._add(when, host, self._make_request(when))
+        for flow in self._flows.values():
+            self._ask(flow, seconds)
         steps = range(int((seconds + 1) / REVIEW_S))
         for host, step in itertools.product(range(len(self._hosts)), steps):
             self._add(step * REVIEW_S, host, events.Reviewed())
@@ -91,6 +91,14 @@
             self._handle(work)
         return Result(tuple(self._endings), self._repeats, self._crossed)
 
+    def _ask(self, flow: shapes.Flow, seconds: float) -> None:
+        when = 0.0
+        while when < seconds:
+            rate = shapes.find_rate(flow, when)
+            when += self._numbers.expovariate(rate)
+            host = self._numbers.randrange(len(self._hosts))
+            self._add(when, host, self._make_request(flow, when))
+
     def _make_targets(self, load: targets.Load) -> dict[str, targets.Target]:
         names = self._hosts[0].directory.by_name
         return {
@@ -98,18 +106,19 @@
             for name in names
         }
 
-    def _make_request(self, now: float) -> events.Asked:
+    def _make_request(self, flow: shapes.Flow, now: float) -> events.Asked:
         number = next(self._order)
         request = events.Request(
             f'id-{number}',
             'GET',
-            '/search/',
+            shapes.name_path(flow),
             'host',
             (),
             b'',
             now,
-            now + self._shape.timeout,
+            now + flow.timeout,
             self._shape.away,
+            key=flow.customer,
         )
         return events.Asked(number, request)
 
@@ -125,7 +134,7 @@
             return
         desk = self._hosts[host]
         if isinstance(event, events.Asked):
-            self._asked[host, event.ask] = at
+            self._asked[host, event.ask] = event.request
         if isinstance(event, events.Ticked):
             self._wakes.pop(host, None)
         done = at + self._count_cost(event)
@@ -167,7 +176,8 @@
             arrives += CONNECT_S
         self._repeats += self._hosts[host].aloft[send.key].extra
         self._crossed += PART_BYTES if way == FAR_S else 0
-        done = self._targets[name].take(arrives)
+        flow = self._flows[send.request.customer]
+        done = self._targets[name].take(arrives, flow.work)
         if done is None:
             shed = events.Refused(send.key, messages.RefusalReason.SHED)
             self._add(arrives + way, host, shed)
@@ -175,8 +185,7 @@
             broken = events.Broken(send.key, messages.Fault.CONNECTION_LOST)
             self._add(done.at + way, host, broken)
         else:
-            late = done.at > send.ends
-            status = 504 if late else 200
+            status = 504 if done.at > send.ends else 200
             answer = events.Answer(status, (), SIGNATURE, b'')
             back = min(done.at, send.ends) + way
             self._add(back, host, events.Answered(send.key, answer))
@@ -203,8 +212,11 @@
         covered = 0.0
         if isinstance(outcome, events.Merged):
             covered = 1 - outcome.missing / self._shape.shards
-        took = now - self._asked.pop((host, ask)) + self._shape.away
-        self._endings.append(Ending(took, covered))
+        request = self._asked.pop((host, ask))
+        took = now - request.arrived + self._shape.away
+        self._endings.append(
+            Ending(took, covered, request.arrived, request.key)
+        )
 
     def _find_way(self, host: int, data_centre: str) -> float:
         own = self._hosts[host].host.data_centre
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -14,9 +14,31 @@
 )
 
 
+class Flow(NamedTuple):
+    """Say how often a customer asks over all hosts, and what it needs.
+
+    `rate` is in queries a second, `times` as many while `begins` <= now <
+    `ends`. `work` is the work of a part at a target, as a share of the usual.
+    """
+
+    customer: str
+    rate: float
+    objective: float
+    timeout: float
+    coverage: float
+    priority: int = 1
+    work: float = 1.0
+    times: float = 1.0
+    begins: float = 0.0
+    ends: float = float('inf')
+
+
 class Shape(NamedTuple):
     """Say what is played; `rate` is queries a second over all hosts.
 
+    With `flows` each of them is a customer with a route of its own over the
+    same shards; they say how often, and what is wanted of an answer.
+
     `part` and `share` are the processor time, in seconds, that a host takes to
     send a part or take it in, and to ask another host for parts or tell it;
     `away` is what passes of a caller's time outside the host.
@@ -35,16 +57,38 @@
     part: float = 0.0
     share: float = 0.0
     away: float = 0.0
+    flows: tuple[Flow, ...] = ()
+
+
+def list_flows(shape: Shape) -> tuple[Flow, ...]:
+    """List who asks; where no customers are told, nobody by name."""
+    nobody = Flow(
+        '', shape.rate, shape.objective, shape.timeout, shape.coverage
+    )
+    return shape.flows or (nobody,)
+
+
+def find_rate(flow: Flow, now: float) -> float:
+    """Find how many queries a second a flow asks at a time."""
+    hot = flow.begins <= now < flow.ends
+    return flow.rate * flow.times if hot else flow.rate
+
+
+def name_path(flow: Flow) -> str:
+    """Name the path of the route that a flow asks."""
+    return f'/{flow.customer or "search"}/'
 
 
 def make_desks(shape: Shape, numbers: random.Random) -> list[states.Desk]:
-    """Make the decisions of hosts that know each other and one wide route."""
+    """Make the decisions of hosts that know each other and wide routes."""
     hosts = [_name_host(shape, number) for number in range(shape.hosts)]
-    route = _make_route(shape)
+    routes = tuple(_make_route(shape, flow) for flow in list_flows(shape))
     configured = events.Configured(
-        configs.Configuration(1, (route,), (), configs.Limits())
+        configs.Configuration(
+            1, routes, (), configs.Limits(), _list_customers(shape)
+        )
     )
-    directed = events.Directed(_direct(shape, route))
+    directed = events.Directed(_direct(shape, routes[0]))
     counted = events.Counted(len(hosts), tuple(hosts))
     made = []
     for host in hosts:
@@ -61,18 +105,28 @@
     return places.Host(f'host-{number:03}', str(number), f'dc-{centre}')
 
 
-def _make_route(shape: Shape) -> configs.Route:
+def _list_customers(shape: Shape) -> tuple[configs.Customer, ...] | None:
+    """List the customers, each with its name as its key."""
+    if not shape.flows:
+        return None
+    return tuple(
+        configs.Customer(flow.customer, (flow.customer,))
+        for flow in shape.flows
+    )
+
+
+def _make_route(shape: Shape, flow: Flow) -> configs.Route:
     shards = tuple(f'shard-{number:03}' for number in range(shape.shards))
     return configs.Route(
-        'search',
+        flow.customer or 'search',
         'host',
-        '/search/',
+        name_path(flow),
         configurations.Repeat.IDEMPOTENT,
-        shape.timeout,
-        shape.objective,
+        flow.timeout,
+        flow.objective,
         shape.attempts,
-        1,
-        configs.Gather(shards, 20, shape.coverage),
+        flow.priority,
+        configs.Gather(shards, 20, flow.coverage),
     )
 
 
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -47,15 +47,15 @@
         self._phase = numbers.random() * load.every
         self._troubled = numbers.random() < load.share
 
-    def take(self, now: float) -> Done | None:
-        """Take a request; None where the queue is full."""
+    def take(self, now: float, share: float = 1.0) -> Done | None:
+        """Take a request of a share of the usual work; None if it is full."""
         while self._ends and self._ends[0] <= now:
             heapq.heappop(self._ends)
         if len(self._ends) >= len(self._free) + QUEUE:
             return None
         load = self._load
         troubled = self._troubled and load.begins <= now < load.ends
-        work = load.work * self._numbers.lognormvariate(0, SPREAD)
+        work = share * load.work * self._numbers.lognormvariate(0, SPREAD)
         if troubled:
             work *= load.slow
         start = self._wake(max(now, heapq.heappop(self._free)))
--- /dev/null
+++ b/tests/bench/test_crowds.py
@@ -0,0 +1,66 @@
+"""Test what customers get of shared targets while there is little room."""
+
+import pytest
+
+from bench import crowds, model, shapes, targets
+
+#: The usual of three customers, the last with the least time.
+HOT = shapes.Flow('hot', 6.0, 0.2, 2.5, 0.95)
+CALM = shapes.Flow('calm', 16.0, 0.2, 2.5, 0.95)
+URGENT = shapes.Flow('urgent', 14.0, 0.05, 1.0, 0.85, 0, 0.33)
+#: Hosts of half a core; targets have two slots each.
+SHAPE = shapes.Shape(hosts=73, part=0.0002, share=0.0012, away=0.01)
+LOAD = targets.Load(work=0.02, pause=0.12, every=3)
+BEGINS = 2.0
+BURST_S = 5.0
+RECOVERY_S = 2.0
+SEEDS = (1, 2, 3)
+
+
+def play(
+    flows: tuple[shapes.Flow, ...], load: targets.Load, seconds: float
+) -> model.Result:
+    """Play each seed; the outcomes of all of them count together."""
+    shape = SHAPE._replace(flows=flows)
+    played = [model.Fleet(shape, load, it).play(seconds) for it in SEEDS]
+    endings = tuple(it for one in played for it in one.endings)
+    repeats = sum(one.repeats for one in played)
+    return model.Result(endings, repeats, 0)
+
+
+@pytest.mark.parametrize('times', [4.0, 7.0])
+def test_a_hot_customer_starves_nobody(times: float) -> None:
+    """Symptom: queries of others fail while one asks for many times more."""
+    ends = BEGINS + 4
+    hot = HOT._replace(times=times, begins=BEGINS, ends=ends)
+    usual = play((HOT, CALM, URGENT), LOAD, ends)
+    pressed = play((hot, CALM, URGENT), LOAD, ends)
+    for flow in (CALM, URGENT):
+        without = crowds.weigh(usual, flow, BEGINS, ends)
+        beside = crowds.weigh(pressed, flow, BEGINS, ends)
+        assert beside.served >= 0.99
+        assert beside.p99 <= flow.timeout / 4
+        assert beside.in_time >= 0.8 * without.in_time
+
+
+def test_a_burst_on_slow_targets_does_not_collapse() -> None:
+    """Symptom: more is asked, and less than before is answered in time.
+
+    For five seconds 2.4 times as much is asked while one target in six is
+    slow by eight.
+    """
+    ends = BEGINS + BURST_S
+    load = LOAD._replace(share=0.16, slow=8.0, begins=BEGINS, ends=ends)
+    flows = (HOT, CALM, URGENT)
+    burst = tuple(
+        it._replace(times=2.4, begins=BEGINS, ends=ends) for it in flows
+    )
+    usual = play(flows, load, ends)
+    pressed = play(burst, load, ends + RECOVERY_S + 3)
+    for flow in flows:
+        without = crowds.weigh(usual, flow, BEGINS, ends)
+        during = crowds.weigh(pressed, flow, BEGINS, ends)
+        after = crowds.weigh(pressed, flow, ends + RECOVERY_S, 99)
+        assert during.in_time * during.asked >= without.in_time * without.asked
+        assert after.served >= 0.99
+        assert after.in_time >= without.in_time
