--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -27,6 +27,7 @@
     questions,
     readiness,
     runner,
+    silences,
 )
 from fuchsiahaven.routing import (
     configs,
@@ -79,7 +80,7 @@
             settings, self.news, self.keys, log, self.runner.traffic
         )
         self.quarantines = quarantines.Quarantines(self.desk, self.news, log)
-        self.notices = notices.Notices(
+        spread = notices.Notices(
             self.desk,
             self.quarantines,
             log,
@@ -93,6 +94,8 @@
             self.runner.traffic,
             self.runner.post,
         )
+        silence = silences.Silences(self.desk, log, self.runner.traffic)
+        self.told = questions.Told(spread, silence)
         self.readiness = readiness.Readiness(self._find_obstacle, log)
         self.callers = ports.Port(
             ports.Terms(
@@ -106,7 +109,7 @@
             self.news,
             self.meters,
             self.lessons.evacuations,
-            self.notices,
+            self.told,
             self.find_obstacle,
             self.readiness.tell_balancer,
         )
@@ -126,14 +129,16 @@
             stack.callback(self.news.close)
             stack.callback(self.confirmations.close)
             stack.callback(self.quarantines.close)
-            stack.callback(self.notices.close)
+            stack.callback(self.told.notices.close)
+            stack.callback(self.told.silences.close)
             await self._listen(stack)
             async with asyncio.TaskGroup() as tasks:
                 running = [
                     tasks.create_task(self.news.follow()),
                     tasks.create_task(self._entry.stay()),
                     tasks.create_task(self.confirmations.stay()),
-                    tasks.create_task(self.notices.learn()),
+                    tasks.create_task(self.told.notices.learn()),
+                    tasks.create_task(self.told.silences.tell()),
                     tasks.create_task(self.runner.sweep()),
                     tasks.create_task(self._watch_settings()),
                 ]
@@ -265,7 +270,7 @@
             case events.Suspicion(found, passed_on):
                 self._tell_suspicion(found)
                 if passed_on:
-                    self.notices.tell(found)
+                    self.told.notices.tell(found)
             case events.Belief(target, text, why):
                 self.log.tell_request(
                     'targets', text, good=False, target=target, why=why
