--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -87,6 +87,8 @@
             self.runner.traffic,
             self.runner.post,
         )
+        silence = silences.Silences(self.desk, log, self.runner.traffic)
+        self.told = questions.Told(spread, silence)
         self._datagrams = datagrams.Datagrams(
             settings,
             self.desk.controls.quotas,
@@ -94,8 +96,6 @@
             self.runner.traffic,
             self.runner.post,
         )
-        silence = silences.Silences(self.desk, log, self.runner.traffic)
-        self.told = questions.Told(spread, silence)
         self.readiness = readiness.Readiness(self._find_obstacle, log)
         self.callers = ports.Port(
             ports.Terms(
