--- a/fuchsiahaven/routing/quota_holders.py
+++ b/fuchsiahaven/routing/quota_holders.py
@@ -25,7 +25,7 @@
     """Own what this host knows of the holders."""
 
     def __init__(self, host: places.Host) -> None:
-        """Start with this host alone."""
+        """Start with no host known."""
         self._own = host
         self._hosts: Mapping[str, tuple[places.Host, ...]] = {}
         self._names: dict[str, str] = {}
