Use an id of our own in the tests of wires

Cause: the tests held the example id of the users' pages. The malformed length that one case builds from it is as malformed as before ('4-number-1').

--- a/tests/relay/test_wires.py
+++ b/tests/relay/test_wires.py
@@ -16,13 +16,13 @@
 
 USUAL: Final = (
     b'HTTP/1.1 200 OK\r\n'
-    b'Fuchsiahaven-Request-Id: 9c41d07be2a35f68\r\n'
+    b'Fuchsiahaven-Request-Id: request-number-1\r\n'
     b'Content-Length: 4\r\n\r\nbody'
 )
 FIELDS: Final = (
     ('accept', '*/*'),
     ('host', 'shop.example'),
-    ('fuchsiahaven-request-id', '9c41d07be2a35f68'),
+    ('fuchsiahaven-request-id', 'request-number-1'),
 )
 #: Pieces of which answers are made, right ones and wrong ones.
 PIECES: Final = (
@@ -156,7 +156,9 @@
         USUAL.replace(b'1.1', b'1.0'),
         USUAL.replace(b'Fuchsiahaven-Request-Id', b'Connection'),
         USUAL.replace(b'Fuchsiahaven-Request-Id', b'Transfer-Encoding'),
-        USUAL.replace(b'Fuchsiahaven-Request-Id: 9c41', b'Content-Length: 4'),
+        USUAL.replace(
+            b'Fuchsiahaven-Request-Id: request', b'Content-Length: 4'
+        ),
         USUAL.replace(b'Fuchsiahaven-Request-Id', b'X' * 9000),
     ],
 )
@@ -169,7 +171,7 @@
     """The host goes first, as h11 has it, and a body goes with its length."""
     assert wires.write('GET', '/a/1', FIELDS, b'') == (
         b'GET /a/1 HTTP/1.1\r\nhost: shop.example\r\naccept: */*\r\n'
-        b'fuchsiahaven-request-id: 9c41d07be2a35f68\r\n\r\n'
+        b'fuchsiahaven-request-id: request-number-1\r\n\r\n'
     )
     sized = (*FIELDS, ('content-length', '4'))
     written = wires.write('POST', '/a/1', sized, b'body')
