Offer a suspect request to other hosts before it is tried

Seen: a request under which targets had ended at one moment was asked for at three hosts at one instant; each tried it, and the trial that quarantined it made four targets where three are allowed. Cause: trials were told to other hosts from the second moment on only, and as they began, when the other hosts had begun theirs. Change: a request of which nothing was sent yet is offered first. What was under way when targets ended does neither wait nor cost a notice, and first offers are told under the rate of first suspicions.

--- a/fuchsiahaven/core/suspects.py
+++ b/fuchsiahaven/core/suspects.py
@@ -12,10 +12,12 @@
 from collections.abc import Hashable, Iterable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import identities, rates, rendezvous
+from fuchsiahaven.core import identities, offers, rates
 
 #: Moments at which targets ended that make a quarantine.
 MOST_CRASHES: Final = 3
+#: Moments after which a trial may quarantine, and no host sends beside it.
+TELLING_CRASHES: Final = 2
 #: How long a request is left alone before the trial that may quarantine it.
 #: What ends many targets by chance is mostly over by then.
 PAUSE_S: Final = 1.0
@@ -78,7 +80,7 @@
     `crashes` counts the moments at which targets ended under it since it was
     cleared for the last time, `clears` how often it was. `wait` is for how many
     seconds it is not to be sent. `targets` and `services` name a few of those
-    where it ended. `host` tries it now; it is empty if none does.
+    where it ended. `host` tries it now or is about to; it may be empty.
     """
 
     identity: identities.Identity
@@ -126,6 +128,7 @@
         """Suspect nothing."""
         #: Numbers of what waits for the trial of a request.
         self.waiting: dict[identities.Identity, set[int]] = {}
+        self.offers = offers.Offers(PASSED_ON)
         self._known: dict[identities.Identity, Suspect] = {}
         self._passing = rates.fill_bucket(PASSED_ON, 0.0)
 
@@ -192,6 +195,14 @@
         )
         return True
 
+    def offer_trial(self, identity: identities.Identity, now: float) -> bool:
+        """Offer to try a request; tell whether other hosts are to know."""
+        known = self._known[identity]
+        first = known.crashes < TELLING_CRASHES
+        tells = self.offers.make(identity, now, first=first)
+        self._known[identity] = known._replace(told=known.told or tells)
+        return tells
+
     def begin_trial(
         self, identity: identities.Identity, trial: Hashable, now: float
     ) -> bool:
@@ -201,10 +212,12 @@
         this one.
         """
         known = self._known[identity]
+        offered = self.offers.is_own(identity, now)
+        self.offers.withdraw(identity)
         self._known[identity] = known._replace(
             trial=trial, trial_ends=now + TRIAL_S
         )
-        return known.crashes >= MOST_CRASHES - 1
+        return known.crashes >= TELLING_CRASHES and not offered
 
     def end_trial(self, identity: identities.Identity, trial: Hashable) -> bool:
         """Take in that a sending has ended; tell whether it was the trial."""
@@ -219,6 +232,8 @@
         known = self._known.get(news.identity, Suspect())
         if news.rank != known.rank:
             return news.rank > known.rank
+        if is_first_trial(news):
+            return self.offers.is_new(news.identity, news.host, now)
         # Another host may be trying the request.
         until = now + min(news.wait, TRIAL_S)
         return news.crashes > 0 and until > known.until + PATIENCE_S
@@ -231,8 +246,15 @@
         if not self.is_news(news, now):
             return False
         known = self._known.get(news.identity, Suspect())
-        if not gives_way(known, news, own):
+        tries = known.trial is not None
+        tries = tries or self.offers.is_own(news.identity, now)
+        if tries and _goes_first(known, news, own):
             return False
+        self.offers.withdraw(news.identity)
+        if is_first_trial(news):
+            self.offers.leave_to(news.identity, news.host, now)
+            if news.rank == known.rank:
+                return False
         wait = min(news.wait, _count_pause(news.crashes))
         if news.rank == known.rank:
             until = now + min(news.wait, TRIAL_S)
@@ -285,8 +307,7 @@
 
     def forget_old(self, now: float) -> None:
         """Forget suspicions that have expired."""
-        if not self._known:
-            return
+        self.offers.forget_old(now)
         self._known = {
             identity: known
             for identity, known in self._known.items()
@@ -295,21 +316,33 @@
 
     def _keep(self, identity: identities.Identity, known: Suspect) -> None:
         if identity not in self._known:
-            self._make_room(identity.customer)
+            _make_room(self._known, identity.customer)
         self._known[identity] = known
 
-    def _make_room(self, customer: str) -> None:
-        """Forget one request of whoever has most, or has too many."""
-        counts = collections.Counter(it.customer for it in self._known)
-        if counts[customer] < MOST_OF_CUSTOMER:
-            if len(self._known) < MOST:
-                return
-            customer = counts.most_common(1)[0][0]
-        own = [it for it in self._known if it.customer == customer]
-        least = min(
-            own, key=lambda it: (self._known[it].crashes, self._known[it].seen)
-        )
-        self._known.pop(least)
+
+def _goes_first(known: Suspect, news: News, own: str) -> bool:
+    """Tell whether this host's own trial stands beside another host's.
+
+    Hosts that are asked at the same moment begin at the same moment. Were
+    each of them to give way, they would do so again at each next try.
+    """
+    if news.rank != known.rank:
+        return False
+    return offers.goes_first(news.identity, own, news.host)
+
+
+def _make_room(
+    table: dict[identities.Identity, Suspect], customer: str
+) -> None:
+    """Forget one request of whoever has most, or has too many."""
+    counts = collections.Counter(it.customer for it in table)
+    if counts[customer] < MOST_OF_CUSTOMER:
+        if len(table) < MOST:
+            return
+        customer = counts.most_common(1)[0][0]
+    own = [it for it in table if it.customer == customer]
+    least = min(own, key=lambda it: (table[it].crashes, table[it].seen))
+    table.pop(least)
 
 
 def _is_another(known: Suspect, crash: Crash) -> bool:
@@ -336,15 +369,17 @@
     return 'suspect' if news.crashes else 'cleared'
 
 
-def gives_way(suspect: Suspect, news: News, own: str) -> bool:
-    """Tell whether this host's own trial gives way to another host's.
+def is_first_trial(news: News) -> bool:
+    """Tell whether a host tries a request after the first moment.
 
-    Hosts that are asked at the same moment begin at the same moment. Were each
-    of them to give way, they would do so again at each next try.
+    Most of these are innocent, and none is refused for it.
     """
-    if suspect.trial is None or news.rank != suspect.rank:
-        return True
-    return rendezvous.rank(news.identity.digest, (news.host, own))[0] != own
+    return bool(news.host) and 0 < news.crashes < TELLING_CRASHES
+
+
+def count_told_wait(crashes: int) -> float:
+    """Count the seconds for which a trial keeps other hosts from sending."""
+    return TRIAL_S if crashes >= TELLING_CRASHES else 0.0
 
 
 def count_quarantine(crashes: int) -> float:
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -3,7 +3,7 @@
 import math
 from typing import Final
 
-from fuchsiahaven.core import coverage, rendezvous, suspects
+from fuchsiahaven.core import coverage, identities, rendezvous, suspects
 from fuchsiahaven.core.queries import hedges
 from fuchsiahaven.routing import (
     asks,
@@ -223,14 +223,57 @@
     identity = ask.request.identity
     # Whatever becomes of it, what waits for it is not to wait for ever.
     desk.set_timer(now + suspects.TRIAL_S, states.HeldDue(identity))
-    told = desk.suspects.begin_trial(identity, key, now)
+    if not desk.suspects.begin_trial(identity, key, now):
+        return []
+    return _announce(desk, identity, now)
+
+
+def _announce(
+    desk: states.Desk, identity: identities.Identity, now: float
+) -> list[events.Action]:
+    """Tell other hosts that this one tries a suspect request."""
     news = desk.suspects.tell(identity, now)
-    if news is None or not told:
+    if news is None:
         return []
-    news = news._replace(wait=suspects.TRIAL_S, host=desk.host.name)
+    wait = suspects.count_told_wait(news.crashes)
+    news = news._replace(wait=wait, host=desk.host.name)
     return [events.Suspicion(news, passed_on=True)]
 
 
+def _leave_to_others(
+    desk: states.Desk, ask: asks.Ask, now: float
+) -> list[events.Action] | None:
+    """Have the trial of a new request wait for other hosts; None if it is not.
+
+    Those that are asked at one moment would each end a target. What was under
+    way when targets ended does not wait, and nothing waits when it is late.
+    """
+    identity = ask.request.identity
+    offered = desk.suspects.offers
+    latest = ask.request.arrived + ask.route.objective
+    if not desk.hosts or now >= latest or not _is_new(ask):
+        return None
+    if ask.number in desk.suspects.waiting.get(identity, ()):
+        return []
+    actions: list[events.Action] = []
+    patience = find_delay(desk, ask)
+    if not offered.count_delay(identity, patience, now):
+        if not desk.suspects.offer_trial(identity, now):
+            return None
+        actions = _announce(desk, identity, now)
+    wait_for_trial(desk, ask)
+    due = now + offered.count_delay(identity, patience, now)
+    desk.set_timer(min(due, latest), states.HeldDue(identity))
+    return actions
+
+
+def _is_new(ask: asks.Ask) -> bool:
+    """Tell whether nothing of a caller's request was sent yet."""
+    if ask.assists:
+        return False
+    return not any(part.number for part in ask.parts.values())
+
+
 def hedge_all(
     desk: states.Desk, ask: asks.Ask, services: list[str], now: float
 ) -> list[events.Action]:
@@ -311,6 +354,10 @@
     if gate is suspects.Gate.CLOSED:
         _lose(desk, ask, service, now, coverage.Reason.QUARANTINED)
         return []
+    if gate is suspects.Gate.TRIAL:
+        left = _leave_to_others(desk, ask, now)
+        if left is not None:
+            return left
     send = _send_chosen(desk, ask, service, now, purpose)
     if send is None:
         _lose(desk, ask, service, now)
--- a/tests/routing/test_quarantines.py
+++ b/tests/routing/test_quarantines.py
@@ -279,6 +279,39 @@
     assert fleet.count_late() <= MOST_AFTER
 
 
+@settings(max_examples=100)
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 3), strategies.floats(0, 0.004)
+        ),
+        min_size=2,
+        max_size=12,
+    ),
+    strategies.sampled_from(('/search/death', '/one/death')),
+    strategies.integers(1, 2),
+)
+def test_hosts_asked_at_one_moment_end_one_target(
+    asked: list[tuple[int, float]], path: str, moments: int
+) -> None:
+    """Symptom: each host tries a suspect request beside the others.
+
+    All of them know the moments at which it ended targets, and hear of each
+    other's trials only once they have begun their own.
+    """
+    fleet = Fleet()
+    identity = identities.identify('shop.example', path.encode())
+    news = suspects.News(identity, 0, moments, 0.0, (), ('shard-1',))
+    for number, _ in enumerate(HOSTS):
+        fleet.post(number, events.Suspected((news,)))
+    fleet.run_to(fleet.now + 2)
+    for host, pause in asked:
+        fleet.run_to(fleet.now + pause)
+        fleet.ask(host, path)
+    fleet.run_to(fleet.now + 0.5)
+    assert len(fleet.reached) == 1
+
+
 @settings(max_examples=60)
 @given(
     strategies.lists(
