Show in status and inspect what is refused as it ends targets

Now inspect has a line each, hosts of the own interface tell theirs in /v1/status (no field where there is none), and status shows them in a table with who refuses each. A host of the version before tells nothing and is shown so. Ran: tests/operate, tests/edge/test_loop.py, tests/edge/test_peers.py.

--- a/fuchsiahaven/edge/control.py
+++ b/fuchsiahaven/edge/control.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import addresses
+from fuchsiahaven.core import addresses, suspects
 from fuchsiahaven.core.configuration import (
     patches,
     revision_messages,
@@ -45,6 +45,7 @@
     post: Callable[[Event], None]
     take_claims: Callable[[bytes], bytes | None]
     note_members: Callable[[claim_members.Listed], None]
+    list_quarantined: Callable[[], tuple[suspects.News, ...]] = tuple
 
 
 class Control:
@@ -132,6 +133,7 @@
         state = self.revisions.state
         table = self.gossip.state.table
         known = (entry.member for entry in table.entries.values())
+        held = [_describe_held(it) for it in self._links.list_quarantined()]
         return {
             'host': self.name,
             'data_centre': self._chosen.host.data_centre,
@@ -143,6 +145,7 @@
             'obstacle': self.explain(),
             'health': self.gossip.state.health,
             'members': [member._asdict() for member in sorted(known)],
+            **({'quarantined': held} if held else {}),
         }
 
     def _take_configuration(self, stamped: patches.Stamped) -> None:
@@ -207,3 +210,14 @@
     openings.start_thread(server.serve, 'peers', stack)
     stack.callback(server.stop)
     return control
+
+
+def _describe_held(news: suspects.News) -> Mapping[str, object]:
+    """Describe a query that is refused as it ends its targets."""
+    return {
+        'digest': news.identity.digest,
+        'request_class': news.identity.customer,
+        'crashes': news.crashes,
+        'wait': round(news.wait, 1),
+        'targets': list(news.targets),
+    }
--- a/fuchsiahaven/edge/loop.py
+++ b/fuchsiahaven/edge/loop.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import errors
+from fuchsiahaven.core import errors, suspects
 from fuchsiahaven.core.queries import dispatch, states, tables
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import connectors, fleets, links, pools, tls
@@ -48,7 +48,8 @@
     """Show the loop to other threads, as it was a moment ago.
 
     `obstacle` says why no new work should come here; empty if it may.
-    `unanswered` counts the queries that have yet to get their reply.
+    `unanswered` counts the queries that have yet to get their reply,
+    `quarantined` are those that are refused as they end their targets.
     """
 
     obstacle: str
@@ -58,6 +59,7 @@
     in_flight: int
     connections: int
     counts: collections.Counter[tables.Count]
+    quarantined: tuple[suspects.News, ...] = ()
 
 
 class Settings(NamedTuple):
@@ -180,6 +182,7 @@
 
     def _sample(self, fleet: fleets.Fleet) -> Sample:
         known = self._state.tables
+        held = known.suspects.list_all(time.monotonic())
         return Sample(
             dispatch.find_obstacle(self._state),
             self._state.configuration.revision,
@@ -188,6 +191,7 @@
             len(known.flying),
             fleet.count_links(),
             collections.Counter(known.counts),
+            tuple(suspects.pick_quarantined(held)),
         )
 
     def _wait(self) -> float:
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -93,7 +93,10 @@
         _start_loop(dispatcher, asked, stack)
         task.start(dispatcher.post, stack)
         links = control.Links(
-            dispatcher.post, task.take_claims, task.note_members
+            dispatcher.post,
+            task.take_claims,
+            task.note_members,
+            lambda: dispatcher.sample.quarantined,
         )
         controller = control.start(chosen, links, caller, stack)
         host = Host(dispatcher, controller)
--- a/fuchsiahaven/operate/command_inspect.py
+++ b/fuchsiahaven/operate/command_inspect.py
@@ -3,7 +3,7 @@
 import argparse
 import json
 import sys
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, Final
 
 from fuchsiahaven.operate import exits
@@ -61,6 +61,7 @@
     # A host of the version before tells no era.
     lines = [f'{name}: {told.get(name, NOT_TOLD)}' for name in SHOWN]
     lines.append(f'hosts: {", ".join(sorted(told["hosts"]))}')
+    lines.extend(list_quarantined(told.get('quarantined', ())))
     lines.extend(list_customers(told.get('customers')))
     for service, targets in sorted(told['targets'].items()):
         stands = ', '.join(f'{name} {how}' for name, how in targets.items())
@@ -69,6 +70,15 @@
     return lines
 
 
+def list_quarantined(rows: Iterable[Mapping[str, Any]]) -> list[str]:
+    """List the requests that are refused as they end their targets."""
+    return [
+        f'quarantined: {row["digest"]} for {row["wait"]:.0f} s, targets ended '
+        f'at {row["crashes"]} moments: {", ".join(row["targets"])}'
+        for row in rows
+    ]
+
+
 def list_customers(told: Mapping[str, Any] | None) -> list[str]:
     """List how customers' requests ended, where there are customers."""
     if told is None:
--- a/fuchsiahaven/operate/command_status.py
+++ b/fuchsiahaven/operate/command_status.py
@@ -112,7 +112,7 @@
         }
         for seen in hosts
     ]
-    for table in (counts, rows):
+    for table in (counts, rows, statuses.list_quarantined(hosts)):
         if table:
             print('\n'.join(tables.lay_out(table)))
     for fault in faults:
--- a/fuchsiahaven/operate/statuses.py
+++ b/fuchsiahaven/operate/statuses.py
@@ -23,6 +23,7 @@
     """Hold what one host says of itself, or why it says nothing.
 
     `revision` is None where the host did not answer; it may have any.
+    `quarantined` describes the queries that it refuses as they end targets.
     """
 
     address: str
@@ -32,6 +33,7 @@
     revision: int | None = None
     digest: str = ''
     remark: str = ''
+    quarantined: tuple[Mapping[str, Any], ...] = ()
 
 
 class Survey(NamedTuple):
@@ -108,6 +110,24 @@
     return counts
 
 
+def list_quarantined(hosts: Iterable[Seen]) -> list[Mapping[str, str]]:
+    """List the queries that hosts refuse, and which hosts do."""
+    refusers: dict[str, list[str]] = {}
+    rows: dict[str, Mapping[str, str]] = {}
+    for seen in hosts:
+        for row in seen.quarantined:
+            digest = str(row.get('digest'))
+            refusers.setdefault(digest, []).append(seen.name or seen.address)
+            rows[digest] = {
+                'quarantined': digest,
+                'class': str(row.get('request_class')),
+                'ended': str(row.get('crashes')),
+                'for s': str(row.get('wait')),
+                'refused by': ', '.join(refusers[digest]),
+            }
+    return list(rows.values())
+
+
 def _list_hosts(platform: store.Store) -> tuple[dict[str, Seen], str]:
     try:
         listing = hostlist.read_hosts(platform)
@@ -145,11 +165,18 @@
         body['revision'],
         str(body.get('digest', '')),
         str(body.get('obstacle') or ''),
+        _read_quarantined(body.get('quarantined')),
     )
     members = _read_members(seen, body.get('members', []))
     return seen, {member.address: member for member in members}
 
 
+def _read_quarantined(rows: object) -> tuple[Mapping[str, Any], ...]:
+    """Read what a host refuses; a host of the version before tells nothing."""
+    given = rows if isinstance(rows, list) else []
+    return tuple(row for row in given if isinstance(row, dict))
+
+
 def _read_members(seen: Seen, rows: object) -> Iterable[Seen]:
     for row in rows if isinstance(rows, list) else []:
         if isinstance(row, dict) and row.get('standing') not in GONE:
--- a/tests/edge/test_loop.py
+++ b/tests/edge/test_loop.py
@@ -1,11 +1,12 @@
 """Test how the dispatch loop ends."""
 
 import queue
+import threading
 import time
 
 import pytest
 
-from fuchsiahaven.core import errors
+from fuchsiahaven.core import errors, identities, suspects
 from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.core.queries import states
 from fuchsiahaven.core.targets import messages
@@ -55,3 +56,22 @@
         assert isinstance(failure, errors.Failure)
         assert failure.kind is errors.Kind.INTERNAL
         assert failure.ran is ran
+
+
+def test_shows_what_is_quarantined() -> None:
+    """Symptom: operators see refusals, and not of what."""
+    state = states.start('Odori', float)
+    identity = identities.identify('refund', b'one')
+    news = suspects.News(identity, 0, suspects.MOST_CRASHES, 60.0, ('t1',))
+    state.tables.suspects.merge(news, time.monotonic(), 'host')
+    bounds = loop.Settings(answer_bytes=1000, probe_s=1, connect_s=1)
+    dispatcher = loop.Loop(state, bounds, lambda action: None)
+    assert not dispatcher.sample.quarantined
+    running = threading.Thread(target=dispatcher.run)
+    running.start()
+    while dispatcher.sample.obstacle == 'starting':
+        time.sleep(0.01)
+    dispatcher.post(loop.Closed())
+    running.join()
+    (held,) = dispatcher.sample.quarantined
+    assert held.identity == identity
--- a/tests/operate/test_command_inspect.py
+++ b/tests/operate/test_command_inspect.py
@@ -32,6 +32,13 @@
     assert lines[-1] == 'records: i-1 12 ms, i-2 left out; 5.5 repeats left'
 
 
+def test_lists_what_is_quarantined() -> None:
+    """Symptom: only `--json` shows which requests are refused."""
+    row = {'digest': 'ab', 'wait': 119.6, 'crashes': 3, 'targets': ['i-1']}
+    lines = command_inspect.list_lines({**TOLD, 'quarantined': [row]})
+    assert 'quarantined: ab for 120 s, targets ended at 3 moments: i-1' in lines
+
+
 def test_lists_how_customers_requests_ended() -> None:
     """Where callers need no key there is no such line."""
     assert not command_inspect.list_customers(None)
--- a/tests/operate/test_operators.py
+++ b/tests/operate/test_operators.py
@@ -19,7 +19,7 @@
 )
 from fuchsiahaven.core.members import patch_rows
 from fuchsiahaven.edge import editor, store
-from fuchsiahaven.operate import command_watch, commands, exits
+from fuchsiahaven.operate import command_watch, commands, exits, statuses
 from standins import platform, wire
 
 EXAMPLES = Path(__file__).parents[2] / 'examples'
@@ -45,6 +45,7 @@
         self.place = place
         self.address = ''
         self.held = configurations.EMPTY
+        self.quarantined: list[dict[str, object]] = []
 
     def opened(self, channel: wire.Channel) -> None:
         """Accept every connection."""
@@ -66,6 +67,8 @@
             'state': 'alive',
             'revision': revision,
         }
+        if self.quarantined:
+            body['quarantined'] = self.quarantined
         channel.reply(200, json.dumps(body))
 
     def show(self) -> dict[str, object]:
@@ -227,6 +230,33 @@
     assert status.body['accepted'] is None
 
 
+def test_status_tells_what_hosts_refuse_as_it_ends_targets(
+    filled: World,
+) -> None:
+    """Symptom: callers are refused, and `status` shows nothing of it."""
+    hosts = Host('h1', [1]), Host('h2', [1])
+    row: dict[str, object] = {
+        'digest': 'ab' * 16,
+        'request_class': 'price-check',
+        'crashes': 3,
+        'wait': 119.5,
+        'targets': ['t1'],
+    }
+    hosts[0].quarantined = [row]
+    filled.serve(*hosts)
+    status = filled.run('status')
+    assert status.code == exits.DONE
+    told = {it['name']: it['quarantined'] for it in status.body['hosts']}
+    assert told == {'h1': [row], 'h2': []}
+    shown = statuses.list_quarantined(
+        [
+            statuses.Seen('1', 'h1', quarantined=(row,)),
+            statuses.Seen('2', 'h2', quarantined=(row,)),
+        ]
+    )
+    assert [it['refused by'] for it in shown] == ['h1, h2']
+
+
 def test_status_tells_each_revision_and_who_did_not_answer(
     filled: World,
 ) -> None:
