--- a/bench/model.py
+++ b/bench/model.py
@@ -184,6 +184,9 @@
         elif done.lost:
             broken = events.Broken(send.key, messages.Fault.CONNECTION_LOST)
             self._add(done.at + way, host, broken)
+            # The pool looks whether the target lives, by another connection.
+            found = done.at + CONNECT_S + 3 * way
+            self._add(found, host, events.Reached(name))
         else:
             status = 504 if done.at > send.ends else 200
             answer = events.Answer(status, (), SIGNATURE, b'')
