Give the model targets that end on a request

A share of a load's requests, `deadly`, ends each target that runs one, with what is under way there; a port is closed until another process stands in, and hosts hear of each other's suspicions. Two figures come on top: targets ended, and those ended later than 4 s after the third.

--- a/bench/model.py
+++ b/bench/model.py
@@ -10,9 +10,11 @@
 import heapq
 import itertools
 import random
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 from bench import shapes, targets
+from fuchsiahaven.core import identities
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import desks, events
 
@@ -25,6 +27,10 @@
 #: Bytes of a part that crosses: its request and its answer.
 PART_BYTES: Final = 780
 SIGNATURE: Final = 'signed'
+#: Names the query that ends its targets.
+DEADLY_ID: Final = identities.identify('deadly')
+#: How long it may still reach targets once it has ended three.
+IN_TOUCH_S: Final = 4.0
 
 
 class Ending(NamedTuple):
@@ -37,11 +43,17 @@
 
 
 class Result(NamedTuple):
-    """Hold what became of all queries, and what they cost."""
+    """Hold what became of all queries, and what they cost.
+
+    `ends` counts the targets that a query has ended, `late` the sendings of it
+    that reached one long after the third had ended.
+    """
 
     endings: tuple[Ending, ...]
     repeats: int
     crossed_bytes: int
+    ends: int = 0
+    late: int = 0
 
 
 class Work(NamedTuple):
@@ -76,6 +88,8 @@
         }
         self._flows = {flow.customer: flow for flow in shapes.list_flows(shape)}
         self._targets = self._make_targets(load)
+        self._deadly = load.deadly
+        self._ends: list[float] = []
         self._wakes: dict[int, float] = {}
         self._busy: dict[int, float] = {}
 
@@ -89,7 +103,13 @@
         while self._due:
             work = heapq.heappop(self._due)
             self._handle(work)
-        return Result(tuple(self._endings), self._repeats, self._crossed)
+        return Result(
+            tuple(self._endings),
+            self._repeats,
+            self._crossed,
+            len(self._ends),
+            count_late(self._ends),
+        )
 
     def _ask(self, flow: shapes.Flow, seconds: float) -> None:
         when = 0.0
@@ -108,6 +128,7 @@
 
     def _make_request(self, flow: shapes.Flow, now: float) -> events.Asked:
         number = next(self._order)
+        deadly = self._deadly and self._numbers.random() < self._deadly
         request = events.Request(
             f'id-{number}',
             'GET',
@@ -120,13 +141,16 @@
             self._shape.away,
             key=flow.customer,
         )
+        if deadly:
+            request = request._replace(identity=DEADLY_ID)
         return events.Asked(number, request)
 
     def _add(self, when: float, host: int, event: events.Event) -> None:
         heapq.heappush(self._due, Work(when, next(self._order), host, event))
 
     def _handle(self, work: Work) -> None:
-        at, _, host, event = work
+        at, _, host, _ = work
+        event = self._cut_off(work)
         free = self._busy.get(host, 0.0)
         if free > at:
             # What comes first is still done first.
@@ -147,6 +171,19 @@
             self._wakes[host] = wake
             self._add(max(at, wake), host, events.Ticked())
 
+    def _cut_off(self, work: Work) -> events.Event:
+        """Lose the answer of a target that ended meanwhile, with all others."""
+        event = work.event
+        if not isinstance(event, events.Answered):
+            return event
+        aloft = self._hosts[work.host].aloft.get(event.key)
+        if aloft is None:
+            return event
+        if not self._targets[aloft.instance].has_cut(aloft.sent, work.at):
+            return event
+        self._add(work.at + CONNECT_S, work.host, events.Ended(aloft.instance))
+        return events.Broken(event.key, messages.Fault.CONNECTION_LOST)
+
     def _count_cost(self, step: events.Event | events.Action) -> float:
         """Count the seconds that a host takes for an event or an action."""
         match step:
@@ -166,6 +203,10 @@
                 self._give(host, ask, share, now)
             case events.Reply(ask, outcome):
                 self._end(host, ask, outcome, now)
+            case events.Suspicion(news, passed_on=True):
+                for other, desk in enumerate(self._hosts):
+                    way = self._find_way(host, desk.host.data_centre)
+                    self._add(now + way, other, events.Suspected((news,)))
 
     def _send(self, host: int, send: events.Send, now: float) -> None:
         name = send.instance.name
@@ -177,21 +218,20 @@
         self._repeats += self._hosts[host].aloft[send.key].extra
         self._crossed += PART_BYTES if way == FAR_S else 0
         flow = self._flows[send.request.customer]
+        if self._targets[name].is_gone(arrives):
+            unsent = events.Unsent(send.key, unreachable=True)
+            self._add(arrives + way, host, unsent)
+            return
         done = self._targets[name].take(arrives, flow.work)
         if done is None:
             shed = events.Refused(send.key, messages.RefusalReason.SHED)
             self._add(arrives + way, host, shed)
-        elif done.lost:
-            broken = events.Broken(send.key, messages.Fault.CONNECTION_LOST)
-            self._add(done.at + way, host, broken)
-            # The pool looks whether the target lives, by another connection.
-            found = done.at + CONNECT_S + 3 * way
-            self._add(found, host, events.Reached(name))
-        else:
-            status = 504 if done.at > send.ends else 200
-            answer = events.Answer(status, (), SIGNATURE, b'')
-            back = min(done.at, send.ends) + way
-            self._add(back, host, events.Answered(send.key, answer))
+            return
+        deadly = send.request.identity == DEADLY_ID
+        if deadly and self._targets[name].end(arrives, done.at):
+            self._ends.append(done.at)
+        for when, told in list_told(send, done, way):
+            self._add(when, host, told)
 
     def _delegate(
         self, host: int, delegate: events.Delegate, now: float
@@ -216,6 +256,9 @@
         if isinstance(outcome, events.Merged):
             covered = 1 - outcome.missing / self._shape.shards
         request = self._asked.pop((host, ask))
+        if request.identity == DEADLY_ID:
+            # Nobody misses it.
+            return
         took = now - request.arrived + self._shape.away
         self._endings.append(
             Ending(took, covered, request.arrived, request.key)
@@ -224,3 +267,29 @@
     def _find_way(self, host: int, data_centre: str) -> float:
         own = self._hosts[host].host.data_centre
         return NEAR_S if data_centre == own else FAR_S
+
+
+def count_late(ends: Iterable[float]) -> int:
+    """Count the targets that ended long after the third."""
+    found = sorted(ends)
+    return sum(when > found[2] + IN_TOUCH_S for when in found[2:])
+
+
+def list_told(
+    send: events.Send, done: targets.Done, way: float
+) -> list[tuple[float, events.Event]]:
+    """List what a host is told of a request that ran, and when."""
+    name = send.instance.name
+    deadly = send.request.identity == DEADLY_ID
+    if not (deadly or done.lost):
+        status = 504 if done.at > send.ends else 200
+        answer = events.Answer(status, (), SIGNATURE, b'')
+        back = min(done.at, send.ends) + way
+        return [(back, events.Answered(send.key, answer))]
+    # The pool looks whether the target lives, by another connection.
+    found = events.Ended(name) if deadly else events.Reached(name)
+    broken = events.Broken(send.key, messages.Fault.CONNECTION_LOST)
+    return [
+        (done.at + way, broken),
+        (done.at + CONNECT_S + 3 * way, found),
+    ]
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -1,11 +1,14 @@
 """Model targets in simulated time: slots, queues, pauses and lost answers."""
 
 import heapq
+import math
 import random
 from typing import Final, NamedTuple
 
 #: Spread of a request's work, of a lognormal distribution.
 SPREAD: Final = 0.35
+#: How soon another process stands in for a target that has ended.
+BACK_S: Final = 2.0
 #: Requests that wait at most; one more is refused.
 QUEUE: Final = 12
 
@@ -15,7 +18,8 @@
 
     Each pauses for `pause` once in `every`, at its own time. Of a `share` of
     them `lost` of the answers are lost with their connection, and work takes
-    `slow` times as long, both while `begins` <= now < `ends`.
+    `slow` times as long, both while `begins` <= now < `ends`. A share of the
+    requests, `deadly`, ends each target that runs one.
     """
 
     work: float = 0.02
@@ -24,6 +28,7 @@
     share: float = 0.0
     lost: float = 0.0
     slow: float = 1.0
+    deadly: float = 0.0
     begins: float = 0.0
     ends: float = float('inf')
 
@@ -46,6 +51,7 @@
         self._ends: list[float] = []
         self._phase = numbers.random() * load.every
         self._troubled = numbers.random() < load.share
+        self._ended = -math.inf
 
     def take(self, now: float, share: float = 1.0) -> Done | None:
         """Take a request of a share of the usual work; None if it is full."""
@@ -65,6 +71,21 @@
         lost = troubled and self._numbers.random() < load.lost
         return Done(end, lost)
 
+    def end(self, begun: float, now: float) -> bool:
+        """End with whatever is under way; False if it ends before."""
+        if self._ended >= begun:
+            return False
+        self._ended = now
+        return True
+
+    def is_gone(self, now: float) -> bool:
+        """Tell whether it has ended and nothing stands in for it yet."""
+        return self._ended <= now < self._ended + BACK_S
+
+    def has_cut(self, sent: float, now: float) -> bool:
+        """Tell whether it ended after a request was sent and before now."""
+        return sent < self._ended <= now
+
     def _wake(self, when: float) -> float:
         """Find when work can begin: not in a pause."""
         into = (when + self._phase) % self._load.every
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -27,6 +27,7 @@
     'quiet': targets.Load(),
     'paused': targets.Load(pause=0.25),
     'lost': targets.Load(pause=0.25, share=0.5, lost=0.4, begins=3, ends=7),
+    'deadly': targets.Load(pause=0.25, deadly=0.002),
     'slow': targets.Load(pause=0.25, share=0.16, slow=8, begins=3, ends=7),
 }
 #: Worth that a late answer keeps, as the users' sheets state it for searches.
@@ -39,13 +40,18 @@
 
 
 class Score(NamedTuple):
-    """Hold what a way was worth with one seed; times are in seconds."""
+    """Hold what a way was worth with one seed; times are in seconds.
+
+    `ends` and `late` are of a query that ends its targets.
+    """
 
     worth: float
     failed: float
     p99: float
     repeats: float
     crossed_kb: float
+    ends: float = 0.0
+    late: float = 0.0
 
 
 def apply_way(way: str, stack: contextlib.ExitStack) -> None:
@@ -92,6 +98,8 @@
         times.get_value_at_percentile(P99) / MICROSECONDS,
         played.repeats / total,
         played.crossed_bytes / total / BYTES_OF_KB,
+        played.ends,
+        played.late,
     )
 
 
--- a/tests/bench/test_trial.py
+++ b/tests/bench/test_trial.py
@@ -46,6 +46,15 @@
     assert played.repeats <= allowed
 
 
+def test_a_query_that_ends_its_targets_stops_reaching_them() -> None:
+    """Symptom: it comes again at any host, and ends targets all day."""
+    shape = SHAPE._replace(hosts=12)
+    load = targets.Load(deadly=0.1)
+    found = trial.play(trial.STANDS, load, shape, SEED, 8)
+    assert found.ends >= 3
+    assert found.late <= 3
+
+
 def test_plays_the_same_for_a_seed() -> None:
     """A trial can be told from another by the way alone."""
     load = trial.LOADS['slow']
