--- a/fuchsiahaven/relay/askers.py
+++ b/fuchsiahaven/relay/askers.py
@@ -8,7 +8,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.relay import listings
-from fuchsiahaven.routing import codecs, facts, freshness, ledgers, sources
+from fuchsiahaven.routing import changes, codecs, facts, freshness, sources
 
 #: How long a host that asks is kept waiting where there is nothing new.
 HOLD_S: Final = 0.7
@@ -112,7 +112,7 @@
         if held.cursor.life != ledger.cursor.life and not held.known:
             held.tell(self._listings.write(ledger, now, lost=lost))
             return
-        report = ledgers.list_changes(
+        report = changes.list_changes(
             ledger, held.cursor, now, known=held.known
         )
         proof = self._keys.prove(held.arrived)
--- a/fuchsiahaven/relay/listings.py
+++ b/fuchsiahaven/relay/listings.py
@@ -2,7 +2,7 @@
 
 from typing import Final, NamedTuple
 
-from fuchsiahaven.routing import codecs, facts, freshness, ledgers
+from fuchsiahaven.routing import changes, codecs, facts, freshness
 
 #: How old a listing may be, in seconds. A whole data centre asks its first
 #: host within a few tenths when all have just started, and would wait for one
@@ -38,7 +38,7 @@
         same = last.cursor == ledger.cursor and last.lost == lost
         old = now >= last.at + FRESH_S or uptime >= last.uptime + FRESH_S
         if not same or old:
-            report = ledgers.list_changes(ledger, facts.START, now)
+            report = changes.list_changes(ledger, facts.START, now)
             # Whoever is given it has asked before it is old.
             proof = self._keys.prove(uptime + FRESH_S)
             body = codecs.write_report(report._replace(lost=lost, proof=proof))
--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -21,6 +21,7 @@
     traffic,
 )
 from fuchsiahaven.routing import (
+    changes,
     codecs,
     facts,
     freshness,
@@ -217,7 +218,7 @@
         cursor = self._cursors.get(address, facts.START)
         asked = {
             'after': codecs.write_cursor(cursor),
-            'known': 0 if cursor.life else ledgers.digest(self.ledger),
+            'known': 0 if cursor.life else changes.digest(self.ledger),
         }
         if self._keys.is_on:
             asked[askers.KEYS_AGE] = f'{self._keys.count_age():.3f}'
--- a/tests/routing/freshness_model.py
+++ b/tests/routing/freshness_model.py
@@ -3,7 +3,14 @@
 import enum
 from typing import Final, NamedTuple
 
-from fuchsiahaven.routing import codecs, configs, facts, freshness, ledgers
+from fuchsiahaven.routing import (
+    changes,
+    codecs,
+    configs,
+    facts,
+    freshness,
+    ledgers,
+)
 from tests.routing import store_model
 
 REVOKE_S: Final = 5.0
@@ -83,7 +90,7 @@
     ) -> facts.Report:
         """Answer another host, as over the wire."""
         now = self._operator.store.now
-        report = ledgers.list_changes(self.ledger, after, now)
+        report = changes.list_changes(self.ledger, after, now)
         report = report._replace(proof=self.keys.prove(arrived), age=0)
         if alone:
             report = take_alone(report)
--- a/tests/routing/store_model.py
+++ b/tests/routing/store_model.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.routing import (
+    changes,
     codecs,
     configs,
     facts,
@@ -201,8 +202,8 @@
         self._doubtful = True
         life = other.ledger.cursor.life
         cursor = self._cursors.get(life, facts.START)
-        known = 0 if cursor.life else ledgers.digest(self.ledger)
-        told = ledgers.list_changes(
+        known = 0 if cursor.life else changes.digest(self.ledger)
+        told = changes.list_changes(
             other.ledger, cursor, self._store.now, known=known
         )
         if math.isinf(told.age):
--- a/tests/routing/test_ledgers.py
+++ b/tests/routing/test_ledgers.py
@@ -2,6 +2,7 @@
 
 from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.routing import (
+    changes,
     codecs,
     configs,
     facts,
@@ -117,44 +118,15 @@
     all_of_it = read(5, make_fact('a', 2), make_fact('b', 3))
     reader = take(ledgers.begin(1), all_of_it, 0)
     reader = take(reader, read(6, make_fact('a', 2)), 10, returned=10)
-    early = ledgers.list_changes(reader, facts.START, 10)
+    early = changes.list_changes(reader, facts.START, 10)
     other = take(ledgers.begin(2), early, 10, None)
     assert list_names(other) == {'a', 'b'}
     reader = take(reader, read(6, make_fact('a', 2)), 13, returned=10)
-    late = ledgers.list_changes(reader, early.cursor, 13)
+    late = changes.list_changes(reader, early.cursor, 13)
     assert not late.whole
     assert list_names(take(other, late, 13, None)) == {'a'}
 
 
-def test_passes_on_no_renewal_that_says_the_same() -> None:
-    """Renewals of all targets would be most of what hosts send each other."""
-    ledger = take(ledgers.begin(1), read(5, make_fact('a', 2)), 0)
-    cursor = ledger.cursor
-    ledger = take(ledger, read(9, make_fact('a', 8)), 1)
-    assert not ledgers.list_changes(ledger, cursor, 1).facts
-    ledger = take(ledger, read(12, make_fact('a', 11, leaving=True)), 2)
-    assert len(ledgers.list_changes(ledger, cursor, 2).facts) == 1
-
-
-def test_passes_on_that_a_target_turns_cold_but_not_each_second() -> None:
-    """Symptom: news of a reshard is three times as much as it has to be.
-
-    A target counts its seconds down with each heartbeat. That it is cold, that
-    it is warm and that it is cold anew is all that others have to hear.
-    """
-    ledger = take(ledgers.begin(1), read(5, make_fact('a', 2)), 0)
-    told = []
-    for revision, seconds in enumerate((3.0, 1.8, 0.6, 0, 2.0, 0.8, 3.0), 7):
-        cursor = ledger.cursor
-        fact = make_fact('a', revision)
-        assert isinstance(fact.value, instances.Instance)
-        cold = fact.value._replace(warming=seconds)
-        ledger = take(ledger, read(20, fact._replace(value=cold)), revision)
-        if ledgers.list_changes(ledger, cursor, revision).facts:
-            told.append(seconds)
-    assert told == [3.0, 0, 2.0, 3.0]
-
-
 def test_does_not_go_back_by_older_news() -> None:
     """A host that is behind brings back no target and no old state."""
     ledger = take(ledgers.begin(1), read(5, make_fact('a', 2)), 0)
@@ -188,47 +160,6 @@
     assert facts.find_configuration(ledger).version == 4
 
 
-def test_gives_everything_to_a_host_that_asked_long_ago() -> None:
-    """Removals are forgotten after a minute; then only everything will do."""
-    both = read(5, make_fact('a', 2), make_fact('b', 3))
-    ledger = take(ledgers.begin(1), both, 0)
-    cursor = ledger.cursor
-    ledger = take(ledger, read(6, make_fact('a', 2)), 1)
-    ledger = take(ledger, read(6, make_fact('a', 2)), 200)
-    report = ledgers.list_changes(ledger, cursor, 200)
-    assert report.whole
-    assert [fact.key.name for fact in report.facts] == ['a']
-
-
-def test_gives_nothing_to_a_host_that_knows_the_same() -> None:
-    """Symptom: narrow links between data centres are full during an outage.
-
-    Every host asks one after the other for news, each for the first time, and
-    there is none: the digest of what the host knows tells so.
-    """
-    ledger = take(ledgers.begin(7), read(5, make_fact('a', 2)), 0)
-    same = take(ledgers.begin(8), read(9, make_fact('a', 6)), 0)
-    known = ledgers.digest(same)
-    report = ledgers.list_changes(ledger, facts.START, 1, known=known)
-    assert not report.facts
-    assert (report.whole, report.cursor) == (False, ledger.cursor)
-
-
-def test_gives_everything_to_a_host_that_lacks_something() -> None:
-    """Symptom: a host that restarts in an outage refuses requests for ever.
-
-    It has listed a store that had lost entries, at a high revision. The
-    entries are back unchanged, so they are no change for the host that it
-    asks, and by revision it knows as much.
-    """
-    whole = read(5, make_fact('a', 2), make_fact('b', 3))
-    other = take(ledgers.begin(7), whole, 0)
-    fresh = take(ledgers.begin(8), read(9, make_fact('a', 8)), 0)
-    known = ledgers.digest(fresh)
-    report = ledgers.list_changes(other, facts.START, 1, known=known)
-    assert list_names(take(fresh, report, 1, None)) == {'a', 'b'}
-
-
 def test_leaves_removals_to_the_host_that_it_asks() -> None:
     """Symptom: after an outage some hosts refuse requests for half a minute.
 
@@ -246,12 +177,6 @@
     assert list_names(ledger) == {'a', 'b'}
 
 
-def test_gives_everything_after_a_restart() -> None:
-    """A place in the order of an earlier life means nothing in this one."""
-    ledger = take(ledgers.begin(7), read(5, make_fact('a', 2)), 0)
-    assert ledgers.list_changes(ledger, facts.Cursor(6, 1), 0).whole
-
-
 def test_reads_what_it_writes() -> None:
     """Every kind of fact survives the way to another host."""
     routes = [
@@ -309,10 +234,10 @@
     """Each of two hosts heard of one start; both end with the later one."""
     earlier = take(ledgers.begin(1), read(6, make_fact('a', 6, born=1)), 0)
     later = take(ledgers.begin(2), read(5, make_fact('a', 5, born=2)), 0)
-    told = ledgers.list_changes(later, facts.START, 1)
+    told = changes.list_changes(later, facts.START, 1)
     earlier = take(earlier, told, 1, None)
     assert list_names(earlier) == {'a@2'}
-    told = ledgers.list_changes(
+    told = changes.list_changes(
         take(ledgers.begin(3), read(7, make_fact('a', 7, born=1)), 0),
         facts.START,
         1,
@@ -329,7 +254,7 @@
     teller = take(ledgers.begin(1), read(5, make_fact('a', 5, born=1)), 0)
     before = teller.cursor
     teller = take(teller, read(9), 1)
-    told = ledgers.list_changes(teller, before, 1)
+    told = changes.list_changes(teller, before, 1)
     ledger = take(ledgers.begin(2), read(8, make_fact('a', 8, born=2)), 0)
     text = codecs.write_report(told)
     ledger = take(ledger, codecs.read_report(text), 2, None)
@@ -355,12 +280,12 @@
     """Hosts tell each other of the order, and of its end as well."""
     reader = take(ledgers.begin(1), read(5, make_fact('a', 2)), 0)
     other = take(
-        ledgers.begin(2), ledgers.list_changes(reader, facts.START, 0), 0, None
+        ledgers.begin(2), changes.list_changes(reader, facts.START, 0), 0, None
     )
     cursor = reader.cursor
     for revision, found in ((7, [make_order(6)]), (9, [])):
         reader = take(reader, read(revision, make_fact('a', 2), *found), 1)
-        told = ledgers.list_changes(reader, cursor, 1)
+        told = changes.list_changes(reader, cursor, 1)
         told = codecs.read_report(codecs.write_report(told))
         cursor = reader.cursor
         other = take(other, told, 1, None)
@@ -391,7 +316,7 @@
     behind = read(5, make_order(4))
     ledger = take(ledgers.begin(1), behind, 0)
     ledger = take(ledger, read(6), 1)
-    ledger = take(ledger, read(9), 1 + 2 * ledgers.REMEMBER_S)
+    ledger = take(ledger, read(9), 1 + 2 * changes.REMEMBER_S)
     started = take(ledgers.begin(2), read(9), 130)
     for known in (ledger, started):
         taken = take(known, behind, 131, None)
@@ -425,11 +350,11 @@
     ledger = take(ledgers.begin(2), read(8, make_fact('a', 8, born=2)), 0)
     before = teller.cursor
     teller = take(teller, read(9), 1)
-    ledger = take(ledger, ledgers.list_changes(teller, before, 1), 1, None)
+    ledger = take(ledger, changes.list_changes(teller, before, 1), 1, None)
     assert list_names(ledger) == {'a@2'}
     before = teller.cursor
     for now in (2, 4):
         teller = take(teller, read(9), now)
-        told = ledgers.list_changes(teller, before, now)
+        told = changes.list_changes(teller, before, now)
         ledger = take(ledger, told, now, None)
     assert not list_names(ledger)
--- a/tests/routing/test_restores.py
+++ b/tests/routing/test_restores.py
@@ -5,6 +5,7 @@
 from fuchsiahaven.core import identities, suspects
 from fuchsiahaven.routing import (
     absences,
+    changes,
     codecs,
     configs,
     facts,
@@ -54,8 +55,8 @@
     teller: facts.Ledger, hearer: facts.Ledger, now: float
 ) -> facts.Ledger:
     """Have a host ask another for the first time, as on the wire."""
-    told = ledgers.list_changes(
-        teller, facts.START, now, known=ledgers.digest(hearer)
+    told = changes.list_changes(
+        teller, facts.START, now, known=changes.digest(hearer)
     )
     text = codecs.write_report(told)
     return take(hearer, codecs.read_report(text), now, None)
@@ -154,14 +155,14 @@
     other = tell(reader, ledgers.begin(2), 1)
     cursor = reader.cursor
     reader = take(reader, read(2, 71, make_fact('a', 40)), 5)
-    told = ledgers.list_changes(reader, cursor, 5)
+    told = changes.list_changes(reader, cursor, 5)
     assert (told.whole, told.era) == (True, 2)
     other = take(other, codecs.read_report(codecs.write_report(told)), 5, None)
     assert other.stamp == (2, 71)
     assert list_names(other) == {'a', 'b'}
     cursor = reader.cursor
     reader = take(reader, watch(2, 72), 5 + absences.RETURN_S)
-    told = ledgers.list_changes(reader, cursor, 8)
+    told = changes.list_changes(reader, cursor, 8)
     assert list_names(take(other, told, 8, None)) == {'a'}
 
 
@@ -186,7 +187,7 @@
     ledger = tell(started, ledger, 5)
     for now in (6, 5 + absences.RETURN_S):
         started = take(started, watch(2, 71), now)
-        nothing = ledgers.list_changes(started, started.cursor, now)
+        nothing = changes.list_changes(started, started.cursor, now)
         ledger = take(ledger, nothing, now, None)
     assert list_names(ledger) == {'a'}
 
@@ -318,7 +319,7 @@
     cursor = ledger.cursor
     ledger = take(ledger, watch(2, 72), 5 + ledger.patience)
     assert list_names(ledger) == {'a'}
-    assert ledgers.list_changes(ledger, cursor, 60).facts
+    assert changes.list_changes(ledger, cursor, 60).facts
 
 
 def test_uses_a_target_whose_spoilt_entry_was_lost() -> None:
@@ -366,7 +367,7 @@
     assert list_names(ledger) == {'b'}
     cursor = started.cursor
     started = take(started, watch(2, 72, make_removal('a', 72)), 7)
-    ledger = take(ledger, ledgers.list_changes(started, cursor, 7), 7, None)
+    ledger = take(ledger, changes.list_changes(started, cursor, 7), 7, None)
     ledger = take(ledger, watch(2, 72), 60, None)
     assert list_names(ledger) == {'b'}
 
@@ -377,7 +378,7 @@
     Removals were forgotten together, the latest ones too.
     """
     ledger = begin(make_fact('a', 40), make_fact('b', 41))
-    at = ledgers.REMEMBER_S - 1
+    at = changes.REMEMBER_S - 1
     ledger = take(ledger, watch(1, 76, make_removal('a', 75)), at)
     ledger = take(ledger, watch(1, 77), at + 2)
     copy = read(2, 71, make_fact('a', 40), make_fact('b', 41))
@@ -433,7 +434,7 @@
     cursor = reader.cursor
     reader = take(reader, watch(2, 72, make_removal('a', 72)), 8)
     late = tell(reader, other, 8)
-    told = ledgers.list_changes(reader, cursor, 8)
+    told = changes.list_changes(reader, cursor, 8)
     for known in (take(other, told, 8, None), late):
         known = take(known, watch(2, 73), 60, None)
         assert list_names(known) == {'b'}
