Give asking other hosts for news a module of its own

Change: peer_news asks hosts and keeps whom to pass over; restores writes the lines of a restore. Decisions and lines are the same; tests of readers, restores, processes and confirmations pass (39).

--- a/fuchsiahaven/relay/news.py
+++ b/fuchsiahaven/relay/news.py
@@ -1,28 +1,25 @@
 """Keep up with what the store holds, from it or from other hosts."""
 
 import asyncio
-import collections
 import math
 import random
 import time
-import urllib.parse
 from collections.abc import Callable
 from typing import Final
 
-from fuchsiahaven.platform import records, store
+from fuchsiahaven.platform import records
 from fuchsiahaven.relay import (
     askers,
     calls,
-    encodings,
     eras,
     journal,
     leases,
+    peer_news,
     readers,
+    restores,
     traffic,
 )
 from fuchsiahaven.routing import (
-    changes,
-    codecs,
     facts,
     freshness,
     ledgers,
@@ -41,12 +38,6 @@
 #: How long a host waits for the seeds when the whole system starts for the
 #: first time: nobody calls it yet, and one listing serves all.
 PATIENT_S: Final = 3.0
-#: How long such a host waits for a connection. Where all hosts lost power at
-#: once the one that is asked may still be dark, and a connection takes 16 ms
-#: between the farthest data centres.
-START_CONNECT_S: Final = 0.04
-ANSWER_S: Final = 0.4
-PEER_S: Final = askers.HOLD_S + ANSWER_S
 #: How long a store that did not answer is left alone, in seconds.
 STORE_DOUBT_S: Final = 0.7
 #: Sources tried in one round before the next round is waited for.
@@ -54,9 +45,6 @@
 #: News this old means that the store was away for all hosts, not for this one
 #: alone: the others would have passed theirs on.
 OUTAGE_S: Final = 2.5
-#: Facts that one line names.
-MOST_NAMED: Final = 8
-FACTS_PATH: Final = '/v1/facts?'
 #: No two starts of a process have the same number, for all practical purposes.
 LIFE_BITS: Final = 48
 
@@ -88,14 +76,10 @@
         )
         self._log = log
         self._learn = learn
-        self._peers = calls.Clients(counted)
+        self._peers = peer_news.PeerNews(log, counted, keys)
         self._reader = readers.Reader(
             self.store, log, self.eras, keys, settings.pace
         )
-        self._cursors: dict[str, facts.Cursor] = {}
-        self._doubted: dict[str, float] = {}
-        self._behind: dict[str, float] = {}
-        self._failures: collections.Counter[str] = collections.Counter()
         self.askers = askers.Askers(self._tell_state, keys)
         self._patient = time.monotonic() + PATIENT_S
         self._store_doubted = 0.0
@@ -171,9 +155,9 @@
             self.settings.host,
             facts.list_hosts(self.ledger),
             self.settings.seeds,
-            self._doubted,
+            self._peers.doubted,
             self._store_doubted,
-            self._behind,
+            self._peers.behind,
             self.settings.first_start and time.monotonic() < self._patient,
         )
 
@@ -206,79 +190,40 @@
             )
         # What was learned here may differ from what others know by now, and
         # they would tell only what changes for them.
-        self._cursors.clear()
+        self._peers.forget_cursors()
         self._keys.note_read(self._reader.left, report.era)
         self._take(report, now, self._returned)
         self.askers.tell_fresher()
         return True
 
     async def _ask(self, address: str) -> bool:
-        near = sources.is_near(self._view(), address)
-        client = self._peers.find(address, far=not near)
-        cursor = self._cursors.get(address, facts.START)
-        asked = {
-            'after': codecs.write_cursor(cursor),
-            'known': 0 if cursor.life else changes.digest(self.ledger),
-        }
-        if self._keys.is_on:
-            asked[askers.KEYS_AGE] = f'{self._keys.count_age():.3f}'
-        target = f'{FACTS_PATH}{urllib.parse.urlencode(asked)}'
-        connect = calls.CONNECT_S if self.ledger.revision else START_CONNECT_S
         left = self._keys.read_clock()
-        try:
-            done = await client.call(
-                store.Call('GET', target),
-                PEER_S,
-                connect_seconds=connect,
-                more=(encodings.ACCEPT,),
-            )
-            report = codecs.read_report(done.body)
-        except (calls.CallFailed, codecs.Malformed) as error:
-            self._doubt(address, str(error))
+        near = sources.is_near(self._view(), address)
+        report = await self._peers.ask(address, self.ledger, near=near)
+        if report is None:
             return False
-        self._cursors[address] = report.cursor
         self._keys.note_told(left, report.proof, report.era)
         merged = self._take(report, time.monotonic(), None)
         self.askers.tell_fresher()
         if self._is_behind(report, merged):
-            self._pass_over(address, report)
+            self._peers.pass_over(address, report, self.settings.pace)
             return False
-        self._failures.pop(address, None)
+        self._peers.forgive(address)
         return True
 
-    def _pass_over(self, address: str, report: facts.Report) -> None:
-        """Pass over a host for a while that told no news."""
-        doubt = sources.STALE_DOUBT_S * self.settings.pace
-        self._behind[address] = time.monotonic() + doubt
-        self._log.tell(
-            PART,
-            'a host is behind',
-            address=address,
-            age=report.age,
-            era=report.era,
-        )
-
     def _is_behind(self, report: facts.Report, merged: facts.Merged) -> bool:
         """Tell whether what a host has told is no news."""
         if report.lost or merged.earlier or not report.revision:
             return True
         return time.monotonic() - self.ledger.read > sources.STALE_S
 
-    def _doubt(self, address: str, why: str) -> None:
-        self._failures[address] += 1
-        doubt = sources.count_doubt(
-            self._failures[address], starting=not self.ledger.revision
-        )
-        self._doubted[address] = time.monotonic() + doubt
-        self._log.tell(PART, 'a host is doubted', address=address, why=why)
-
     def _take(
         self, report: facts.Report, now: float, returned: float | None
     ) -> facts.Merged:
         begun = not self.ledger.revision
         merged = ledgers.merge(self.ledger, report, now, returned=returned)
         self.ledger = merged.ledger
-        _tell_restore(self._log, merged, self.source)
+        restores.tell(self._log, merged, self.source)
         if facts.Subject.CONFIGURATION in merged.changed:
             known = facts.find_configuration(self.ledger)
             self._keys.note_configuration(known)
@@ -286,29 +231,3 @@
             self.askers.tell_all()
             self._learn(merged)
         return merged
-
-
-def _tell_restore(
-    log: journal.Journal, merged: facts.Merged, source: str
-) -> None:
-    if merged.restore is not None:
-        told = merged.restore
-        log.tell(
-            PART,
-            'the store came back from a copy',
-            era_before=told.before.era,
-            era=told.after.era,
-            revision_before=told.before.revision,
-            revision=told.after.revision,
-            kept=told.kept,
-            taken=told.taken,
-            source=source,
-        )
-    if merged.dropped:
-        names = [f'{key.subject} {key.name}' for key in merged.dropped]
-        log.tell(
-            PART,
-            'dropped after a restore',
-            count=len(names),
-            names=names[:MOST_NAMED],
-        )
