Tell where most was lost, by time, route and data centre

Change: hosts that start name their data centres; one table more, and one that lists the largest losses. Test: test_losses, 6 passed.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -6,8 +6,10 @@
 given at all. Callers' own retries are requests of their own here, and those
 that never reached a host are not seen. What hosts gather for each other is no
 request, and a request for a service that never had a target, as those that
-test which configuration is in force, has no worth. The last table counts the
-requests that were not served, by cause.
+test which configuration is in force, has no worth. One table is by data centre,
+which hosts that start name, and one tells where most was lost, by time, route
+and data centre. The last one counts the requests that were not served, by
+cause.
 
     python -m bench.losses LOG [--objective ROUTE=SECONDS ...]
 """
@@ -26,6 +28,10 @@
 #: The balancer and the network on the way to a caller, there and back.
 WAY_S: Final = 0.006
 MARK: Final = '"part":"request"'
+STARTED: Final = '"text":"started"'
+#: Rows of the table of where most was lost.
+MOST_ROWS: Final = 12
+UNKNOWN: Final = '?'
 UNTARGETED: Final = ': no_replica'
 SERVED: Final = frozenset(('complete', 'partial', 'relayed 200'))
 
@@ -42,6 +48,7 @@
     missing: int
     objective: float
     cause: str = ''
+    data_centre: str = UNKNOWN
 
 
 class Loss(NamedTuple):
@@ -58,15 +65,41 @@
 def read_endings(
     lines: Iterable[str], objectives: Mapping[str, float]
 ) -> Iterator[Ending]:
-    """Read the lines of requests; any others are passed over."""
+    """Read the lines of requests; those of other parts are passed over.
+
+    Hosts that start name their data centres.
+    """
+    centres: dict[str, str] = {}
+    for before, row in _read_rows(lines):
+        if row['part'] != 'request':
+            centres.update(_read_centre(row))
+        elif not row.get('assists'):
+            told = before.split()
+            at = float(told[0]) if told else row['up']
+            ending = _read_ending(row, at, objectives)
+            centre = centres.get(ending.host, UNKNOWN)
+            yield ending._replace(data_centre=centre)
+
+
+def _read_rows(
+    lines: Iterable[str],
+) -> Iterator[tuple[str, Mapping[str, Any]]]:
+    """Read the lines that count, each with what stands before it."""
     for line in lines:
         before, brace, rest = line.partition('{')
-        row = _read_row(f'{brace}{rest}') if MARK in rest else None
-        if row is None or row.get('assists'):
-            continue
-        told = before.split()
-        at = float(told[0]) if told else row['up']
-        yield _read_ending(row, at, objectives)
+        if MARK in rest or STARTED in rest:
+            row = _read_row(f'{brace}{rest}')
+            if row is not None:
+                yield before, row
+
+
+def _read_centre(row: Mapping[str, Any]) -> dict[str, str]:
+    """Read the data centre of a host that has started."""
+    settings = row.get('settings')
+    if not settings:
+        return {}
+    name, _, centre = settings[0]
+    return {name: centre}
 
 
 def _read_row(text: str) -> dict[str, Any] | None:
@@ -154,6 +187,27 @@
     return rows
 
 
+def list_largest(endings: Iterable[Ending]) -> list[str]:
+    """List where most was lost: time, route and data centre, by cause."""
+    lost: dict[str, collections.Counter[str]] = {}
+    for ending in endings:
+        step = _name_step(ending)
+        place = f'{step} {ending.route} {ending.data_centre}'
+        lost.setdefault(place, collections.Counter()).update(
+            weigh(ending)._asdict()
+        )
+    ranked = sorted(lost, key=lambda it: -lost[it].total())
+    return [
+        f'{lost[place].total():8.2f} {place}: {_list_shares(lost[place])}'
+        for place in ranked[:MOST_ROWS]
+        if lost[place].total()
+    ]
+
+
+def _list_shares(lost: collections.Counter[str]) -> str:
+    return ', '.join(f'{name} {lost[name]:.2f}' for name in CAUSES)
+
+
 def _name_step(ending: Ending) -> str:
     return f'{ending.at // STEP_S * STEP_S:6.0f} s'
 
@@ -164,7 +218,7 @@
 
 
 def main(arguments: list[str] | None = None) -> None:
-    """Print the tables by route, host and time."""
+    """Print the tables by route, data centre, host and time."""
     parser = argparse.ArgumentParser(prog='losses', description=__doc__)
     parser.add_argument('log', type=argparse.FileType('r', errors='replace'))
     parser.add_argument(
@@ -178,9 +232,15 @@
         and ending.result != 'abandoned'
         and not ending.cause.endswith(UNTARGETED)
     ]
-    tables = (lambda it: it.route, lambda it: it.host, _name_step)
+    tables = (
+        lambda it: it.route,
+        lambda it: it.data_centre,
+        lambda it: it.host,
+        _name_step,
+    )
     for name in tables:
         sys.stdout.write('\n'.join([*tabulate(found, name), '', '']))
+    sys.stdout.write('\n'.join([*list_largest(found), '', '']))
     sys.stdout.write('\n'.join([*count_causes(found), '']))
 
 
--- a/tests/bench/test_losses.py
+++ b/tests/bench/test_losses.py
@@ -101,3 +101,28 @@
         it for it in capsys.readouterr().out.splitlines() if 'search' in it
     ]
     assert row.split() == ['search', '1', '0.0', '0.0', '0.0']
+
+
+def test_tells_where_most_was_lost() -> None:
+    """Where a host's data centre is named, losses are told by it as well."""
+    started = {
+        'part': 'process',
+        'text': 'started',
+        'host': 'host-1',
+        'settings': [['host-1', '10.0.0.1:1', 'north'], ['north']],
+    }
+    line = json.dumps(started, separators=(',', ':'))
+    found = read(
+        f'   0.5 host-1 {line}',
+        write_line(1),
+        write_line(5, took=0.2),
+        write_line(5, result='incomplete ran=no'),
+        write_line(5, result='incomplete ran=no', host='host-2'),
+    )
+    assert [it.data_centre for it in found] == ['north', 'north', 'north', '?']
+    first, second = losses.list_largest(found)
+    assert first.split() == [
+        *('1.90', '4', 's', 'search', 'north:'),
+        *('late', '0.90,', 'partial', '0.00,', 'unserved', '1.00'),
+    ]
+    assert second.split()[:5] == ['1.00', '4', 's', 'search', '?:']
