Let large hosts gather more chunks

Hosts tell their cores (limits.cpu_share times limits.cores) in their entry and beside it between hosts; who is on duty is drawn by weighted rendezvous.

--- a/bench/model.py
+++ b/bench/model.py
@@ -137,9 +137,10 @@
             self._asked[host, event.ask] = event.request
         if isinstance(event, events.Ticked):
             self._wakes.pop(host, None)
-        done = at + self._count_cost(event)
+        cores = shapes.count_cores(self._shape, host)
+        done = at + self._count_cost(event) / cores
         for action in desks.handle(desk, event, at):
-            done += self._count_cost(action)
+            done += self._count_cost(action) / cores
             self._perform(host, action, done)
         self._busy[host] = done
         wake = desk.next_wake()
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -41,7 +41,9 @@
 
     `part` and `share` are the processor time, in seconds, that a host takes to
     send a part or take it in, and to ask another host for parts or tell it;
-    `away` is what passes of a caller's time outside the host.
+    `away` is what passes of a caller's time outside the host. `cores` are what
+    the first hosts of each data centre have, the last of them all others; where
+    it is empty, each has one. `told` is whether they tell it.
     """
 
     hosts: int = 63
@@ -58,6 +60,16 @@
     share: float = 0.0
     away: float = 0.0
     flows: tuple[Flow, ...] = ()
+    cores: tuple[float, ...] = ()
+    told: bool = True
+
+
+def count_cores(shape: Shape, number: int) -> float:
+    """Count the cores of a host."""
+    if not shape.cores:
+        return 1.0
+    place = number // shape.data_centres
+    return shape.cores[min(place, len(shape.cores) - 1)]
 
 
 def list_flows(shape: Shape) -> tuple[Flow, ...]:
@@ -102,7 +114,11 @@
 def _name_host(shape: Shape, number: int) -> places.Host:
     """Name a host; its number stands for its address."""
     centre = number % shape.data_centres
-    return places.Host(f'host-{number:03}', str(number), f'dc-{centre}')
+    name = f'host-{number:03}'
+    host = places.Host(name, str(number), f'dc-{centre}')
+    if shape.told:
+        return host._replace(capacity=count_cores(shape, number))
+    return host
 
 
 def _list_customers(shape: Shape) -> tuple[configs.Customer, ...] | None:
--- a/fuchsiahaven/platform/records.py
+++ b/fuchsiahaven/platform/records.py
@@ -11,6 +11,7 @@
 from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.platform import tenants
 from fuchsiahaven.routing import (
+    capacities,
     configs,
     facts,
     instances,
@@ -102,7 +103,12 @@
 
 def write_host(host: places.Host) -> tuple[str, str]:
     """Write the key and the value by which other hosts find this one."""
-    text = json.dumps({'address': host.address, 'zone': host.data_centre})
+    row: dict[str, str | float] = {
+        'address': host.address,
+        'zone': host.data_centre,
+    }
+    row.update(capacities.write(host.capacity))
+    text = json.dumps(row)
     return f'{HOSTS}{host.name}', base64.b64encode(text.encode()).decode()
 
 
@@ -122,7 +128,8 @@
         case facts.Subject.QUARANTINE:
             return _read_quarantine(key.name, row)
         case _:
-            return places.Host(key.name, row['address'], row['zone'])
+            capacity = capacities.read(row)
+            return places.Host(key.name, row['address'], row['zone'], capacity)
 
 
 def _read_configuration(row: Mapping[str, Any]) -> configs.Configuration:
--- a/fuchsiahaven/platform/settings.py
+++ b/fuchsiahaven/platform/settings.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
-from fuchsiahaven.routing import places
+from fuchsiahaven.routing import capacities, places
 
 VARIABLE: Final = 'FUCHSIAHAVEN_SETTINGS'
 MILLISECONDS: Final = 1000
@@ -105,7 +105,7 @@
     # name is the one where this host answers other hosts.
     peers = lines.get('listen.control') or f'{lines["ip"]}:{ports[0]}'
     return places.Settings(
-        places.Host(lines['node'], peers, lines['zone']),
+        places.Host(lines['node'], peers, lines['zone'], _read_capacity(lines)),
         tuple(
             name.partition('.')[2]
             for name in lines
@@ -137,6 +137,16 @@
     )
 
 
+def _read_capacity(lines: Mapping[str, str]) -> float:
+    """Read what this host can do, in cores; as usual where it is not told."""
+    try:
+        cores = float(lines.get('limits.cores', '1'))
+        capacity = cores * float(lines['limits.cpu_share'])
+    except (KeyError, ValueError):
+        return places.USUAL_CAPACITY
+    return capacities.bound(capacity)
+
+
 def _read_quota(lines: Mapping[str, str]) -> places.Quota | None:
     """Read by how much quotas may be exceeded; not every deployment has any."""
     try:
--- a/fuchsiahaven/routing/codecs.py
+++ b/fuchsiahaven/routing/codecs.py
@@ -8,6 +8,7 @@
 from fuchsiahaven.core import suspects
 from fuchsiahaven.core.configuration import configurations
 from fuchsiahaven.routing import (
+    capacities,
     configs,
     facts,
     instances,
@@ -21,7 +22,11 @@
 
 
 class WrittenFact(TypedDict):
-    """Hold one fact on the wire; `value` is null where it is gone."""
+    """Hold one fact on the wire; `value` is null where it is gone.
+
+    `capacity` is a host's. It stands beside the value, where hosts of the
+    version before pass over it, and is left out where it is as usual.
+    """
 
     subject: str
     name: str
@@ -29,6 +34,7 @@
     value: Mapping[str, Any] | None
     born: int
     era: int
+    capacity: NotRequired[float]
 
 
 class WrittenProof(TypedDict):
@@ -104,7 +110,7 @@
 
 
 def _write_fact(fact: facts.Fact) -> WrittenFact:
-    return WrittenFact(
+    written = WrittenFact(
         subject=fact.key.subject.value,
         name=fact.key.name,
         revision=fact.revision,
@@ -112,6 +118,11 @@
         born=fact.born,
         era=fact.era,
     )
+    if isinstance(fact.value, places.Host):
+        told = capacities.write(fact.value.capacity)
+        if told:
+            written['capacity'] = told['capacity']
+    return written
 
 
 def _write_value(known: facts.Value) -> Mapping[str, Any]:
@@ -120,6 +131,10 @@
             return _write_configuration(known)
         case suspects.News():
             return {**suspect_codecs.write_news(known)}
+        case places.Host():
+            written = known._asdict()
+            written.pop('capacity')
+            return written
         case _:
             return known._asdict()
 
@@ -191,6 +206,8 @@
     key = facts.Key(facts.Subject(row['subject']), row['name'])
     written = row['value']
     read = None if written is None else _read_value(key.subject, written)
+    if isinstance(read, places.Host):
+        read = read._replace(capacity=capacities.read(row))
     era = int(row.get('era', facts.NO_ERA))
     return facts.Fact(key, int(row['revision']), read, int(row['born']), era)
 
--- a/fuchsiahaven/routing/duties.py
+++ b/fuchsiahaven/routing/duties.py
@@ -11,7 +11,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import rendezvous
-from fuchsiahaven.routing import configs, places
+from fuchsiahaven.routing import capacities, configs, places
 
 #: Shards of a chunk: few enough that a helper brings them in a few
 #: milliseconds.
@@ -63,7 +63,9 @@
         for host in hosts
         if host.data_centre == duty.data_centre
     }
-    return [by_name[name] for name in _rank(duty.chunk, tuple(by_name))]
+    weights = tuple(capacities.weigh(it.capacity) for it in by_name.values())
+    ranked = _rank(duty.chunk, tuple(by_name), weights)
+    return [by_name[name] for name in ranked]
 
 
 def count_slack_sharers(centres: int, total: int, *, on_duty: bool) -> float:
@@ -88,5 +90,7 @@
 
 
 @functools.lru_cache(maxsize=_RANKS)
-def _rank(key: str, names: tuple[str, ...]) -> tuple[str, ...]:
-    return rendezvous.rank(key, names)
+def _rank(
+    key: str, names: tuple[str, ...], weights: tuple[float, ...]
+) -> tuple[str, ...]:
+    return rendezvous.rank_weighted(key, zip(names, weights, strict=True))
--- a/fuchsiahaven/routing/plans.py
+++ b/fuchsiahaven/routing/plans.py
@@ -178,7 +178,10 @@
 ) -> places.Host | None:
     """Find the host to ask; None where this one is to send for itself."""
     if wide:
-        on_duty = [it for it in _list_on_duty(desk, duty, now) if it != silent]
+        passed = silent.name if silent else ''
+        on_duty = [
+            it for it in _list_on_duty(desk, duty, now) if it.name != passed
+        ]
         on_duty.append(desk.host)
         late = [it for it in on_duty if _is_late(desk, it, now)]
         chosen = next((it for it in on_duty if it not in late), on_duty[0])
@@ -186,7 +189,7 @@
     near = [
         host
         for host in desk.centres.list_hosts(duty.data_centre)
-        if host != desk.host and _is_alive(desk, host, now)
+        if host.name != desk.host.name and _is_alive(desk, host, now)
     ]
     return _choose_helper(desk, near, now) if near else None
 
@@ -203,7 +206,7 @@
     alive = (
         host
         for host in ranked
-        if host == desk.host or _is_alive(desk, host, now)
+        if host.name == desk.host.name or _is_alive(desk, host, now)
     )
     return list(itertools.islice(alive, duties.ON_DUTY))
 
--- a/fuchsiahaven/routing/quota_holders.py
+++ b/fuchsiahaven/routing/quota_holders.py
@@ -56,9 +56,10 @@
         self, limit: quota_slots.Limit, slots: quota_slots.Slots, slot: int
     ) -> bool:
         """Tell whether this host holds a slot."""
-        return slot < len(slots.shares) and (
-            self.find(limit, slots, slot) == self._own
-        )
+        if slot >= len(slots.shares):
+            return False
+        holder = self.find(limit, slots, slot)
+        return holder is not None and holder.name == self._own.name
 
     def name_host(self, address: str) -> str:
         """Name the host at an address; empty where none is known."""
--- a/fuchsiahaven/routing/ranks.py
+++ b/fuchsiahaven/routing/ranks.py
@@ -7,22 +7,29 @@
 from typing import Final
 
 from fuchsiahaven.core import suspects
-from fuchsiahaven.routing import configs, facts, instances
+from fuchsiahaven.routing import configs, facts, instances, places
 
 #: More than a quarantine counts of crashes, so that clears count first.
 CRASHES_MOST: Final = 100_000
 
 
-def rank(fact: facts.Fact) -> tuple[int, facts.Stamp]:
+def rank(fact: facts.Fact) -> tuple[int, facts.Stamp, bool]:
     """Rank what is told of a key: by its writer's number, then by the store's.
 
+    Of one entry of a host, as one wrote it, that with its capacity ranks first:
+    the version before passes entries on without it.
+
     A configuration that was accepted is replaced by a higher version only.
     A target may start again under its id. The last entry of its earlier
     start can reach the store after the first of the new one, and hosts that
     heard of one of them only pass it on; by revision alone the dead start
     would win, and requests would go to connections that are gone.
     """
-    return (find_number(fact), fact.stamp)
+    tells = (
+        isinstance(fact.value, places.Host)
+        and fact.value.capacity != places.USUAL_CAPACITY
+    )
+    return (find_number(fact), fact.stamp, tells)
 
 
 def says_same(before: facts.Value | None, value: facts.Value) -> bool:
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -177,7 +177,7 @@
         duty = duties.Duty(desk.host.data_centre, chunk)
         hosts = desk.centres.list_hosts(desk.host.data_centre)
         first = duties.rank_hosts(duty, hosts)[: duties.ON_DUTY]
-        on_duty = desk.host in first
+        on_duty = any(it.name == desk.host.name for it in first)
     return duties.count_slack_sharers(
         len(centres), desk.host_count, on_duty=on_duty
     )
