--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -108,3 +108,21 @@
     reading = settings.read_text('\n'.join(lines))
     assert reading.settings is not None
     assert reading.settings.host.address == '10.1.0.9:7380'
+
+
+@pytest.mark.parametrize(
+    ('lines', 'wanted'),
+    [
+        ('', 1.0),
+        ('limits.cpu_share=0.717\nlimits.cores=3\n', 2.151),
+        ('limits.cpu_share=0.361\n', 0.361),
+        ('limits.cores=3\n', 1.0),
+        ('limits.cpu_share=nan\nlimits.cores=3\n', 1.0),
+        ('limits.cpu_share=much\n', 1.0),
+    ],
+)
+def test_reads_what_this_host_can_do(lines: str, wanted: float) -> None:
+    """Cores count times the share of each; the usual where none is told."""
+    reading = settings.read_text(TEXT + lines)
+    assert reading.settings is not None
+    assert reading.settings.host.capacity == wanted
