--- /dev/null
+++ b/tests/bench/test_uneven.py
@@ -0,0 +1,45 @@
+"""Test hosts of unlike cores behind one balancer, in simulated time."""
+
+from bench import model, shapes, targets, trial
+
+#: Two large hosts in each of four data centres; they ask and are asked for
+#: parts of queries with a short objective.
+SHAPE = shapes.Shape(
+    hosts=40,
+    data_centres=4,
+    rate=40.0,
+    objective=0.059,
+    timeout=0.6,
+    coverage=0.85,
+    part=0.00005,
+    share=0.0004,
+    away=0.0105,
+    cores=(2.151, 2.151, 0.361),
+)
+LOAD = targets.Load(work=0.011, pause=0.12, every=3.0)
+SECONDS = 2.0
+#: The large hosts of the first data centre, by the order of hosts.
+LARGE = frozenset((0, 4))
+
+
+def weigh(shape: shapes.Shape, seed: int) -> trial.Score:
+    """Play a shape; weigh its answers."""
+    return trial.weigh(model.Fleet(shape, LOAD, seed).play(SECONDS), shape)
+
+
+def test_hosts_that_tell_their_cores_answer_sooner() -> None:
+    """Symptom: the smallest hosts are the slowest part of every answer."""
+    seeds = range(2)
+    told = [weigh(SHAPE, seed).worth for seed in seeds]
+    untold = [weigh(SHAPE._replace(told=False), seed).worth for seed in seeds]
+    assert sum(told) > sum(untold)
+
+
+def test_few_answers_fail_when_all_large_hosts_of_a_data_centre_die() -> None:
+    """Symptom: those that take over are not asked, or do not send."""
+    dying = SHAPE._replace(dies=0.7, dead=LARGE)
+    for seed in range(2):
+        usual = weigh(SHAPE, seed)
+        score = weigh(dying, seed)
+        assert score.failed == 0
+        assert score.worth > usual.worth - 0.15
