--- a/bench/model.py
+++ b/bench/model.py
@@ -127,6 +127,8 @@
 
     def _handle(self, work: Work) -> None:
         at, _, host, event = work
+        if at >= self._shape.dies and host in self._shape.dead:
+            return
         free = self._busy.get(host, 0.0)
         if free > at:
             # What comes first is still done first.
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -43,7 +43,8 @@
     send a part or take it in, and to ask another host for parts or tell it;
     `away` is what passes of a caller's time outside the host. `cores` are what
     the first hosts of each data centre have, the last of them all others; where
-    it is empty, each has one. `told` is whether they tell it.
+    it is empty, each has one. `told` is whether they tell it. At `dies`, in
+    seconds, the power of the hosts with the numbers `dead` goes.
     """
 
     hosts: int = 63
@@ -62,6 +63,8 @@
     flows: tuple[Flow, ...] = ()
     cores: tuple[float, ...] = ()
     told: bool = True
+    dies: float = float('inf')
+    dead: frozenset[int] = frozenset()
 
 
 def count_cores(shape: Shape, number: int) -> float:
