--- a/fuchsiahaven/routing/duties.py
+++ b/fuchsiahaven/routing/duties.py
@@ -63,8 +63,8 @@
         for host in hosts
         if host.data_centre == duty.data_centre
     }
-    weights = tuple(capacities.weigh(it.capacity) for it in by_name.values())
-    ranked = _rank(duty.chunk, tuple(by_name), weights)
+    cores = tuple([host.capacity for host in by_name.values()])
+    ranked = _rank(duty.chunk, tuple(by_name), cores)
     return [by_name[name] for name in ranked]
 
 
@@ -91,6 +91,7 @@
 
 @functools.lru_cache(maxsize=_RANKS)
 def _rank(
-    key: str, names: tuple[str, ...], weights: tuple[float, ...]
+    key: str, names: tuple[str, ...], cores: tuple[float, ...]
 ) -> tuple[str, ...]:
+    weights = [capacities.weigh(it) for it in cores]
     return rendezvous.rank_weighted(key, zip(names, weights, strict=True))
