--- a/bench/model.py
+++ b/bench/model.py
@@ -150,6 +150,8 @@
 
     def _handle(self, work: Work) -> None:
         at, _, host, _ = work
+        if at >= self._shape.dies and host in self._shape.dead:
+            return
         event = self._cut_off(work)
         free = self._busy.get(host, 0.0)
         if free > at:
@@ -161,9 +163,10 @@
             self._asked[host, event.ask] = event.request
         if isinstance(event, events.Ticked):
             self._wakes.pop(host, None)
-        done = at + self._count_cost(event)
+        cores = shapes.count_cores(self._shape, host)
+        done = at + self._count_cost(event) / cores
         for action in desks.handle(desk, event, at):
-            done += self._count_cost(action)
+            done += self._count_cost(action) / cores
             self._perform(host, action, done)
         self._busy[host] = done
         wake = desk.next_wake()
