Spend repeats where answers lack parts; ask a target that reset once more

Cause: parts that failed were sent again as long as the host's share of the bound lasted, also in queries that had enough without them; and a part that both of its targets had reset was given up though both live. Change: once less than 0.7 of the share is left, a failed part is set aside and sent only where its query lacks too much, the one with most repeats left first; one that living targets have reset goes to one of them once more where there is no answer without it. Whether this host is on duty is found out once for each chunk and set of hosts, not for each repeat.

--- a/fuchsiahaven/routing/asks.py
+++ b/fuchsiahaven/routing/asks.py
@@ -78,8 +78,9 @@
     `asked_again` counts the sendings to one of them once more,
     `number` is the last one's number. `failed` is a
     target's own answer that tells of a failure. `lost` says why the part is
-    missing for good. While it is `doubted` nobody knows yet whether the target
-    that lost it has ended.
+    missing for good; one that is `spared` was set aside and may be sent again
+    where the others do not suffice. While it is `doubted` nobody
+    knows yet whether the target that lost it has ended.
     """
 
     flights: tuple[Flight, ...] = ()
@@ -94,6 +95,7 @@
     refusers: tuple[str, ...] = ()
     asked_again: int = 0
     doubted: bool = False
+    spared: bool = False
 
     @property
     def targets(self) -> int:
--- a/fuchsiahaven/routing/budgets.py
+++ b/fuchsiahaven/routing/budgets.py
@@ -42,11 +42,21 @@
 
     def count_left(self, now: float, hosts: float) -> float:
         """Count how many repeats may be sent now by one of so many hosts."""
+        allowed, extra = self._sum(now, hosts)
+        return allowed - extra
+
+    def is_short(self, now: float, hosts: float, short: float) -> bool:
+        """Tell whether less than such a part of the repeats is left."""
+        allowed, extra = self._sum(now, hosts)
+        return allowed - extra < short * allowed
+
+    def _sum(self, now: float, hosts: float) -> tuple[float, int]:
+        """Count the repeats that one host may send, and those that it sent."""
         self._trim(now)
         requests = sum(step.requests for step in self._steps)
         extra = sum(step.extra for step in self._steps)
         slack = self.terms.slack / max(1, hosts)
-        return MARGIN * (self.terms.share * requests + slack) - extra
+        return MARGIN * (self.terms.share * requests + slack), extra
 
     def _add(self, now: float, *, requests: int = 0, extra: int = 0) -> None:
         number = self._number(now)
--- a/fuchsiahaven/routing/centres.py
+++ b/fuchsiahaven/routing/centres.py
@@ -74,8 +74,9 @@
     """Own what is known of each data centre, and of the way to it."""
 
     def __init__(self, own: str) -> None:
-        """Start with all of them reached."""
+        """Start with all of them reached, and on duty for nothing known."""
         self._own = own
+        self.on_duty: dict[str, bool] = {}
         self._known: dict[str, Centre] = {}
         self._noticed: frozenset[str] = frozenset()
         self._hints: dict[str, float] = {}
@@ -86,7 +87,11 @@
         self._hosts: dict[str, tuple[places.Host, ...]] = {}
 
     def note_hosts(self, hosts: Iterable[places.Host]) -> None:
-        """Take in which hosts there are, the own one among them."""
+        """Take in which hosts there are, the own one among them.
+
+        For which chunks this one is `on_duty` has to be found out anew then.
+        """
+        self.on_duty.clear()
         found: dict[str, list[places.Host]] = {}
         for host in hosts:
             found.setdefault(host.data_centre, []).append(host)
--- a/fuchsiahaven/routing/choices.py
+++ b/fuchsiahaven/routing/choices.py
@@ -38,6 +38,20 @@
     ]
 
 
+def list_tried(
+    desk: states.Desk, service: str, part: asks.Part, now: float
+) -> list[instances.Instance]:
+    """List the targets that a part was sent to, if they are alive.
+
+    A route bounds to how many targets a part goes, and not how often.
+    """
+    return [
+        one
+        for one in _list_alive(desk, service, (), now)
+        if one.name in part.tried
+    ]
+
+
 def has_candidate(
     desk: states.Desk, service: str, part: asks.Part, now: float
 ) -> bool:
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -8,10 +8,9 @@
 from fuchsiahaven.routing import (
     asks,
     choices,
-    configs,
-    duties,
     events,
     instances,
+    repeats,
     states,
     warmups,
 )
@@ -37,10 +36,6 @@
 #: Hedges sooner than this share of the objective bring nothing that counts,
 #: and most of what is slow then, because its target pauses, ends by itself.
 EARLIEST_SHARE: Final = 0.4
-#: Refusals of a part after which it is not sent again. What a target refuses
-#: has not run and leaves the attempts that a route allows as they are, but it
-#: is an arrival more there.
-MOST_REFUSALS: Final = 2
 #: Shares of the objective: from the query's arrival until its parts end, what
 #: a part has at the least, and what the last sending of it has.
 PART_SHARE: Final = 1.1
@@ -94,11 +89,10 @@
 
     The part is lost then, and nothing is sent.
     """
-    budget = desk.find_budget(service)
-    if budget.count_left(now, _count_sharers(desk, ask, service)) < 1:
+    if repeats.count_left(desk, ask, service, now) < 1:
         _lose(desk, ask, service, now)
         return False
-    budget.note_extra(now)
+    desk.find_budget(service).note_extra(now)
     return True
 
 
@@ -131,56 +125,47 @@
 def send_again(
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> list[events.Action]:
-    """Send a part again if it may run again, or note that it is lost."""
+    """Send a part again if it may run again, or note that it is lost.
+
+    While repeats are short it is set aside. It is sent where its query lacks
+    too much, unless another one that was set aside has more repeats left.
+    """
     part = ask.parts[service]
     if part.flights:
         return []
     once = ask.route.at_most_once and part.may_have_run
-    if once or not may_repeat(desk, ask, service, now):
+    if once or not repeats.may_repeat(desk, ask, service, now):
         _lose(desk, ask, service, now)
-        return []
-    return _send_or_lose(desk, ask, service, now, events.Purpose.RETRY)
+        return _make_up(desk, ask, now)
+    if repeats.are_short(desk, ask, service, now):
+        _lose(desk, ask, service, now)
+        spared = ask.parts[service]._replace(spared=True)
+        ask.parts[service] = spared
+        return _make_up(desk, ask, now)
+    actions = _send_or_lose(desk, ask, service, now, events.Purpose.RETRY)
+    return [*actions, *_make_up(desk, ask, now)]
 
 
-def may_repeat(
-    desk: states.Desk,
-    ask: asks.Ask,
-    service: str,
-    now: float,
-    *,
-    kept: float = 0,
-) -> bool:
-    """Tell whether attempts and the shared budget allow one more sending."""
-    part = ask.parts[service]
-    if not part.sent:
-        # Nothing has arrived anywhere, so this is the first arrival.
-        return True
-    # A helper sends each part once, whatever comes of it.
-    used = part.sent if ask.assists else part.attempts
-    if used >= ask.route.attempts:
-        return False
-    if len(part.refusers) > MOST_REFUSALS:
-        return False
-    sharers = _count_sharers(desk, ask, service)
-    left = desk.find_budget(service).count_left(now, sharers)
-    return left >= 1 + kept * desk.extra_load.slack / sharers
-
-
-def _count_sharers(desk: states.Desk, ask: asks.Ask, service: str) -> float:
-    way = ask.route.way
-    if not isinstance(way, configs.Gather) or service not in desk.index.wide:
-        return desk.host_count
-    centres = desk.find_wide_centres()
-    on_duty = ask.assists
-    if not on_duty and desk.host.data_centre in centres:
-        chunk = duties.find_chunks(way).get(service, service)
-        duty = duties.Duty(desk.host.data_centre, chunk)
-        hosts = desk.centres.list_hosts(desk.host.data_centre)
-        first = duties.rank_hosts(duty, hosts)[: duties.ON_DUTY]
-        on_duty = desk.host in first
-    return duties.count_slack_sharers(
-        len(centres), desk.host_count, on_duty=on_duty
-    )
+def _make_up(
+    desk: states.Desk, ask: asks.Ask, now: float
+) -> list[events.Action]:
+    """Send parts in place of those without which there is no answer.
+
+    First those that were set aside; then those that targets have lost which
+    live, once more to one of these.
+    """
+    if not asks.is_hopeless(ask):
+        return []
+    actions: list[events.Action] = []
+    for service in repeats.order_spared(desk, ask, now):
+        if not asks.is_hopeless(ask):
+            break
+        part = ask.parts[service]._replace(lost=False, spared=False)
+        ask.parts[service] = part
+        ask.open.add(service)
+        again = _send_or_lose(desk, ask, service, now, events.Purpose.RETRY)
+        actions.extend(again)
+    return actions
 
 
 def list_slow(desk: states.Desk, ask: asks.Ask, now: float) -> list[str]:
@@ -202,7 +187,7 @@
     """Tell whether a part may be sent a second time before the first ends."""
     if find_gate(desk, ask, now) is not suspects.Gate.OPEN:
         return False
-    return may_repeat(desk, ask, service, now, kept=KEPT_FOR_RETRIES)
+    return repeats.may_repeat(desk, ask, service, now, kept=KEPT_FOR_RETRIES)
 
 
 def find_gate(desk: states.Desk, ask: asks.Ask, now: float) -> suspects.Gate:
@@ -335,6 +320,9 @@
     if not found and ask.gathers:
         refusers = choices.list_refusers(desk, service, part, now)
         found = warmups.list_allowed(desk.warmups, refusers, desk.index, now)
+    if not found and repeats.may_insist(desk, ask, service, now):
+        tried = choices.list_tried(desk, service, part, now)
+        found = warmups.list_allowed(desk.warmups, tried, desk.index, now)
     once = ask.route.at_most_once
     usual = _find_usual(desk, ask)
     chosen = choices.choose(desk, found, now, once=once, usual=usual)
