Split requests by a drawn place on a circle

Cause: a host that starts gave its first request to the heaviest part whatever it drew, and credits saved by weights of another scale decided for hundreds of requests. Change: each host goes round a circle from a drawn place by the golden ratio.

--- a/fuchsiahaven/routing/admission.py
+++ b/fuchsiahaven/routing/admission.py
@@ -93,11 +93,11 @@
     way = route.way
     if not isinstance(way, configs.Split):
         return configs.list_services(way)
-    saved = desk.credits.get(route.name)
-    if saved is None:
-        saved = splits.start(way, desk.draw())
-    choice = splits.choose(way, saved)
-    desk.credits[route.name] = choice.credits
+    place = desk.split_places.get(route.name)
+    if place is None:
+        place = desk.draw()
+    choice = splits.choose(way, place)
+    desk.split_places[route.name] = choice.place
     return (choice.service,)
 
 
--- a/fuchsiahaven/routing/splits.py
+++ b/fuchsiahaven/routing/splits.py
@@ -1,45 +1,36 @@
 """Spread requests over the services of a split in proportion to weights."""
 
-from collections.abc import Mapping
-from typing import NamedTuple
+import math
+from typing import Final, NamedTuple
 
 from fuchsiahaven.routing import configs
 
+#: How far each request goes round a circle on which every service has its
+#: weight's share. Steps of this size leave the most even gaps, however many.
+STEP: Final = 0.6180339887498949
+
 
 class Choice(NamedTuple):
-    """Return the service chosen and the credits to choose by next time."""
+    """Return the service chosen and the place to choose by next time."""
 
     service: str
-    credits: Mapping[str, float]
-
-
-def choose(split: configs.Split, credits_: Mapping[str, float]) -> Choice:
-    """Choose by smooth weighted round robin.
-
-    Each service gains its weight and the one that is ahead pays the sum, so
-    that even a host that sees few requests keeps to the shares closely.
-    """
-    total = sum(part.weight for part in split.parts)
-    gained = {
-        part.service: credits_.get(part.service, 0.0) + part.weight
-        for part in split.parts
-    }
-    chosen = max(gained, key=lambda service: gained[service])
-    gained[chosen] -= total
-    return Choice(chosen, gained)
+    place: float
 
 
-def start(split: configs.Split, draw: float) -> Mapping[str, float]:
-    """Give first credits by a draw from 0 to 1.
+def choose(split: configs.Split, place: float) -> Choice:
+    """Choose by a place from 0 to 1, which moves on with each request.
 
-    Hosts that all began with the heaviest service would send it more than its
-    share for as long as each has seen few requests.
+    Where the first place is drawn, each single request goes to a service with
+    its share as the chance, also at a host that sees one request between two
+    starts; and requests in a row keep to the shares closely. Weights may change
+    in between, on any scale.
     """
-    total = sum(part.weight for part in split.parts)
-    offset = draw * total
-    passed = 0.0
-    for part in split.parts:
-        if passed <= offset < passed + part.weight:
-            return {part.service: total / 2}
-        passed += part.weight
-    return {}
+    offset = place * sum(part.weight for part in split.parts)
+    weighted = [part for part in split.parts if part.weight] or split.parts
+    chosen = weighted[-1].service
+    for part in weighted:
+        if offset < part.weight:
+            chosen = part.service
+            break
+        offset -= part.weight
+    return Choice(chosen, math.fmod(place + STEP, 1))
--- a/fuchsiahaven/routing/states.py
+++ b/fuchsiahaven/routing/states.py
@@ -123,7 +123,7 @@
         self.aloft: dict[events.FlightKey, Aloft] = {}
         self.windows: dict[str, hedges.Window] = {}
         self.asked: dict[str, Asked] = {}
-        self.credits: dict[str, Mapping[str, float]] = {}
+        self.split_places: dict[str, float] = {}
         self._budgets: dict[str, budgets.Budget] = {}
         self._timers: list[tuple[float, int, Due]] = []
         self._order = itertools.count()
--- a/tests/routing/test_splits.py
+++ b/tests/routing/test_splits.py
@@ -13,13 +13,21 @@
             for name, weight in (('x', 7.0), ('y', 2.0), ('z', 1.0))
         )
     )
-    saved = splits.start(split, 0.5)
+    saved = 0.5
     chosen = []
     for _ in range(100):
         choice = splits.choose(split, saved)
-        saved = choice.credits
+        saved = choice.place
         chosen.append(choice.service)
     for start in range(10, 90):
         counted = collections.Counter(chosen[start : start + 10])
         assert counted['x'] in {6, 7, 8}
         assert counted['z'] in {0, 1, 2}
+
+
+def test_leaves_out_a_service_without_weight() -> None:
+    """It gets nothing, wherever on the circle a host begins or ends."""
+    weights = (('x', 0.0), ('y', 0.1), ('z', 0.0))
+    split = configs.Split(tuple(configs.Weighted(*one) for one in weights))
+    for place in (0.0, 0.3, 1 - 2**-53, 1.0):
+        assert splits.choose(split, place).service == 'y'
