Measure how evenly load lies, and count all repeats in the model

Cause: the model counted only those repeats that the asking host sent itself, not those of hosts on duty; and it knew no data centre without targets.

--- a/bench/model.py
+++ b/bench/model.py
@@ -10,6 +10,7 @@
 import heapq
 import itertools
 import random
+from collections.abc import Mapping
 from typing import Final, NamedTuple
 
 from bench import shapes, targets
@@ -37,11 +38,15 @@
 
 
 class Result(NamedTuple):
-    """Hold what became of all queries, and what they cost."""
+    """Hold what became of all queries, and what they cost.
+
+    `worked` holds for how many seconds the slots of each target were in use.
+    """
 
     endings: tuple[Ending, ...]
     repeats: int
     crossed_bytes: int
+    worked: Mapping[str, float] = {}
 
 
 class Work(NamedTuple):
@@ -69,6 +74,7 @@
         self._connected: set[tuple[int, str]] = set()
         self._endings: list[Ending] = []
         self._repeats = 0
+        self._arrived: set[tuple[str, str]] = set()
         self._crossed = 0
         self._hosts = shapes.make_desks(shape, self._numbers)
         self._numbers_by_name = {
@@ -89,14 +95,17 @@
         while self._due:
             work = heapq.heappop(self._due)
             self._handle(work)
-        return Result(tuple(self._endings), self._repeats, self._crossed)
+        worked = {name: one.worked for name, one in self._targets.items()}
+        endings = tuple(self._endings)
+        return Result(endings, self._repeats, self._crossed, worked)
 
     def _ask(self, flow: shapes.Flow, seconds: float) -> None:
         when = 0.0
         while when < seconds:
             rate = shapes.find_rate(flow, when)
+            rate *= shapes.find_swing(self._shape, when)
             when += self._numbers.expovariate(rate)
-            host = self._numbers.randrange(len(self._hosts))
+            host = shapes.draw_host(self._shape, self._numbers)
             self._add(when, host, self._make_request(flow, when))
 
     def _make_targets(self, load: targets.Load) -> dict[str, targets.Target]:
@@ -174,7 +183,7 @@
         if (host, name) not in self._connected:
             self._connected.add((host, name))
             arrives += CONNECT_S
-        self._repeats += self._hosts[host].aloft[send.key].extra
+        self._count_arrival(send)
         self._crossed += PART_BYTES if way == FAR_S else 0
         flow = self._flows[send.request.customer]
         done = self._targets[name].take(arrives, flow.work)
@@ -190,6 +199,12 @@
             back = min(done.at, send.ends) + way
             self._add(back, host, events.Answered(send.key, answer))
 
+    def _count_arrival(self, send: events.Send) -> None:
+        """Count what arrives at a service beyond the first of a request."""
+        arrival = (send.request.request_id, send.key.service)
+        self._repeats += arrival in self._arrived
+        self._arrived.add(arrival)
+
     def _delegate(
         self, host: int, delegate: events.Delegate, now: float
     ) -> None:
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -1,5 +1,6 @@
 """Make the hosts, the route and the targets that a model plays."""
 
+import math
 import random
 from typing import NamedTuple
 
@@ -42,6 +43,10 @@
     `part` and `share` are the processor time, in seconds, that a host takes to
     send a part or take it in, and to ask another host for parts or tell it;
     `away` is what passes of a caller's time outside the host.
+
+    The last `bare` of the data centres have hosts and no targets. Each host
+    there is asked `pull` times as often as others. What is asked swings by a
+    share of `swing` with a period of `period` seconds.
     """
 
     hosts: int = 63
@@ -58,6 +63,10 @@
     share: float = 0.0
     away: float = 0.0
     flows: tuple[Flow, ...] = ()
+    bare: int = 0
+    pull: float = 1.0
+    swing: float = 0.0
+    period: float = 17.0
 
 
 def list_flows(shape: Shape) -> tuple[Flow, ...]:
@@ -74,6 +83,23 @@
     return flow.rate * flow.times if hot else flow.rate
 
 
+def find_swing(shape: Shape, now: float) -> float:
+    """Find how many times as much as usual is asked at a time."""
+    return 1 + shape.swing * math.sin(2 * math.pi * now / shape.period)
+
+
+def draw_host(shape: Shape, numbers: random.Random) -> int:
+    """Draw the host that is asked next."""
+    if not shape.bare:
+        return numbers.randrange(shape.hosts)
+    held = shape.data_centres - shape.bare
+    weights = [
+        1.0 if number % shape.data_centres < held else shape.pull
+        for number in range(shape.hosts)
+    ]
+    return numbers.choices(range(shape.hosts), weights)[0]
+
+
 def name_path(flow: Flow) -> str:
     """Name the path of the route that a flow asks."""
     return f'/{flow.customer or "search"}/'
@@ -131,7 +157,7 @@
 
 
 def _direct(shape: Shape, route: configs.Route) -> instances.Directory:
-    """Make a target of each shard in each data centre."""
+    """Make a target of each shard in each data centre that is not bare."""
     return instances.build_directory(
         instances.Instance(
             f'{shard}-{centre}',
@@ -144,5 +170,5 @@
             warming=0.0,
         )
         for shard in configs.list_services(route.way)
-        for centre in range(shape.data_centres)
+        for centre in range(shape.data_centres - shape.bare)
     )
--- a/bench/targets.py
+++ b/bench/targets.py
@@ -15,7 +15,8 @@
 
     Each pauses for `pause` once in `every`, at its own time. Of a `share` of
     them `lost` of the answers are lost with their connection, and work takes
-    `slow` times as long, both while `begins` <= now < `ends`.
+    `slow` times as long, both while `begins` <= now < `ends`. Targets have one
+    of the `speeds` each, by which their work is divided.
     """
 
     work: float = 0.02
@@ -26,6 +27,7 @@
     slow: float = 1.0
     begins: float = 0.0
     ends: float = float('inf')
+    speeds: tuple[float, ...] = (1.0,)
 
 
 class Done(NamedTuple):
@@ -39,13 +41,20 @@
     """Own the slots of one target."""
 
     def __init__(self, slots: int, load: Load, numbers: random.Random) -> None:
-        """Start idle; whether it is among the troubled ones is drawn."""
+        """Start idle, and draw whether it is among the troubled ones.
+
+        `worked` sums the seconds for which its slots were in use.
+        """
+        self.worked = 0.0
         self._load = load
         self._numbers = numbers
         self._free = [0.0 for _ in range(slots)]
         self._ends: list[float] = []
         self._phase = numbers.random() * load.every
         self._troubled = numbers.random() < load.share
+        self._speed = 1.0
+        if len(load.speeds) > 1:
+            self._speed = numbers.choice(load.speeds)
 
     def take(self, now: float, share: float = 1.0) -> Done | None:
         """Take a request of a share of the usual work; None if it is full."""
@@ -56,10 +65,12 @@
         load = self._load
         troubled = self._troubled and load.begins <= now < load.ends
         work = share * load.work * self._numbers.lognormvariate(0, SPREAD)
+        work /= self._speed
         if troubled:
             work *= load.slow
         start = self._wake(max(now, heapq.heappop(self._free)))
         end = start + work
+        self.worked += work
         heapq.heappush(self._free, end)
         heapq.heappush(self._ends, end)
         lost = troubled and self._numbers.random() < load.lost
