--- a/bench/model.py
+++ b/bench/model.py
@@ -10,7 +10,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
 from bench import shapes, targets
@@ -46,7 +46,8 @@
     """Hold what became of all queries, and what they cost.
 
     `ends` counts the targets that a query has ended, `late` the sendings of it
-    that reached one long after the third had ended.
+    that reached one long after the third had ended. `worked` holds for how many
+    seconds the slots of each target were in use.
     """
 
     endings: tuple[Ending, ...]
@@ -54,6 +55,7 @@
     crossed_bytes: int
     ends: int = 0
     late: int = 0
+    worked: Mapping[str, float] = {}
 
 
 class Work(NamedTuple):
@@ -81,13 +83,17 @@
         self._connected: set[tuple[int, str]] = set()
         self._endings: list[Ending] = []
         self._repeats = 0
+        self._arrived: set[tuple[str, str]] = set()
         self._crossed = 0
         self._hosts = shapes.make_desks(shape, self._numbers)
         self._numbers_by_name = {
             desk.host.name: int(desk.host.address) for desk in self._hosts
         }
         self._flows = {flow.customer: flow for flow in shapes.list_flows(shape)}
-        self._targets = self._make_targets(load)
+        self._targets = {
+            name: targets.Target(shape.slots, load, self._numbers)
+            for name in self._hosts[0].directory.by_name
+        }
         self._deadly = load.deadly
         self._ends: list[float] = []
         self._wakes: dict[int, float] = {}
@@ -109,23 +115,18 @@
             self._crossed,
             len(self._ends),
             count_late(self._ends),
+            {name: one.worked for name, one in self._targets.items()},
         )
 
     def _ask(self, flow: shapes.Flow, seconds: float) -> None:
         when = 0.0
         while when < seconds:
             rate = shapes.find_rate(flow, when)
+            rate *= shapes.find_swing(self._shape, when)
             when += self._numbers.expovariate(rate)
-            host = self._numbers.randrange(len(self._hosts))
+            host = shapes.draw_host(self._shape, self._numbers)
             self._add(when, host, self._make_request(flow, when))
 
-    def _make_targets(self, load: targets.Load) -> dict[str, targets.Target]:
-        names = self._hosts[0].directory.by_name
-        return {
-            name: targets.Target(self._shape.slots, load, self._numbers)
-            for name in names
-        }
-
     def _make_request(self, flow: shapes.Flow, now: float) -> events.Asked:
         number = next(self._order)
         deadly = self._deadly and self._numbers.random() < self._deadly
@@ -218,7 +219,7 @@
         if (host, name) not in self._connected:
             self._connected.add((host, name))
             arrives += CONNECT_S
-        self._repeats += self._hosts[host].aloft[send.key].extra
+        self._count_arrival(send)
         self._crossed += PART_BYTES if way == FAR_S else 0
         flow = self._flows[send.request.customer]
         if self._targets[name].is_gone(arrives):
@@ -236,6 +237,12 @@
         for when, told in list_told(send, done, way):
             self._add(when, host, told)
 
+    def _count_arrival(self, send: events.Send) -> None:
+        """Count what arrives at a service beyond the first of a request."""
+        arrival = (send.request.request_id, send.key.service)
+        self._repeats += arrival in self._arrived
+        self._arrived.add(arrival)
+
     def _delegate(
         self, host: int, delegate: events.Delegate, now: float
     ) -> None:
