--- a/tests/bench/test_levels.py
+++ b/tests/bench/test_levels.py
@@ -9,7 +9,7 @@
     """Two data centres, one of which does three times as much."""
     worked = {'shard-0-0': 1.0, 'shard-1-0': 5.0, 'shard-0-1': 2.0}
     ending = model.Ending(0.1, 1.0)
-    result = model.Result((ending, ending), 0, 30, worked)
+    result = model.Result((ending, ending), 0, 30, worked=worked)
     found = levels.measure(result)
     assert found.centre == pytest.approx(1.5)
     assert found.target == pytest.approx(5 / (8 / 3))
