Move what is known of customers and keys to a package that both engines import

The digest of a key, what makes customers spoilt and the decision whose request it is stood in routing and platform, where core/configuration and edge cannot reach them. Nothing is decided otherwise; routing and platform keep their names.

--- a/fuchsiahaven/platform/exchanges.py
+++ b/fuchsiahaven/platform/exchanges.py
@@ -1,12 +1,12 @@
 """Translate between HTTP messages and the events of the decisions."""
 
 import math
-import re
 from collections.abc import Iterable, Mapping
 from http import HTTPStatus
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import errors, identities
+from fuchsiahaven.core.customers import keys
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.platform import headers
 from fuchsiahaven.routing import events
@@ -23,10 +23,8 @@
 
 #: How callers show their keys, in any case.
 SCHEME: Final = 'token'
-#: Bytes of a key; whoever shows a longer one shows none.
-LONGEST_KEY: Final = 4096
-#: What parts a scheme from a key, and what a field may end in.
-BLANKS: Final = ' \t'
+LONGEST_KEY: Final = keys.LONGEST_KEY
+digest_key: Final = keys.digest
 
 #: Fields that concern one connection only, or that are written anew here.
 _OWN: Final = frozenset(
@@ -120,15 +118,6 @@
     return request._replace(identity=identity)
 
 
-def digest_key(key: str) -> str:
-    """Digest a customer's key, which is a secret and is kept nowhere."""
-    return _digest_bytes(key.encode('utf-8'))
-
-
-def _digest_bytes(key: bytes) -> str:
-    return identities.identify('', key).digest
-
-
 def _name_asker(request: events.Request) -> str:
     """Name who asks: whoever shows a key, or else whose name is asked at."""
     shown = (*request.credentials, *request.fields)
@@ -141,17 +130,7 @@
 
 def _read_key(shown: events.Fields) -> str:
     """Read the digest of the one key that a caller shows, empty without."""
-    if len(shown) != 1:
-        return ''
-    ((_, told),) = shown
-    scheme, *keys = re.split(f'[{BLANKS}]+', told.strip(BLANKS))
-    if scheme.lower() != SCHEME or len(keys) != 1:
-        return ''
-    (key,) = keys
-    if len(key) > LONGEST_KEY:
-        return ''
-    # Fields are read byte by byte, and keys are kept by their bytes.
-    return _digest_bytes(key.encode('latin-1'))
+    return keys.read_shown([told for _, told in shown], SCHEME)
 
 
 def write_request(send: events.Send, now: float) -> events.Fields:
--- a/fuchsiahaven/routing/configs.py
+++ b/fuchsiahaven/routing/configs.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.customers import customers
 
 #: A query over no more shards than this is gathered by the host that takes
 #: it: a hop more would cost as much as it saves.
@@ -83,19 +84,7 @@
     warm_rate: float = 0.0
 
 
-class Customer(NamedTuple):
-    """Hold whose requests are counted together, and how many there may be.
-
-    `keys` are digests of what callers show; a customer's `priority` goes before
-    that of routes where it is told. `rate` is in requests a second, 0 for no
-    limit, `burst` in requests.
-    """
-
-    name: str
-    keys: tuple[str, ...] = ()
-    priority: int | None = None
-    rate: float = 0.0
-    burst: float = 0.0
+Customer = customers.Customer
 
 
 class Limits(NamedTuple):
@@ -150,12 +139,8 @@
         if isinstance(way, Gather) and is_wide(way)
         for shard in way.shards
     )
-    customers = {
-        key: customer
-        for customer in configuration.customers or ()
-        for key in customer.keys
-    }
-    return Index(configuration, routes, services, wide, customers)
+    holders = customers.index(configuration.customers or ())
+    return Index(configuration, routes, services, wide, holders)
 
 
 def is_wide(gather: Gather) -> bool:
--- a/fuchsiahaven/routing/customers.py
+++ b/fuchsiahaven/routing/customers.py
@@ -1,22 +1,15 @@
 """Tell whose request it is, by the key that its caller shows."""
 
-import enum
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import errors, identities
+from fuchsiahaven.core.customers import verdicts
 from fuchsiahaven.routing import configs, events, freshness
 
-SOURCE: Final = 'customers'
-#: Digits after the point of the seconds that a caller is told to wait.
-WAIT_DIGITS: Final = 2
+SOURCE: Final = verdicts.SOURCE
 
-
-class Reason(enum.StrEnum):
-    """Say why a request is of no customer."""
-
-    NONE = 'no key was shown'
-    UNUSABLE = 'what was shown is no key'
-    UNKNOWN = 'no customer holds the key'
+Reason = verdicts.Reason
+make_stale = verdicts.make_stale
 
 
 class Admitted(NamedTuple):
@@ -49,22 +42,13 @@
     """
     if index.configuration.customers is None:
         return Admitted(request, None)
-    wait = known.find_wait()
-    if wait and not route.public:
-        return make_stale(wait)
-    customer = index.customers.get(request.key) if not wait else None
-    if customer is None and not route.public:
-        return errors.make_failure(
-            errors.Kind.UNKNOWN_KEY, SOURCE, _explain(request)
-        )
-    return Admitted(_name(request, customer), customer)
-
-
-def _explain(request: events.Request) -> str:
-    """Say why a request is of no customer, without what it shows."""
-    if request.key:
-        return Reason.UNKNOWN
-    return Reason.UNUSABLE if request.credentials else Reason.NONE
+    shown = verdicts.Shown(request.key, bool(request.credentials))
+    found = verdicts.find_customer(
+        index.customers, shown, known.find_wait(), public=route.public
+    )
+    if isinstance(found, errors.Failure):
+        return found
+    return Admitted(_name(request, found), found)
 
 
 def _name(
@@ -88,20 +72,8 @@
     )
 
 
-def make_stale(wait: float) -> errors.Failure:
-    """Refuse a request because no recent word of its key is at hand."""
-    return errors.make_failure(
-        errors.Kind.STALE_KEYS,
-        SOURCE,
-        'no recent word of which keys are valid',
-        retry_after=round(wait, WAIT_DIGITS),
-    )
-
-
 def find_priority(
     customer: configs.Customer | None, route: configs.Route
 ) -> int:
     """Return how urgent a request is, 0 for the most urgent."""
-    if customer is None or customer.priority is None:
-        return route.priority
-    return customer.priority
+    return verdicts.find_priority(customer, route.priority)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,8 @@
 #: What each package may import of the others, besides itself.
 ALLOWED: Final = {
     'core': set(),
-    'core.configuration': {'core'},
+    'core.customers': {'core'},
+    'core.configuration': {'core', 'core.customers'},
     'core.members': {'core', 'core.configuration'},
     'core.targets': {'core', 'core.configuration'},
     'core.claims': {'core', 'core.targets'},
@@ -22,8 +23,20 @@
         'core.targets',
         'core.claims',
     },
-    'routing': {'core', 'core.configuration', 'core.queries', 'core.targets'},
-    'platform': {'core', 'core.configuration', 'core.targets', 'routing'},
+    'routing': {
+        'core',
+        'core.configuration',
+        'core.customers',
+        'core.queries',
+        'core.targets',
+    },
+    'platform': {
+        'core',
+        'core.configuration',
+        'core.customers',
+        'core.targets',
+        'routing',
+    },
 }
 
 
