Ask callers of the own interface for keys where the manifest has customers

Customers (digests of keys, rate, burst, maybe a priority) stand in the manifest and in patches between hosts; a class may be public. `fuchsiahaven customer` changes them; keys are read from a file and only their digests are stored or shown. The host that takes a request names its customer before it becomes a query; the dispatch refuses a query that nobody let in. Targets get X-Customer. A recorded answer is given to its customer alone. Without customers manifests, stamps and patches keep their bytes; with them the format is 2, which the release before refuses by name.

The library folded two Authorization fields into the last one: the port keeps both, which are no key.

--- a/bench/control_host.py
+++ b/bench/control_host.py
@@ -39,7 +39,9 @@
     signal.signal(signal.SIGUSR1, lambda *_: write_line(COUNTED))
     with contextlib.ExitStack() as stack:
         caller = openings.open_caller(read.settings, stack)
-        links = control.Links(post, lambda body: body, lambda listed: None)
+        links = control.Links(
+            post, lambda body: body, lambda listed: None, lambda stamped: None
+        )
         control.start(read.settings, links, caller, stack)
         stop.wait()
 
--- a/fuchsiahaven/core/configuration/changes.py
+++ b/fuchsiahaven/core/configuration/changes.py
@@ -90,6 +90,37 @@
     request_class: str
 
 
+class SetCustomer(NamedTuple):
+    """Create a customer, or set some of its fields.
+
+    The fields are `rate`, `burst` and `priority`; a priority of None is that
+    of the class.
+    """
+
+    customer: str
+    fields: Pairs = ()
+
+
+class AddKeys(NamedTuple):
+    """Give keys to a customer, by their digests."""
+
+    customer: str
+    digests: tuple[str, ...]
+
+
+class RemoveKeys(NamedTuple):
+    """Take keys away from a customer, by their digests."""
+
+    customer: str
+    digests: tuple[str, ...]
+
+
+class DeleteCustomer(NamedTuple):
+    """Delete a customer with its keys."""
+
+    customer: str
+
+
 class Replace(NamedTuple):
     """Put a whole description in place of everything.
 
@@ -125,6 +156,10 @@
     | DeleteSelector
     | SetClass
     | DeleteClass
+    | SetCustomer
+    | AddKeys
+    | RemoveKeys
+    | DeleteCustomer
     | Replace
     | Recover
     | Restore
@@ -140,6 +175,8 @@
             return ('selectors', change.selector)
         case SetClass() | DeleteClass():
             return ('classes', change.request_class)
+        case SetCustomer() | AddKeys() | RemoveKeys() | DeleteCustomer():
+            return ('customers', change.customer)
         case Replace() | Recover() | Restore():
             return ()
     return ('groups', change.group)
@@ -169,8 +206,13 @@
 
 
 def name_subject(subject: trees.Field) -> str:
-    """Name a group, selector or class as an operator knows it."""
-    kinds = {'groups': 'group', 'selectors': 'selector', 'classes': 'class'}
+    """Name a group, selector, class or customer as an operator knows it."""
+    kinds = {
+        'groups': 'group',
+        'selectors': 'selector',
+        'classes': 'class',
+        'customers': 'customer',
+    }
     return f'{kinds[subject[0]]} {subject[1]}'
 
 
@@ -184,6 +226,8 @@
             return f'set class {name}: {_list_pairs(fields)}'
         case DeleteClass(name):
             return f'delete class {name}'
+        case SetCustomer() | AddKeys() | RemoveKeys() | DeleteCustomer():
+            return _describe_customer(change)
         case Restore(change_id):
             return f'undo {change_id}'
         case Recover():
@@ -191,6 +235,19 @@
     return 'apply a description'
 
 
+def _describe_customer(
+    change: SetCustomer | AddKeys | RemoveKeys | DeleteCustomer,
+) -> str:
+    match change:
+        case SetCustomer(name, fields):
+            return f'set customer {name}: {_list_pairs(fields)}'
+        case AddKeys(name, digests):
+            return f'add {len(digests)} keys to customer {name}'
+        case RemoveKeys(name, digests):
+            return f'remove {len(digests)} keys from customer {name}'
+    return f'delete customer {change.customer}'
+
+
 def _list_pairs(pairs: Pairs) -> str:
     return ', '.join(f'{key}={_write(told)}' for key, told in pairs)
 
--- a/fuchsiahaven/core/configuration/checks.py
+++ b/fuchsiahaven/core/configuration/checks.py
@@ -10,6 +10,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core.configuration import configurations, parts, selectors
+from fuchsiahaven.core.customers import customers
 
 #: An at-most-once request may reach one group: each one it reaches runs it.
 ONE_GROUP: Final = 1
@@ -43,6 +44,9 @@
         if policy.name in lost:
             text = f'class {policy.name} is left without a selector'
             new.append(Problem(text, forceable=True))
+    if before.customers and not after.customers:
+        text = 'no customer is left: no class asks for a key any more'
+        new.append(Problem(text, forceable=True))
     return tuple(new)
 
 
@@ -52,6 +56,8 @@
 ) -> Iterator[Problem]:
     """Find what is wrong with a configuration of valid shape."""
     yield from _check_targets(configuration.groups)
+    for one, other in customers.find_shared(configuration.customers):
+        yield Problem(f'customers {one} and {other} hold one key')
     for policy in configuration.classes:
         if policy.repeat is configurations.Repeat.AT_MOST_ONCE:
             yield from _check_policy(policy)
--- a/fuchsiahaven/core/configuration/configurations.py
+++ b/fuchsiahaven/core/configuration/configurations.py
@@ -3,6 +3,10 @@
 import enum
 from typing import NamedTuple
 
+from fuchsiahaven.core.customers import customers
+
+Customer = customers.Customer
+
 
 class Needs(enum.StrEnum):
     """Say what a class accepts as an answer."""
@@ -67,7 +71,8 @@
     """Hold the policy of one class of request.
 
     `priority` runs from 0 (served first) to 3. The shares are extra
-    sub-requests as a part of first tries.
+    sub-requests as a part of first tries. Where there are customers, only a
+    `public` class takes requests without a key.
     """
 
     name: str
@@ -78,15 +83,20 @@
     priority: int = 1
     hedge_share: float = 0.05
     retry_share: float = 0.1
+    public: bool = False
 
 
 class Configuration(NamedTuple):
-    """Hold one accepted revision, immutable and complete."""
+    """Hold one accepted revision, immutable and complete.
+
+    Without customers callers need no key.
+    """
 
     revision: int
     groups: tuple[Group, ...] = ()
     selectors: tuple[Selector, ...] = ()
     classes: tuple[RequestClass, ...] = ()
+    customers: tuple[Customer, ...] = ()
 
 
 EMPTY = Configuration(0)
--- a/fuchsiahaven/core/configuration/manifest_schemas.py
+++ b/fuchsiahaven/core/configuration/manifest_schemas.py
@@ -7,6 +7,8 @@
 
 import fastjsonschema
 
+from fuchsiahaven.core.customers import customers
+
 #: Names of groups, selectors and classes.
 NAME: Final = r'^[a-z0-9]([-a-z0-9.]{0,61}[a-z0-9])?\Z'
 #: Names of targets carry their instance and number: `socios-web-03/1`.
@@ -18,6 +20,8 @@
     r'^([a-z0-9]([-a-z0-9.]{0,251}[a-z0-9])?/)?'
     r'[A-Za-z0-9]([-A-Za-z0-9_.]{0,61}[A-Za-z0-9])?\Z'
 )
+#: Keys stand in the manifest as their digests.
+KEY_DIGEST: Final = r'^[0-9a-f]{32}\Z'
 LABEL_VALUE: Final = r'^([A-Za-z0-9]([-A-Za-z0-9_.]{0,61}[A-Za-z0-9])?)?\Z'
 
 #: A longer expression would cost every host on every new revision.
@@ -105,17 +109,30 @@
         },
     }
 )
+_PRIORITY: Final = _bound(0, 3)
 _CLASS: Final = _row(
     {
         'deadline_ms': _bound(1, MAX_MS),
         'needs': {'enum': ['complete', 'partial']},
         'repeat': {'enum': ['idempotent', 'at_most_once']},
         'fan_out': {'enum': ['all', 'keyed']},
-        'priority': _bound(0, 3),
+        'priority': _PRIORITY,
         'hedge_share': _SHARE,
         'retry_share': _SHARE,
-    }
+    },
+    {'public': {'type': 'boolean'}},
+)
+_FIGURE: Final = _bound(0, customers.LARGEST_WHOLE, 'number')
+_CUSTOMER: Final = _row(
+    {
+        'keys': _name(KEY_DIGEST, {'const': True}),
+        'rate': _FIGURE,
+        'burst': _FIGURE,
+    },
+    {'priority': _PRIORITY},
 )
+#: Names of customers, which targets are shown, are those of other things.
+_CUSTOMERS: Final = _name(NAME, _CUSTOMER)
 _ENTRY: Final = _row(
     {
         'id': _TEXT,
@@ -152,7 +169,9 @@
         'groups': _name(NAME, _GROUP_ROW),
         **_RULES,
         'changes': {'type': 'array', 'items': _ENTRY},
-    }
+    },
+    # None at all could be taken for "no keys needed" or "no key is valid".
+    {'customers': {**_CUSTOMERS, 'minProperties': 1}},
 )
 PART: Final = _row(
     {
@@ -187,7 +206,8 @@
             ),
         ),
         **_RULES,
-    }
+    },
+    {'customers': _CUSTOMERS},
 )
 
 
--- a/fuchsiahaven/core/configuration/manifests.py
+++ b/fuchsiahaven/core/configuration/manifests.py
@@ -17,6 +17,7 @@
     texts,
     trees,
 )
+from fuchsiahaven.core.customers import customers
 
 MANIFEST_KEY: Final = 'configuration/manifest'
 #: What one value of the platform's service holds, in bytes of UTF-8.
@@ -98,6 +99,9 @@
     row = texts.read(text, manifest_schemas.MANIFEST)
     if isinstance(row, errors.Failure):
         return row
+    fault = _find_shared_key(row)
+    if fault is not None:
+        return texts.refuse(fault)
     keys = tuple(part.key for _, part in walk(row) if part.key is not None)
     changes = tuple(audits.read_row(entry) for entry in row['changes'])
     return Head(row['revision'], changes, keys, row)
@@ -156,7 +160,7 @@
 
 def write_archived(entry: audits.Entry) -> str:
     """Write an audit entry as it is kept under a key of its own."""
-    row = {'format': texts.FORMAT, 'entry': audits.write_row(entry)}
+    row = {'format': texts.PLAIN, 'entry': audits.write_row(entry)}
     return texts.dump(row)
 
 
@@ -200,7 +204,7 @@
     changes: tuple[audits.Entry, ...],
     settled: parts.Parts,
 ) -> str:
-    tree = trees.build_tree(configuration)
+    tree = trees.build_rows(configuration)
     groups = {
         name: {
             'labels': row['labels'],
@@ -214,7 +218,7 @@
     return texts.dump(
         {
             **tree,
-            'format': texts.FORMAT,
+            'format': _choose_format(configuration),
             'revision': configuration.revision,
             'groups': groups,
             'changes': [audits.write_row(entry) for entry in changes],
@@ -222,6 +226,23 @@
     )
 
 
+def _choose_format(configuration: configurations.Configuration) -> int:
+    """Choose the lowest format that can say what a configuration holds.
+
+    A program that knows no customers would take in everybody.
+    """
+    public = any(policy.public for policy in configuration.classes)
+    return texts.FORMAT if configuration.customers or public else texts.PLAIN
+
+
+def _find_shared_key(row: Mapping[str, Any]) -> str | None:
+    """Say which customers hold one key, or None."""
+    rows = row.get('customers', {})
+    return customers.find_fault(
+        trees.read_customer(name, told) for name, told in rows.items()
+    )
+
+
 def _build_tree(
     row: Mapping[str, Any], name: str, joined: parts.Parts
 ) -> Mapping[str, Any]:
--- a/fuchsiahaven/core/configuration/parts.py
+++ b/fuchsiahaven/core/configuration/parts.py
@@ -70,7 +70,7 @@
     """Decide where a part stands; return it with its text if that is apart."""
     text = texts.dump(
         {
-            'format': texts.FORMAT,
+            'format': texts.PLAIN,
             'group': place[0],
             'data_centre': place[1],
             'since': revision,
--- a/fuchsiahaven/core/configuration/patches.py
+++ b/fuchsiahaven/core/configuration/patches.py
@@ -11,6 +11,7 @@
 from typing import Final, NamedTuple, TypeVar
 
 from fuchsiahaven.core.configuration import configurations, trees
+from fuchsiahaven.core.customers import customers
 
 _DIGEST_BYTES: Final = 10
 
@@ -44,6 +45,7 @@
     selectors: tuple[str, ...] = ()
     classes: tuple[str, ...] = ()
     targets: tuple[tuple[str, tuple[str, ...]], ...] = ()
+    customers: tuple[str, ...] = ()
 
 
 class Patch(NamedTuple):
@@ -67,6 +69,7 @@
     configurations.Selector,
     configurations.RequestClass,
     configurations.Target,
+    customers.Customer,
 )
 
 NOTHING: Final = Stamped(configurations.EMPTY, NO_STAMP, {})
@@ -87,7 +90,8 @@
         str(configuration.revision),
         *(f'{name} {groups[name]}' for name in sorted(groups)),
         *sorted(_write(selector) for selector in configuration.selectors),
-        *sorted(_write(policy) for policy in configuration.classes),
+        *sorted(_write_class(policy) for policy in configuration.classes),
+        *sorted(_write(customer) for customer in configuration.customers),
     ]
     own = Stamp(configuration.revision, _digest('\n'.join(parts)))
     return Stamped(configuration, own, groups)
@@ -108,6 +112,7 @@
         tuple(_keep_changed(was.get(group.name), group) for group in touched),
         _changed(before.selectors, after.selectors),
         _changed(before.classes, after.classes),
+        _changed(before.customers, after.customers),
     )
     removed = Removed(
         _removed(before.groups, after.groups),
@@ -118,6 +123,7 @@
             for old_group, group in pairs
             if (gone := _removed(old_group.targets, group.targets))
         ),
+        _removed(before.customers, after.customers),
     )
     return Patch(old.stamp, new.stamp, changed, removed, change_id)
 
@@ -144,7 +150,10 @@
         _without(groups, removed.groups),
         _merge(old.selectors, changed.selectors, removed.selectors),
         _merge(old.classes, changed.classes, removed.classes),
+        _merge(old.customers, changed.customers, removed.customers),
     )
+    if customers.find_fault(configuration.customers) is not None:
+        return None
     patched = stamp(configuration, base)
     return patched if patched.stamp == patch.stamp else None
 
@@ -193,6 +202,11 @@
     return _digest('\n'.join((_write(group._replace(targets=())), *targets)))
 
 
+def _write_class(policy: configurations.RequestClass) -> str:
+    # The stamp of what programs without customers know must be theirs.
+    return _write(policy if policy.public else policy[:-1])
+
+
 def _write(item: object) -> str:
     return json.dumps(item, default=sorted, separators=(',', ':'))
 
--- a/fuchsiahaven/core/configuration/shapes.py
+++ b/fuchsiahaven/core/configuration/shapes.py
@@ -6,6 +6,7 @@
 
 from fuchsiahaven.core import addresses
 from fuchsiahaven.core.configuration import manifest_schemas, selectors, trees
+from fuchsiahaven.core.customers import customers
 
 _NAME: Final = re.compile(manifest_schemas.NAME)
 _TARGET: Final = re.compile(manifest_schemas.TARGET)
@@ -21,13 +22,15 @@
 ) -> str | None:
     """Say what is wrong with the rows at the touched fields, or None.
 
-    A field names a group, selector or class. What a change did not touch was
-    checked when it was accepted; so were targets as they were `before`.
+    A field names a group, selector, class or customer. What a change did
+    not touch was checked when it was accepted; so were targets as they were
+    `before`.
     """
     rows: dict[str, dict[str, Any]] = {
         'groups': {},
         'selectors': {},
         'classes': {},
+        'customers': {},
     }
     for kind, name in sorted(touched):
         row = tree[kind].get(name)
@@ -65,6 +68,15 @@
         for target in row['leaving']:
             if target not in tree['groups'][group]['targets']:
                 yield f'group {group} has no target {target} to be leaving'
+    for customer, row in rows['customers'].items():
+        yield from _check_figures(customer, row)
+
+
+def _check_figures(customer: str, row: trees.Tree) -> Iterator[str]:
+    for figure in ('rate', 'burst'):
+        # A schema lets through what is no number at all.
+        if not customers.is_figure(row.get(figure)):
+            yield f'customer {customer}: {figure} is no number of 0 or more'
 
 
 def _check_labels(group: str, labels: Mapping[str, str]) -> Iterator[str]:
--- a/fuchsiahaven/core/configuration/texts.py
+++ b/fuchsiahaven/core/configuration/texts.py
@@ -10,7 +10,9 @@
 
 #: The highest format that this program writes and reads. A new field needs a
 #: higher one; a writer uses the lowest that can say what it has to.
-FORMAT: Final = 1
+FORMAT: Final = 2
+#: The format of what has neither customers nor public classes.
+PLAIN: Final = 1
 SOURCE: Final = 'manifests'
 #: JSON can escape half of a character, of which UTF-8 knows nothing.
 _HALVES: Final = re.compile(r'\\u[dD][89a-fA-F]')
--- a/fuchsiahaven/core/configuration/trees.py
+++ b/fuchsiahaven/core/configuration/trees.py
@@ -9,6 +9,7 @@
 from typing import Any, Final, NamedTuple
 
 from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.customers import customers
 
 #: The fields of a group that bound what its targets take.
 CAPS: Final = ('slots', 'connections', 'connect_ms')
@@ -34,9 +35,23 @@
             for selector in configuration.selectors
         },
         'classes': {c.name: build_class(c) for c in configuration.classes},
+        'customers': {
+            c.name: build_customer(c) for c in configuration.customers
+        },
     }
 
 
+def build_rows(configuration: configurations.Configuration) -> Tree:
+    """Write a configuration as it is stored and sent.
+
+    What programs without customers do not know is there only with customers.
+    """
+    tree = build_tree(configuration)
+    if tree['customers']:
+        return tree
+    return {kind: rows for kind, rows in tree.items() if kind != 'customers'}
+
+
 def build_configuration(
     tree: Tree,
     revision: int,
@@ -59,6 +74,10 @@
         classes=tuple(
             read_class(name, row) for name, row in _sort(tree['classes'])
         ),
+        customers=tuple(
+            read_customer(name, row)
+            for name, row in _sort(tree.get('customers', {}))
+        ),
     )
 
 
@@ -88,6 +107,19 @@
     return configurations.RequestClass(name, **{**row, **words})
 
 
+def read_customer(name: str, row: Tree) -> customers.Customer:
+    """Read one customer out of its tree."""
+    priority = row.get('priority')
+    return customers.Customer(
+        name,
+        tuple(sorted(row['keys'])),
+        # JSON schema takes 3.0 for an integer.
+        None if priority is None else int(priority),
+        float(row['rate']),
+        float(row['burst']),
+    )
+
+
 def sort_targets(
     targets: Iterable[configurations.Target],
 ) -> tuple[configurations.Target, ...]:
@@ -160,6 +192,8 @@
     """Write the policy of a class of request as its tree."""
     row = request_class._asdict()
     row.pop('name')
+    if not request_class.public:
+        row.pop('public')
     # Plain texts in place of enumeration members: a tree is what JSON holds.
     return {
         key: str(value) if isinstance(value, str) else value
@@ -167,6 +201,18 @@
     }
 
 
+def build_customer(customer: customers.Customer) -> Tree:
+    """Write one customer as its tree."""
+    row: dict[str, object] = {
+        'keys': dict.fromkeys(customer.keys, True),
+        'rate': customer.rate,
+        'burst': customer.burst,
+    }
+    if customer.priority is not None:
+        row['priority'] = customer.priority
+    return row
+
+
 def _sort(rows: Mapping[str, Any]) -> list[tuple[str, Any]]:
     return sorted(rows.items())
 
--- a/fuchsiahaven/core/configuration/writes.py
+++ b/fuchsiahaven/core/configuration/writes.py
@@ -15,6 +15,7 @@
     shapes,
     trees,
 )
+from fuchsiahaven.core.customers import customers
 
 SOURCE: Final = 'changes'
 #: The source of failures that no other change can be the reason for.
@@ -66,6 +67,9 @@
         case changes.SetClass(name, fields):
             plain = trees.build_class(configurations.RequestClass(name))
             return _plan_row(tree, change, fields, plain)
+        case changes.SetCustomer(name, fields):
+            empty = trees.build_customer(customers.Customer(name))
+            return _plan_row(tree, change, fields, empty)
     subject = changes.find_subject(change)
     row = trees.read_field(tree, subject)
     if not isinstance(row, Mapping):
@@ -81,6 +85,8 @@
             | changes.MarkLeaving()
         ):
             return _plan_targets(subject, row, change)
+        case changes.AddKeys() | changes.RemoveKeys():
+            return _plan_keys(subject, row, change)
     return ((subject, None),)
 
 
@@ -106,7 +112,9 @@
     # set different fields of one row. A new one needs the row as a whole.
     subject = changes.find_subject(change)
     if trees.read_field(tree, subject) is None:
-        return ((subject, {**defaults, **dict(fields)}),)
+        row = {**defaults, **dict(fields)}
+        told = {key: it for key, it in row.items() if it is not None}
+        return ((subject, told),)
     return tuple(((*subject, key), value) for key, value in fields)
 
 
@@ -152,6 +160,22 @@
     return (((*subject, 'targets'), kept), ((*subject, 'leaving'), staying))
 
 
+def _plan_keys(
+    subject: trees.Field,
+    row: trees.Tree,
+    change: changes.AddKeys | changes.RemoveKeys,
+) -> Writes | errors.Failure:
+    digests = change.digests
+    if isinstance(change, changes.AddKeys):
+        return tuple(((*subject, 'keys', digest), True) for digest in digests)
+    unknown = [digest for digest in digests if digest not in row['keys']]
+    if unknown:
+        return _refuse(
+            f'{changes.name_subject(subject)} has no key of digest {unknown[0]}'
+        )
+    return tuple(((*subject, 'keys', digest), None) for digest in digests)
+
+
 def _plan_replace(
     tree: trees.Tree,
     wanted: configurations.Configuration,
--- a/fuchsiahaven/core/members/patch_rows.py
+++ b/fuchsiahaven/core/members/patch_rows.py
@@ -20,6 +20,7 @@
         'selectors': _NAMES,
         'classes': _NAMES,
         'targets': {'type': 'object', 'additionalProperties': _NAMES},
+        'customers': _NAMES,
     },
 }
 _PATCH: Final = {
@@ -70,7 +71,7 @@
 
 
 def _write_patch(patch: patches.Patch) -> Mapping[str, object]:
-    tree = trees.build_tree(patch.changed)
+    tree = trees.build_rows(patch.changed)
     removed = patch.removed
     row = {
         'base': patch.base,
@@ -80,10 +81,10 @@
     }
     if removed == patches.Removed():
         return row
-    return {
-        **row,
-        'removed': {**removed._asdict(), 'targets': dict(removed.targets)},
-    }
+    gone = {**removed._asdict(), 'targets': dict(removed.targets)}
+    if not removed.customers:
+        gone.pop('customers')
+    return {**row, 'removed': gone}
 
 
 def _read_patch(row: Mapping[str, Any]) -> patches.Patch:
@@ -101,6 +102,7 @@
         tuple(row.get('selectors', ())),
         tuple(row.get('classes', ())),
         tuple((group, tuple(gone)) for group, gone in targets.items()),
+        tuple(row.get('customers', ())),
     )
 
 
--- a/fuchsiahaven/core/queries/records.py
+++ b/fuchsiahaven/core/queries/records.py
@@ -31,19 +31,23 @@
     ),
     'revision': _COUNT,
 }
+#: Whose the answer is; left out where that is nobody.
+_CUSTOMER: Final = {'customer': {'type': 'string'}}
 _CHECK: Final = fastjsonschema.compile(
     {
         'type': 'object',
-        'properties': _PROPERTIES,
+        'properties': {**_PROPERTIES, **_CUSTOMER},
         'required': list(_PROPERTIES),
     }
 )
 
 
-def write(answer: messages.Answer) -> str:
-    """Write an answer as JSON text."""
+def write(answer: messages.Answer, customer: str = '') -> str:
+    """Write an answer of a customer as JSON text."""
+    whose = {'customer': customer} if customer else {}
     return json.dumps(
         {
+            **whose,
             'request_id': answer.request_id,
             'rows': answer.rows,
             'snapshots': answer.snapshots,
@@ -56,12 +60,14 @@
     )
 
 
-def read(text: str) -> messages.Answer | None:
-    """Read a recorded answer; None where the text is not one."""
+def read(text: str, customer: str = '') -> messages.Answer | None:
+    """Read a recorded answer; None where the text is not one of a customer."""
     try:
         row = _CHECK(json_texts.load(text))
     except (ValueError, fastjsonschema.JsonSchemaException):
         return None
+    if row.get('customer', '') != customer:
+        return None
     return messages.Answer(
         row['request_id'],
         tuple(row['rows']),
--- a/fuchsiahaven/core/queries/replies.py
+++ b/fuchsiahaven/core/queries/replies.py
@@ -50,7 +50,8 @@
         return None
     request_id = begun.submitted.query.request_id
     if isinstance(outcome, messages.Answer):
-        return messages.Record(request_id, records.write(outcome))
+        customer = begun.submitted.query.customer
+        return messages.Record(request_id, records.write(outcome, customer))
     if outcome.ran is errors.Ran.NO:
         return messages.Release(request_id)
     return None
@@ -60,7 +61,7 @@
     state: states.State, event: messages.ClaimSettled, now: float
 ) -> list[messages.Action]:
     """Tell a caller why its request was not run, or what it had brought."""
-    recorded = None if event.outcome is None else records.read(event.outcome)
+    recorded = _find_recorded(state, event)
     if recorded is not None:
         return reply(state, event.token, recorded, now, replayed=True)
     kind = CLAIM_KINDS[event.result]
@@ -77,6 +78,16 @@
     return reply(state, event.token, failure, now)
 
 
+def _find_recorded(
+    state: states.State, event: messages.ClaimSettled
+) -> messages.Answer | None:
+    """Find the recorded answer; nothing where it is another customer's."""
+    begun = state.tables.begun.get(event.token)
+    if event.outcome is None or begun is None:
+        return None
+    return records.read(event.outcome, begun.submitted.query.customer)
+
+
 def _say_ran(event: messages.ClaimSettled) -> errors.Ran | None:
     """Say what the table of failures does not: None where it does."""
     if event.done:
--- a/fuchsiahaven/core/queries/scatter.py
+++ b/fuchsiahaven/core/queries/scatter.py
@@ -126,6 +126,7 @@
         answer_time(run),
         run.at_most_once,
         run.not_after_epoch,
+        run.query.customer,
     )
     return messages.Send(key, state.tables.targets[name], request)
 
--- a/fuchsiahaven/core/queries/submissions.py
+++ b/fuchsiahaven/core/queries/submissions.py
@@ -46,7 +46,7 @@
             query = event.query
             entry = queues.Entry(
                 event.token,
-                policy.priority,
+                policy.priority if query.priority is None else query.priority,
                 query.arrived,
                 query.deadline,
                 policy.name,
@@ -137,7 +137,10 @@
         return errors.make_failure(
             errors.Kind.STOPPING, SOURCE, retry_after=STOPPING_RETRY_S
         )
-    if not state.configuration.revision:
+    keyed = state.configuration.customers and not query.admitted
+    if not state.configuration.revision or keyed:
+        # A query that was taken in before its caller needed a key must not run
+        # by what is in force now.
         return errors.make_failure(
             errors.Kind.NOT_READY,
             SOURCE,
--- a/fuchsiahaven/core/targets/messages.py
+++ b/fuchsiahaven/core/targets/messages.py
@@ -15,7 +15,11 @@
 
 
 class Query(NamedTuple):
-    """Hold one validated request of a caller."""
+    """Hold one validated request of a caller.
+
+    Where callers need keys it was `admitted`, of a `customer` unless its class
+    is public; the customer's `priority` goes before that of the class.
+    """
 
     request_id: str
     class_name: str
@@ -23,6 +27,9 @@
     key: str | None
     arrived: float
     deadline: float
+    customer: str = ''
+    priority: int | None = None
+    admitted: bool = False
 
 
 class Answer(NamedTuple):
@@ -52,6 +59,7 @@
 
     `not_after_epoch` is the wall-clock time after which the searcher must
     refuse to start, so that a sender that was paused can do no harm.
+    `customer` is empty where none is known.
     """
 
     request_id: str
@@ -64,6 +72,7 @@
     deadline: float
     at_most_once: bool
     not_after_epoch: float | None = None
+    customer: str = ''
 
 
 class Load(NamedTuple):
--- a/fuchsiahaven/edge/callers.py
+++ b/fuchsiahaven/edge/callers.py
@@ -8,8 +8,9 @@
 from typing import Any, Final, Protocol
 
 from fuchsiahaven.core import errors, request_ids
+from fuchsiahaven.core.customers import verdicts
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.edge import answers, loop, ports, requests
+from fuchsiahaven.edge import answers, doors, loop, ports, requests
 
 SEARCH: Final = ('POST', '/v1/search')
 HEALTHZ: Final = ('GET', '/healthz')
@@ -33,6 +34,11 @@
     def ask(self, query: messages.Query, reply_to: loop.ReplyQueue) -> None:
         """Hand a query over; its one reply goes to the queue."""
 
+    def admit(
+        self, query: messages.Query, shown: verdicts.Shown
+    ) -> messages.Query | errors.Failure:
+        """Name the customer of a query, or say why it is refused."""
+
     def find_obstacle(self) -> str:
         """Say why no new work should come here; empty if it may."""
 
@@ -79,6 +85,8 @@
         if written.retry_after is not None:
             headers.append(('Retry-After', str(written.retry_after)))
         status = http.HTTPStatus(written.status)
+        if status is http.HTTPStatus.UNAUTHORIZED:
+            headers.append(('WWW-Authenticate', 'Bearer'))
         start_response(f'{status.value} {status.phrase}', headers)
         return [written.body]
 
@@ -111,6 +119,12 @@
         except requests.Refusal as refusal:
             self._host.note_refusal(refusal.failure.kind)
             return answers.write_failure(refusal.request_id, refusal.failure)
+        shown = doors.read_shown(environ.get('HTTP_AUTHORIZATION', ''))
+        admitted = self._host.admit(query, shown)
+        if isinstance(admitted, errors.Failure):
+            self._host.note_refusal(admitted.kind)
+            return answers.write_failure(query.request_id, admitted)
+        query = admitted
         reply = self._wait(query)
         self._host.note_reply(query, reply)
         return answers.write_reply(query.request_id, reply)
--- a/fuchsiahaven/edge/control.py
+++ b/fuchsiahaven/edge/control.py
@@ -40,11 +40,12 @@
 
 
 class Links(NamedTuple):
-    """Say whom the control tasks tell: the dispatch loop and the claims."""
+    """Say whom the control tasks tell: dispatch loop, claims and door."""
 
     post: Callable[[Event], None]
     take_claims: Callable[[bytes], bytes | None]
     note_members: Callable[[claim_members.Listed], None]
+    note_configuration: Callable[[patches.Stamped], None]
 
 
 class Control:
@@ -146,6 +147,7 @@
         }
 
     def _take_configuration(self, stamped: patches.Stamped) -> None:
+        self._links.note_configuration(stamped)
         self._links.post(messages.Configured(stamped.configuration))
         self.gossip.post(member_messages.Enforced(stamped.stamp))
 
--- a/fuchsiahaven/edge/ports.py
+++ b/fuchsiahaven/edge/ports.py
@@ -14,6 +14,8 @@
 #: Where an application finds when a request began to arrive, in seconds of
 #: the monotonic clock.
 ARRIVED: Final = 'fuchsiahaven.arrived'
+#: Where callers show their keys, as the library spells it.
+KEY_FIELD: Final = b'Authorization'
 #: What is more than a port serves at once waits here, in requests.
 QUEUED: Final = 1024
 #: What the library refuses by itself, by the first digits of its status.
@@ -93,9 +95,27 @@
         return int(self._sock.recv_into(buffer))
 
 
+class _Fields(dict[bytes, bytes]):
+    """Keep each field in which a caller shows a key.
+
+    The library keeps the last one, and a proxy in front may go by the first.
+    """
+
+    def __setitem__(self, name: bytes, told: bytes) -> None:
+        """Set a field, or add a line to one that shows a key."""
+        if name == KEY_FIELD and name in self:
+            told = b'\n'.join((self[name], told))
+        super().__setitem__(name, told)
+
+
 class _Request(cheroot_server.HTTPRequest):
     """Refuse in the words of the table of errors."""
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        """Take the options of the library's request."""
+        super().__init__(*args, **options)
+        self.inheaders = _Fields()
+
     def respond(self) -> None:
         """Answer a request whose head is there."""
         try:
--- a/fuchsiahaven/edge/searchers.py
+++ b/fuchsiahaven/edge/searchers.py
@@ -77,11 +77,17 @@
     rest = (
         f'X-Request-Id: {request.request_id}\r\n'
         f'X-Deadline-Ms: {remaining}\r\n'
+        f'{_write_customer(request)}'
         f'Content-Length: {len(body)}\r\n\r\n'
     )
     return b''.join((head, rest.encode(), body))
 
 
+def _write_customer(request: messages.PartRequest) -> str:
+    # Names have few letters: none ends the line.
+    return f'X-Customer: {request.customer}\r\n' if request.customer else ''
+
+
 def write_cancel(send: messages.Send) -> bytes:
     """Write the cancellation of a sub-request as bytes."""
     body = _encode(
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -19,6 +19,7 @@
     callers,
     claims,
     control,
+    doors,
     loop,
     meters,
     openings,
@@ -39,9 +40,13 @@
     """Join the caller port to the other tasks of this process."""
 
     def __init__(
-        self, dispatcher: loop.Loop, controller: control.Control
+        self,
+        dispatcher: loop.Loop,
+        controller: control.Control,
+        door: doors.Door,
     ) -> None:
-        """Hand queries to a loop."""
+        """Hand queries to a loop that a door lets in."""
+        self.admit = door.admit
         self._loop = dispatcher
         self._controller = controller
         self._leaving = threading.Event()
@@ -92,11 +97,12 @@
         dispatcher = _make_loop(chosen, task.take)
         _start_loop(dispatcher, asked, stack)
         task.start(dispatcher.post, stack)
+        door = doors.Door()
         links = control.Links(
-            dispatcher.post, task.take_claims, task.note_members
+            dispatcher.post, task.take_claims, task.note_members, door.note
         )
         controller = control.start(chosen, links, caller, stack)
-        host = Host(dispatcher, controller)
+        host = Host(dispatcher, controller, door)
         _start_callers(chosen, host, stack)
         logs.info(PART, 'serving', host=chosen.host.name)
         asked.wait()
--- a/fuchsiahaven/operate/command_plan.py
+++ b/fuchsiahaven/operate/command_plan.py
@@ -20,7 +20,8 @@
   [targets GROUP DATA_CENTRE]   NAME = IP:PORT, with ranges such as {01..20}
   [selector NAME]               class, expression, data_centres
   [class NAME]                  deadline_ms, needs, repeat, fan_out, priority,
-                                hedge_share, retry_share
+                                hedge_share, retry_share, public
+  [customer NAME]               keys (digests), priority, rate, burst
 What it leaves out is deleted; marks of leaving targets are kept.
 
 exit codes: 0 nothing would change; 1 something would, or it is refused;
--- a/fuchsiahaven/operate/command_query.py
+++ b/fuchsiahaven/operate/command_query.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from fuchsiahaven.core import addresses, request_ids
-from fuchsiahaven.operate import exchanges, exits, tables
+from fuchsiahaven.operate import exchanges, exits, secret_files, tables
 
 EPILOG: Final = """examples:
   fuchsiahaven query --at 10.0.0.1:8101 price-check 'text=combi oven' limit=5
@@ -42,6 +42,11 @@
         help="a host's caller port",
     )
     parser.add_argument('--key', help='the key, for keyed classes')
+    parser.add_argument(
+        '--customer-key',
+        metavar='FILE',
+        help="file with a customer's key; - for standard input",
+    )
     parser.add_argument('--deadline-ms', type=int, metavar='N')
     parser.add_argument(
         '--request-id',
@@ -57,6 +62,11 @@
     if address is None or '' in terms:
         print('expected --at IP:PORT and terms as NAME=VALUE')
         return exits.USAGE
+    try:
+        fields = _write_fields(arguments.customer_key)
+    except argparse.ArgumentTypeError as error:
+        print(error)
+        return exits.USAGE
     body = _build_body(arguments, terms)
     wait_s = DEFAULT_WAIT_S
     if arguments.deadline_ms:
@@ -67,6 +77,7 @@
         '/v1/search',
         body=body,
         timeout_s=wait_s,
+        fields=fields,
     )
     if isinstance(told, exchanges.Silent):
         print(f'no answer to {body["request_id"]}: {told.reason}')
@@ -104,6 +115,19 @@
     )
 
 
+def _write_fields(key_file: str | None) -> dict[str, str]:
+    """Write the header fields, with a key where one is to be shown.
+
+    Raises argparse.ArgumentTypeError.
+    """
+    if key_file is None:
+        return {**exchanges.JSON_TYPE}
+    found = secret_files.read_keys(key_file)
+    if len(found) != 1:
+        raise argparse.ArgumentTypeError(f'{key_file}: expected one key')
+    return {**exchanges.JSON_TYPE, 'Authorization': f'Bearer {found[0]}'}
+
+
 def _build_body(
     arguments: argparse.Namespace,
     terms: Mapping[str, str],
--- a/fuchsiahaven/operate/commands.py
+++ b/fuchsiahaven/operate/commands.py
@@ -68,6 +68,11 @@
         'fuchsiahaven.operate.command_class',
         'list, show, set and delete classes of request',
     ),
+    Entry(
+        'customer',
+        'fuchsiahaven.operate.command_customer',
+        'list, show, set and delete customers; add and remove their keys',
+    ),
     Entry(
         'plan',
         'fuchsiahaven.operate.command_plan',
--- a/fuchsiahaven/operate/descriptions.py
+++ b/fuchsiahaven/operate/descriptions.py
@@ -17,7 +17,13 @@
     [class price-check]
     deadline_ms = 800
 
-Fields that are left out have the defaults of the program.
+    [customer shop]
+    keys = 9f02…
+    rate = 20
+    burst = 40
+
+The keys of a customer are digests, as `customer digest` makes them. Fields
+that are left out have the defaults of the program.
 """
 
 import argparse
@@ -26,10 +32,12 @@
 from typing import Any, Final, NamedTuple
 
 from fuchsiahaven.core.configuration import configurations, shapes, trees
-from fuchsiahaven.operate import settings_reader, words
+from fuchsiahaven.core.customers import customers
+from fuchsiahaven.operate import secret_files, settings_reader, words
 
 SECTION_HELP: Final = (
-    '[group NAME], [targets GROUP DATA_CENTRE], [selector NAME], [class NAME]'
+    '[group NAME], [targets GROUP DATA_CENTRE], [selector NAME], '
+    '[class NAME], [customer NAME]'
 )
 SELECTOR_FIELDS: Final[Mapping[str, type]] = {
     'class': str,
@@ -37,11 +45,13 @@
     'data_centres': str,
 }
 GROUP_FIELDS: Final[Mapping[str, type]] = {'labels': str, **words.CAPS}
+CUSTOMER_FIELDS: Final[Mapping[str, type]] = {'keys': str, **words.CUSTOMER}
 #: The word that begins the sections of each kind.
 KINDS: Final[Mapping[str, str]] = {
     'groups': 'group',
     'selectors': 'selector',
     'classes': 'class',
+    'customers': 'customer',
 }
 
 Fault = settings_reader.Fault
@@ -69,7 +79,7 @@
 def read_text(text: str) -> Reading:
     """Read the text of a description and find every fault in it."""
     sections, faults = settings_reader.split(text)
-    rows: Rows = {'groups': {}, 'selectors': {}, 'classes': {}}
+    rows: Rows = {kind: {} for kind in KINDS}
     # Groups come before their targets, wherever they stand in the file.
     for head in sorted(sections, key=_order):
         faults.extend(_read_section(head, sections[head], rows))
@@ -104,9 +114,25 @@
             fields, faults = _read_fields(head, section, words.POLICY)
             rows['classes'][name] = {**plain, **fields}
             return faults
+        case ['customer', name]:
+            return _read_customer(head, section, rows['customers'], name)
     return [Fault(head, '', '', SECTION_HELP)]
 
 
+def _read_customer(
+    head: str, section: Section, found: dict[str, Any], name: str
+) -> list[Fault]:
+    plain = trees.build_customer(customers.Customer(name))
+    fields, faults = _read_fields(head, section, CUSTOMER_FIELDS)
+    digests = words.split_names(fields.pop('keys', ''))
+    if len(set(digests)) < len(digests):
+        faults.append(Fault(head, 'keys', '', 'each key once'))
+    if not all(secret_files.is_digest(it) for it in digests):
+        faults.append(Fault(head, 'keys', '', secret_files.DIGEST_HELP))
+    found[name] = {**plain, **fields, 'keys': dict.fromkeys(digests, True)}
+    return faults
+
+
 def _read_group(
     head: str, section: Section, groups: dict[str, Any], name: str
 ) -> list[Fault]:
--- a/fuchsiahaven/operate/exchanges.py
+++ b/fuchsiahaven/operate/exchanges.py
@@ -37,6 +37,7 @@
     body: Body | None = None,
     timeout_s: float = 10.0,
     context: ssl.SSLContext | None = None,
+    fields: Mapping[str, str] = JSON_TYPE,
 ) -> Told | Silent:
     """Ask once, never twice, and tell what came back; by TLS if asked to."""
     scheme = 'https' if context else 'http'
@@ -50,7 +51,7 @@
                 method,
                 url,
                 body=None if body is None else json.dumps(body),
-                headers=JSON_TYPE,
+                headers=fields,
                 timeout=limit_time(timeout_s),
             )
         except urllib3.exceptions.HTTPError as error:
--- a/fuchsiahaven/operate/words.py
+++ b/fuchsiahaven/operate/words.py
@@ -29,7 +29,18 @@
     'priority': int,
     'hedge_share': float,
     'retry_share': float,
+    'public': bool,
 }
+CUSTOMER: Final[Mapping[str, type]] = {
+    'priority': int,
+    'rate': float,
+    'burst': float,
+}
+#: Priority of a customer whose requests go by that of their class.
+NO_PRIORITY: Final = 'none'
+#: What is expected of values that are no numbers with a point.
+KINDS: Final[Mapping[type, str]] = {int: 'a whole number', bool: 'yes or no'}
+TRUTHS: Final = {'yes': True, 'true': True, 'no': False, 'false': False}
 
 
 def split_pair(text: str) -> tuple[str, str]:
@@ -75,13 +86,30 @@
     try:
         return _read_value(text, kind)
     except ValueError:
-        what = 'a whole number' if kind is int else 'a number'
+        what = KINDS.get(kind, 'a number')
         raise argparse.ArgumentTypeError(
             f'{name}: expected {what}, not {text!r}'
         ) from None
 
 
+def read_customer(pairs: Iterable[tuple[str, str]]) -> Pairs:
+    """Read fields of a customer; a priority may be taken away by `none`.
+
+    Raises argparse.ArgumentTypeError.
+    """
+    return tuple(
+        (name, None)
+        if (name, text) == ('priority', NO_PRIORITY)
+        else (name, read_field(name, text, CUSTOMER))
+        for name, text in pairs
+    )
+
+
 def _read_value(text: str, kind: type) -> Any:
+    if kind is bool:
+        if text.lower() not in TRUTHS:
+            raise ValueError(text)
+        return TRUTHS[text.lower()]
     found = kind(text)
     if isinstance(found, float) and not math.isfinite(found):
         # Python reads "nan", which lies within any bounds: a share of hedges
--- a/tests/core/configuration/test_patches.py
+++ b/tests/core/configuration/test_patches.py
@@ -33,6 +33,7 @@
     unique(GROUPS),
     unique(SELECTORS),
     unique(st.builds(configurations.RequestClass, NAMES, st.just(9))),
+    st.just(()),
 )
 
 
--- /dev/null
+++ b/tests/core/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package customers of the core."""
--- /dev/null
+++ b/tests/core/queries/test_customers.py
@@ -0,0 +1,99 @@
+"""Check what becomes of a query that is some customer's."""
+
+from typing import Any, Final
+
+import pytest
+
+from fuchsiahaven.core import coverage, errors
+from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.customers import customers
+from fuchsiahaven.core.queries import records
+from fuchsiahaven.core.targets import messages
+from tests.core import rig
+
+CLASS: Final = configurations.RequestClass('c')
+ONCE: Final = configurations.RequestClass(
+    'c',
+    needs=configurations.Needs.COMPLETE,
+    repeat=configurations.Repeat.AT_MOST_ONCE,
+    fan_out=configurations.FanOut.KEYED,
+    hedge_share=0.0,
+)
+
+
+def make_host(policy: configurations.RequestClass) -> rig.Rig:
+    host = rig.Rig(policy, shards=1)
+    keyed = host.configuration._replace(
+        revision=2, customers=(customers.Customer('shop'),)
+    )
+    host.tell(messages.Configured(keyed))
+    return host
+
+
+def make_query(host: rig.Rig, **told: Any) -> messages.Query:
+    query = messages.Query('id', 'c', {}, 'k', host.now, host.now + 1)
+    return query._replace(**told)
+
+
+def test_the_name_goes_to_each_target() -> None:
+    host = make_host(CLASS)
+    query = make_query(host, customer='shop', admitted=True)
+    sent = host.tell(messages.Submitted(1, query))
+    names = [
+        it.request.customer for it in sent if isinstance(it, messages.Send)
+    ]
+    assert names == ['shop']
+
+
+def test_a_query_that_nobody_admitted_does_not_run() -> None:
+    """Guard against a query let in before its caller needed a key.
+
+    The callers' threads and the dispatch learn of a configuration one after
+    the other.
+    """
+    host = make_host(CLASS)
+    (reply,) = host.tell(messages.Submitted(1, make_query(host)))
+    assert isinstance(reply, messages.Reply)
+    assert isinstance(reply.outcome, errors.Failure)
+    assert reply.outcome.kind is errors.Kind.NOT_READY
+    assert reply.outcome.ran is errors.Ran.NO
+
+
+@pytest.mark.parametrize(
+    ('customer', 'replayed'), [('shop', True), ('bank', False), ('', False)]
+)
+def test_a_recorded_answer_is_given_to_its_customer_alone(
+    customer: str, *, replayed: bool
+) -> None:
+    """Guard against a customer that asks with the id of another."""
+    host = make_host(ONCE)
+    query = make_query(host, customer=customer, admitted=True)
+    host.tell(messages.Submitted(1, query))
+    answer = messages.Answer('id', (), {}, coverage.build((), set(), {}), 1)
+    held = messages.ClaimSettled(
+        1,
+        messages.ClaimResult.HELD,
+        outcome=records.write(answer, 'shop'),
+        done=True,
+    )
+    (reply,) = [it for it in host.tell(held) if isinstance(it, messages.Reply)]
+    assert reply.replayed is replayed
+    if not replayed:
+        assert isinstance(reply.outcome, errors.Failure)
+        assert reply.outcome.kind is errors.Kind.DUPLICATE_REQUEST
+        assert reply.outcome.ran is errors.Ran.YES
+
+
+def test_a_customer_priority_goes_before_that_of_the_class() -> None:
+    """Guard against a customer that waits behind whom it goes before."""
+    host = make_host(CLASS)
+    for token in range(1, 40):
+        query = make_query(host, admitted=True, deadline=host.now + 100)
+        host.tell(messages.Submitted(token, query))
+    query = make_query(host, admitted=True, deadline=host.now + 100, priority=0)
+    host.tell(messages.Submitted(40, query))
+    (admitted,) = host._state.tables.admitted.values()
+    assert admitted.running
+    lanes = [[it.token for it in lane] for lane in admitted.queue.lanes]
+    assert lanes[0] == [40]
+    assert lanes[1]
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import given, strategies
 
+from fuchsiahaven.core.customers import keys
 from fuchsiahaven.platform import exchanges, records, store
 from fuchsiahaven.routing import configs, facts
 
@@ -199,14 +200,14 @@
     customer by one goes through others.
     """
     digested = 0
-    digest = exchanges.digest_key
+    digest = keys.digest
 
     def count(key: str) -> str:
         nonlocal digested
         digested += 1
         return digest(key)
 
-    monkeypatch.setattr(exchanges, 'digest_key', count)
+    monkeypatch.setattr(keys, 'digest', count)
     rows = [
         {'name': f'c-{at}', 'api_keys': [f'k-{at}-{it}' for it in range(10)]}
         for at in range(MANY // 10)
