Have the soak send far more than a customer may, and check its quota by targets' own counts

One customer has a quota and callers of its own that send without a pause. Checked: targets never run more than is allowed and tolerated in a window, a 429 has not run and is that customer's alone, it gets its part and all others are served when all is well.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -51,8 +51,11 @@
 class Caller:
     """Own one connection at a time, and what was seen on them."""
 
-    def __init__(self, name: str, balancer: Balancer, seed: int) -> None:
-        """Start without a connection."""
+    def __init__(
+        self, name: str, balancer: Balancer, seed: int, customer: str = ''
+    ) -> None:
+        """Start without a connection; one customer's alone, or any's."""
+        self._customer = customer
         self.seen: list[checks.Seen] = []
         self._name = name
         self._balancer = balancer
@@ -124,6 +127,8 @@
         return status > 0 and fields.get('connection') != 'close'
 
     def _draw_customer(self) -> str:
+        if self._customer:
+            return self._customer
         if self._random.randrange(100) < STRANGE:
             return customers.STRANGER
         return self._random.choice(tuple(customers.KEYS))
--- a/bench/soak/customers.py
+++ b/bench/soak/customers.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 from typing import Any, Final
 
-from bench.soak import checks, targets
+from bench.soak import checks, quotas, targets
 
 #: The customers' keys, by name.
 KEYS: Final = {'shop': 'key-9d1c', 'bank': 'key-70fe'}
@@ -15,11 +15,14 @@
 
 def write() -> list[dict[str, Any]]:
     """Write the customers of each version."""
-    return [{'name': name, 'api_keys': [key]} for name, key in KEYS.items()]
+    rows = [{'name': name, 'api_keys': [key]} for name, key in KEYS.items()]
+    return [*rows, quotas.write()]
 
 
 def find_key(customer: str) -> str:
     """Find the key that a caller of a customer shows."""
+    if customer == quotas.HOT:
+        return quotas.KEY
     return KEYS.get(customer, UNKNOWN)
 
 
@@ -50,3 +53,15 @@
         for fault in check(one, ledger)
     ]
     return [*faults, *check_keys(ledger)]
+
+
+def check_served(seen: Iterable[checks.Seen], calm: float) -> list[str]:
+    """Check that each request with a valid key is served when all is well.
+
+    Another customer sends far more than it may all the while.
+    """
+    return [
+        f'{one.kind} {one.request_id}: {one.status} beside a hot customer'
+        for one in seen
+        if one.sent > calm and one.customer in KEYS and one.status != checks.OK
+    ]
--- a/bench/soak/hosts.py
+++ b/bench/soak/hosts.py
@@ -10,9 +10,10 @@
 from pathlib import Path
 from typing import Final
 
-from bench.soak import proxies
+from bench.soak import proxies, quotas
 
 LOOPBACK: Final = '127.0.0.1'
+CENTRES: Final = ('north', 'south')
 PORTS: Final = range(18_000, 32_000)
 #: A host that has not ended so long after it was asked to is killed, as the
 #: platform does it.
@@ -109,6 +110,8 @@
             'bounds.retry_slack=56',
             'bounds.retry_window_s=10',
             f'bounds.grace_s={GRACE_S}',
+            *quotas.SETTINGS,
+            *[f'zones.{name}=1' for name in CENTRES],
             '',
         )
         return '\n'.join(lines)
--- a/bench/soak/play.py
+++ b/bench/soak/play.py
@@ -15,6 +15,7 @@
     customers,
     hosts,
     proxies,
+    quotas,
     targets,
 )
 from standins import metadata_store
@@ -24,7 +25,6 @@
     ('b1', 'b2', 'b3', 'b4'),
 )
 SINGLES: Final = ('c1', 'c2')
-CENTRES: Final = ('north', 'south')
 CALLERS: Final = 12
 REPLICAS: Final = 2
 #: A target that has left gets no new work after this; longer than the 3 s of
@@ -65,7 +65,9 @@
         self.store = metadata_store.Store()
         self.ledger = targets.Ledger()
         self.hosts = [
-            hosts.Host(f'host-{it}', CENTRES[it % len(CENTRES)], folder)
+            hosts.Host(
+                f'host-{it}', hosts.CENTRES[it % len(hosts.CENTRES)], folder
+            )
             for it in range(count)
         ]
         self.targets: dict[str, targets.Target] = {}
@@ -315,6 +317,10 @@
     field = Field(seed, count, folder)
     balancer = callers.Balancer(field.hosts)
     asking = [callers.Caller(f'c{it}', balancer, seed) for it in range(CALLERS)]
+    asking += [
+        callers.Caller(f'h{it}', balancer, seed, quotas.HOT)
+        for it in range(quotas.CALLERS)
+    ]
     async with contextlib.AsyncExitStack() as stack:
         await field.start(stack)
         watching = asyncio.create_task(balancer.watch())
@@ -371,6 +377,7 @@
     for stray in field.ledger.strays:
         faults.append(f'a request without an id: {stray}')
     faults.extend(customers.check_all(seen, field.ledger))
+    faults.extend(quotas.check(seen, field.ledger, settled))
     faults.extend(_judge_end(field, seen, settled))
     return faults
 
@@ -384,10 +391,12 @@
         for it in seen
         if it.sent > settled + IN_FORCE_S
         and it.kind == 'search'
-        and it.customer != customers.STRANGER
+        and it.customer not in {customers.STRANGER, quotas.HOT}
     ]
     wanted = set(SETS[field.version % 2])
     faults = []
+    calm = settled + IN_FORCE_S
+    faults.extend(customers.check_served(seen, calm))
     for one in late:
         told = one.fields.get('fuchsiahaven-part-signatures', '')
         services = {it.partition('.')[2] for it in told.split(', ') if it}
--- a/tests/bench/test_soak_checks.py
+++ b/tests/bench/test_soak_checks.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bench.soak import checks, customers, targets
+from bench.soak import checks, customers, quotas, targets
 
 SETS = (('a1', 'a2', 'a3'), ('b1', 'b2'))
 
@@ -124,3 +124,61 @@
     fields = {'fuchsiahaven-request-id': 'id-1', 'authorization': 'Token k'}
     ledger.note(fields, 'i-1')
     assert customers.check_all([], ledger) == ['id-1 was shown a key']
+
+
+def make_hot(
+    count: int, ledger: targets.Ledger, *, pace: float, status: int = checks.OK
+) -> list[checks.Seen]:
+    """Make requests of the hot customer that run on two targets each."""
+    found = []
+    for number in range(count):
+        seen = make_search((), 0)._replace(
+            request_id=f'h-{number}',
+            customer=quotas.HOT,
+            sent=number * pace,
+            ended=number * pace + 0.1,
+            status=status,
+        )
+        found.append(seen)
+        for name in ('t-1', 't-2'):
+            run = targets.Run(seen.request_id, name, seen.sent + 0.05)
+            ledger.runs.append(run)
+    return found
+
+
+def test_counts_a_request_once_and_by_windows() -> None:
+    """What a quota allows passes, however often its parts run."""
+    ledger = targets.Ledger()
+    seen = make_hot(40, ledger, pace=1 / quotas.RATE)
+    assert not quotas.check(seen, ledger, 0.0)
+    assert quotas.count_most(seen, ledger) == quotas.RATE * quotas.WINDOW_S
+
+
+def test_finds_more_in_a_window_than_is_tolerated() -> None:
+    ledger = targets.Ledger()
+    most = int(quotas.count_allowed())
+    seen = make_hot(most, ledger, pace=0.001)
+    assert not quotas.check(seen, ledger, 0.0)
+    seen = make_hot(most + 1, targets.Ledger(), pace=0.001)
+    ledger.runs.append(targets.Run(seen[-1].request_id, 't-1', 0.1))
+    assert 'ran in a window' in quotas.check(seen, ledger, 0.0)[0]
+
+
+def test_finds_a_refused_request_that_has_run_and_one_without_a_quota() -> None:
+    ledger = targets.Ledger()
+    seen = make_hot(1, ledger, pace=1.0, status=429)
+    ledger.counts['h-0'] += 1
+    assert 'has run' in quotas.check(seen, ledger, 9.0)[0]
+    other = seen[0]._replace(request_id='id-9', customer='shop')
+    assert 'no quota' in quotas.check([other], ledger, 9.0)[0]
+
+
+def test_finds_customers_that_are_not_served_when_all_is_well() -> None:
+    """A hot customer starves neither itself nor others."""
+    ledger = targets.Ledger()
+    seen = make_hot(40, ledger, pace=1 / quotas.RATE, status=429)
+    assert 'served when all is well' in quotas.check(seen, ledger, 0.0)[-1]
+    other = seen[-1]._replace(customer='shop')
+    assert customers.check_served([other], other.sent - 1)
+    assert not customers.check_served([other], other.sent)
+    assert not customers.check_served(seen, 0.0)
