Let no host of the own interface take a key that was withdrawn, in touch or not

With `[customers] revoke_s` a host refuses requests with keys (503, Retry-After, not ready) once it cannot prove that it knows every change that the platform had accepted so long ago; public classes go on. The proof is the class that the users' platform has, moved to core/customers. A read of the manifest's number proves when it left, if the platform held there what is in force here; the others ask up the tree over which configurations come (GET /v1/keys) and count from when their question left. Without the setting, or without customers, nothing is asked.

--- a/bench/control_host.py
+++ b/bench/control_host.py
@@ -20,7 +20,8 @@
 from typing import Any
 
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.edge import control, openings
+from fuchsiahaven.core.customers import freshness
+from fuchsiahaven.edge import control, doors, openings
 from fuchsiahaven.operate import logs, settings_reader
 
 COUNTED: Counter[str] = Counter(peers=0, platform=0)
@@ -40,7 +41,10 @@
     with contextlib.ExitStack() as stack:
         caller = openings.open_caller(read.settings, stack)
         links = control.Links(
-            post, lambda body: body, lambda listed: None, lambda stamped: None
+            post,
+            lambda body: body,
+            lambda listed: None,
+            doors.Door(freshness.Freshness()),
         )
         control.start(read.settings, links, caller, stack)
         stop.wait()
--- a/fuchsiahaven/core/configuration/revision_messages.py
+++ b/fuchsiahaven/core/configuration/revision_messages.py
@@ -1,7 +1,8 @@
 """Define the messages between the choice of a revision and the edge."""
 
 import enum
-from typing import NamedTuple
+import math
+from typing import Final, NamedTuple
 
 from fuchsiahaven.core.configuration import configurations, patches
 
@@ -26,8 +27,12 @@
     follows: int
 
 
+#: When a call left whose age is not asked for.
+NO_TIME: Final = -math.inf
+
+
 class Found(NamedTuple):
-    """Bring what the platform holds.
+    """Bring what the platform holds; `left` is when it was asked.
 
     `store_revision` is the platform's number of the manifest, `changes` are
     the last ones of its history. The configuration is None where there is no
@@ -38,12 +43,17 @@
     configuration: configurations.Configuration | None = None
     changes: tuple[Change, ...] = ()
     watched: bool = False
+    left: float = NO_TIME
 
 
 class Checked(NamedTuple):
-    """Bring the platform's number of the manifest; 0 where there is none."""
+    """Bring the platform's number of the manifest; 0 where there is none.
+
+    `left` is when it was asked.
+    """
 
     store_revision: int
+    left: float = NO_TIME
 
 
 class Quiet(NamedTuple):
@@ -95,6 +105,10 @@
     members: tuple[str, ...]
 
 
+class Urged(NamedTuple):
+    """Ask that the platform be asked at once."""
+
+
 class Ticked(NamedTuple):
     """Bring the passing of time."""
 
@@ -134,6 +148,13 @@
     stamped: patches.Stamped
 
 
+class Confirm(NamedTuple):
+    """Tell that the platform held just what is in force after a time."""
+
+    stamp: patches.Stamp
+    left: float
+
+
 class Report(NamedTuple):
     """Tell the operator of a fault; `text` is empty once it has ended."""
 
@@ -151,6 +172,7 @@
     | Pulled
     | Unreached
     | Listed
+    | Urged
     | Ticked
 )
-Action = Read | Check | Watch | Push | Pull | Configure | Report
+Action = Read | Check | Watch | Push | Pull | Configure | Confirm | Report
--- a/fuchsiahaven/core/configuration/revisions.py
+++ b/fuchsiahaven/core/configuration/revisions.py
@@ -69,6 +69,13 @@
     wanted: patches.Stamp | None
 
 
+class Agreed(NamedTuple):
+    """Name what the platform held under a number of its own."""
+
+    store_revision: int
+    stamp: patches.Stamp
+
+
 class State(NamedTuple):
     """Hold what the decision knows.
 
@@ -93,6 +100,7 @@
     watching: bool = False
     failures: int = 0
     faults: tuple[tuple[messages.Fault, str], ...] = ()
+    agreed: Agreed | None = None
 
 
 Draws = Callable[[], float]
@@ -154,6 +162,8 @@
         case messages.Listed():
             order = rendezvous.rank(RANK_KEY, (*event.members, state.name))
             return state._replace(order=order), ()
+        case messages.Urged():
+            return state._replace(ask_at=min(state.ask_at, now)), ()
         case messages.Ticked():
             return _tick(state, now, draws)
 
@@ -185,7 +195,8 @@
     state = _close(state, found.watched, now, draws)
     state, cleared = _reach(state, now)
     state = state._replace(store_revision=found.store_revision)
-    return _join(cleared, _judge_found(state, found, now, draws))
+    step = _join(cleared, _judge_found(state, found, now, draws))
+    return _agree(step, found)
 
 
 def _judge_found(
@@ -210,6 +221,32 @@
     return _join(cleared, step)
 
 
+def _agree(step: Step, found: messages.Found) -> Step:
+    """Note what the platform holds, to tell whether that is in force here.
+
+    One that came back older, or forked, says nothing of what it had accepted
+    before.
+    """
+    state, actions = step
+    if found.left == messages.NO_TIME or found.configuration is None:
+        return state._replace(agreed=None), actions
+    there = patches.stamp(found.configuration, state.in_force).stamp
+    agreed = Agreed(found.store_revision, there)
+    return _confirm((state._replace(agreed=agreed), actions), found.left)
+
+
+def _confirm(step: Step, left: float) -> Step:
+    state, actions = step
+    if left == messages.NO_TIME:
+        return step
+    if state.agreed is None:
+        # It was not read since proofs are asked for.
+        return state._replace(asking=True), (*actions, messages.Read())
+    if state.agreed != Agreed(state.store_revision, state.in_force.stamp):
+        return step
+    return state, (*actions, messages.Confirm(state.in_force.stamp, left))
+
+
 def _is_forked(state: State, changes: Mapping[int, messages.Change]) -> bool:
     """Tell whether the platform's history leaves out what is in force.
 
@@ -234,7 +271,8 @@
 ) -> Step:
     state, cleared = _reach(_close(state, False, now, draws), now)
     if checked.store_revision == state.store_revision:
-        return _join(cleared, _note_unvouched((state, ())))
+        step = _join(cleared, _note_unvouched((state, ())))
+        return _confirm(step, checked.left)
     # Another number, higher or lower, may stand for another configuration.
     return state._replace(asking=True), (*cleared, messages.Read())
 
--- a/fuchsiahaven/edge/control.py
+++ b/fuchsiahaven/edge/control.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import math
 import time
 from collections.abc import Callable, Mapping
 from typing import Final, NamedTuple
@@ -12,6 +13,7 @@
     revision_messages,
     revisions,
 )
+from fuchsiahaven.core.customers import freshness, questions
 from fuchsiahaven.core.members import (
     member_messages,
     member_tables,
@@ -22,6 +24,7 @@
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import (
     claim_members,
+    doors,
     gossip,
     hostlist,
     listings,
@@ -29,6 +32,7 @@
     patch_calls,
     peer_calls,
     peers,
+    proofs,
 )
 from fuchsiahaven.edge import revisions as revision_tasks
 from fuchsiahaven.operate import settings
@@ -45,7 +49,7 @@
     post: Callable[[Event], None]
     take_claims: Callable[[bytes], bytes | None]
     note_members: Callable[[claim_members.Listed], None]
-    note_configuration: Callable[[patches.Stamped], None]
+    door: doors.Door
 
 
 class Control:
@@ -80,6 +84,14 @@
             chosen.host.data_centre,
             patch_calls.Exchange(own.name, caller, self._find_address),
             self._take_configuration,
+            links.door,
+        )
+        self._proofs = proofs.Task(
+            links.door,
+            caller,
+            lambda: self.revisions.state,
+            self._find_address,
+            lambda: self.revisions.post(revision_messages.Urged()),
         )
 
     def start(self, stack: contextlib.ExitStack) -> None:
@@ -100,6 +112,9 @@
             stack,
         )
         stack.callback(self.revisions.stop)
+        if self._links.door.freshness.revoke is not None:
+            openings.start_thread(self._proofs.run, proofs.PART, stack)
+            stack.callback(self._proofs.stop)
         openings.start_thread(self._lister.run, listings.PART, stack)
         stack.callback(self._lister.stop)
 
@@ -117,6 +132,11 @@
         """Answer gossip; None where this host is too busy."""
         return self.gossip.exchange(told)
 
+    def prove(self) -> bytes | None:
+        """Tell how old the knowledge of keys is; None if nothing is proved."""
+        told = self._links.door.prove()
+        return None if told is None else questions.write(told)
+
     def take_patches(self, parcel: patch_rows.Parcel) -> patches.Stamp:
         """Take patches that were pushed; return what is in force."""
         self.gossip.post(member_messages.Noticed(parcel.sender))
@@ -142,12 +162,13 @@
             'watches': revisions.is_watcher(state),
             'faults': dict(state.faults),
             'obstacle': self.explain(),
+            **_describe_keys(self._links.door.freshness),
             'health': self.gossip.state.health,
             'members': [member._asdict() for member in sorted(known)],
         }
 
     def _take_configuration(self, stamped: patches.Stamped) -> None:
-        self._links.note_configuration(stamped)
+        self._links.door.note(stamped)
         self._links.post(messages.Configured(stamped.configuration))
         self.gossip.post(member_messages.Enforced(stamped.stamp))
 
@@ -190,6 +211,14 @@
         self.gossip.wait_told(FAREWELL_S)
 
 
+def _describe_keys(known: freshness.Freshness) -> Mapping[str, object]:
+    if not known.is_on:
+        return {}
+    age = known.count_age()
+    told = round(age, 2) if math.isfinite(age) else None
+    return {'keys': {'age_s': told, 'bound_s': known.revoke}}
+
+
 def start(
     chosen: settings.Settings,
     links: Links,
--- a/fuchsiahaven/edge/doors.py
+++ b/fuchsiahaven/edge/doors.py
@@ -4,8 +4,14 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import errors
-from fuchsiahaven.core.configuration import patches
-from fuchsiahaven.core.customers import customers, keys, verdicts
+from fuchsiahaven.core.configuration import patches, revision_messages
+from fuchsiahaven.core.customers import (
+    customers,
+    freshness,
+    keys,
+    questions,
+    verdicts,
+)
 from fuchsiahaven.core.targets import messages
 
 #: How callers show their keys, in any case.
@@ -26,8 +32,9 @@
 class Door:
     """Own the table in force; any thread may call this."""
 
-    def __init__(self) -> None:
-        """Start without a configuration."""
+    def __init__(self, known: freshness.Freshness) -> None:
+        """Start without a configuration, and with nothing proved."""
+        self.freshness = known
         self._table: Table | None = None
 
     def note(self, stamped: patches.Stamped) -> None:
@@ -37,6 +44,7 @@
         """
         configuration = stamped.configuration
         known = configuration.customers
+        self.freshness.note_keyed(keyed=bool(known))
         self._table = Table(
             stamped.stamp,
             known,
@@ -44,6 +52,41 @@
             frozenset(it.name for it in configuration.classes if it.public),
         )
 
+    def read_clock(self) -> float:
+        """Return the time of a call that proves something, if any does."""
+        if self.freshness.is_on:
+            return self.freshness.read_clock()
+        return revision_messages.NO_TIME
+
+    def note_read(self, stamp: patches.Stamp, left: float) -> None:
+        """Take in that the platform, asked then, held what has this stamp."""
+        if self._find_stamp() == stamp:
+            self.freshness.note_read(left, freshness.NO_ERA)
+
+    def note_told(self, left: float, told: questions.Told) -> bool:
+        """Take in what another host proved to a question that left then.
+
+        False where it has another configuration, or proves nothing newer.
+        """
+        if self._find_stamp() != patches.Stamp(told.revision, told.digest):
+            return False
+        before = self.freshness.confirmed
+        self.freshness.note_told(left, told.proof, freshness.NO_ERA)
+        return self.freshness.confirmed > before
+
+    def prove(self) -> questions.Told | None:
+        """Say what is proved to who asks now; None if there is nothing."""
+        proof = self.freshness.prove(self.freshness.read_clock())
+        # Read before the proof, it could lack what the proof speaks of.
+        stamp = self._find_stamp()
+        if proof is None or stamp is None:
+            return None
+        return questions.Told(proof, *stamp)
+
+    def find_wait(self) -> float:
+        """Say for how long keys cannot be trusted here; 0 where they can."""
+        return self.freshness.find_wait() if self.freshness.is_on else 0.0
+
     def admit(
         self, query: messages.Query, shown: verdicts.Shown
     ) -> messages.Query | errors.Failure:
@@ -52,11 +95,15 @@
         Where callers need no key it stays as it is. The dispatch refuses it if
         that has changed by then.
         """
+        # The age comes first: the table may only be newer than it says.
+        wait = self.find_wait()
         table = self._table
         if table is None or not table.known:
             return query
         public = query.class_name in table.public
-        found = verdicts.find_customer(table.holders, shown, 0.0, public=public)
+        found = verdicts.find_customer(
+            table.holders, shown, wait, public=public
+        )
         if isinstance(found, errors.Failure):
             return found
         if found is None:
@@ -65,6 +112,10 @@
             admitted=True, customer=found.name, priority=found.priority
         )
 
+    def _find_stamp(self) -> patches.Stamp | None:
+        table = self._table
+        return None if table is None else table.stamp
+
 
 def read_shown(told: str) -> verdicts.Shown:
     """Read what a caller shows as its key, empty where that is nothing."""
--- a/fuchsiahaven/edge/manifest_reader.py
+++ b/fuchsiahaven/edge/manifest_reader.py
@@ -1,37 +1,52 @@
 """Read the manifest and its parts from the platform's service."""
 
+from collections.abc import Callable
+
 from fuchsiahaven.core import errors
 from fuchsiahaven.core.configuration import audits, manifests, reaches
 from fuchsiahaven.core.configuration import revision_messages as messages
 from fuchsiahaven.edge import store
 
 
+def _tell_no_time() -> float:
+    return messages.NO_TIME
+
+
 class Reader:
     """Read manifests for one data centre, each part of one only once."""
 
-    def __init__(self, data_centre: str) -> None:
-        """Start without any part."""
+    def __init__(
+        self, data_centre: str, clock: Callable[[], float] = _tell_no_time
+    ) -> None:
+        """Start without any part; the clock tells when a call leaves."""
         self._data_centre = data_centre
+        self._clock = clock
         self._texts: dict[str, str] = {}
 
     def read(self, platform: store.Store) -> messages.Event:
         """Read what is there now."""
+        left = self._clock()
         try:
             entry = platform.read(manifests.MANIFEST_KEY)
         except store.StoreError as error:
             return messages.Failed(watched=False, detail=str(error))
         if entry is None:
             return messages.Found(0)
-        return self._load(platform, entry, watched=False)
+        loaded = self._load(platform, entry, watched=False)
+        if isinstance(loaded, messages.Found):
+            return loaded._replace(left=left)
+        return loaded
 
     def check(self, platform: store.Store) -> messages.Event:
         """Read the platform's number of the manifest alone."""
+        left = self._clock()
         try:
             listed = platform.list_keys(manifests.MANIFEST_KEY)
         except store.StoreError as error:
             return messages.Failed(watched=False, detail=str(error))
         numbers = {row.key: row.revision for row in listed}
-        return messages.Checked(numbers.get(manifests.MANIFEST_KEY, 0))
+        number = numbers.get(manifests.MANIFEST_KEY, 0)
+        return messages.Checked(number, left)
 
     def watch(
         self, platform: store.Store, asked: messages.Watch
@@ -53,7 +68,7 @@
 
     def _load(
         self, platform: store.Store, entry: store.Entry, *, watched: bool
-    ) -> messages.Event:
+    ) -> messages.Found | messages.Failed:
         head = manifests.read_head(entry.value)
         if isinstance(head, errors.Failure):
             return _fail(head, watched)
--- a/fuchsiahaven/edge/peers.py
+++ b/fuchsiahaven/edge/peers.py
@@ -41,6 +41,9 @@
     def find_patches(self, above: patches.Stamp) -> tuple[patches.Patch, ...]:
         """List what leads from a stamp to what is in force."""
 
+    def prove(self) -> bytes | None:
+        """Tell how old the knowledge of keys is; None if nothing is proved."""
+
     def take_claims(self, body: bytes) -> bytes | None:
         """Answer a batch of claims; None where it is not well formed."""
 
@@ -74,9 +77,14 @@
         match (environ['REQUEST_METHOD'], environ['PATH_INFO']):
             case ('GET', '/v1/configuration'):
                 return self._give_patches(environ['QUERY_STRING'])
+            case ('GET', '/v1/keys'):
+                told = self._host.prove()
+                if told is None:
+                    return http.HTTPStatus.NO_CONTENT, b''
+                return http.HTTPStatus.OK, told
             case ('GET', '/v1/status'):
-                told = json.dumps(self._host.describe())
-                return http.HTTPStatus.OK, told.encode()
+                row = json.dumps(self._host.describe())
+                return http.HTTPStatus.OK, row.encode()
             case ('POST', path):
                 return self._take(path, environ)
         return http.HTTPStatus.NOT_FOUND, b''
--- a/fuchsiahaven/edge/revisions.py
+++ b/fuchsiahaven/edge/revisions.py
@@ -10,7 +10,7 @@
 
 from fuchsiahaven.core.configuration import patches, revisions
 from fuchsiahaven.core.configuration import revision_messages as wording
-from fuchsiahaven.edge import manifest_reader, store, workers
+from fuchsiahaven.edge import doors, manifest_reader, store, workers
 from fuchsiahaven.operate import logs
 
 PART: Final = 'configuration'
@@ -58,10 +58,12 @@
         data_centre: str,
         exchange: Exchange,
         sink: Callable[[patches.Stamped], None],
+        door: doors.Door,
     ) -> None:
         """Prepare without starting; `run` is for a thread of its own."""
         self.state = state
-        self._reader = manifest_reader.Reader(data_centre)
+        self._reader = manifest_reader.Reader(data_centre, door.read_clock)
+        self._door = door
         self._sink = sink
         self._inbox: queue.SimpleQueue[wording.Event | None]
         self._inbox = queue.SimpleQueue()
@@ -132,6 +134,8 @@
                 self._sink(action.stamped)
                 stamp = action.stamped.stamp
                 logs.info(PART, 'in force', revision=stamp.revision)
+            case wording.Confirm(stamp, left):
+                self._door.note_read(stamp, left)
             case wording.Report():
                 _report(action)
 
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -13,6 +13,7 @@
 from cheroot import wsgi
 
 from fuchsiahaven.core import policies
+from fuchsiahaven.core.customers import freshness
 from fuchsiahaven.core.queries import states
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import (
@@ -47,6 +48,7 @@
     ) -> None:
         """Hand queries to a loop that a door lets in."""
         self.admit = door.admit
+        self._door = door
         self._loop = dispatcher
         self._controller = controller
         self._leaving = threading.Event()
@@ -62,6 +64,8 @@
         """Say why no new work should come here; empty if it may."""
         if self.is_leaving():
             return 'stopping'
+        if self._door.find_wait():
+            return 'no recent word of which keys are valid'
         return self._controller.explain() or self._loop.sample.obstacle
 
     def is_leaving(self) -> bool:
@@ -97,9 +101,9 @@
         dispatcher = _make_loop(chosen, task.take)
         _start_loop(dispatcher, asked, stack)
         task.start(dispatcher.post, stack)
-        door = doors.Door()
+        door = doors.Door(freshness.Freshness(chosen.customers.revoke_s))
         links = control.Links(
-            dispatcher.post, task.take_claims, task.note_members, door.note
+            dispatcher.post, task.take_claims, task.note_members, door
         )
         controller = control.start(chosen, links, caller, stack)
         host = Host(dispatcher, controller, door)
--- a/fuchsiahaven/operate/settings.py
+++ b/fuchsiahaven/operate/settings.py
@@ -127,6 +127,16 @@
     drain_s: Seconds = 30.0
 
 
+class Customers(NamedTuple):
+    """Bound what holds for customers on all hosts; alike on all of them.
+
+    A key that was taken away is dead within `revoke_s` on hosts out of touch
+    too; without it nothing bounds that.
+    """
+
+    revoke_s: Annotated[float, Bounds(1, 3600)] | None = None
+
+
 class PolicyName(enum.StrEnum):
     """List the bundles of decisions; all but the first are to compare with."""
 
@@ -157,6 +167,7 @@
     metrics: Metrics = Metrics()
     targets: Targets = Targets()
     limits: Limits = Limits()
+    customers: Customers = Customers()
     policy: Policy = Policy()
     logs: Logs = Logs()
 
--- a/fuchsiahaven/operate/settings_reader.py
+++ b/fuchsiahaven/operate/settings_reader.py
@@ -184,10 +184,11 @@
 
 
 def _convert(text: str, hint: object) -> object:
-    if typing.get_origin(hint) is typing.Annotated:
+    origin = typing.get_origin(hint)
+    if origin is typing.Annotated:
         plain, bounds = typing.get_args(hint)
         return _convert_number(text, plain, bounds)
-    if isinstance(hint, types.UnionType):
+    if origin in {types.UnionType, typing.Union}:
         return _convert(text, typing.get_args(hint)[0])
     if hint is bool:
         wanted = 'one of {0}'.format(', '.join(BOOLEANS))
--- a/fuchsiahaven/routing/facts.py
+++ b/fuchsiahaven/routing/facts.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import suspects
+from fuchsiahaven.core.customers import freshness
 from fuchsiahaven.routing import configs, instances, places
 
 
@@ -35,7 +36,7 @@
 
 
 #: The era of what is told without one. It is before all that are told.
-NO_ERA: Final = -1
+NO_ERA: Final = freshness.NO_ERA
 
 
 class Stamp(NamedTuple):
@@ -80,15 +81,7 @@
 START: Final = Cursor()
 
 
-class Proof(NamedTuple):
-    """Tell another host up to when everything acknowledged is known.
-
-    `lead` is by how many seconds that is after the arrival of its question;
-    mostly it is before. `era` is the store's whose reads count as proofs.
-    """
-
-    lead: float
-    era: int
+Proof = freshness.Proof
 
 
 class Report(NamedTuple):
--- a/tests/edge/test_customers_path.py
+++ b/tests/edge/test_customers_path.py
@@ -18,6 +18,8 @@
 OTHER: Final = 'k-71d0'
 BODY: Final = {'query': {'text': 'combi', 'limit': 3}}
 LONGEST_S: Final = 10.0
+#: What the settings say.
+BOUND_S: Final = 2.0
 
 
 class Site(NamedTuple):
@@ -45,6 +47,11 @@
             headers=fields,
         )
 
+    def control(self, **order: bool) -> None:
+        """Have the platform be away or there."""
+        url = f'http://{self.platform}/control'
+        assert urllib3.request('POST', url, json=order).status < 300
+
     def wait_for(self, status: int, *shown: str) -> None:
         """Ask until the answer has a status."""
         give_up = time.monotonic() + LONGEST_S
@@ -80,7 +87,7 @@
             metrics=last - 4,
             platform=last - 1,
         )
-        + '[logs]\nverbosity = debug\n'
+        + '[logs]\nverbosity = debug\n[customers]\nrevoke_s = 2\n'
     )
     (folder / 'key').write_text(f'{KEY}\n')
     (folder / 'other').write_text(f'{OTHER}\n')
@@ -181,3 +188,26 @@
     assert refused.status == 401
     assert not site.run('class', 'set', 'price-check', 'public=no')
     site.wait_for(401)
+
+
+def test_keys_are_refused_in_time_while_the_platform_is_away(
+    site: Site,
+) -> None:
+    """Guard against a host out of touch that goes on taking keys."""
+    shown = f'Bearer {OTHER}'
+    keys = ('--keys', str(site.folder / 'other'))
+    site.run('customer', 'add-keys', 'shop', *keys)
+    site.run('class', 'set', 'quick-lookup', 'public=yes')
+    site.wait_for(200, shown)
+    site.control(down=True)
+    went = time.monotonic()
+    site.wait_for(503, shown)
+    assert time.monotonic() - went < BOUND_S + 0.5
+    refused = site.ask(shown)
+    assert read_kind(refused) == 'stale_keys'
+    assert int(refused.headers['Retry-After'])
+    assert site.ask(name='quick-lookup').status == 200
+    ready = urllib3.request('GET', f'{site.callers}/readyz')
+    assert (ready.status, b'keys' in ready.data) == (503, True)
+    site.control(down=False)
+    site.wait_for(200, shown)
--- a/tests/edge/test_doors.py
+++ b/tests/edge/test_doors.py
@@ -4,7 +4,7 @@
 
 from fuchsiahaven.core import errors
 from fuchsiahaven.core.configuration import configurations, patches
-from fuchsiahaven.core.customers import customers, keys, verdicts
+from fuchsiahaven.core.customers import customers, freshness, keys, verdicts
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import doors
 
@@ -23,7 +23,7 @@
 
 
 def open_door(*known: configurations.Configuration) -> doors.Door:
-    door = doors.Door()
+    door = doors.Door(freshness.Freshness())
     for configuration in known:
         door.note(patches.stamp(configuration))
     return door
@@ -66,7 +66,7 @@
 
 def test_without_customers_a_query_stays_as_it_is() -> None:
     plain = KEYED._replace(customers=())
-    assert doors.Door().admit(QUERY, GOOD) is QUERY
+    assert open_door().admit(QUERY, GOOD) is QUERY
     assert open_door(plain).admit(QUERY, GOOD) is QUERY
     assert open_door(KEYED, plain).admit(QUERY, NONE) is QUERY
 
--- a/tests/edge/test_peers.py
+++ b/tests/edge/test_peers.py
@@ -39,6 +39,10 @@
         """Have nothing newer."""
         return ()
 
+    def prove(self) -> bytes:
+        """Prove nothing."""
+        return b''
+
     def take_claims(self, body: bytes) -> bytes | None:
         """Answer claims."""
         return body
