--- a/bench/model.py
+++ b/bench/model.py
@@ -12,7 +12,7 @@
 import random
 from typing import Final, NamedTuple
 
-from bench import shapes, targets
+from bench import lines, shapes, targets
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import desks, events
 
@@ -44,13 +44,17 @@
     crossed_bytes: int
 
 
+class Turn(NamedTuple):
+    """Mark that a host gets to new work that waits."""
+
+
 class Work(NamedTuple):
     """Hold what happens at a host at a time; the place keeps the order."""
 
     at: float
     place: int
     host: int
-    event: events.Event
+    event: events.Event | Turn
 
 
 class Fleet:
@@ -75,9 +79,14 @@
             desk.host.name: int(desk.host.address) for desk in self._hosts
         }
         self._flows = {flow.customer: flow for flow in shapes.list_flows(shape)}
-        self._targets = self._make_targets(load)
+        self._targets = {
+            name: targets.Target(shape.slots, load, self._numbers)
+            for name in self._hosts[0].directory.by_name
+        }
         self._wakes: dict[int, float] = {}
         self._busy: dict[int, float] = {}
+        self._lines = lines.Lines(self._hosts, self._perform)
+        self._marked: set[int] = set()
 
     def play(self, seconds: float) -> Result:
         """Ask at random hosts and times for so long."""
@@ -97,49 +106,51 @@
             rate = shapes.find_rate(flow, when)
             when += self._numbers.expovariate(rate)
             host = self._numbers.randrange(len(self._hosts))
-            self._add(when, host, self._make_request(flow, when))
-
-    def _make_targets(self, load: targets.Load) -> dict[str, targets.Target]:
-        names = self._hosts[0].directory.by_name
-        return {
-            name: targets.Target(self._shape.slots, load, self._numbers)
-            for name in names
-        }
+            number = next(self._order)
+            request = _make_request(flow, number, when, self._shape.away)
+            self._add(when, host, events.Asked(number, request))
 
-    def _make_request(self, flow: shapes.Flow, now: float) -> events.Asked:
-        number = next(self._order)
-        request = events.Request(
-            f'id-{number}',
-            'GET',
-            shapes.name_path(flow),
-            'host',
-            (),
-            b'',
-            now,
-            now + flow.timeout,
-            self._shape.away,
-            key=flow.customer,
-        )
-        return events.Asked(number, request)
-
-    def _add(self, when: float, host: int, event: events.Event) -> None:
+    def _add(self, when: float, host: int, event: events.Event | Turn) -> None:
         heapq.heappush(self._due, Work(when, next(self._order), host, event))
 
     def _handle(self, work: Work) -> None:
         at, _, host, event = work
         free = self._busy.get(host, 0.0)
+        if isinstance(event, events.Asked):
+            self._asked[host, event.ask] = event.request
         if free > at:
+            if self._lines.keep(host, event, at):
+                self._mark(host, free)
+                return
             # What comes first is still done first.
             heapq.heappush(self._due, work._replace(at=free))
             return
-        desk = self._hosts[host]
-        if isinstance(event, events.Asked):
-            self._asked[host, event.ask] = event.request
+        if isinstance(event, Turn):
+            self._take_turn(host, at)
+            return
         if isinstance(event, events.Ticked):
             self._wakes.pop(host, None)
-        done = at + self._count_cost(event)
+        self._do(host, event, at)
+
+    def _mark(self, host: int, when: float) -> None:
+        """Have a host get to new work after all that is there by then."""
+        if host not in self._marked:
+            self._marked.add(host)
+            self._add(when, host, Turn())
+
+    def _take_turn(self, host: int, at: float) -> None:
+        self._marked.discard(host)
+        event = self._lines.take(host, at)
+        if event is not None:
+            self._do(host, event, at)
+        if self._lines.has_more(host):
+            self._mark(host, max(at, self._busy.get(host, 0.0)))
+
+    def _do(self, host: int, event: events.Event, at: float) -> None:
+        desk = self._hosts[host]
+        done = at + _count_cost(self._shape, event)
         for action in desks.handle(desk, event, at):
-            done += self._count_cost(action)
+            done += _count_cost(self._shape, action)
             self._perform(host, action, done)
         self._busy[host] = done
         wake = desk.next_wake()
@@ -147,15 +158,6 @@
             self._wakes[host] = wake
             self._add(max(at, wake), host, events.Ticked())
 
-    def _count_cost(self, step: events.Event | events.Action) -> float:
-        """Count the seconds that a host takes for an event or an action."""
-        match step:
-            case events.Answered() | events.Refused() | events.Send():
-                return self._shape.part
-            case events.Shared() | events.Delegate() | events.Give():
-                return self._shape.share
-        return 0.0
-
     def _perform(self, host: int, action: events.Action, now: float) -> None:
         match action:
             case events.Send():
@@ -221,3 +223,32 @@
     def _find_way(self, host: int, data_centre: str) -> float:
         own = self._hosts[host].host.data_centre
         return NEAR_S if data_centre == own else FAR_S
+
+
+def _make_request(
+    flow: shapes.Flow, number: int, now: float, away: float
+) -> events.Request:
+    return events.Request(
+        f'id-{number}',
+        'GET',
+        shapes.name_path(flow),
+        'host',
+        (),
+        b'',
+        now,
+        now + flow.timeout,
+        away,
+        key=flow.customer,
+    )
+
+
+def _count_cost(
+    shape: shapes.Shape, step: events.Event | events.Action
+) -> float:
+    """Count the seconds that a host takes for an event or an action."""
+    match step:
+        case events.Answered() | events.Refused() | events.Send():
+            return shape.part
+        case events.Shared() | events.Delegate() | events.Give():
+            return shape.share
+    return 0.0
--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -12,8 +12,8 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core import suspects
-from fuchsiahaven.relay import accounts, news, runner
-from fuchsiahaven.routing import events
+from fuchsiahaven.relay import accounts, news, orders, runner
+from fuchsiahaven.routing import events, waitings
 
 #: Seconds; finer where the objectives of the routes lie.
 BUCKETS: Final = (
@@ -69,10 +69,13 @@
         self.missing = 0
         self.crashes = 0
         self.accounts = accounts.Accounts()
+        self.waits = orders.Figures()
         self._by_bucket: collections.Counter[int] = collections.Counter()
 
     def note(self, story: events.Story) -> None:
-        """Count one request."""
+        """Count one request; parts that go back are counted as such."""
+        if story.result == waitings.HANDED_BACK:
+            return
         self.outcomes[story.result] += 1
         self._by_bucket[bisect.bisect_left(BUCKETS, story.took)] += 1
         self.latency_sum += story.took
--- /dev/null
+++ b/fuchsiahaven/relay/orders.py
@@ -0,0 +1,115 @@
+"""Do new work at once, or in its turn where more of it is there.
+
+In one pass of the loop one piece of new work is begun. What else has come by
+then waits; answers and shares are taken in between, as they come. A host that
+is not behind finds one piece at a time and keeps nothing waiting.
+"""
+
+import asyncio
+import collections
+import time
+from collections.abc import Callable, Iterable
+
+from fuchsiahaven.routing import events, rooms, states, turns, waitings
+
+
+class Figures:
+    """Own what is counted of the work that waited, by priority."""
+
+    def __init__(self) -> None:
+        """Start at zero; waits are in seconds."""
+        self.begun: collections.Counter[int] = collections.Counter()
+        self.waited: dict[int, float] = {}
+        self.refused: collections.Counter[tuple[int, str]] = (
+            collections.Counter()
+        )
+        self.waiting: dict[int, int] = {}
+
+    def note_begun(self, work: waitings.Work, now: float) -> None:
+        """Count work that waited and was begun."""
+        self.begun[work.priority] += 1
+        before = self.waited.get(work.priority, 0.0)
+        self.waited[work.priority] = before + now - work.came
+
+
+class Order:
+    """Own the new work that waits, and see to it that it ends."""
+
+    def __init__(
+        self,
+        desk: states.Desk,
+        post: Callable[[events.Event], None],
+        perform: Callable[[events.Action], None],
+    ) -> None:
+        """Start with nothing that waits."""
+        self.figures = Figures()
+        self._desk = desk
+        self._post = post
+        self._perform = perform
+        self._turns: turns.Turns[waitings.New] = turns.Turns()
+        self._begun = False
+
+    def take(self, event: waitings.New) -> None:
+        """Take new work; where customers compete, in its turn."""
+        if not rooms.is_contended(self._desk.index):
+            self._post(event)
+        elif self._begun or self._turns:
+            self._wait(event)
+        else:
+            self._begin(event)
+
+    def drop(self, number: int) -> bool:
+        """Drop what nobody waits for any more; tell whether it waited."""
+        dropped = self._turns.drop(number) is not None
+        self._count()
+        return dropped
+
+    def reorder(self) -> None:
+        """Go by the priorities that hold now, for what waits as well."""
+        self._turns.reorder(lambda it: waitings.find_priority(self._desk, it))
+        self._count()
+
+    def refuse_all(self) -> None:
+        """Refuse all that waits, because this host stops."""
+        self._refuse(self._turns.take_all(), waitings.Why.STOPPING)
+        self._count()
+
+    def _wait(self, event: waitings.New) -> None:
+        work = waitings.weigh(self._desk, event, time.monotonic())
+        if work is None:
+            self._post(event)
+            return
+        left = self._turns.offer(work)
+        if left is not None:
+            self._refuse((left,), waitings.Why.FULL)
+        self._count()
+
+    def _begin(self, event: waitings.New) -> None:
+        self._begun = True
+        asyncio.get_running_loop().call_soon(self._go_on)
+        self._post(event)
+
+    def _go_on(self) -> None:
+        """Begin the next in turn, in a pass of its own."""
+        self._begun = False
+        if not self._turns:
+            return
+        now = time.monotonic()
+        self._refuse(self._turns.take_late(now), waitings.Why.LATE)
+        work = self._turns.take()
+        self._count()
+        if work is not None:
+            self.figures.note_begun(work, now)
+            self._begin(work.what)
+
+    def _refuse(
+        self, works: Iterable[waitings.Work], why: waitings.Why
+    ) -> None:
+        now = time.monotonic()
+        for work in works:
+            self.figures.refused[work.priority, why] += 1
+            for action in waitings.hand_back(self._desk, work, why, now):
+                self._perform(action)
+
+    def _count(self) -> None:
+        self.figures.waiting = self._turns.count()
--- a/fuchsiahaven/relay/pages.py
+++ b/fuchsiahaven/relay/pages.py
@@ -70,6 +70,7 @@
             self._counted.crashes,
         )
         yield from self._count_customers()
+        yield from self._count_waits()
         yield self._count_bytes()
         for (name, text), figure in zip(GAUGES, self._gauges, strict=True):
             if figure is not None:
@@ -107,6 +108,38 @@
             if family.samples:
                 yield family
 
+    def _count_waits(self) -> Iterator[core.Metric]:
+        """Give the figures of new work that waited, where any has."""
+        waits = self._counted.waits
+        waiting = core.GaugeMetricFamily(
+            f'{PREFIX}_waiting',
+            'New work that waits for its turn, by priority.',
+            None,
+            ['priority'],
+        )
+        seconds = core.SummaryMetricFamily(
+            f'{PREFIX}_wait_seconds',
+            'Time that new work waited for its turn.',
+            None,
+            None,
+            ['priority'],
+        )
+        for priority, count in waits.begun.items():
+            label = [str(priority)]
+            waiting.add_metric(label, waits.waiting.get(priority, 0))
+            seconds.add_metric(label, count, waits.waited[priority])
+        refused = core.CounterMetricFamily(
+            f'{PREFIX}_turns_refused',
+            'New work that was refused or handed back while it waited.',
+            None,
+            ['priority', 'why'],
+        )
+        for (priority, why), count in waits.refused.items():
+            refused.add_metric([str(priority), why], count)
+        for family in (waiting, seconds, refused):
+            if family.samples:
+                yield family
+
     def _count_bytes(self) -> core.Metric:
         """Give the bytes by what they were for and how far they went."""
         flows = core.CounterMetricFamily(
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -68,6 +68,7 @@
         self.desk.margin.link = settings.link
         self.desk.warmups.terms = settings.warm_up
         self.runner = runner.Runner(self.desk, self._tell)
+        self.meters.waits = self.runner.order.figures
         self.lessons = lessons.Lessons(
             settings, self.runner, log, self.find_obstacle
         )
@@ -194,6 +195,7 @@
         while self.runner.count_waiting() and time.monotonic() < last:
             await asyncio.sleep(CHECK_S)
             self.callers.close_idle()
+        self.runner.order.refuse_all()
         self.log.tell(
             PART,
             'stopped',
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from fuchsiahaven.relay import assistants, fleets, traffic
+from fuchsiahaven.relay import assistants, fleets, orders, traffic
 from fuchsiahaven.routing import desks, events, reaches, states
 
 #: How often connections are looked at for what takes too long.
@@ -31,6 +31,7 @@
         self._assistants = assistants.Assistants(
             self.post, time.monotonic, self.traffic, desk.host.data_centre
         )
+        self.order = orders.Order(desk, self.post, self._perform)
         self._tell = tell
         self._events: collections.deque[events.Event] = collections.deque()
         self._replies: dict[int, Reply] = {}
@@ -43,21 +44,22 @@
         """Take a request; `reply` is called once, unless it is abandoned."""
         self._last += 1
         self._replies[self._last] = reply
-        self.post(events.Asked(self._last, request))
+        self.order.take(events.Asked(self._last, request))
         return self._last
 
     def assist(self, assist: events.Assist, give: Give) -> int:
         """Take another host's request; `give` is called with each share."""
         self._last += 1
         self._givers[self._last] = give
-        self.post(events.Assisted(self._last, assist))
+        self.order.take(events.Assisted(self._last, assist))
         return self._last
 
     def abandon(self, ask: int) -> None:
         """Take note that a caller, or the host that asked, has left."""
         self._replies.pop(ask, None)
         self._givers.pop(ask, None)
-        self.post(events.Abandoned(ask))
+        if not self.order.drop(ask):
+            self.post(events.Abandoned(ask))
 
     def count_waiting(self) -> int:
         """Count the callers and hosts that have yet to get their reply."""
@@ -81,6 +83,8 @@
     ) -> None:
         """Take news of what there is, and what follows for connections."""
         self.post(event)
+        if isinstance(event, events.Configured):
+            self.order.reorder()
         self.fleet.prune()
         self.fleet.deal()
 
--- a/fuchsiahaven/routing/configs.py
+++ b/fuchsiahaven/routing/configs.py
@@ -123,11 +123,22 @@
 NOTHING: Configuration = Configuration(0, (), (), Limits())
 
 
+class Priorities(NamedTuple):
+    """Hold how urgent work is by the names that hosts tell each other.
+
+    Only customers that have a priority of their own are in here.
+    """
+
+    customers: Mapping[str, int]
+    routes: Mapping[str, int]
+
+
 class Index(NamedTuple):
     """Hold a configuration so that requests find their route quickly.
 
     `wide` are the shards of queries whose cost is shared among hosts,
-    `customers` whose key each digest is of.
+    `customers` whose key each digest is of. `priorities` are empty where
+    nobody competes.
     """
 
     configuration: Configuration
@@ -135,6 +146,7 @@
     services: Mapping[str, Service]
     wide: frozenset[str]
     customers: Mapping[str, Customer]
+    priorities: Priorities
 
 
 def build_index(configuration: Configuration) -> Index:
@@ -155,7 +167,20 @@
         for customer in configuration.customers or ()
         for key in customer.keys
     }
-    return Index(configuration, routes, services, wide, customers)
+    priorities = _list_priorities(configuration)
+    return Index(configuration, routes, services, wide, customers, priorities)
+
+
+def _list_priorities(configuration: Configuration) -> Priorities:
+    if configuration.customers is None:
+        return Priorities({}, {})
+    customers = {
+        it.name: it.priority
+        for it in configuration.customers
+        if it.priority is not None
+    }
+    routes = {it.name: it.priority for it in configuration.routes}
+    return Priorities(customers, routes)
 
 
 def is_wide(gather: Gather) -> bool:
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -276,6 +276,7 @@
 ) -> Actions:
     ask = desk.asks.get(number)
     failed = []
+    passed = None
     for out in outs:
         known.left.discard(out.service)
         if ask is None or out.service not in ask.open:
@@ -291,18 +292,24 @@
             reason=coverage.Reason.UNREACHABLE,
         )
         failed.append(out.service)
+        if not out.arrived:
+            passed = known.helper
     if ask is None:
         return []
     return [
-        *send_again(desk, ask, failed, now),
+        *send_again(desk, ask, failed, now, passed),
         *endings.settle(desk, ask, now),
     ]
 
 
 def send_again(
-    desk: states.Desk, ask: asks.Ask, failed: Iterable[str], now: float
+    desk: states.Desk,
+    ask: asks.Ask,
+    failed: Iterable[str],
+    now: float,
+    passed: places.Host | None = None,
 ) -> Actions:
-    """Have parts that failed sent again.
+    """Have parts that failed sent again, not by the host that is `passed`.
 
     Those of wide queries go to the hosts on duty. They share the bound on
     repeats among a few and use little of it; this host's share of what is left
@@ -322,7 +329,7 @@
     for service in failed:
         helper = None
         if wide and _may_hand_on(desk, ask, service, now):
-            helper = _find_next(desk, ask, service, now)
+            helper = _find_next(desk, ask, service, now, passed)
         if helper is None:
             own.append(service)
         else:
@@ -376,14 +383,18 @@
 
 
 def _find_next(
-    desk: states.Desk, ask: asks.Ask, service: str, now: float
+    desk: states.Desk,
+    ask: asks.Ask,
+    service: str,
+    now: float,
+    passed: places.Host | None = None,
 ) -> places.Host | None:
     """Find the host on duty where a target is that has not failed the part."""
     assert isinstance(ask.route.way, configs.Gather)
     centre = plans.find_second_centre(desk, ask, service, '', now)
     chunk = duties.find_chunks(ask.route.way)[service]
     duty = duties.Duty(centre, chunk)
-    return plans.find_helper(desk, duty, now, wide=True)
+    return plans.find_helper(desk, duty, now, wide=True, silent=passed)
 
 
 def _make_flight(key: events.AssistKey) -> events.FlightKey:
