--- a/fuchsiahaven/routing/turns.py
+++ b/fuchsiahaven/routing/turns.py
@@ -5,9 +5,11 @@
 asks for most of it.
 
 Priorities share the host's time by weight, the customers of one priority
-share theirs evenly, both by start-time fair queueing (Goyal, Vin and Cheng):
-who has had least of its share is next, and what nobody uses is not saved up.
-Of one customer the earliest deadline is next. Nothing here looks at a clock.
+share theirs evenly, both by virtual times that start as in start-time fair
+queueing (Goyal, Vin and Cheng): who has had least of its share is next, and
+what nobody uses is not saved up. Of priorities that have had as much, the one
+is next whose work ends first, which is the more urgent. Of one customer the
+earliest deadline is next. Nothing here looks at a clock.
 """
 
 import heapq
@@ -71,6 +73,17 @@
         """List the customers that have work."""
         return [it for it in self.customers.items() if it[1].works]
 
+    def find_next(self) -> _Customer[What]:
+        """Find the customer that is next; there has to be one."""
+        return min(
+            (it for _, it in self.list_waiting()),
+            key=lambda it: (it.tag, it.works[0][:2]),
+        )
+
+    def count_end(self) -> float:
+        """Count the virtual time at which what is next would be done."""
+        return self.tag + self.find_next().works[0][2].cost / self.weight
+
     def sum_cost(self) -> int:
         """Sum what all that waits costs."""
         return sum(it.sum_cost() for it in self.customers.values())
@@ -115,11 +128,8 @@
         levels = self._list_waiting()
         if not levels:
             return None
-        _, level = min(levels, key=lambda it: (it[1].tag, it[0]))
-        customer = min(
-            (it for _, it in level.list_waiting()),
-            key=lambda it: (it.tag, it.works[0][:2]),
-        )
+        _, level = min(levels, key=lambda it: (it[1].count_end(), it[0]))
+        customer = level.find_next()
         work = customer.works[0][2]
         self._now = level.tag
         level.now = customer.tag
