--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -20,6 +20,7 @@
     events,
     places,
     plans,
+    rooms,
     second_sendings,
     states,
     tries,
@@ -293,7 +294,7 @@
         )
         failed.append(out.service)
         if not out.arrived:
-            passed = known.helper
+            passed = _find_passed(desk, known)
     if ask is None:
         return []
     return [
@@ -302,6 +303,13 @@
     ]
 
 
+def _find_passed(
+    desk: states.Desk, known: states.Assistance
+) -> places.Host | None:
+    """Find the host that is not asked again: one that is behind."""
+    return known.helper if rooms.is_contended(desk.index) else None
+
+
 def send_again(
     desk: states.Desk,
     ask: asks.Ask,
--- a/tests/routing/test_delegations.py
+++ b/tests/routing/test_delegations.py
@@ -430,6 +430,37 @@
     assert rig.replies
 
 
+def hand_back(rig: desk_rig.Rig) -> tuple[str, list[events.Delegate]]:
+    """Hand the parts of one chunk back; return by whom, and who is asked."""
+    rig.ask()
+    first = take_delegates(rig)[0]
+    lost = tuple(
+        events.PartOut(it, '', arrived=False) for it in first.assist.services
+    )
+    share = make_share((), last=True)._replace(lost=lost)
+    rig.post(events.Shared(first.key, share))
+    return first.helper.name, take_delegates(rig)
+
+
+def test_parts_that_a_busy_host_hands_back_go_to_the_other_on_duty() -> None:
+    """Symptom: parts go back and forth with a host that has no time."""
+    rig = make_member()
+    (route,) = rig.desk.index.configuration.routes
+    public = route._replace(public=True)
+    rig.configure(2, [public], (configs.Customer('hot', ('key',)),))
+    helper, again = hand_back(rig)
+    (delegate,) = again
+    assert delegate.helper.name != helper
+    assert not delegate.assist.again
+    assert not rig.take_sent()
+
+
+def test_parts_go_back_to_the_same_host_without_customers() -> None:
+    """Deployments without customers are served as before."""
+    helper, again = hand_back(make_member())
+    assert [it.helper.name for it in again] == [helper]
+
+
 def make_refusal(
     delegate: events.Delegate,
     absence: events.Absence = events.Absence.STARTS,
