--- a/bench/model.py
+++ b/bench/model.py
@@ -13,10 +13,10 @@
 from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
-from bench import shapes, targets
+from bench import lines, shapes, targets
 from fuchsiahaven.core import identities
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.routing import desks, events
+from fuchsiahaven.routing import desks, events, states
 
 #: One way within a data centre, and between two.
 NEAR_S: Final = 0.0002
@@ -58,13 +58,17 @@
     worked: Mapping[str, float] = {}
 
 
+class Turn(NamedTuple):
+    """Mark that a host gets to new work that waits."""
+
+
 class Work(NamedTuple):
     """Hold what happens at a host at a time; the place keeps the order."""
 
     at: float
     place: int
     host: int
-    event: events.Event
+    event: events.Event | Turn
 
 
 class Fleet:
@@ -98,6 +102,8 @@
         self._ends: list[float] = []
         self._wakes: dict[int, float] = {}
         self._busy: dict[int, float] = {}
+        self._lines = lines.Lines(self._hosts, self._perform)
+        self._marked: set[int] = set()
 
     def play(self, seconds: float) -> Result:
         """Ask at random hosts and times for so long."""
@@ -125,28 +131,13 @@
             rate *= shapes.find_swing(self._shape, when)
             when += self._numbers.expovariate(rate)
             host = shapes.draw_host(self._shape, self._numbers)
-            self._add(when, host, self._make_request(flow, when))
-
-    def _make_request(self, flow: shapes.Flow, now: float) -> events.Asked:
-        number = next(self._order)
-        deadly = self._deadly and self._numbers.random() < self._deadly
-        request = events.Request(
-            f'id-{number}',
-            'GET',
-            shapes.name_path(flow),
-            'host',
-            (),
-            b'',
-            now,
-            now + flow.timeout,
-            self._shape.away,
-            key=flow.customer,
-        )
-        if deadly:
-            request = request._replace(identity=DEADLY_ID)
-        return events.Asked(number, request)
+            number = next(self._order)
+            request = _make_request(flow, number, when, self._shape.away)
+            if self._deadly and self._numbers.random() < self._deadly:
+                request = request._replace(identity=DEADLY_ID)
+            self._add(when, host, events.Asked(number, request))
 
-    def _add(self, when: float, host: int, event: events.Event) -> None:
+    def _add(self, when: float, host: int, event: events.Event | Turn) -> None:
         heapq.heappush(self._due, Work(when, next(self._order), host, event))
 
     def _handle(self, work: Work) -> None:
@@ -155,19 +146,42 @@
             return
         event = self._cut_off(work)
         free = self._busy.get(host, 0.0)
+        if isinstance(event, events.Asked):
+            self._asked[host, event.ask] = event.request
         if free > at:
+            if self._lines.keep(host, event, at):
+                self._mark(host, free)
+                return
             # What comes first is still done first.
             heapq.heappush(self._due, work._replace(at=free))
             return
-        desk = self._hosts[host]
-        if isinstance(event, events.Asked):
-            self._asked[host, event.ask] = event.request
+        if isinstance(event, Turn):
+            self._take_turn(host, at)
+            return
         if isinstance(event, events.Ticked):
             self._wakes.pop(host, None)
+        self._do(host, event, at)
+
+    def _mark(self, host: int, when: float) -> None:
+        """Have a host get to new work after all that is there by then."""
+        if host not in self._marked:
+            self._marked.add(host)
+            self._add(when, host, Turn())
+
+    def _take_turn(self, host: int, at: float) -> None:
+        self._marked.discard(host)
+        event = self._lines.take(host, at)
+        if event is not None:
+            self._do(host, event, at)
+        if self._lines.has_more(host):
+            self._mark(host, max(at, self._busy.get(host, 0.0)))
+
+    def _do(self, host: int, event: events.Event, at: float) -> None:
+        desk = self._hosts[host]
         cores = shapes.count_cores(self._shape, host)
-        done = at + self._count_cost(event) / cores
+        done = at + _count_cost(self._shape, event) / cores
         for action in desks.handle(desk, event, at):
-            done += self._count_cost(action) / cores
+            done += _count_cost(self._shape, action) / cores
             self._perform(host, action, done)
         self._busy[host] = done
         wake = desk.next_wake()
@@ -175,7 +189,7 @@
             self._wakes[host] = wake
             self._add(max(at, wake), host, events.Ticked())
 
-    def _cut_off(self, work: Work) -> events.Event:
+    def _cut_off(self, work: Work) -> events.Event | Turn:
         """Lose the answer of a target that ended meanwhile, with all others."""
         event = work.event
         if not isinstance(event, events.Answered):
@@ -188,15 +202,6 @@
         self._add(work.at + CONNECT_S, work.host, events.Ended(aloft.instance))
         return events.Broken(event.key, messages.Fault.CONNECTION_LOST)
 
-    def _count_cost(self, step: events.Event | events.Action) -> float:
-        """Count the seconds that a host takes for an event or an action."""
-        match step:
-            case events.Answered() | events.Refused() | events.Send():
-                return self._shape.part
-            case events.Shared() | events.Delegate() | events.Give():
-                return self._shape.share
-        return 0.0
-
     def _perform(self, host: int, action: events.Action, now: float) -> None:
         match action:
             case events.Send():
@@ -209,12 +214,12 @@
                 self._end(host, ask, outcome, now)
             case events.Suspicion(news, passed_on=True):
                 for other, desk in enumerate(self._hosts):
-                    way = self._find_way(host, desk.host.data_centre)
+                    way = find_way(self._hosts[host], desk.host.data_centre)
                     self._add(now + way, other, events.Suspected((news,)))
 
     def _send(self, host: int, send: events.Send, now: float) -> None:
         name = send.instance.name
-        way = self._find_way(host, send.instance.data_centre)
+        way = find_way(self._hosts[host], send.instance.data_centre)
         arrives = now + way
         if (host, name) not in self._connected:
             self._connected.add((host, name))
@@ -249,14 +254,14 @@
         helper = self._numbers_by_name[delegate.helper.name]
         number = next(self._order)
         self._helped[helper, number] = (host, delegate.key)
-        way = self._find_way(host, delegate.helper.data_centre)
+        way = find_way(self._hosts[host], delegate.helper.data_centre)
         self._add(now + way, helper, events.Assisted(number, delegate.assist))
 
     def _give(
         self, host: int, ask: int, share: events.Share, now: float
     ) -> None:
         asker, key = self._helped[host, ask]
-        way = self._find_way(host, self._hosts[asker].host.data_centre)
+        way = find_way(self._hosts[host], self._hosts[asker].host.data_centre)
         self._add(now + way, asker, events.Shared(key, share))
 
     def _end(
@@ -274,9 +279,10 @@
             Ending(took, covered, request.arrived, request.key)
         )
 
-    def _find_way(self, host: int, data_centre: str) -> float:
-        own = self._hosts[host].host.data_centre
-        return NEAR_S if data_centre == own else FAR_S
+
+def find_way(desk: states.Desk, data_centre: str) -> float:
+    """Find how many seconds it is from a host to a data centre."""
+    return NEAR_S if data_centre == desk.host.data_centre else FAR_S
 
 
 def count_late(ends: Iterable[float]) -> int:
@@ -303,3 +309,32 @@
         (done.at + way, broken),
         (done.at + CONNECT_S + 3 * way, found),
     ]
+
+
+def _make_request(
+    flow: shapes.Flow, number: int, now: float, away: float
+) -> events.Request:
+    return events.Request(
+        f'id-{number}',
+        'GET',
+        shapes.name_path(flow),
+        'host',
+        (),
+        b'',
+        now,
+        now + flow.timeout,
+        away,
+        key=flow.customer,
+    )
+
+
+def _count_cost(
+    shape: shapes.Shape, step: events.Event | events.Action
+) -> float:
+    """Count the seconds that a host takes for an event or an action."""
+    match step:
+        case events.Answered() | events.Refused() | events.Send():
+            return shape.part
+        case events.Shared() | events.Delegate() | events.Give():
+            return shape.share
+    return 0.0
