Read a wild number in a proof as no proof, in place of ending the thread that asks

int() of an infinity and float() of a very long number raise OverflowError, which questions.read let through: the thread that asks for proofs ended, and the host was stale until its next start.

--- a/fuchsiahaven/core/customers/questions.py
+++ b/fuchsiahaven/core/customers/questions.py
@@ -7,7 +7,8 @@
 from fuchsiahaven.core import json_texts, rendezvous
 from fuchsiahaven.core.customers import freshness
 
-_FAULTS: Final = (ValueError, TypeError, KeyError)
+#: A number may be too large for what it is read as.
+_FAULTS: Final = (ValueError, TypeError, KeyError, OverflowError)
 
 
 class Told(NamedTuple):
--- a/tests/edge/test_withdrawal.py
+++ b/tests/edge/test_withdrawal.py
@@ -143,3 +143,11 @@
     for spoilt in (b'', b'{}', b'[]', b'{"lead":"x","stamp":[1,"a"]}'):
         assert questions.read(spoilt, 1.0) is None
     assert questions.read(b'{"lead":1e999,"stamp":[1,"a"]}', 1.0) is None
+
+
+def test_a_number_that_is_too_large_ends_no_thread() -> None:
+    """Guard against a host that asks nobody any more after one answer."""
+    whole = b'1' + b'0' * 400
+    assert questions.read(b'{"lead":0,"stamp":[1e999,"a"]}', 1.0) is None
+    spoilt = b'{"lead":%b,"stamp":[1,"a"]}' % whole
+    assert questions.read(spoilt, 1.0) is None
