Ask how old knowledge of keys is also while no customers are known

A first configuration that came between the question of the age, answered by 'no bound without customers', and the look at the table let a request in by a table of unproved age.

--- a/fuchsiahaven/edge/doors.py
+++ b/fuchsiahaven/edge/doors.py
@@ -96,7 +96,8 @@
         that has changed by then.
         """
         # The age comes first: the table may only be newer than it says.
-        wait = self.find_wait()
+        # It is asked for without customers too, since they may come just then.
+        wait = self.freshness.find_wait()
         table = self._table
         if table is None or not table.known:
             return query
--- a/tests/edge/test_doors.py
+++ b/tests/edge/test_doors.py
@@ -71,6 +71,34 @@
     assert open_door(KEYED, plain).admit(QUERY, NONE) is QUERY
 
 
+class Late(freshness.Freshness):
+    """Have a configuration come once it was asked how old knowledge is."""
+
+    door: doors.Door | None = None
+
+    @property
+    def is_on(self) -> bool:
+        """Tell what was true before it came."""
+        was = super().is_on
+        self.arrive()
+        return was
+
+    def arrive(self) -> float:
+        """Bring the configuration, once; return the time."""
+        door, self.door = self.door, None
+        if door is not None:
+            door.note(patches.stamp(KEYED))
+        return 100.0
+
+
+def test_customers_that_come_meanwhile_let_nobody_in_unproved() -> None:
+    """Guard against a first table, maybe old, that comes amid a decision."""
+    known = Late(5.0, lambda: known.arrive())
+    known.door = doors.Door(known)
+    found = known.door.admit(QUERY, GOOD)
+    assert find_kind(found) is errors.Kind.STALE_KEYS
+
+
 def test_a_key_that_was_taken_away_is_unknown_at_once() -> None:
     taken = KEYED._replace(revision=3, customers=(SHOP._replace(keys=()),))
     found = open_door(KEYED, taken).admit(QUERY, GOOD)
