--- a/fuchsiahaven/operate/descriptions.py
+++ b/fuchsiahaven/operate/descriptions.py
@@ -123,7 +123,9 @@
     head: str, section: Section, found: dict[str, Any], name: str
 ) -> list[Fault]:
     plain = trees.build_customer(customers.Customer(name))
-    fields, faults = _read_fields(head, section, CUSTOMER_FIELDS)
+    fields, found_faults = _read_fields(head, section, CUSTOMER_FIELDS)
+    # What stands under a name that is misspelt may be a key.
+    faults = [it._replace(value='') for it in found_faults]
     digests = words.split_names(fields.pop('keys', ''))
     if len(set(digests)) < len(digests):
         faults.append(Fault(head, 'keys', '', 'each key once'))
--- a/tests/operate/test_command_customer.py
+++ b/tests/operate/test_command_customer.py
@@ -8,7 +8,7 @@
 
 from fuchsiahaven.core import errors
 from fuchsiahaven.core.customers import keys
-from fuchsiahaven.operate import commands, exits
+from fuchsiahaven.operate import commands, descriptions, exits
 from tests.operate.test_operators import World, world
 
 KEY: Final = 'k-secret-1'
@@ -106,3 +106,10 @@
     assert told.code == exits.FAILED
     assert told.body['error']['kind'] == errors.Kind.INVALID_CHANGE
     assert 'hold one key' in told.body['error']['detail']
+
+
+def test_a_key_under_a_misspelt_name_is_not_shown() -> None:
+    """Guard against an error that has the key which it complains about."""
+    read = descriptions.read_text(f'[customer shop]\nkey = {KEY}\n')
+    assert read.faults
+    assert KEY not in str(read.faults)
