--- a/tests/edge/test_doors.py
+++ b/tests/edge/test_doors.py
@@ -71,6 +71,37 @@
     assert open_door(KEYED, plain).admit(QUERY, NONE) is QUERY
 
 
+class Late(freshness.Freshness):
+    """Have a configuration come once it was asked how old knowledge is."""
+
+    def __init__(self) -> None:
+        """Start with none on its way."""
+        super().__init__(5.0, self.arrive)
+        self.doors: list[doors.Door] = []
+
+    @property
+    def is_on(self) -> bool:
+        """Tell what was true before it came."""
+        was = super().is_on
+        self.arrive()
+        return was
+
+    def arrive(self) -> float:
+        """Bring the configuration, once; return the time."""
+        while self.doors:
+            self.doors.pop().note(patches.stamp(KEYED))
+        return 100.0
+
+
+def test_customers_that_come_meanwhile_let_nobody_in_unproved() -> None:
+    """Guard against a first table, maybe old, that comes amid a decision."""
+    known = Late()
+    door = doors.Door(known)
+    known.doors.append(door)
+    found = door.admit(QUERY, GOOD)
+    assert find_kind(found) is errors.Kind.STALE_KEYS
+
+
 def test_a_key_that_was_taken_away_is_unknown_at_once() -> None:
     taken = KEYED._replace(revision=3, customers=(SHOP._replace(keys=()),))
     found = open_door(KEYED, taken).admit(QUERY, GOOD)
