Let a host that tells no cores weigh as the smallest that does

Cause: an untold capacity counted as 1 core. In a data centre of 30 small hosts (0.361) the last one of the version before, or one whose settings cannot be read, was first for 425 of 1,000 chunks, two for 605; now 35 and 72 (rank_hosts over names, no play). Told 1 and untold are apart now, so a told 1 is written. Beside it: while half of 33 hosts are updated, those that take themselves for on duty are 2.46 a chunk in the mean against 1.64 before, 4 at most both times. Tests: what was 1 for untold is UNTOLD, told 1 has a case more; none is eased.

--- a/fuchsiahaven/platform/settings.py
+++ b/fuchsiahaven/platform/settings.py
@@ -138,12 +138,12 @@
 
 
 def _read_capacity(lines: Mapping[str, str]) -> float:
-    """Read what this host can do, in cores; as usual where it is not told."""
+    """Read what this host can do, in cores; UNTOLD where it is not told."""
     try:
         cores = float(lines.get('limits.cores', '1'))
         capacity = cores * float(lines['limits.cpu_share'])
     except (KeyError, ValueError):
-        return places.USUAL_CAPACITY
+        return places.UNTOLD
     return capacities.bound(capacity)
 
 
--- a/fuchsiahaven/routing/capacities.py
+++ b/fuchsiahaven/routing/capacities.py
@@ -1,7 +1,7 @@
 """Say what hosts can do, and how much of shared work each is to have."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
 from fuchsiahaven.routing import places
@@ -19,27 +19,33 @@
 
 
 def bound(told: float) -> float:
-    """Bound a capacity; one that is none, or not above 0, is as usual."""
+    """Bound a capacity; one that is none, or not above 0, is untold."""
     if not math.isfinite(told) or told <= 0:
-        return places.USUAL_CAPACITY
+        return places.UNTOLD
     return round(min(MOST, max(LEAST, told)), _DIGITS)
 
 
 def write(capacity: float) -> dict[str, float]:
-    """Write a capacity as a field; there is none where it is as usual."""
-    if capacity == places.USUAL_CAPACITY:
+    """Write a capacity as a field; there is none where it is untold."""
+    if capacity == places.UNTOLD:
         return {}
     return {_FIELD: capacity}
 
 
 def read(row: Mapping[str, Any]) -> float:
-    """Read the field of a capacity; one that is not told is as usual."""
-    told = row.get(_FIELD, places.USUAL_CAPACITY)
+    """Read the field of a capacity; UNTOLD where there is none."""
+    told = row.get(_FIELD, places.UNTOLD)
     if isinstance(told, bool) or not isinstance(told, (int, float)):
-        return places.USUAL_CAPACITY
+        return places.UNTOLD
     return bound(told)
 
 
-def weigh(capacity: float) -> float:
-    """Weigh a host for work that any may have."""
-    return float(capacity**POWER)
+def weigh_all(told: Sequence[float]) -> list[float]:
+    """Weigh hosts by their capacities, for work that any of them may have.
+
+    One that tells of none weighs as the smallest that does: of many small ones
+    in a rolling update the last of the version before must not have most work.
+    What it weighs moves no other host.
+    """
+    least = min((it for it in told if it != places.UNTOLD), default=1.0)
+    return [(it or least) ** POWER for it in told]
--- a/fuchsiahaven/routing/codecs.py
+++ b/fuchsiahaven/routing/codecs.py
@@ -25,7 +25,7 @@
     """Hold one fact on the wire; `value` is null where it is gone.
 
     `capacity` is a host's. It stands beside the value, where hosts of the
-    version before pass over it, and is left out where it is as usual.
+    version before pass over it, and is left out where it is not told.
     """
 
     subject: str
--- a/fuchsiahaven/routing/duties.py
+++ b/fuchsiahaven/routing/duties.py
@@ -93,5 +93,5 @@
 def _rank(
     key: str, names: tuple[str, ...], cores: tuple[float, ...]
 ) -> tuple[str, ...]:
-    weights = [capacities.weigh(it) for it in cores]
+    weights = capacities.weigh_all(cores)
     return rendezvous.rank_weighted(key, zip(names, weights, strict=True))
--- a/fuchsiahaven/routing/places.py
+++ b/fuchsiahaven/routing/places.py
@@ -6,14 +6,15 @@
 USUAL_APPLY_S: Final = 3.0
 
 
-#: What a host can do that tells of no capacity, in cores.
-USUAL_CAPACITY: Final = 1.0
+#: The capacity of a host that tells of none.
+UNTOLD: Final = 0.0
 
 
 class Host(NamedTuple):
     """Name a host, where other hosts reach it (`ip:port`), its data centre.
 
-    `capacity` is what it can do, in cores, as it tells others. Two of the same
+    `capacity` is what it can do, in cores, as it tells others, UNTOLD if it
+    does not. Two of the same
     name are the same host, whatever each says of that: hosts of the version
     before pass entries on without it.
     """
@@ -21,7 +22,7 @@
     name: str
     address: str
     data_centre: str
-    capacity: float = USUAL_CAPACITY
+    capacity: float = UNTOLD
 
 
 class Evacuation(NamedTuple):
--- a/fuchsiahaven/routing/ranks.py
+++ b/fuchsiahaven/routing/ranks.py
@@ -27,7 +27,7 @@
     """
     tells = (
         isinstance(fact.value, places.Host)
-        and fact.value.capacity != places.USUAL_CAPACITY
+        and fact.value.capacity != places.UNTOLD
     )
     return (find_number(fact), fact.stamp, tells)
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from fuchsiahaven.platform import settings
+from fuchsiahaven.routing import places
 
 TEXT = """node=front-north-1
 ip=10.1.0.9
@@ -113,16 +114,16 @@
 @pytest.mark.parametrize(
     ('lines', 'wanted'),
     [
-        ('', 1.0),
+        ('', places.UNTOLD),
         ('limits.cpu_share=0.717\nlimits.cores=3\n', 2.151),
         ('limits.cpu_share=0.361\n', 0.361),
-        ('limits.cores=3\n', 1.0),
-        ('limits.cpu_share=nan\nlimits.cores=3\n', 1.0),
-        ('limits.cpu_share=much\n', 1.0),
+        ('limits.cores=3\n', places.UNTOLD),
+        ('limits.cpu_share=nan\nlimits.cores=3\n', places.UNTOLD),
+        ('limits.cpu_share=much\n', places.UNTOLD),
     ],
 )
 def test_reads_what_this_host_can_do(lines: str, wanted: float) -> None:
-    """Cores count times the share of each; the usual where none is told."""
+    """Cores count times the share of each; untold without the share."""
     reading = settings.read_text(TEXT + lines)
     assert reading.settings is not None
     assert reading.settings.host.capacity == wanted
--- a/tests/routing/test_capacities.py
+++ b/tests/routing/test_capacities.py
@@ -46,13 +46,14 @@
     ('told', 'wanted'),
     [
         (2.151, 2.151),
-        (0, 1.0),
-        (-3, 1.0),
-        (float('nan'), 1.0),
-        (float('inf'), 1.0),
-        ('many', 1.0),
-        (True, 1.0),
-        (None, 1.0),
+        (1, 1.0),
+        (0, places.UNTOLD),
+        (-3, places.UNTOLD),
+        (float('nan'), places.UNTOLD),
+        (float('inf'), places.UNTOLD),
+        ('many', places.UNTOLD),
+        (True, places.UNTOLD),
+        (None, places.UNTOLD),
         (1e300, capacities.MOST),
         (1e-300, capacities.LEAST),
     ],
@@ -63,8 +64,9 @@
 
 
 def test_tells_its_capacity_in_its_entry() -> None:
-    """A host of the usual one writes what it wrote before."""
-    for host in (LARGE[0], LARGE[0]._replace(capacity=1.0)):
+    """A host that is told of none writes what it wrote before."""
+    for capacity in (2.151, 1.0, places.UNTOLD):
+        host = LARGE[0]._replace(capacity=capacity)
         key, encoded = records.write_host(host)
         named = records.name_key(key)
         assert named is not None
@@ -78,8 +80,8 @@
     row = json.loads(codecs.write_report(tell(LARGE[0])))['facts'][0]
     assert row['capacity'] == 2.151
     assert row['value'].keys() == {'name', 'address', 'data_centre'}
-    usual = tell(LARGE[0]._replace(capacity=1.0))
-    assert 'capacity' not in json.loads(codecs.write_report(usual))['facts'][0]
+    untold = tell(LARGE[0]._replace(capacity=places.UNTOLD))
+    assert 'capacity' not in json.loads(codecs.write_report(untold))['facts'][0]
 
 
 def test_learns_a_capacity_that_was_lost_on_the_way() -> None:
@@ -88,7 +90,7 @@
     One has heard of an entry from a host of the version before, which passes
     it on without the capacity.
     """
-    lost = tell(LARGE[0]._replace(capacity=1.0))
+    lost = tell(LARGE[0]._replace(capacity=places.UNTOLD))
     for reports in ((lost, tell(LARGE[0])), (tell(LARGE[0]), lost)):
         ledger = ledgers.begin(1)
         for report in reports:
@@ -97,8 +99,8 @@
 
 
 def test_takes_another_capacity_from_a_later_entry() -> None:
-    """A host starts again with fewer cores, or with the usual number."""
-    for capacity in (0.5, 1.0):
+    """A host starts again with fewer cores, or tells of none."""
+    for capacity in (0.5, 1.0, places.UNTOLD):
         changed = LARGE[0]._replace(capacity=capacity)
         ledger = ledgers.begin(1)
         for report in (tell(LARGE[0]), tell(changed, 5)):
@@ -109,7 +111,9 @@
 def test_large_hosts_gather_most_chunks() -> None:
     """Symptom: the smallest hosts are the slowest part of every answer."""
     assert count_first((*SMALL, *LARGE), 'large') > 85
-    alike = tuple(host._replace(capacity=1.0) for host in (*SMALL, *LARGE))
+    alike = tuple(
+        it._replace(capacity=places.UNTOLD) for it in (*SMALL, *LARGE)
+    )
     assert count_first(alike, 'large') < 20
 
 
@@ -121,6 +125,15 @@
             assert sum(it[place] == host for it in ranked) < 12
 
 
+def test_hosts_of_the_version_before_have_their_part_among_small_ones() -> None:
+    """Symptom: the last host that is not updated gathers nearly all chunks."""
+    last = places.Host('last', '10.0.3.1:1', 'north')
+    assert count_first((*SMALL, last), 'last') < 12
+    old = tuple(it._replace(capacity=places.UNTOLD) for it in SMALL)
+    for updated in (SMALL[0], LARGE[0]):
+        assert count_first((*old[1:], updated), updated.name) < 12
+
+
 def test_a_host_that_tells_nonsense_has_one_place_of_two() -> None:
     """Another host is on duty for each chunk whatever one tells."""
     told = capacities.read({'capacity': 1e300})
