Hand each offer of a trial on once

Cause: of two offers for one request, each host took each as new whenever the other had come between, and any again after 10 ms. Another host's copy of its own offer also had a host wait for itself.

The test of hosts that offer and die names twenty different hosts in place of two in turns, which are no longer heard more than once within the time; it is as strict. The two new tests fail without the change.

--- a/fuchsiahaven/core/offers.py
+++ b/fuchsiahaven/core/offers.py
@@ -17,6 +17,8 @@
 OFFER_S: Final = 0.01
 #: How long this host's own offer is valid.
 VALID_S: Final = 1.0
+#: How long the notice of an offer may go round among hosts.
+ROUND_S: Final = 0.2
 #: Offers known at most; each is of one suspect request.
 MOST: Final = 512
 
@@ -39,6 +41,7 @@
     def __init__(self, rate: rates.Rate) -> None:
         """Start without offers; tell of so many first trials."""
         self._known: dict[identities.Identity, Offer] = {}
+        self._heard: dict[tuple[identities.Identity, str], float] = {}
         self._telling = rates.fill_bucket(rate, 0.0)
 
     def count_delay(
@@ -81,8 +84,18 @@
         self, identity: identities.Identity, rival: str, now: float
     ) -> bool:
         """Tell whether the offer of another host is not known."""
-        known = self._known.get(identity, Offer())
-        return rival != known.rival or now >= known.heard + OFFER_S
+        heard = self._heard.get((identity, rival), -math.inf)
+        return now >= heard + ROUND_S
+
+    def hear(
+        self, identity: identities.Identity, rival: str, now: float
+    ) -> None:
+        """Take in the offer of another host, so that it is handed on once."""
+        told = identity, rival
+        self._heard.pop(told, None)
+        if len(self._heard) >= MOST:
+            self._heard.pop(next(iter(self._heard)))
+        self._heard[told] = now
 
     def leave_to(
         self, identity: identities.Identity, rival: str, now: float
@@ -97,6 +110,11 @@
             for identity, known in self._known.items()
             if now < max(known.heard, known.begins) + VALID_S
         }
+        self._heard = {
+            told: heard
+            for told, heard in self._heard.items()
+            if now < heard + ROUND_S
+        }
 
     def _keep(self, identity: identities.Identity, known: Offer) -> None:
         self._known.pop(identity, None)
--- a/fuchsiahaven/core/suspects.py
+++ b/fuchsiahaven/core/suspects.py
@@ -246,6 +246,11 @@
         if not self.is_news(news, now):
             return False
         known = self._known.get(news.identity, Suspect())
+        if is_first_trial(news):
+            self.offers.hear(news.identity, news.host, now)
+            if news.host == own:
+                # What it told has come round to it.
+                return False
         tries = known.trial is not None
         tries = tries or self.offers.is_own(news.identity, now)
         if tries and _goes_first(known, news, own):
