Keep the order's time from going back, and the order from standing still

A piece of the least urgent took the virtual time back to its own start, so that a priority that began to ask then got up to 256 pieces before the next urgent one. A refusal that failed to be carried out left what waits, and all new work, waiting for ever. A request of a split was charged for all its services. Each has a test that failed before.

--- a/fuchsiahaven/relay/orders.py
+++ b/fuchsiahaven/relay/orders.py
@@ -85,22 +85,28 @@
         self._count()
 
     def _begin(self, event: waitings.New) -> None:
+        self._book()
+        self._post(event)
+
+    def _book(self) -> None:
+        """See to it that what waits is looked at in the next pass."""
         self._begun = True
         asyncio.get_running_loop().call_soon(self._go_on)
-        self._post(event)
 
     def _go_on(self) -> None:
         """Begin the next in turn, in a pass of its own."""
         self._begun = False
         if not self._turns:
             return
+        # Before anything that may fail: what waits must not wait for ever.
+        self._book()
         now = time.monotonic()
         self._refuse(self._turns.take_late(now), waitings.Why.LATE)
         work = self._turns.take()
         self._count()
         if work is not None:
             self.figures.note_begun(work, now)
-            self._begin(work.what)
+            self._post(work.what)
 
     def _refuse(
         self, works: Iterable[waitings.Work], why: waitings.Why
--- a/fuchsiahaven/routing/turns.py
+++ b/fuchsiahaven/routing/turns.py
@@ -131,7 +131,8 @@
         _, level = min(levels, key=lambda it: (it[1].count_end(), it[0]))
         customer = level.find_next()
         work = customer.works[0][2]
-        self._now = level.tag
+        # What has lagged behind must not take the time of the whole back.
+        self._now = max(self._now, level.tag)
         level.now = customer.tag
         level.tag += work.cost / level.weight
         customer.tag += work.cost
--- a/fuchsiahaven/routing/waitings.py
+++ b/fuchsiahaven/routing/waitings.py
@@ -131,7 +131,7 @@
         event.ask,
         '' if customer is None else customer.name,
         customers.find_priority(customer, route),
-        len(configs.list_services(route.way)),
+        _count_parts(route.way),
         request.arrived + route.objective,
         ends - _find_least(desk, route.name),
         now,
@@ -139,6 +139,11 @@
     )
 
 
+def _count_parts(way: configs.Way) -> int:
+    """Count what is sent at the least; of a split it is one part."""
+    return len(way.shards) if isinstance(way, configs.Gather) else 1
+
+
 def _find_latest(desk: states.Desk, assist: events.Assist, now: float) -> float:
     """Find until when parts may wait; handed back, others may send them.
 
--- a/tests/relay/test_orders.py
+++ b/tests/relay/test_orders.py
@@ -66,6 +66,12 @@
         ]
 
 
+def fail(action: events.Action) -> None:
+    """Fail to carry a refusal out."""
+    message = f'cannot write {action}'
+    raise OSError(message)
+
+
 async def pass_on() -> None:
     """Let the loop make two passes."""
     await asyncio.sleep(0)
@@ -172,6 +178,25 @@
     asyncio.run(play())
 
 
+def test_a_failure_at_a_refusal_holds_up_nothing_else() -> None:
+    """Symptom: new work waits for ever after one reply could not be written."""
+
+    async def play() -> None:
+        bench = Bench(CUSTOMERS)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, _context: None)
+        bench.order = orders.Order(bench.rig.desk, bench.begun.append, fail)
+        bench.ask(0, 'hot-key')
+        bench.ask(1, 'hot-key', wait=-0.1)
+        bench.ask(2, 'hot-key')
+        await settle()
+        bench.ask(3, 'hot-key')
+        await settle()
+        assert bench.list_begun() == [0, 2, 3]
+
+    asyncio.run(play())
+
+
 def test_a_version_changes_the_order_of_what_waits() -> None:
     """Symptom: requests that wait go by priorities that were taken back."""
 
--- a/tests/routing/test_turns.py
+++ b/tests/routing/test_turns.py
@@ -62,6 +62,24 @@
     assert done['calm']
 
 
+def test_the_least_urgent_give_no_credit_to_others() -> None:
+    """Symptom: urgent work waits behind dozens of pieces of less urgent work.
+
+    One piece of the least urgent was done, and then others begin to ask.
+    """
+    waiting: turns.Turns[str] = turns.Turns()
+    waiting.offer(make(0, 'last', priority=4))
+    waiting.offer(make(1, 'last', priority=4))
+    for number in range(2, 400):
+        waiting.offer(make(number, 'urgent', priority=0))
+    while 'last' not in {it.customer for it in take_all(waiting, 1)}:
+        assert waiting
+    for number in range(400, 500):
+        waiting.offer(make(number, 'calm'))
+    done = Counter(it.customer for it in take_all(waiting, 20))
+    assert done['urgent'] >= 14
+
+
 def test_what_was_not_used_is_not_saved_up() -> None:
     """Symptom: a customer that was idle keeps others away when it comes."""
     waiting: turns.Turns[str] = turns.Turns()
--- a/tests/routing/test_waitings.py
+++ b/tests/routing/test_waitings.py
@@ -54,6 +54,18 @@
     assert (helped.cost, helped.customer, helped.priority) == (15, 'hot', 1)
 
 
+def test_a_split_counts_as_one_part() -> None:
+    """Symptom: a request that goes to one service is charged for all."""
+    rig = make_rig()
+    parts = tuple(configs.Weighted(it, 1.0) for it in ('records', 'trial'))
+    split = desk_rig.make_route(configs.Split(parts), prefix='/split/')
+    rig.configure(3, [split], (HOT,))
+    asked = make_asked(rig, 'hot-key', '/split/1')
+    work = waitings.weigh(rig.desk, asked, rig.now)
+    assert work is not None
+    assert work.cost == 1
+
+
 def test_what_is_refused_in_no_time_does_not_wait() -> None:
     """Symptom: a caller without a key waits among customers."""
     rig = make_rig()
