--- a/fuchsiahaven/routing/choices.py
+++ b/fuchsiahaven/routing/choices.py
@@ -38,17 +38,18 @@
     ]
 
 
-def list_tried(
+def list_broken_off(
     desk: states.Desk, service: str, part: asks.Part, now: float
 ) -> list[instances.Instance]:
-    """List the targets that a part was sent to, if they are alive.
+    """List the target that a part was lost at last, if it is alive.
 
     A route bounds to how many targets a part goes, and not how often.
     """
+    ran = [it for it in part.tried if it not in part.refusers]
     return [
         one
         for one in _list_alive(desk, service, (), now)
-        if one.name in part.tried
+        if one.name in ran[-1:]
     ]
 
 
--- a/fuchsiahaven/routing/repeats.py
+++ b/fuchsiahaven/routing/repeats.py
@@ -88,7 +88,7 @@
     part = ask.parts[service]
     if ask.assists or ask.route.at_most_once or part.asked_again:
         return False
-    if UNKNOWN in part.tried:
+    if UNKNOWN in part.tried or part.failed is not None:
         return False
     broke = part.reason is coverage.Reason.UNREACHABLE and part.may_have_run
     return broke and count_left(desk, ask, service, now) >= 1
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -321,8 +321,8 @@
         refusers = choices.list_refusers(desk, service, part, now)
         found = warmups.list_allowed(desk.warmups, refusers, desk.index, now)
     if not found and repeats.may_insist(desk, ask, service, now):
-        tried = choices.list_tried(desk, service, part, now)
-        found = warmups.list_allowed(desk.warmups, tried, desk.index, now)
+        broken = choices.list_broken_off(desk, service, part, now)
+        found = warmups.list_allowed(desk.warmups, broken, desk.index, now)
     once = ask.route.at_most_once
     usual = _find_usual(desk, ask)
     chosen = choices.choose(desk, found, now, once=once, usual=usual)
--- a/tests/routing/test_repeats.py
+++ b/tests/routing/test_repeats.py
@@ -1,7 +1,10 @@
 """Test which parts are sent again while the shared bound is nearly spent."""
 
+import random
 from unittest import mock
 
+import pytest
+
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.routing import configs, duties, events, places, repeats
 from tests.routing import desk_rig
@@ -100,6 +103,36 @@
     assert rig.replies
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_asks_only_the_target_again_that_reset(seed: int) -> None:
+    """Symptom: a part goes back to the target that took too long with it."""
+    rig = make_rig()
+    rig.desk.draw = random.Random(seed).random
+    rig.ask()
+    for first in rig.take_sent()[:3]:
+        rig.break_off(first, messages.Fault.TIMED_OUT)
+    reset: dict[str, str] = {}
+    for second in rig.take_sent():
+        rig.break_off(second)
+        reset[second.key.service] = second.instance.name
+    third = rig.take_sent()
+    assert third
+    for send in third:
+        assert send.instance.name == reset[send.key.service]
+
+
+def test_asks_none_again_where_one_has_answered_with_a_failure() -> None:
+    """Symptom: a part that fails where it runs goes to three sendings."""
+    rig = make_rig()
+    rig.ask()
+    for send in rig.take_sent()[:3]:
+        rig.answer(send, status=500)
+    for send in rig.take_sent():
+        rig.break_off(send)
+    assert not rig.take_sent()
+    assert rig.replies
+
+
 def test_asks_no_target_again_that_was_silent() -> None:
     """What takes as long as it is allowed to would take as long again."""
     rig = make_rig()
