Steer around hosts on duty that are behind their work

A host that tells its cores measures how late its timers fire; shares tell it where it is 5 ms and more. Of two hosts on duty the first leaves work to the second by the difference. Not measured yet.

--- a/bench/model.py
+++ b/bench/model.py
@@ -131,6 +131,9 @@
             return
         free = self._busy.get(host, 0.0)
         if free > at:
+            if isinstance(event, events.Ticked | events.Reviewed):
+                known = self._hosts[host].controls.lags
+                known.note_own(free - at, at)
             # What comes first is still done first.
             heapq.heappush(self._due, work._replace(at=free))
             return
--- a/fuchsiahaven/relay/runner.py
+++ b/fuchsiahaven/relay/runner.py
@@ -88,8 +88,10 @@
         """Look at the connections from time to time, for ever."""
         try_at = 0.0
         while True:
+            due = time.monotonic() + SWEEP_S
             await asyncio.sleep(SWEEP_S)
             now = time.monotonic()
+            self.desk.controls.lags.note_own(now - due, now)
             self.fleet.sweep(now)
             self._assistants.sweep(now)
             self.post(events.Reviewed())
@@ -159,5 +161,9 @@
             self._timer = loop.call_at(wake, self._tick)
 
     def _tick(self) -> None:
+        if self._timer is not None:
+            now = time.monotonic()
+            late = now - self._timer.when()
+            self.desk.controls.lags.note_own(late, now)
         self._timer = None
         self.post(events.Ticked())
--- a/fuchsiahaven/routing/assist_codecs.py
+++ b/fuchsiahaven/routing/assist_codecs.py
@@ -34,7 +34,8 @@
 class WrittenShare(TypedDict):
     """Hold a share: parts with their signatures, and rows of a `PartOut`.
 
-    `silent` and `suspect` are left out where empty, as they mostly are.
+    `silent`, `suspect` and `lag`, in milliseconds, are left out where empty, as
+    they mostly are.
     """
 
     parts: list[list[str]]
@@ -44,6 +45,7 @@
     last: bool
     silent: NotRequired[list[str]]
     suspect: NotRequired[suspect_codecs.WrittenNews]
+    lag: NotRequired[int]
 
 
 def write_assist(assist: events.Assist, now: float) -> bytes:
@@ -90,6 +92,9 @@
         written['silent'] = list(share.silent)
     if share.suspect is not None:
         written['suspect'] = suspect_codecs.write_news(share.suspect)
+    lag = int(share.lag * MILLISECONDS)
+    if lag:
+        written['lag'] = lag
     return b'%s\n' % _dump(written)
 
 
@@ -141,6 +146,7 @@
         bool(row['last']),
         tuple(str(name) for name in row.get('silent', ())),
         None if suspect is None else suspect_codecs.read_news(suspect),
+        max(0, int(row.get('lag', 0))) / MILLISECONDS,
     )
 
 
--- a/fuchsiahaven/routing/assists.py
+++ b/fuchsiahaven/routing/assists.py
@@ -70,8 +70,12 @@
     shares = _make_shares(ask, settled, first=first, over=over)
     silent = tuple(sorted(desk.centres.list_noticed()))
     suspect = desk.suspects.tell(ask.request.identity, now)
+    lag = desk.controls.lags.tell_own(now)
     actions: Actions = [
-        events.Give(ask.number, share._replace(silent=silent, suspect=suspect))
+        events.Give(
+            ask.number,
+            share._replace(silent=silent, suspect=suspect, lag=lag),
+        )
         for share in shares
     ]
     if over:
--- a/fuchsiahaven/routing/controls.py
+++ b/fuchsiahaven/routing/controls.py
@@ -1,8 +1,8 @@
-"""Join what decides whether a request may be taken in."""
+"""Join what decides whether a request may be taken in, and by whom."""
 
 from typing import NamedTuple
 
-from fuchsiahaven.routing import freshness, places, quotas
+from fuchsiahaven.routing import freshness, lags, places, quotas
 
 
 class Controls(NamedTuple):
@@ -10,9 +10,15 @@
 
     freshness: freshness.Freshness
     quotas: quotas.Quotas
+    lags: lags.Lags
 
 
 def make_controls(host: places.Host) -> Controls:
     """Make the parts of a host that has just started."""
     known = freshness.Freshness()
-    return Controls(known, quotas.Quotas(host, known.find_wait))
+    measures = host.capacity != places.USUAL_CAPACITY
+    return Controls(
+        known,
+        quotas.Quotas(host, known.find_wait),
+        lags.Lags(measures=measures),
+    )
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -137,6 +137,7 @@
         return []
     flight = _make_flight(event.key)
     desk.helpers.note_answered(known.helper.name, flight, now, None)
+    desk.controls.lags.note(known.helper.name, event.share.lag, now)
     desk.centres.note_heard(known.helper.data_centre)
     if known.helper.data_centre == desk.host.data_centre:
         desk.centres.take_hints(event.share.silent, now)
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -169,6 +169,9 @@
             desk.host_count = max(1, total)
             desk.hosts = tuple(it for it in hosts if it.name != desk.host.name)
             desk.centres.note_hosts((*desk.hosts, desk.host))
+            desk.controls.lags.keep_only(
+                {host.name: host for host in desk.hosts}
+            )
             desk.warmups.note_hosts(hosts, now)
             desk.controls.quotas.note_hosts(hosts, now)
 
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -208,7 +208,7 @@
     `body` holds the greatest records of all parts that are in. The `pending`
     ones may still come, the `lost` ones will not. `silent` are the data centres
     of which that host hears nothing, `suspect` is what it knows against the
-    request.
+    request. `lag` is by how many seconds that host is behind its work.
     """
 
     parts: tuple[PartIn, ...]
@@ -218,6 +218,7 @@
     last: bool
     silent: tuple[str, ...] = ()
     suspect: suspects.News | None = None
+    lag: float = 0.0
 
 
 class AssistKey(NamedTuple):
--- a/fuchsiahaven/routing/plans.py
+++ b/fuchsiahaven/routing/plans.py
@@ -11,6 +11,7 @@
     choices,
     configs,
     duties,
+    lags,
     places,
     standings,
     states,
@@ -184,7 +185,8 @@
         ]
         on_duty.append(desk.host)
         late = [it for it in on_duty if _is_late(desk, it, now)]
-        chosen = next((it for it in on_duty if it not in late), on_duty[0])
+        prompt = [it for it in on_duty if it not in late] or on_duty
+        chosen = _prefer_prompt(desk, prompt, now)
         return None if chosen.name == desk.host.name else chosen
     near = [
         host
@@ -217,6 +219,19 @@
     return not standings.is_dead(desk.helpers.get(host.name), now)
 
 
+def _prefer_prompt(
+    desk: states.Desk, on_duty: Sequence[places.Host], now: float
+) -> places.Host:
+    """Leave some work of a host that is behind to the next one on duty."""
+    first, *others = on_duty
+    behind = desk.controls.lags.fade(first.name, now)
+    if not behind or not others or others[0].name == desk.host.name:
+        return first
+    other = desk.controls.lags.fade(others[0].name, now)
+    given = desk.draw() < lags.count_share(behind, other)
+    return others[0] if given else first
+
+
 def _is_late(desk: states.Desk, host: places.Host, now: float) -> bool:
     known = desk.helpers.get(host.name)
     return standings.measure_silence(known, now) is not None
