--- a/bench/model.py
+++ b/bench/model.py
@@ -149,6 +149,9 @@
         if isinstance(event, events.Asked):
             self._asked[host, event.ask] = event.request
         if free > at:
+            if isinstance(event, events.Ticked | events.Reviewed):
+                known = self._hosts[host].controls.lags
+                known.note_own(free - at, at)
             if self._lines.keep(host, event, at):
                 self._mark(host, free)
                 return
