--- a/fuchsiahaven/routing/capacities.py
+++ b/fuchsiahaven/routing/capacities.py
@@ -11,9 +11,9 @@
 LEAST: Final = 0.05
 MOST: Final = 16.0
 #: How much more often a larger host is on duty: a part takes it less time, and
-#: the balancer gives it no more callers than a small one, so that it has more
-#: room than its cores alone say.
-POWER: Final = 3.0
+#: the balancer gives it no more callers than a small one. Much more, and one
+#: twice as large as the others would be the first to be overloaded.
+POWER: Final = 2.0
 _DIGITS: Final = 3
 _FIELD: Final = 'capacity'
 
--- a/tests/bench/test_uneven.py
+++ b/tests/bench/test_uneven.py
@@ -46,3 +46,12 @@
         untold = weigh(dying._replace(told=False), seed)
         assert score.failed <= untold.failed
         assert score.worth > untold.worth
+
+
+def test_a_host_twice_as_large_is_not_overloaded_first() -> None:
+    """Symptom: answers fail at a load that hosts bear without cores told."""
+    shape = SHAPE._replace(rate=150.0, cores=(0.722, 0.361))
+    told = weigh(shape, 0)
+    untold = weigh(shape._replace(told=False), 0)
+    assert told.failed <= untold.failed
+    assert told.worth > untold.worth
