Tell how a request of the bench's callers was cut, and what was done to which host when

A cut request said only its host and its time, and the message of the check was shortened: the cause could not be read from a failing run. The check asks the same.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -26,6 +26,8 @@
         """Prepare, with nothing sent."""
         self.client = exchanges.Client()
         self.records: list[records.Record] = []
+        #: How each connection ended that was cut with a request, by its id.
+        self.cuts: dict[str, str] = {}
         self.factor = 1.0
         self._world = world
         self._mix = mix
@@ -95,6 +97,8 @@
             self._shards[request.rule.name],
         )
         self.records.append(_judge(record, request, outcome))
+        if 'detail' in outcome.body and not outcome.status:
+            self.cuts[record.request_id] = outcome.body['detail']
 
 
 def _judge(
--- a/bench/exchanges.py
+++ b/bench/exchanges.py
@@ -3,11 +3,13 @@
 import asyncio
 import collections
 import json
+import re
 from typing import Final, NamedTuple
 
 from standins import wire
 
 HEAD_END: Final = b'\r\n\r\n'
+CLOSE: Final = re.compile(rb'\r\nconnection:[ \t]*close', re.IGNORECASE)
 #: Why there is no answer: none came in time.
 SILENT: Final = 'silent'
 
@@ -26,6 +28,8 @@
         """Start without a question."""
         self._buffer = b''
         self._asked: asyncio.Future[Outcome] | None = None
+        self._answered = 0
+        self._told_to_close = False
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -35,7 +39,14 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tell who waits that no answer will come."""
-        self._settle(Outcome(0, {'why': 'cut'}))
+        # What came before on this connection tells a host that cuts a request
+        # from a caller that goes on after it was told to leave.
+        detail = (
+            f'{exc!r} after {self._answered} answers, '
+            f'told to close: {self._told_to_close}, '
+            f'bytes of an answer: {len(self._buffer)}'
+        )
+        self._settle(Outcome(0, {'why': 'cut', 'detail': detail}))
 
     def data_received(self, data: bytes) -> None:
         """Settle the question once its answer is whole."""
@@ -45,6 +56,8 @@
             return
         if len(rest) >= wire.find_length(head.lower()):
             self._buffer = b''
+            self._answered += 1
+            self._told_to_close = CLOSE.search(head) is not None
             status = int(head.split(b' ', 2)[1])
             self._settle(Outcome(status, _load(rest)))
 
--- a/tests/scenarios/test_processes.py
+++ b/tests/scenarios/test_processes.py
@@ -11,6 +11,7 @@
 import os
 import random
 import signal
+import time
 from collections.abc import Awaitable, Callable, Iterator, Mapping
 from typing import Final
 from unittest import mock
@@ -42,12 +43,16 @@
         classes = self.world.layout.configuration.classes
         mix = mixes.Mix(PLACE, classes, numbers, only_at_most_once=False)
         self.crowd = callers.Callers(self.world, mix, numbers)
+        # What was done to which host, and when.
+        self.steps: list[tuple[float, str, int]] = []
         stack.callback(self.runner.run, self._close())
         self.runner.run(self.crowd.wait_ready())
 
     def ask_while(self, event: Callable[[], Awaitable[None]]) -> None:
         """Let requests arrive before, during and after an event."""
         self.crowd.records.clear()
+        self.crowd.cuts.clear()
+        self.steps.clear()
         self.runner.run(self._ask_while(event))
 
     def count_runs(self) -> dict[str, collections.Counter[str]]:
@@ -57,11 +62,17 @@
     async def end(self, number: int, how: signal.Signals) -> None:
         """End a host by a signal and start it anew."""
         host = self.world.hosts[number]
+        self._note(how.name, number)
         self.world.send_signal(host, how)
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(None, self.world.wait_end, host)
+        self._note('ended', number)
         self.world.start(host)
         await self.crowd.wait_ready()
+        self._note('ready', number)
+
+    def _note(self, step: str, number: int) -> None:
+        self.steps.append((time.monotonic(), step, number))
 
     async def freeze(self, number: int) -> None:
         """Stop a host's process until requests to it have gone unanswered."""
@@ -138,7 +149,8 @@
     cut = [record for record in stage.crowd.records if record.kind in lost]
     # Which host it was sent to, and when, tell a late balancer from a host
     # that closed too soon.
-    assert not cut, (cut, stage.world.read_logs())
+    told = (cut, stage.crowd.cuts, stage.steps, stage.world.read_logs())
+    assert not cut, '\n'.join(map(str, told))
 
 
 @then('every answer is true')
