--- a/bench/exchanges.py
+++ b/bench/exchanges.py
@@ -58,6 +58,10 @@
             self._buffer = b''
             self._answered += 1
             self._told_to_close = CLOSE.search(head) is not None
+            if self._told_to_close:
+                # The server reads nothing more here, and its end may come
+                # after the next request has been written.
+                self.transport.close()
             status = int(head.split(b' ', 2)[1])
             self._settle(Outcome(status, _load(rest)))
 
