Spread when callers come back over all refusals that come in numbers

Refusals of keys that are not trusted, of too little room and of targets out of reach told all callers the same time; only those of the queue were spread. Now each gets a window by its priority among those in force, within a third of the time that it has left, also where a host that is not ready tells when its balancer moves callers. Windows go by the rank among the priorities in force and no longer by their number, so nobody waits for a window that no caller is in.

--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Final
 
-from fuchsiahaven.core import suspects
+from fuchsiahaven.core import errors, suspects
 from fuchsiahaven.operate import exits
 from fuchsiahaven.platform import exchanges
 from fuchsiahaven.platform import settings as settings_files
@@ -36,6 +36,7 @@
     facts,
     places,
     quota_words,
+    returns,
     states,
     suspect_codecs,
 )
@@ -247,6 +248,9 @@
 
         def reply(outcome: events.Outcome) -> None:
             advised = self.readiness.advise(outcome)
+            if advised is not outcome and isinstance(advised, errors.Failure):
+                now = time.monotonic()
+                advised = returns.advise(self.desk, advised, request, now)
             caller.answer(exchanges.write_outcome(advised))
 
         number = self.runner.ask(request, reply)
--- a/fuchsiahaven/routing/admission.py
+++ b/fuchsiahaven/routing/admission.py
@@ -10,6 +10,7 @@
     endings,
     events,
     quotas,
+    returns,
     splits,
     states,
 )
@@ -19,6 +20,8 @@
 #: the store, and a second one if the first was turned away.
 START_S: Final = 0.5
 
+advise = returns.advise
+
 
 def admit(desk: states.Desk, event: events.Asked, now: float) -> quotas.Charged:
     """Take a request in, have it wait, or say why it is refused."""
--- a/fuchsiahaven/routing/configs.py
+++ b/fuchsiahaven/routing/configs.py
@@ -115,11 +115,13 @@
 class Priorities(NamedTuple):
     """Hold how urgent work is by the names that hosts tell each other.
 
-    Only customers that have a priority of their own are in here.
+    Only customers that have a priority of their own are in here. `ranks` are
+    all priorities there are, the most urgent first.
     """
 
     customers: Mapping[str, int]
     routes: Mapping[str, int]
+    ranks: tuple[int, ...] = ()
 
 
 class Index(NamedTuple):
@@ -165,7 +167,8 @@
         if it.priority is not None
     }
     routes = {it.name: it.priority for it in configuration.routes}
-    return Priorities(customers, routes)
+    ranks = sorted({*customers.values(), *routes.values()})
+    return Priorities(customers, routes, tuple(ranks))
 
 
 def is_wide(gather: Gather) -> bool:
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -41,6 +41,7 @@
             continue
         request = taken.request
         asked = admission.find_asked(desk, request)
+        failure = admission.advise(desk, failure, request, now)
         refused = endings.refuse(
             taken.number, request, failure, taken.version, now, asked
         )
@@ -181,6 +182,7 @@
     if isinstance(taken, errors.Failure):
         request = event.request
         asked = admission.find_asked(desk, request)
+        taken = admission.advise(desk, taken, request, now)
         return endings.refuse(event.ask, request, taken, version, now, asked)
     if isinstance(taken, asks.Taken):
         return _begin(desk, taken, now)
--- a/fuchsiahaven/routing/endings.py
+++ b/fuchsiahaven/routing/endings.py
@@ -10,6 +10,7 @@
     assists,
     customers,
     events,
+    returns,
     standings,
     states,
 )
@@ -56,6 +57,7 @@
     """Refuse an ask that was begun and of which nothing has left."""
     desk.controls.quotas.end(ask.number, now, ran=False)
     desk.asks.pop(ask.number, None)
+    failure = returns.advise(desk, failure, ask.request, now)
     return [
         events.Reply(ask.number, failure),
         _tell(ask, name_result(failure), now),
@@ -74,6 +76,7 @@
     """Have the caller of a request that is not sent on come back after that."""
     if not isinstance(outcome, errors.Failure):
         return outcome
+    outcome = returns.advise(desk, outcome, ask.request, now)
     wait = desk.suspects.count_wait(ask.request.identity, now)
     if wait <= (outcome.retry_after or 0):
         return outcome
--- a/fuchsiahaven/routing/waitings.py
+++ b/fuchsiahaven/routing/waitings.py
@@ -81,8 +81,9 @@
                 errors.Kind.OVERLOADED,
                 SOURCE,
                 f'{why}, waited {now - work.came:.3f} s',
-                retry_after=returns.spread(work.priority, desk.draw()),
+                retry_after=returns.SOON_S,
             )
+            failure = returns.advise(desk, failure, request, now)
             asked = admission.find_asked(desk, request)
             version = desk.index.configuration.version
             return endings.refuse(number, request, failure, version, now, asked)
