--- a/fuchsiahaven/edge/control.py
+++ b/fuchsiahaven/edge/control.py
@@ -2,16 +2,18 @@
 
 import contextlib
 import functools
+import math
 import time
 from collections.abc import Callable, Mapping
 from typing import Final, NamedTuple
 
-from fuchsiahaven.core import addresses
+from fuchsiahaven.core import addresses, suspects
 from fuchsiahaven.core.configuration import (
     patches,
     revision_messages,
     revisions,
 )
+from fuchsiahaven.core.customers import freshness, questions
 from fuchsiahaven.core.members import (
     member_messages,
     member_tables,
@@ -22,6 +24,7 @@
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import (
     claim_members,
+    doors,
     gossip,
     hostlist,
     listings,
@@ -29,6 +32,7 @@
     patch_calls,
     peer_calls,
     peers,
+    proofs,
 )
 from fuchsiahaven.edge import revisions as revision_tasks
 from fuchsiahaven.operate import settings
@@ -40,11 +44,13 @@
 
 
 class Links(NamedTuple):
-    """Say whom the control tasks tell: the dispatch loop and the claims."""
+    """Say whom the control tasks tell: dispatch loop, claims and door."""
 
     post: Callable[[Event], None]
     take_claims: Callable[[bytes], bytes | None]
     note_members: Callable[[claim_members.Listed], None]
+    door: doors.Door
+    list_quarantined: Callable[[], tuple[suspects.News, ...]] = tuple
 
 
 class Control:
@@ -79,6 +85,14 @@
             chosen.host.data_centre,
             patch_calls.Exchange(own.name, caller, self._find_address),
             self._take_configuration,
+            links.door,
+        )
+        self._proofs = proofs.Task(
+            links.door,
+            caller,
+            lambda: self.revisions.state,
+            self._find_address,
+            lambda whole: self.revisions.post(revision_messages.Urged(whole)),
         )
 
     def start(self, stack: contextlib.ExitStack) -> None:
@@ -99,6 +113,9 @@
             stack,
         )
         stack.callback(self.revisions.stop)
+        if self._links.door.freshness.revoke is not None:
+            openings.start_thread(self._proofs.run, proofs.PART, stack)
+            stack.callback(self._proofs.stop)
         openings.start_thread(self._lister.run, listings.PART, stack)
         stack.callback(self._lister.stop)
 
@@ -116,6 +133,11 @@
         """Answer gossip; None where this host is too busy."""
         return self.gossip.exchange(told)
 
+    def prove(self) -> bytes | None:
+        """Tell how old the knowledge of keys is; None if nothing is proved."""
+        told = self._links.door.prove()
+        return None if told is None else questions.write(told)
+
     def take_patches(self, parcel: patch_rows.Parcel) -> patches.Stamp:
         """Take patches that were pushed; return what is in force."""
         self.gossip.post(member_messages.Noticed(parcel.sender))
@@ -132,6 +154,7 @@
         state = self.revisions.state
         table = self.gossip.state.table
         known = (entry.member for entry in table.entries.values())
+        held = [_describe_held(it) for it in self._links.list_quarantined()]
         return {
             'host': self.name,
             'data_centre': self._chosen.host.data_centre,
@@ -141,11 +164,14 @@
             'watches': revisions.is_watcher(state),
             'faults': dict(state.faults),
             'obstacle': self.explain(),
+            **_describe_keys(self._links.door.freshness),
             'health': self.gossip.state.health,
             'members': [member._asdict() for member in sorted(known)],
+            **({'quarantined': held} if held else {}),
         }
 
     def _take_configuration(self, stamped: patches.Stamped) -> None:
+        self._links.door.note(stamped)
         self._links.post(messages.Configured(stamped.configuration))
         self.gossip.post(member_messages.Enforced(stamped.stamp))
 
@@ -188,6 +214,14 @@
         self.gossip.wait_told(FAREWELL_S)
 
 
+def _describe_keys(known: freshness.Freshness) -> Mapping[str, object]:
+    if not known.is_on:
+        return {}
+    age = known.count_age()
+    told = round(age, 2) if math.isfinite(age) else None
+    return {'keys': {'age_s': told, 'bound_s': known.revoke}}
+
+
 def start(
     chosen: settings.Settings,
     links: Links,
@@ -207,3 +241,14 @@
     openings.start_thread(server.serve, 'peers', stack)
     stack.callback(server.stop)
     return control
+
+
+def _describe_held(news: suspects.News) -> Mapping[str, object]:
+    """Describe a query that is refused as it ends its targets."""
+    return {
+        'digest': news.identity.digest,
+        'request_class': news.identity.customer,
+        'crashes': news.crashes,
+        'wait': round(news.wait, 1),
+        'targets': list(news.targets),
+    }
--- a/fuchsiahaven/edge/server.py
+++ b/fuchsiahaven/edge/server.py
@@ -13,12 +13,14 @@
 from cheroot import wsgi
 
 from fuchsiahaven.core import policies
+from fuchsiahaven.core.customers import freshness
 from fuchsiahaven.core.queries import states
 from fuchsiahaven.core.targets import messages
 from fuchsiahaven.edge import (
     callers,
     claims,
     control,
+    doors,
     loop,
     meters,
     openings,
@@ -39,9 +41,14 @@
     """Join the caller port to the other tasks of this process."""
 
     def __init__(
-        self, dispatcher: loop.Loop, controller: control.Control
+        self,
+        dispatcher: loop.Loop,
+        controller: control.Control,
+        door: doors.Door,
     ) -> None:
-        """Hand queries to a loop."""
+        """Hand queries to a loop that a door lets in."""
+        self.admit = door.admit
+        self._door = door
         self._loop = dispatcher
         self._controller = controller
         self._leaving = threading.Event()
@@ -57,6 +64,8 @@
         """Say why no new work should come here; empty if it may."""
         if self.is_leaving():
             return 'stopping'
+        if self._door.find_wait():
+            return 'no recent word of which keys are valid'
         return self._controller.explain() or self._loop.sample.obstacle
 
     def is_leaving(self) -> bool:
@@ -92,11 +101,16 @@
         dispatcher = _make_loop(chosen, task.take)
         _start_loop(dispatcher, asked, stack)
         task.start(dispatcher.post, stack)
+        door = doors.Door(freshness.Freshness(chosen.customers.revoke_s))
         links = control.Links(
-            dispatcher.post, task.take_claims, task.note_members
+            dispatcher.post,
+            task.take_claims,
+            task.note_members,
+            door,
+            lambda: dispatcher.sample.quarantined,
         )
         controller = control.start(chosen, links, caller, stack)
-        host = Host(dispatcher, controller)
+        host = Host(dispatcher, controller, door)
         _start_callers(chosen, host, stack)
         logs.info(PART, 'serving', host=chosen.host.name)
         asked.wait()
--- a/fuchsiahaven/routing/admission.py
+++ b/fuchsiahaven/routing/admission.py
@@ -10,6 +10,7 @@
     endings,
     events,
     quotas,
+    returns,
     splits,
     states,
 )
@@ -19,6 +20,8 @@
 #: the store, and a second one if the first was turned away.
 START_S: Final = 0.5
 
+advise = returns.advise
+
 
 def admit(desk: states.Desk, event: events.Asked, now: float) -> quotas.Charged:
     """Take a request in, have it wait, or say why it is refused."""
@@ -93,11 +96,11 @@
     way = route.way
     if not isinstance(way, configs.Split):
         return configs.list_services(way)
-    saved = desk.credits.get(route.name)
-    if saved is None:
-        saved = splits.start(way, desk.draw())
-    choice = splits.choose(way, saved)
-    desk.credits[route.name] = choice.credits
+    place = desk.split_places.get(route.name)
+    if place is None:
+        place = desk.draw()
+    choice = splits.choose(way, place)
+    desk.split_places[route.name] = choice.place
     return (choice.service,)
 
 
--- a/fuchsiahaven/routing/configs.py
+++ b/fuchsiahaven/routing/configs.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple
 
 from fuchsiahaven.core.configuration import configurations
+from fuchsiahaven.core.customers import customers
 
 #: A query over no more shards than this is gathered by the host that takes
 #: it: a hop more would cost as much as it saves.
@@ -83,19 +84,7 @@
     warm_rate: float = 0.0
 
 
-class Customer(NamedTuple):
-    """Hold whose requests are counted together, and how many there may be.
-
-    `keys` are digests of what callers show; a customer's `priority` goes before
-    that of routes where it is told. `rate` is in requests a second, 0 for no
-    limit, `burst` in requests.
-    """
-
-    name: str
-    keys: tuple[str, ...] = ()
-    priority: int | None = None
-    rate: float = 0.0
-    burst: float = 0.0
+Customer = customers.Customer
 
 
 class Limits(NamedTuple):
@@ -123,11 +112,24 @@
 NOTHING: Configuration = Configuration(0, (), (), Limits())
 
 
+class Priorities(NamedTuple):
+    """Hold how urgent work is by the names that hosts tell each other.
+
+    Only customers that have a priority of their own are in here. `ranks` are
+    all priorities there are, the most urgent first.
+    """
+
+    customers: Mapping[str, int]
+    routes: Mapping[str, int]
+    ranks: tuple[int, ...] = ()
+
+
 class Index(NamedTuple):
     """Hold a configuration so that requests find their route quickly.
 
     `wide` are the shards of queries whose cost is shared among hosts,
-    `customers` whose key each digest is of.
+    `customers` whose key each digest is of. `priorities` are empty where
+    nobody competes.
     """
 
     configuration: Configuration
@@ -135,6 +137,7 @@
     services: Mapping[str, Service]
     wide: frozenset[str]
     customers: Mapping[str, Customer]
+    priorities: Priorities
 
 
 def build_index(configuration: Configuration) -> Index:
@@ -150,12 +153,22 @@
         if isinstance(way, Gather) and is_wide(way)
         for shard in way.shards
     )
+    holders = customers.index(configuration.customers or ())
+    priorities = _list_priorities(configuration)
+    return Index(configuration, routes, services, wide, holders, priorities)
+
+
+def _list_priorities(configuration: Configuration) -> Priorities:
+    if configuration.customers is None:
+        return Priorities({}, {})
     customers = {
-        key: customer
-        for customer in configuration.customers or ()
-        for key in customer.keys
+        it.name: it.priority
+        for it in configuration.customers
+        if it.priority is not None
     }
-    return Index(configuration, routes, services, wide, customers)
+    routes = {it.name: it.priority for it in configuration.routes}
+    ranks = sorted({*customers.values(), *routes.values()})
+    return Priorities(customers, routes, tuple(ranks))
 
 
 def is_wide(gather: Gather) -> bool:
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -41,6 +41,7 @@
             continue
         request = taken.request
         asked = admission.find_asked(desk, request)
+        failure = admission.advise(desk, failure, request, now)
         refused = endings.refuse(
             taken.number, request, failure, taken.version, now, asked
         )
@@ -169,6 +170,7 @@
             desk.host_count = max(1, total)
             desk.hosts = tuple(it for it in hosts if it.name != desk.host.name)
             desk.centres.note_hosts((*desk.hosts, desk.host))
+            desk.controls.lags.note_hosts(hosts)
             desk.warmups.note_hosts(hosts, now)
             desk.controls.quotas.note_hosts(hosts, now)
 
@@ -181,6 +183,7 @@
     if isinstance(taken, errors.Failure):
         request = event.request
         asked = admission.find_asked(desk, request)
+        taken = admission.advise(desk, taken, request, now)
         return endings.refuse(event.ask, request, taken, version, now, asked)
     if isinstance(taken, asks.Taken):
         return _begin(desk, taken, now)
--- a/fuchsiahaven/routing/plans.py
+++ b/fuchsiahaven/routing/plans.py
@@ -11,6 +11,7 @@
     choices,
     configs,
     duties,
+    lags,
     places,
     standings,
     states,
@@ -178,15 +179,19 @@
 ) -> places.Host | None:
     """Find the host to ask; None where this one is to send for itself."""
     if wide:
-        on_duty = [it for it in _list_on_duty(desk, duty, now) if it != silent]
+        passed = silent.name if silent else ''
+        on_duty = [
+            it for it in _list_on_duty(desk, duty, now) if it.name != passed
+        ]
         on_duty.append(desk.host)
         late = [it for it in on_duty if _is_late(desk, it, now)]
-        chosen = next((it for it in on_duty if it not in late), on_duty[0])
+        prompt = [it for it in on_duty if it not in late] or on_duty
+        chosen = _prefer_prompt(desk, prompt, now)
         return None if chosen.name == desk.host.name else chosen
     near = [
         host
         for host in desk.centres.list_hosts(duty.data_centre)
-        if host != desk.host and _is_alive(desk, host, now)
+        if host.name != desk.host.name and _is_alive(desk, host, now)
     ]
     return _choose_helper(desk, near, now) if near else None
 
@@ -203,7 +208,7 @@
     alive = (
         host
         for host in ranked
-        if host == desk.host or _is_alive(desk, host, now)
+        if host.name == desk.host.name or _is_alive(desk, host, now)
     )
     return list(itertools.islice(alive, duties.ON_DUTY))
 
@@ -214,6 +219,19 @@
     return not standings.is_dead(desk.helpers.get(host.name), now)
 
 
+def _prefer_prompt(
+    desk: states.Desk, on_duty: Sequence[places.Host], now: float
+) -> places.Host:
+    """Leave some work of a host that is behind to the next one on duty."""
+    first, *others = on_duty
+    behind = desk.controls.lags.fade(first.name, now)
+    if not behind or not others or others[0].name == desk.host.name:
+        return first
+    other = desk.controls.lags.fade(others[0].name, now)
+    given = desk.draw() < lags.count_share(behind, other)
+    return others[0] if given else first
+
+
 def _is_late(desk: states.Desk, host: places.Host, now: float) -> bool:
     known = desk.helpers.get(host.name)
     return standings.measure_silence(known, now) is not None
