--- a/bench/exchanges.py
+++ b/bench/exchanges.py
@@ -105,7 +105,9 @@
             return Outcome(0, {'why': 'refused'})
         asked = exchange.ask(head.encode() + payload)
         try:
-            outcome = await asyncio.wait_for(asked, timeout_s)
+            # Not wait_for, which loses a cancellation that comes as it ends.
+            async with asyncio.timeout(timeout_s):
+                outcome = await asked
         except TimeoutError:
             exchange.transport.abort()
             return Outcome(0, {'why': SILENT})
--- a/tests/bench/test_exchanges.py
+++ b/tests/bench/test_exchanges.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import pytest
 
@@ -85,3 +86,21 @@
     assert told.body['why'] == 'cut'
     assert '1 answers, told to close: False' in told.body['detail']
     assert 'bytes of an answer: 5' in told.body['detail']
+
+
+def test_a_caller_that_is_cancelled_as_its_answer_comes_ends() -> None:
+    """Symptom: a loop that asks for ever goes on after its end."""
+
+    async def ask_for_ever() -> None:
+        client = exchanges.Client()
+        exchange = exchanges.Exchange()
+        exchange.connection_made(mock.Mock(spec=asyncio.Transport))
+        with mock.patch.object(client, '_take', return_value=exchange):
+            asking = asyncio.create_task(client.send(1, 'GET', '/'))
+            await asyncio.sleep(0)
+            exchange.data_received(ANSWER + REST)
+            asking.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await asking
+
+    asyncio.run(ask_for_ever())
