--- a/fuchsiahaven/routing/crashes.py
+++ b/fuchsiahaven/routing/crashes.py
@@ -11,6 +11,7 @@
     instances,
     losses,
     states,
+    trials,
     tries,
 )
 
@@ -211,10 +212,10 @@
     ask.parts[key.service] = part._replace(doubted=False)
     if key.service not in ask.open:
         return []
-    gate = tries.find_gate(desk, ask, now)
+    gate = trials.find_gate(desk, ask, now)
     if ask.gathers and gate is suspects.Gate.TRIAL:
         # The trial is chosen among all parts that are lost by then.
-        tries.wait_for_trial(desk, ask)
+        trials.wait(desk, ask)
         due = states.HeldDue(identity)
         desk.set_timer(now + GATHER_S, due)
         return []
--- a/fuchsiahaven/routing/delegations.py
+++ b/fuchsiahaven/routing/delegations.py
@@ -15,7 +15,6 @@
     choices,
     configs,
     crashes,
-    duties,
     endings,
     events,
     places,
@@ -23,6 +22,7 @@
     rooms,
     second_sendings,
     states,
+    trials,
     tries,
 )
 
@@ -50,12 +50,20 @@
     Only the hosts on duty hold connections to a chunk's targets, and they
     know best which of them answer just now.
     """
-    if tries.find_gate(desk, ask, now) is not suspects.Gate.OPEN:
+    if trials.find_gate(desk, ask, now) is not suspects.Gate.OPEN:
         return []
     shared: dict[places.Host, list[str]] = {}
     for service in slow:
         if ask.parts[service].sent < ask.route.attempts:
-            helper = _find_second(desk, ask, service, now)
+            silent = _find_silent(desk, ask, service)
+            helper = plans.find_second_helper(
+                desk,
+                ask,
+                service,
+                now,
+                passed=silent,
+                silent=silent.data_centre if silent else '',
+            )
             shared.setdefault(helper or desk.host, []).append(service)
     worth = second_sendings.count_worth(ask, len(slow), now)
     kept = second_sendings.keep_worth(desk.host, shared, worth)
@@ -67,19 +75,6 @@
     return actions
 
 
-def _find_second(
-    desk: states.Desk, ask: asks.Ask, service: str, now: float
-) -> places.Host | None:
-    """Find the host that is to send a part again; None for this one."""
-    assert isinstance(ask.route.way, configs.Gather)
-    silent = _find_silent(desk, ask, service)
-    passed = silent.data_centre if silent else ''
-    centre = plans.find_second_centre(desk, ask, service, passed, now)
-    chunk = duties.find_chunks(ask.route.way)[service]
-    duty = duties.Duty(centre, chunk)
-    return plans.find_helper(desk, duty, now, wide=True, silent=silent)
-
-
 def _find_silent(
     desk: states.Desk, ask: asks.Ask, service: str
 ) -> places.Host | None:
@@ -330,7 +325,7 @@
     just started would open connections to all targets, which take as long to
     accept them as to answer, and more than they accept.
     """
-    if tries.find_gate(desk, ask, now) is not suspects.Gate.OPEN:
+    if trials.find_gate(desk, ask, now) is not suspects.Gate.OPEN:
         return _try_one(desk, ask, failed, now)
     wide = _is_handed_on(ask)
     own = []
@@ -338,7 +333,9 @@
     for service in failed:
         helper = None
         if wide and _may_hand_on(desk, ask, service, now):
-            helper = _find_next(desk, ask, service, now, passed)
+            helper = plans.find_second_helper(
+                desk, ask, service, now, passed=passed
+            )
         if helper is None:
             own.append(service)
         else:
@@ -359,10 +356,10 @@
     actions: Actions = []
     for service in failed:
         helper = None
-        gate = tries.find_gate(desk, ask, now)
+        gate = trials.find_gate(desk, ask, now)
         if _is_handed_on(ask) and gate is suspects.Gate.TRIAL:
             if _may_hand_on(desk, ask, service, now):
-                helper = _find_next(desk, ask, service, now)
+                helper = plans.find_second_helper(desk, ask, service, now)
         if helper is None:
             actions.extend(tries.send_again(desk, ask, service, now))
             continue
@@ -370,7 +367,7 @@
         actions.append(start(desk, ask, planned, now))
         number = ask.parts[service].number
         key = events.FlightKey(ask.number, service, number)
-        actions.extend(tries.begin_trial(desk, ask, key, now))
+        actions.extend(trials.begin(desk, ask, key, now))
     return actions
 
 
@@ -391,20 +388,5 @@
     return choices.has_candidate(desk, service, part, now)
 
 
-def _find_next(
-    desk: states.Desk,
-    ask: asks.Ask,
-    service: str,
-    now: float,
-    passed: places.Host | None = None,
-) -> places.Host | None:
-    """Find the host on duty where a target is that has not failed the part."""
-    assert isinstance(ask.route.way, configs.Gather)
-    centre = plans.find_second_centre(desk, ask, service, '', now)
-    chunk = duties.find_chunks(ask.route.way)[service]
-    duty = duties.Duty(centre, chunk)
-    return plans.find_helper(desk, duty, now, wide=True, silent=passed)
-
-
 def _make_flight(key: events.AssistKey) -> events.FlightKey:
     return events.FlightKey(key.ask, '', key.number)
--- a/fuchsiahaven/routing/desks.py
+++ b/fuchsiahaven/routing/desks.py
@@ -221,7 +221,7 @@
 
 def _delegate_parts(desk: states.Desk, ask: asks.Ask, now: float) -> Actions:
     """Have other hosts gather what they are to; they ask nobody else."""
-    gate = tries.find_gate(desk, ask, now)
+    gate = desk.suspects.find_gate(ask.request.identity, now)
     if ask.assists or gate is not suspects.Gate.OPEN:
         return []
     return [
--- a/fuchsiahaven/routing/plans.py
+++ b/fuchsiahaven/routing/plans.py
@@ -169,6 +169,27 @@
     return choose_centre(desk.host, found, dict.fromkeys(found, 1))
 
 
+def find_second_helper(
+    desk: states.Desk,
+    ask: asks.Ask,
+    service: str,
+    now: float,
+    *,
+    passed: places.Host | None = None,
+    silent: str = '',
+) -> places.Host | None:
+    """Find the host that is to send a part again; None for this one.
+
+    It is on duty where a target is that was not tried, and not the one that is
+    `passed` over. `silent` is the data centre of a host that has told nothing.
+    """
+    assert isinstance(ask.route.way, configs.Gather)
+    centre = find_second_centre(desk, ask, service, silent, now)
+    chunk = duties.find_chunks(ask.route.way)[service]
+    duty = duties.Duty(centre, chunk)
+    return find_helper(desk, duty, now, wide=True, silent=passed)
+
+
 def find_helper(
     desk: states.Desk,
     duty: duties.Duty,
--- a/fuchsiahaven/routing/splits.py
+++ b/fuchsiahaven/routing/splits.py
@@ -6,8 +6,9 @@
 from fuchsiahaven.routing import configs
 
 #: How far each request goes round a circle on which every service has its
-#: weight's share. Steps of this size leave the most even gaps, however many.
-STEP: Final = 0.6180339887498949
+#: weight's share. Steps of the golden ratio leave the most even gaps, however
+#: many there are.
+STEP: Final = (math.sqrt(5) - 1) / 2
 
 
 class Choice(NamedTuple):
--- a/fuchsiahaven/routing/tries.py
+++ b/fuchsiahaven/routing/tries.py
@@ -3,7 +3,7 @@
 import math
 from typing import Final
 
-from fuchsiahaven.core import coverage, identities, rendezvous, suspects
+from fuchsiahaven.core import coverage, rendezvous, suspects
 from fuchsiahaven.core.queries import hedges
 from fuchsiahaven.routing import (
     asks,
@@ -12,6 +12,7 @@
     instances,
     repeats,
     states,
+    trials,
     warmups,
 )
 
@@ -185,80 +186,11 @@
     desk: states.Desk, ask: asks.Ask, service: str, now: float
 ) -> bool:
     """Tell whether a part may be sent a second time before the first ends."""
-    if find_gate(desk, ask, now) is not suspects.Gate.OPEN:
+    if trials.find_gate(desk, ask, now) is not suspects.Gate.OPEN:
         return False
     return repeats.may_repeat(desk, ask, service, now, kept=KEPT_FOR_RETRIES)
 
 
-def find_gate(desk: states.Desk, ask: asks.Ask, now: float) -> suspects.Gate:
-    """Say how the request of an ask may be sent."""
-    return desk.suspects.find_gate(ask.request.identity, now)
-
-
-def wait_for_trial(desk: states.Desk, ask: asks.Ask) -> None:
-    """Have the parts of an ask looked at after the trial of its request."""
-    waiting = desk.suspects.waiting.setdefault(ask.request.identity, set())
-    waiting.add(ask.number)
-
-
-def begin_trial(
-    desk: states.Desk, ask: asks.Ask, key: events.FlightKey, now: float
-) -> list[events.Action]:
-    """Take in that a sending is the one trial of a suspect request."""
-    identity = ask.request.identity
-    # Whatever becomes of it, what waits for it is not to wait for ever.
-    desk.set_timer(now + suspects.TRIAL_S, states.HeldDue(identity))
-    if not desk.suspects.begin_trial(identity, key, now):
-        return []
-    return _announce(desk, identity, now)
-
-
-def _announce(
-    desk: states.Desk, identity: identities.Identity, now: float
-) -> list[events.Action]:
-    """Tell other hosts that this one tries a suspect request."""
-    news = desk.suspects.tell(identity, now)
-    if news is None:
-        return []
-    wait = suspects.count_told_wait(news.crashes)
-    news = news._replace(wait=wait, host=desk.host.name)
-    return [events.Suspicion(news, passed_on=True)]
-
-
-def _leave_to_others(
-    desk: states.Desk, ask: asks.Ask, now: float
-) -> list[events.Action] | None:
-    """Have the trial of a new request wait for other hosts; None if it is not.
-
-    Those that are asked at one moment would each end a target. What was under
-    way when targets ended does not wait, and nothing waits when it is late.
-    """
-    identity = ask.request.identity
-    offered = desk.suspects.offers
-    latest = ask.request.arrived + ask.route.objective
-    if not desk.hosts or now >= latest or not _is_new(ask):
-        return None
-    if ask.number in desk.suspects.waiting.get(identity, ()):
-        return []
-    actions: list[events.Action] = []
-    patience = find_delay(desk, ask)
-    if not offered.count_delay(identity, patience, now):
-        if not desk.suspects.offer_trial(identity, now):
-            return None
-        actions = _announce(desk, identity, now)
-    wait_for_trial(desk, ask)
-    due = now + offered.count_delay(identity, patience, now)
-    desk.set_timer(min(due, latest), states.HeldDue(identity))
-    return actions
-
-
-def _is_new(ask: asks.Ask) -> bool:
-    """Tell whether nothing of a caller's request was sent yet."""
-    if ask.assists:
-        return False
-    return not any(part.number for part in ask.parts.values())
-
-
 def hedge_all(
     desk: states.Desk, ask: asks.Ask, services: list[str], now: float
 ) -> list[events.Action]:
@@ -332,15 +264,15 @@
     now: float,
     purpose: events.Purpose,
 ) -> list[events.Action]:
-    gate = find_gate(desk, ask, now)
+    gate = trials.find_gate(desk, ask, now)
     if gate is suspects.Gate.HELD:
-        wait_for_trial(desk, ask)
+        trials.wait(desk, ask)
         return []
     if gate is suspects.Gate.CLOSED:
         _lose(desk, ask, service, now, coverage.Reason.QUARANTINED)
         return []
     if gate is suspects.Gate.TRIAL:
-        left = _leave_to_others(desk, ask, now)
+        left = trials.leave_to_others(desk, ask, find_delay(desk, ask), now)
         if left is not None:
             return left
     send = _send_chosen(desk, ask, service, now, purpose)
@@ -351,7 +283,7 @@
         return [send]
     # Only a connection that is open now shows that the target has not ended
     # together with those before it.
-    begun = begin_trial(desk, ask, send.key, now)
+    begun = trials.begin(desk, ask, send.key, now)
     return [send._replace(fresh=True), *begun]
 
 
