Count what waits when somebody looks, not with each piece of work

The gauge also left out priorities of which nothing had been begun (review). Change: the page of metrics has the queue counted; the new test fails on the code before, where that page has no such line. Order and refusals are as before.

--- a/fuchsiahaven/relay/meters.py
+++ b/fuchsiahaven/relay/meters.py
@@ -69,7 +69,7 @@
         self.missing = 0
         self.crashes = 0
         self.accounts = accounts.Accounts()
-        self.waits = orders.Figures()
+        self.waits = orders.Figures(dict)
         self._by_bucket: collections.Counter[int] = collections.Counter()
 
     def note(self, story: events.Story) -> None:
--- a/fuchsiahaven/relay/orders.py
+++ b/fuchsiahaven/relay/orders.py
@@ -16,14 +16,15 @@
 class Figures:
     """Own what is counted of the work that waited, by priority."""
 
-    def __init__(self) -> None:
+    def __init__(self, count_waiting: Callable[[], dict[int, int]]) -> None:
         """Start at zero; waits are in seconds."""
+        #: Asked only where somebody looks: a busy host has no time to count.
+        self.count_waiting = count_waiting
         self.begun: collections.Counter[int] = collections.Counter()
         self.waited: dict[int, float] = {}
         self.refused: collections.Counter[tuple[int, str]] = (
             collections.Counter()
         )
-        self.waiting: dict[int, int] = {}
 
     def note_begun(self, work: waitings.Work, now: float) -> None:
         """Count work that waited and was begun."""
@@ -42,11 +43,11 @@
         perform: Callable[[events.Action], None],
     ) -> None:
         """Start with nothing that waits."""
-        self.figures = Figures()
         self._desk = desk
         self._post = post
         self._perform = perform
         self._turns: turns.Turns[waitings.New] = turns.Turns()
+        self.figures = Figures(self._turns.count)
         self._begun = False
 
     def take(self, event: waitings.New) -> None:
@@ -60,19 +61,15 @@
 
     def drop(self, number: int) -> bool:
         """Drop what nobody waits for any more; tell whether it waited."""
-        dropped = self._turns.drop(number) is not None
-        self._count()
-        return dropped
+        return self._turns.drop(number) is not None
 
     def reorder(self) -> None:
         """Go by the priorities that hold now, for what waits as well."""
         self._turns.reorder(lambda it: waitings.find_priority(self._desk, it))
-        self._count()
 
     def refuse_all(self) -> None:
         """Refuse all that waits, because this host stops."""
         self._refuse(self._turns.take_all(), waitings.Why.STOPPING)
-        self._count()
 
     def _wait(self, event: waitings.New) -> None:
         work = waitings.weigh(self._desk, event, time.monotonic())
@@ -82,7 +79,6 @@
         left = self._turns.offer(work)
         if left is not None:
             self._refuse((left,), waitings.Why.FULL)
-        self._count()
 
     def _begin(self, event: waitings.New) -> None:
         self._book()
@@ -103,7 +99,6 @@
         now = time.monotonic()
         self._refuse(self._turns.take_late(now), waitings.Why.LATE)
         work = self._turns.take()
-        self._count()
         if work is not None:
             self.figures.note_begun(work, now)
             self._post(work.what)
@@ -116,6 +111,3 @@
             self.figures.refused[work.priority, why] += 1
             for action in waitings.hand_back(self._desk, work, why, now):
                 self._perform(action)
-
-    def _count(self) -> None:
-        self.figures.waiting = self._turns.count()
--- a/fuchsiahaven/relay/pages.py
+++ b/fuchsiahaven/relay/pages.py
@@ -124,10 +124,13 @@
             None,
             ['priority'],
         )
-        for priority, count in waits.begun.items():
+        now_waiting = waits.count_waiting()
+        for priority in sorted({*waits.begun, *now_waiting}):
             label = [str(priority)]
-            waiting.add_metric(label, waits.waiting.get(priority, 0))
-            seconds.add_metric(label, count, waits.waited[priority])
+            waiting.add_metric(label, now_waiting.get(priority, 0))
+            seconds.add_metric(
+                label, waits.begun[priority], waits.waited.get(priority, 0)
+            )
         refused = core.CounterMetricFamily(
             f'{PREFIX}_turns_refused',
             'New work that was refused or handed back while it waited.',
--- a/tests/relay/test_orders.py
+++ b/tests/relay/test_orders.py
@@ -134,6 +134,21 @@
     asyncio.run(play())
 
 
+def test_tells_what_waits_before_any_of_it_is_begun() -> None:
+    """Symptom: operators see no queue while nothing gets its turn."""
+
+    async def play() -> None:
+        bench = Bench(CUSTOMERS)
+        for number in range(5):
+            bench.ask(number, 'hot-key')
+        counted = meters.Meters()
+        counted.waits = bench.order.figures
+        page = pages.write(counted, GAUGES, traffic.Traffic()).decode()
+        assert 'waiting{priority="1"} 4.0' in page
+
+    asyncio.run(play())
+
+
 def test_who_leaves_while_it_waits_is_not_begun() -> None:
     """Symptom: targets work for callers that left before their turn."""
 
