Review case 1: hosts that stop take requests until they exit and cut them

LOST: a request that was passed on around a SIGTERM, and was sent later than 3 s after it, doesn't end with a closed connection. Two of a zone's three hosts get SIGTERM at one moment, so the balancer goes on using all three. The two take new requests for 5.3 s and exit with those under way.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,12 @@
-"""Most searchers of a service leave at once, without reporting `draining`."""
+"""Two of a zone's three hosts are stopped at once under a steady load."""
 
 import asyncio
+import collections
+import contextlib
 import os
 import pathlib
+import random
+import signal
 import sys
 import time
 
@@ -10,111 +14,137 @@
 import stand_ins  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-DRAIN_S = 3.0
-#: A searcher serves "for drain_ms after the store has accepted that report and a
-#: little longer", and then exits.
-SERVES_S = DRAIN_S + 0.5
-WORK_S = 0.13
-OLD, NEW = 8, 4
-CLIENTS = 12
-KINDS = (('GET', '/records/'), ('POST', '/orders/'))
+GRACE_S = 6.0
+#: What is sent until then and is still at work when the grace ends is excused.
+EXCUSED_S = 3.0
+CLIENTS = 60
+#: Each client sends a request every half a second: 120 a second in the zone.
+INTERVAL_S = 0.5
+WORK_S = 0.15
+DEADLINE_MS = 2000
+DRAW = random.Random(41)
 
 
-class LeavingServer(stand_ins.Server):
-    """A searcher that notes what reaches it too late."""
+class Balancer:
+    """Choose the host of each new connection as PROTOCOL.md, Ingress, says."""
 
-    left_at = None
-    late = 0
+    def __init__(self, hosts, record):
+        self.hosts, self.record = hosts, record
+        self.misses = dict.fromkeys(hosts, 0)
 
-    async def answer(self, line, fields, body, writer):
-        if self.left_at is not None:
-            after = time.monotonic() - self.left_at
-            if after > DRAIN_S:
-                self.late += 1
-                self.record.note(
-                    'LATE', self.name, fields.get('fuchsiahaven-request-id'),
-                    f'{after:.3f} s after the store had accepted that it leaves',
-                )
-        await super().answer(line, fields, body, writer)
+    async def poll(self, host):
+        """Ask one host each second; two misses in a row take it out."""
+        while True:
+            began = time.monotonic()
+            ready = await host.is_ready()
+            before = self.misses[host] < 2
+            self.misses[host] = 0 if ready else self.misses[host] + 1
+            if before != (self.misses[host] < 2):
+                self.record.note('balancer', host.name, 'out' if before else 'in')
+            await asyncio.sleep(max(0, began + 1 - time.monotonic()))
 
-    async def exit(self):
-        await asyncio.sleep(max(0, self.left_at + SERVES_S - time.monotonic()))
-        self.record.note('exits', self.name)
-        self.server.close()
-        for writer in self.writers:
-            writer.transport.abort()
+    def choose(self):
+        rotation = [it for it in self.hosts if self.misses[it] < 2]
+        if len(rotation) < len(self.hosts) / 2:
+            rotation = self.hosts
+        return DRAW.choice(rotation)
 
 
-async def send_requests(name, method, path, hosts, record, until):
-    """Use one kept connection to each host in turn, as a sound client."""
+async def send_requests(name, balancer, record, lost, statuses, until):
+    """Send one request on each connection, and none a second time."""
+    await asyncio.sleep(DRAW.random() * INTERVAL_S)
     number = 0
-    statuses = []
-    connections = {}
     while time.monotonic() < until:
-        host = hosts[number % len(hosts)]
-        request_id = f'{name}-{number:06d}'
         number += 1
-        if host not in connections:
-            connections[host] = await asyncio.open_connection(
+        request_id = f'{name}-{number:05d}'
+        host = balancer.choose()
+        began = time.monotonic()
+        try:
+            reader, writer = await asyncio.open_connection(
                 stand_ins.LOOPBACK, host.ports['front']
             )
-        reader, writer = connections[host]
-        writer.write(stand_ins.encode_request(path + request_id, request_id, 2000, method))
-        line, fields = stand_ins.parse_head(await reader.readuntil(b'\r\n\r\n'))
-        await reader.readexactly(int(fields.get('content-length', 0)))
-        status = line.split()[1]
-        statuses.append(f'{method} {status}')
-        record.note('answer', request_id, host.name, status)
-        if fields.get('connection') == 'close':
-            connections.pop(host)[1].close()
-        await asyncio.sleep(0.02)
-    for _, writer in connections.values():
+        except OSError:
+            statuses['no connection'] += 1
+            await asyncio.sleep(0.1)
+            continue
+        try:
+            writer.write(
+                stand_ins.encode_request(
+                    f'/orders/{request_id}', request_id, DEADLINE_MS, 'POST', b'{}'
+                )
+            )
+            record.note('sent', request_id, host.name)
+            head = await reader.readuntil(b'\r\n\r\n')
+            line, fields = stand_ins.parse_head(head)
+            await reader.readexactly(int(fields.get('content-length', 0)))
+            statuses[line.split()[1]] += 1
+            record.note('answer', request_id, line)
+        except (OSError, asyncio.IncompleteReadError):
+            statuses['cut, no answer'] += 1
+            lost[request_id] = host, began, time.monotonic()
+            record.note('cut, no answer', request_id, host.name)
         writer.close()
-    return statuses
+        await asyncio.sleep(max(0, began + INTERVAL_S - time.monotonic()))
 
 
 async def case(record):
     async with stand_ins.Cluster(record) as cluster:
-        routes = [
-            stand_ins.make_route('records', 'catalogo'),
-            stand_ins.make_route('orders', 'catalogo', 'non_idempotent'),
-        ]
-        cluster.put_configuration(routes, ['catalogo'])
+        cluster.put_configuration(
+            [stand_ins.make_route('orders', 'alertas', 'non_idempotent')], ['alertas']
+        )
         servers = [
             await cluster.add_server(
-                LeavingServer(f'i-{number:02d}', 'catalogo', record, lambda it: (WORK_S, it.encode())),
-                stand_ins.ZONES[number % 2],
+                stand_ins.Server(f'i-{it}', 'alertas', record, lambda it: (WORK_S, it.encode())),
+                stand_ins.ZONES[it % 2],
             )
-            for number in range(OLD + NEW)
+            for it in range(6)
         ]
-        await cluster.start_hosts(3)
+        await cluster.start_hosts(5)
+        zone = [it for it in cluster.hosts if it.zone == stand_ins.ZONES[0]]
+        balancer = Balancer(zone, record)
+        polls = [asyncio.create_task(balancer.poll(it)) for it in zone]
         # All machines are in touch after stable_window_ms, 4 s.
-        await asyncio.sleep(6)
-        until = time.monotonic() + 11
+        await asyncio.sleep(5)
+        lost, statuses = {}, collections.Counter()
+        until = time.monotonic() + 4 + GRACE_S + 1
         clients = [
             asyncio.create_task(
-                send_requests(f'c{it}', *KINDS[it % 2], cluster.hosts, record, until)
+                send_requests(f'c{it}', balancer, record, lost, statuses, until)
             )
             for it in range(CLIENTS)
         ]
         await asyncio.sleep(4)
-        for number, server in enumerate(servers[:OLD]):
-            if TROUBLE:
-                cluster.store.remove(f'servers/{server.name}')
-            else:
-                cluster.put_entry(server, stand_ins.ZONES[number % 2], state='draining', seq=9)
-            server.left_at = time.monotonic()
-            record.note('left', server.name, 'removed' if TROUBLE else 'draining')
-        await asyncio.gather(*[it.exit() for it in servers[:OLD]])
-        results = [status for it in await asyncio.gather(*clients) for status in it]
-        late = sum(it.late for it in servers)
-        for host in cluster.hosts:
-            for line in cluster.log_of(host).splitlines():
-                if '"learned"' in line:
-                    record.note('log', line)
-        record.say(f'{len(results)} requests; answers', {it: results.count(it) for it in sorted(set(results))})
-        record.say(f'{late} requests reached a searcher later than {DRAIN_S} s after it had left')
-        return 1 if late else 0
+        stopped = zone[:2] if TROUBLE else []
+        stopped_at = time.monotonic()
+        for host in stopped:
+            host.send_signal(signal.SIGTERM)
+        while time.monotonic() < until:
+            for host in [it for it in stopped if it.process.poll() is not None]:
+                stopped.remove(host)
+                record.say(f'{host.name} ended, exit code {host.process.returncode},'
+                           f' {time.monotonic() - stopped_at:.2f} s after SIGTERM')
+            await asyncio.sleep(0.02)
+        await asyncio.gather(*clients)
+        for poll in polls:
+            poll.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*polls)
+        ran = set().union(*(it.runs for it in servers))
+        counted = [
+            request_id
+            for request_id, (host, began, ended) in lost.items()
+            if request_id in ran and (not TROUBLE or began > stopped_at + EXCUSED_S)
+        ]
+        for request_id in counted:
+            host, began, ended = lost[request_id]
+            record.note(
+                'LOST', request_id, host.name,
+                f'sent {began - stopped_at:.2f} s, cut {ended - stopped_at:.2f} s after SIGTERM',
+            )
+        record.say('answers', dict(statuses))
+        record.say(f'{len(counted)} requests ran, were sent later than {EXCUSED_S} s after'
+                   ' SIGTERM, and ended with a closed connection')
+        return 1 if counted else 0
 
 
 stand_ins.run_case(case)
