--- a/review/1/case.py
+++ b/review/1/case.py
@@ -133,7 +133,9 @@
         counted = [
             request_id
             for request_id, (host, began, ended) in lost.items()
-            if request_id in ran and (not TROUBLE or began > stopped_at + EXCUSED_S)
+            if request_id in ran
+            and ended - began < DEADLINE_MS / 1000
+            and (not TROUBLE or stopped_at + EXCUSED_S < began < stopped_at + GRACE_S + 1)
         ]
         for request_id in counted:
             host, began, ended = lost[request_id]
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -60,6 +60,7 @@
             )
             sent.append(time.monotonic())
             writer.write(stand_ins.encode_request(f'/records/{request_id}', request_id, 2000))
+            record.note('sent', request_id, host.name)
             line, _ = stand_ins.parse_head(await reader.readuntil(b'\r\n\r\n'))
             record.note('answer', request_id, host.name, line.split()[1])
             writer.close()
