Answer every request that a stopping host has read

Callers saw: two of a zone's three hosts are stopped at once.

Cause: Process._stop waited for one moment without a pending request. Under a steady load there is none, so that it ran into its own time limit and broke off what was in flight, however recent. Ruled out: targets that are slow (0.15 s of work each, answered throughout), and callers' deadlines (2 s, unused).

Change: the router knows by when the host answers everything, 0.7 s before the kill (stop_schedules). A request whose own deadline is earlier is served as ever. Any other is sent only if an attempt is expected to end by then (stops): the 0.99 quantile of the route's latencies, the age of attempts in flight, which shows targets that have just become slow, the objective while nothing was measured, and twice that if the request may not be repeated. What does not fit is refused before anything is sent, as not run. The same check stands before each later attempt. What is unfinished at the end gets the answer that it would get at its deadline: a partial one, or 504. The host listens until then, stops listening, and ends when answers are out of its buffers, 0.3 s before the kill at the latest (shutdowns). A request half read gets 503. Both margins and the balancer's lag shrink with grace_s; before, a grace_s under 2.6 s ended in a kill.

--- a/fuchsiahaven/core/coverage.py
+++ b/fuchsiahaven/core/coverage.py
@@ -21,6 +21,7 @@
     EVACUATED = 'evacuated'
     WARMING = 'warming'
     QUARANTINED = 'quarantined'
+    STOPPING = 'stopping'
 
 
 class ShardKey(NamedTuple):
--- a/fuchsiahaven/relay/internal_api.py
+++ b/fuchsiahaven/relay/internal_api.py
@@ -14,9 +14,11 @@
 from fuchsiahaven.relay import (
     compression,
     evacuations,
+    journal,
     key_refresher,
     listeners,
     metrics,
+    quarantine_entries,
     runners,
     silence_reports,
     store_sync,
@@ -45,6 +47,22 @@
     silence_reporter: silence_reports.SilenceReporter
 
 
+def make_peer_reporters(
+    runner: runners.Runner,
+    entries: quarantine_entries.QuarantineEntries,
+    log: journal.Journal,
+) -> PeerReporters:
+    """Make the handlers of what other hosts report to this one."""
+    router = runner.router
+    notice_sender = suspect_notices.NoticeSender(
+        router, entries, log, runner.traffic_counts, runner.post
+    )
+    silence_reporter = silence_reports.SilenceReporter(
+        router, log, runner.traffic_counts
+    )
+    return PeerReporters(notice_sender, silence_reporter)
+
+
 class InternalApi:
     """Handle the requests of the internal API."""
 
--- a/fuchsiahaven/relay/listeners.py
+++ b/fuchsiahaven/relay/listeners.py
@@ -1,6 +1,7 @@
 """Accept HTTP requests on one address, one at a time on each connection."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final, NamedTuple, Protocol
@@ -63,25 +64,49 @@
         self.options = options
         self.is_stopping = False
         self.connections: set[CallerConnection] = set()
+        #: When a caller last opened a connection or sent bytes.
+        self.active_at = time.monotonic()
+        self._servers: list[asyncio.Server] = []
 
     async def listen(self, address: str) -> asyncio.Server:
         """Listen at `ip:port`."""
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
-        return await loop.create_server(
+        server = await loop.create_server(
             lambda: CallerConnection(self), host, int(port), backlog=1024
         )
+        self._servers.append(server)
+        return server
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; the open ones stay."""
+        for server in self._servers:
+            server.close()
 
     def stop(self) -> None:
         """Make each response end its connection from now on."""
         self.is_stopping = True
 
-    def close_idle(self) -> None:
-        """Close the connections without a request in flight."""
+    def close_idle(self, idle_s: float) -> None:
+        """Close the connections on which nothing has happened for `idle_s`."""
+        oldest = time.monotonic() - idle_s
         for connection in tuple(self.connections):
-            if connection.is_idle():
+            if connection.is_idle() and connection.active_at <= oldest:
                 connection.close()
 
+    def close_all(self) -> None:
+        """Close all connections, and reject requests partly received."""
+        for connection in tuple(self.connections):
+            connection.end(HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def measure_quiet(self) -> float:
+        """Return for how many seconds no caller has connected or sent bytes."""
+        return time.monotonic() - self.active_at
+
+    def count_unsent(self) -> int:
+        """Count the connections with bytes of a response left to send."""
+        return sum(1 for it in self.connections if it.has_unsent_bytes())
+
     def count_busy(self) -> int:
         """Count the connections with a request in flight."""
         return sum(
@@ -104,6 +129,8 @@
         self._pipelined_bytes = 0
         self._request_count = 0
         self._timer: asyncio.TimerHandle | None = None
+        #: When it was opened, or a request was last received or answered.
+        self.active_at = time.monotonic()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the open connection and start the idle timeout."""
@@ -111,10 +138,13 @@
         self._transport = transport
         connections.set_socket_options(transport.get_extra_info('socket'))
         self._listener.connections.add(self)
+        self._listener.active_at = self.active_at
         self._set_timer(self._codec.limits.idle)
 
     def data_received(self, data: bytes) -> None:
         """Handle bytes of requests."""
+        self.active_at = time.monotonic()
+        self._listener.active_at = self.active_at
         if self._is_responding:
             self._pipelined_bytes += len(data)
             if self._pipelined_bytes > MAX_PIPELINED_BYTES:
@@ -182,6 +212,18 @@
         """Return whether no request is in flight or partly received."""
         return not self._is_responding and not self._is_receiving
 
+    def has_unsent_bytes(self) -> bool:
+        """Return whether bytes of a response are left to send."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
+    def end(self, status: HTTPStatus) -> None:
+        """Close the connection; reject a request partly received."""
+        if self._is_receiving:
+            self._reject(status)
+        else:
+            self.close()
+
     def close(self) -> None:
         """Close the connection once the written bytes are sent."""
         if self._transport is not None:
@@ -193,13 +235,9 @@
             self._timer = None
         if seconds is not None:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(seconds, self._handle_timeout)
-
-    def _handle_timeout(self) -> None:
-        if self._is_receiving:
-            self._reject(HTTPStatus.REQUEST_TIMEOUT)
-        else:
-            self.close()
+            self._timer = loop.call_later(
+                seconds, self.end, HTTPStatus.REQUEST_TIMEOUT
+            )
 
     def _decode_next(self) -> None:
         """Decode the next request, and handle it once it is whole."""
@@ -216,20 +254,18 @@
             return
         if isinstance(decoded, bytes):
             _write(self._transport, decoded)
-        else:
-            self._handle_request(decoded)
-
-    def _handle_request(self, message: http_codecs.Message) -> None:
+            return
         self._set_timer(None)
         self._is_receiving = False
         self._is_responding = True
         self._pipelined_bytes = 0
         self._request_count += 1
-        abandon = self._listener.options.handle_request(message, self)
+        abandon = self._listener.options.handle_request(decoded, self)
         if self._is_responding:
             self._abandon = abandon
 
     def _finish_response(self, *, closes: bool) -> None:
+        self.active_at = time.monotonic()
         self._abandon = None
         self._is_responding = False
         self._is_streaming = False
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -25,7 +25,7 @@
     readiness,
     router_updates,
     runners,
-    silence_reports,
+    shutdowns,
     store_sync,
     suspect_notices,
 )
@@ -43,12 +43,6 @@
 
 PART: Final = 'process'
 STOPPING: Final = internal_api.STOPPING
-#: How long a stopping host still accepts requests: the balancer polls once a
-#: second, and removes a host after two responses other than 200.
-BALANCER_LAG_S: Final = 2.6
-#: How long before the platform kills the process its shutdown must end.
-GRACE_MARGIN_S: Final = 0.7
-STOP_CHECK_INTERVAL_S: Final = 0.05
 #: How often the settings file is checked for changes.
 SETTINGS_CHECK_INTERVAL_S: Final = 2.0
 #: Log fields that are omitted if empty: only requests with keys have them.
@@ -94,18 +88,8 @@
         self.quarantine_entries = quarantine_entries.QuarantineEntries(
             self.router, self.store_sync, log
         )
-        notice_sender = suspect_notices.NoticeSender(
-            self.router,
-            self.quarantine_entries,
-            log,
-            self.runner.traffic_counts,
-            self.runner.post,
-        )
-        silence_reporter = silence_reports.SilenceReporter(
-            self.router, log, self.runner.traffic_counts
-        )
-        self.peer_reporters = internal_api.PeerReporters(
-            notice_sender, silence_reporter
+        self.peer_reporters = internal_api.make_peer_reporters(
+            self.runner, self.quarantine_entries, log
         )
         self._quota_socket = quota_sockets.QuotaSocket(
             settings,
@@ -168,7 +152,10 @@
                 ]
                 self.log.log_event(PART, 'started', settings=self.settings)
                 await self._stop_requested.wait()
-                await self._stop()
+                parts = shutdowns.Parts(
+                    self.runner, self.caller_listener, self.peer_listener
+                )
+                await shutdowns.stop(parts, self.settings.grace_s, self.log)
                 for task in running:
                     task.cancel()
 
@@ -208,32 +195,6 @@
         )
         stack.callback(caller_server.close)
 
-    async def _stop(self) -> None:
-        """Stop without breaking a request.
-
-        The balancer keeps sending requests until BALANCER_LAG_S has passed.
-        They are served, and each response closes its connection. Idle
-        connections are closed after that, when a new request is unlikely.
-        """
-        began_at = time.monotonic()
-        deadline = began_at + self.settings.grace_s - GRACE_MARGIN_S
-        self.log.log_event(
-            PART, 'stopping', waiting=self.runner.count_pending()
-        )
-        self.caller_listener.stop()
-        await asyncio.sleep(BALANCER_LAG_S)
-        self.caller_listener.close_idle()
-        while self.runner.count_pending() and time.monotonic() < deadline:
-            await asyncio.sleep(STOP_CHECK_INTERVAL_S)
-            self.caller_listener.close_idle()
-        self.runner.work_queue.refuse_all()
-        self.log.log_event(
-            PART,
-            'stopped',
-            took=round(time.monotonic() - began_at, 3),
-            waiting=self.runner.count_pending(),
-        )
-
     async def _watch_settings(self) -> None:
         """Reload the settings file when it changes without a signal."""
         path = settings_files.find_path()
--- a/fuchsiahaven/routing/active_requests.py
+++ b/fuchsiahaven/routing/active_requests.py
@@ -32,6 +32,8 @@
     coverage.Reason.WARMING: 0.5,
     # A lower bound; the rest depends on the quarantine of the request.
     coverage.Reason.QUARANTINED: 1.0,
+    # Other hosts accept the request at once.
+    coverage.Reason.STOPPING: 0.1,
 }
 #: Nothing is served until a target appears or an evacuation is revoked.
 UNSERVED_REASONS: Final = frozenset(
@@ -139,6 +141,11 @@
         """Return whether the parts are shards whose answers are merged."""
         return isinstance(self.route.way, configs.Gather)
 
+    @property
+    def is_wide(self) -> bool:
+        """Return whether other hosts gather most of the parts."""
+        return configs.is_wide_action(self.route.way)
+
 
 def start_request(
     number: int,
@@ -299,6 +306,8 @@
         return errors.Kind.TIMED_OUT
     if coverage.Reason.QUARANTINED in reasons:
         return errors.Kind.QUARANTINED
+    if coverage.Reason.STOPPING in reasons:
+        return errors.Kind.STOPPING
     if UNSERVED_REASONS.issuperset(reasons):
         return errors.Kind.NO_ROUTE
     if OVERLOAD_REASONS.issuperset(reasons):
--- a/fuchsiahaven/routing/attempts.py
+++ b/fuchsiahaven/routing/attempts.py
@@ -11,6 +11,7 @@
     extra_attempts,
     instances,
     states,
+    stops,
     target_selection,
     trials,
     warmups,
@@ -92,10 +93,12 @@
 def mark_unservable_parts(
     router: states.Router, active: active_requests.ActiveRequest, now: float
 ) -> None:
-    """Mark the parts for which no target is available as lost."""
+    """Mark the parts that cannot be served as lost."""
     for service in active_requests.list_open_parts(active):
         part = active.parts[service]
-        if not target_selection.has_candidate(router, service, part, now):
+        if not stops.has_time(router, active, now):
+            _mark_lost(router, active, service, now, coverage.Reason.STOPPING)
+        elif not target_selection.has_candidate(router, service, part, now):
             _mark_lost(router, active, service, now)
 
 
@@ -337,6 +340,9 @@
     now: float,
     purpose: events.Purpose,
 ) -> list[events.Action]:
+    if not stops.has_time(router, active, now):
+        _mark_lost(router, active, service, now, coverage.Reason.STOPPING)
+        return []
     permission = trials.get_permission(router, active, now)
     if permission is suspects.SendPermission.AFTER_TRIAL:
         trials.wait_for_trial(router, active)
--- a/fuchsiahaven/routing/controls.py
+++ b/fuchsiahaven/routing/controls.py
@@ -2,7 +2,13 @@
 
 from typing import NamedTuple
 
-from fuchsiahaven.routing import deployments, freshness, lags, quotas
+from fuchsiahaven.routing import (
+    deployments,
+    freshness,
+    lags,
+    quotas,
+    stop_schedules,
+)
 
 
 class Controls(NamedTuple):
@@ -11,9 +17,15 @@
     freshness: freshness.Freshness
     quotas: quotas.Quotas
     lags: lags.Lags
+    lifetime: stop_schedules.Lifetime
 
 
 def make_controls(host: deployments.Host) -> Controls:
     """Return the controls of a host that has just started."""
     keys = freshness.Freshness()
-    return Controls(keys, quotas.Quotas(host, keys.compute_wait), lags.Lags())
+    return Controls(
+        keys,
+        quotas.Quotas(host, keys.compute_wait),
+        lags.Lags(),
+        stop_schedules.Lifetime(),
+    )
--- a/fuchsiahaven/routing/delegated_requests.py
+++ b/fuchsiahaven/routing/delegated_requests.py
@@ -14,6 +14,7 @@
     events,
     merges,
     states,
+    stops,
 )
 
 Actions = list[events.Action]
@@ -29,7 +30,7 @@
     router: states.Router, event: events.DelegatedRequestReceived, now: float
 ) -> Actions:
     """Start a delegated request and send its parts."""
-    active = _start_request(router, event, now)
+    active = stops.limit_request(router, _start_request(router, event, now))
     router.active_requests[active.number] = active
     actions: Actions = []
     for service in attempts.order_unsent(router, active, now):
--- a/fuchsiahaven/routing/dispatch.py
+++ b/fuchsiahaven/routing/dispatch.py
@@ -10,15 +10,15 @@
     attempt_results,
     attempts,
     completions,
-    configs,
     crashes,
     delegated_requests,
     delegation_plans,
     delegations,
     events,
-    quota_messages,
     reachability,
+    state_updates,
     states,
+    stops,
 )
 
 Actions = list[events.Action]
@@ -89,7 +89,7 @@
             return _fire_timers(router, now)
         case events.ReviewDue():
             return _review_centres(router, now)
-    _update_state(router, event, now)
+    state_updates.apply(router, event, now)
     return []
 
 
@@ -170,29 +170,6 @@
     return crashes.handle_directory(router, directory, now)
 
 
-def _update_state(
-    router: states.Router, event: events.Event, now: float
-) -> None:
-    match event:
-        case quota_messages.MessageReceived():
-            router.controls.quotas.handle_message(event, now)
-        case events.ConfigurationReceived(configuration):
-            if configuration.version > router.index.configuration.version:
-                router.index = configs.build_index(configuration)
-                router.update_wide_centres()
-                customers = configuration.customers or ()
-                router.controls.quotas.update_customers(customers, now)
-        case events.HostsChanged(host_count, hosts):
-            router.host_count = max(1, host_count)
-            router.hosts = tuple(
-                it for it in hosts if it.name != router.host.name
-            )
-            router.centre_health.update_hosts((*router.hosts, router.host))
-            router.controls.lags.update_hosts(hosts)
-            router.warmups.update_hosts(hosts, now)
-            router.controls.quotas.update_hosts(hosts, now)
-
-
 def _handle_request(
     router: states.Router, event: events.RequestReceived, now: float
 ) -> Actions:
@@ -226,6 +203,7 @@
         services,
         host_margin,
     )
+    active = stops.limit_request(router, active)
     router.active_requests[active.number] = active
     attempts.mark_unservable_parts(router, active, now)
     actions: Actions = []
@@ -352,13 +330,12 @@
     *,
     recurs: bool,
 ) -> Actions:
-    action = active.route.way
     slow = attempts.list_slow_parts(router, active, now)
     if recurs and active.open_parts:
         # By then the budget may allow what it does not allow now, and a part
         # that was retried meanwhile may need a hedge.
         interval = attempts.compute_hedge_delay(router, active) / 2
         router.set_timer(now + interval, states.HedgeTimer(active.number))
-    if configs.is_wide_action(action):
+    if active.is_wide:
         return delegations.hedge_parts(router, active, slow, now)
     return attempts.hedge_parts(router, active, slow, now)
--- a/fuchsiahaven/routing/events.py
+++ b/fuchsiahaven/routing/events.py
@@ -9,7 +9,13 @@
 
 from fuchsiahaven.core import errors, request_identities, suspects
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.routing import configs, deployments, instances, quota_messages
+from fuchsiahaven.routing import (
+    configs,
+    deployments,
+    instances,
+    quota_messages,
+    stop_schedules,
+)
 
 Fields = tuple[tuple[str, str], ...]
 
@@ -424,6 +430,7 @@
     | ConfigurationReceived
     | DirectoryChanged
     | HostsChanged
+    | stop_schedules.StopRequested
     | DelegationReportReceived
     | DelegationFailed
     | DelegatedRequestReceived
--- a/tests/relay/clusters.py
+++ b/tests/relay/clusters.py
@@ -62,6 +62,7 @@
         self.store = metadata_store.Store()
         self.targets: dict[str, servers.Server] = {}
         self.hosts: list[process.Process] = []
+        self.tasks: dict[str, asyncio.Task[None]] = {}
         #: File to which started hosts write their logs.
         self.log_path = os.devnull
         self.revoke_s: float | None = None
@@ -95,7 +96,12 @@
         return server
 
     async def add_host(
-        self, name: str, data_centre: str = 'south', *, ready: bool = True
+        self,
+        name: str,
+        data_centre: str = 'south',
+        *,
+        ready: bool = True,
+        grace_s: float = 6.0,
     ) -> process.Process:
         """Start a host, and with `ready` wait until it is ready."""
         ports = [hosts.find_port() for _ in range(4)]
@@ -111,7 +117,7 @@
             self._address,
             EXTRA_LOAD,
             1.2,
-            6.0,
+            grace_s,
             revoke_s=self.revoke_s,
         )
         output = os.open(self.log_path, os.O_WRONLY | os.O_APPEND)
@@ -119,6 +125,7 @@
         self._stack.callback(log.close)
         host = process.Process(settings, log)
         task = asyncio.create_task(host.run())
+        self.tasks[name] = task
         self._stack.push_async_callback(kill, task)
         self.hosts.append(host)
         await servers.wait_for(lambda: not (ready and host.find_obstacle()))
--- a/tests/relay/test_listeners.py
+++ b/tests/relay/test_listeners.py
@@ -240,7 +240,7 @@
             writer.write(GET)
             await servers.wait_for(lambda: rig.held_callers)
             rig.listener.stop()
-            rig.listener.close_idle()
+            rig.listener.close_idle(0)
             assert rig.listener.count_busy() == 1
             rig.held_callers[0].respond(
                 http_codecs.EncodedAnswer(200, (), b'whole')
