Keep the bound on extra load when hosts start, leave or lose their entries

Cause: a host counts the extra attempts of a window in memory. One that starts again begins with an empty count, while what it sent before still counts. Two relatives of the cause: hosts that remain divide the slack by their new number at once, and a store that has lost the entries of all hosts makes each of them the only one. Ruled out: hosts that send attempts uncharged (all unsent attempts in the logs were queued), and trust in the setting that names a first start: the case's restarts carry it.

Change: load_shares decides a host's part. A host that starts uses, until a window and the settling time of the list of hosts have passed and it is listed itself, what the others leave of the bound: 0.15 of the fraction of its own requests, and no slack. A smaller number of hosts counts after the same time, and a list without the host itself, which has lost entries, never makes the number smaller.

Why it works: extra attempts of the lives before stay within 0.85 of the bound, and those of the new lives, however many, within 0.15 of what their own requests allow.

--- a/fuchsiahaven/relay/internal_api.py
+++ b/fuchsiahaven/relay/internal_api.py
@@ -249,7 +249,7 @@
             'budgets': {
                 service: round(
                     router.get_budget(service).count_remaining(
-                        now, router.host_count
+                        now, router.controls.load_shares.find_share(now)
                     ),
                     1,
                 )
--- a/fuchsiahaven/relay/process.py
+++ b/fuchsiahaven/relay/process.py
@@ -64,6 +64,9 @@
         )
         self.router.reply_margin.link_bytes_per_s = settings.link_bytes_per_s
         self.router.warmups.limit = settings.warm_up
+        self.router.controls.load_shares.record_start(
+            time.monotonic(), settings.extra_load.window_s
+        )
         self.runner = runners.Runner(self.router, self._handle_notification)
         self.metrics.queue_counts = self.runner.work_queue.counts
         self.router_updater = router_updates.RouterUpdater(
--- a/fuchsiahaven/routing/budgets.py
+++ b/fuchsiahaven/routing/budgets.py
@@ -1,19 +1,16 @@
 """Bound the extra load on a service, hedges and retries, in a sliding window.
 
 All hosts share one bound. Each host may add a fraction of its own requests and
-an equal part of the slack, so that hosts need not coordinate.
+a part of the slack, so that hosts need not coordinate.
 """
 
 import collections
 from typing import Final, NamedTuple
 
-from fuchsiahaven.routing import deployments
+from fuchsiahaven.routing import deployments, load_shares
 
 #: Time steps in a window; more steps would make the counts more exact.
 WINDOW_STEPS: Final = 20
-#: Fraction of the bound that is used. A request and its retries may fall on
-#: both sides of the window's edge, and the number of hosts changes.
-USED_FRACTION: Final = 0.85
 
 
 class Step(NamedTuple):
@@ -40,23 +37,27 @@
         """Record attempts after a request's first; -1 takes one back."""
         self._add(now, extra=count)
 
-    def count_remaining(self, now: float, hosts: float) -> float:
-        """Count the extra attempts that one of `hosts` hosts may send now."""
-        allowed, extra = self._compute_allowance(now, hosts)
+    def count_remaining(self, now: float, share: load_shares.Share) -> float:
+        """Count the extra attempts that a host with this share may send now."""
+        allowed, extra = self._compute_allowance(now, share)
         return allowed - extra
 
-    def is_short(self, now: float, hosts: float, fraction: float) -> bool:
+    def is_short(
+        self, now: float, share: load_shares.Share, fraction: float
+    ) -> bool:
         """Return whether less than a fraction of the extra load is left."""
-        allowed, extra = self._compute_allowance(now, hosts)
+        allowed, extra = self._compute_allowance(now, share)
         return allowed - extra < fraction * allowed
 
-    def _compute_allowance(self, now: float, hosts: float) -> tuple[float, int]:
+    def _compute_allowance(
+        self, now: float, share: load_shares.Share
+    ) -> tuple[float, int]:
         """Compute the allowed extra load of one host, and what it has sent."""
         self._expire_steps(now)
         requests = sum(step.requests for step in self._steps)
         extra = sum(step.extra for step in self._steps)
-        slack = self.extra_load.slack / max(1, hosts)
-        return USED_FRACTION * (
+        slack = self.extra_load.slack / max(1, share.sharers)
+        return share.used_fraction * (
             self.extra_load.fraction * requests + slack
         ), extra
 
--- a/fuchsiahaven/routing/chunk_assignments.py
+++ b/fuchsiahaven/routing/chunk_assignments.py
@@ -74,7 +74,7 @@
 
 
 def count_slack_sharers(
-    centre_count: int, host_count: int, *, assigned: bool
+    centre_count: int, host_count: float, *, assigned: bool
 ) -> float:
     """Count the hosts that share the slack of extra load of a wide shard.
 
--- a/fuchsiahaven/routing/extra_attempts.py
+++ b/fuchsiahaven/routing/extra_attempts.py
@@ -10,6 +10,7 @@
     active_requests,
     chunk_assignments,
     configs,
+    load_shares,
     states,
 )
 
@@ -45,9 +46,10 @@
         return False
     if len(part.refused_by) > MAX_REFUSALS:
         return False
-    sharers = _count_sharers(router, active, service)
-    remaining = router.get_budget(service).count_remaining(now, sharers)
-    return remaining >= 1 + reserve_fraction * router.extra_load.slack / sharers
+    share = _find_share(router, active, service, now)
+    remaining = router.get_budget(service).count_remaining(now, share)
+    reserve = reserve_fraction * router.extra_load.slack / share.sharers
+    return remaining >= 1 + reserve
 
 
 def is_budget_short(
@@ -67,9 +69,9 @@
         or not active.parts[service].sent_count
     ):
         return False
-    sharers = _count_sharers(router, active, service)
+    share = _find_share(router, active, service, now)
     return router.get_budget(service).is_short(
-        now, sharers, SHORT_BUDGET_FRACTION
+        now, share, SHORT_BUDGET_FRACTION
     )
 
 
@@ -128,25 +130,34 @@
     now: float,
 ) -> float:
     """Count the extra attempts that this host may send to a service now."""
-    sharers = _count_sharers(router, active, service)
-    return router.get_budget(service).count_remaining(now, sharers)
+    share = _find_share(router, active, service, now)
+    return router.get_budget(service).count_remaining(now, share)
 
 
-def _count_sharers(
-    router: states.Router, active: active_requests.ActiveRequest, service: str
-) -> float:
+def _find_share(
+    router: states.Router,
+    active: active_requests.ActiveRequest,
+    service: str,
+    now: float,
+) -> load_shares.Share:
+    """Return this host's part of the bound on extra load of a service."""
+    shares = router.controls.load_shares
+    share = shares.find_share(now)
     action = active.route.way
     if (
-        not isinstance(action, configs.Gather)
+        shares.is_starting(now)
+        or not isinstance(action, configs.Gather)
         or service not in router.index.wide_shards
     ):
-        return router.host_count
+        return share
     centres = router.list_wide_centres()
     assigned = active.is_delegated
     if not assigned and router.host.data_centre in centres:
         assigned = _is_assigned(router, action, service)
-    return chunk_assignments.count_slack_sharers(
-        len(centres), router.host_count, assigned=assigned
+    return share._replace(
+        sharers=chunk_assignments.count_slack_sharers(
+            len(centres), share.sharers, assigned=assigned
+        )
     )
 
 
--- a/fuchsiahaven/routing/state_updates.py
+++ b/fuchsiahaven/routing/state_updates.py
@@ -32,6 +32,12 @@
 ) -> None:
     hosts = event.hosts
     router.host_count = max(1, event.host_count)
+    router.controls.load_shares.update_hosts(
+        router.host_count,
+        now,
+        router.extra_load.window_s,
+        is_listed=any(it.name == router.host.name for it in hosts),
+    )
     router.hosts = tuple(it for it in hosts if it.name != router.host.name)
     router.centre_health.update_hosts((*router.hosts, router.host))
     router.controls.lags.update_hosts(hosts)
--- a/tests/relay/clusters.py
+++ b/tests/relay/clusters.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import time
 from collections.abc import AsyncIterator
 from typing import Any, Final
 
@@ -15,6 +16,7 @@
 SHARDS: Final = ('shard-a', 'shard-b', 'shard-c', 'shard-d', 'shard-e')
 #: Bound on the time until an accepted configuration is in force.
 MAX_APPLY_S: Final = 3.0
+LONG_AGO_S: Final = 60.0
 EXTRA_LOAD: Final = deployments.ExtraLoadLimit(0.2, 50.0, 10.0)
 
 
@@ -102,6 +104,7 @@
         *,
         ready: bool = True,
         grace_s: float = 6.0,
+        just_started: bool = False,
     ) -> process.Process:
         """Start a host, and with `ready` wait until it is ready."""
         ports = [hosts.find_port() for _ in range(4)]
@@ -124,6 +127,8 @@
         log = journal.Journal(name, output)
         self._stack.callback(log.close)
         host = process.Process(settings, log)
+        if not just_started:
+            antedate_start(host)
         task = asyncio.create_task(host.run())
         self.tasks[name] = task
         self._stack.push_async_callback(kill, task)
@@ -163,6 +168,15 @@
             )
 
 
+def antedate_start(host: process.Process) -> None:
+    """Have a host use its part of the extra load as if it had long run."""
+    shares = host.router.controls.load_shares
+    start = time.monotonic() - LONG_AGO_S
+    window_s = EXTRA_LOAD.window_s
+    shares.record_start(start, window_s)
+    shares.update_hosts(1, start, window_s, is_listed=True)
+
+
 def copy_without(store: metadata_store.Store, prefix: str) -> histories.History:
     """Copy a store without the keys of a prefix and their leases."""
     copy = store.copy()
--- a/tests/relay/test_process.py
+++ b/tests/relay/test_process.py
@@ -15,6 +15,10 @@
 from tests.relay import clusters, servers
 
 
+#: With so few requests the fraction that may be sent again is under one.
+REQUESTS = 20
+
+
 async def search(host: process.Process) -> tuple[int, str, bytes]:
     """Send a host a query over all shards."""
     return await clusters.fetch(host.settings.caller_address, '/search/1')
@@ -227,6 +231,34 @@
     servers.run(check())
 
 
+def test_sends_hardly_anything_twice_after_a_start() -> None:
+    """Guard against a host that uses its part of the slack after each start.
+
+    The targets break every connection, and what the host had sent again before
+    it started may still count.
+    """
+
+    async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.transport.abort()
+
+    async def check() -> None:
+        async with clusters.make() as cluster, servers.listen(script) as broken:
+            cluster.store.remove('servers/i-5')
+            for number in range(6, 9):
+                cluster.store.put_target(
+                    f'i-{number}', 'records', broken.address
+                )
+            host = await cluster.add_host('host-1', just_started=True)
+            address = host.settings.caller_address
+            fetches = (
+                clusters.fetch(address, '/one/1') for _ in range(REQUESTS)
+            )
+            await asyncio.gather(*fetches)
+            assert len(broken.request_heads) == REQUESTS
+
+    servers.run(check())
+
+
 def test_reloads_changed_settings(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/routing/test_budgets.py
+++ b/tests/routing/test_budgets.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given, strategies
 
-from fuchsiahaven.routing import budgets, deployments
+from fuchsiahaven.routing import budgets, deployments, load_shares
 
 
 @given(
@@ -16,8 +16,8 @@
     script: list[tuple[float, bool]], hosts: int
 ) -> None:
     """In every window of 10 s, a host keeps to its part of the bound."""
-    extra_load = deployments.ExtraLoadLimit(0.2, 50.0, 10.0)
-    budget = budgets.Budget(extra_load)
+    budget = budgets.Budget(deployments.ExtraLoadLimit(0.2, 50.0, 10.0))
+    share = load_shares.Share(load_shares.USED_FRACTION, hosts)
     now = 0.0
     request_times: list[float] = []
     extra_times: list[float] = []
@@ -25,7 +25,7 @@
         now += gap
         budget.record_request(now)
         request_times.append(now)
-        if wants_extra and budget.count_remaining(now, hosts) >= 1:
+        if wants_extra and budget.count_remaining(now, share) >= 1:
             budget.record_extra(now)
             extra_times.append(now)
     for start in extra_times:
--- a/tests/routing/test_dispatch.py
+++ b/tests/routing/test_dispatch.py
@@ -4,7 +4,7 @@
 
 from fuchsiahaven.core import errors
 from fuchsiahaven.core.targets import messages
-from fuchsiahaven.routing import configs, events, margins
+from fuchsiahaven.routing import configs, events, load_shares, margins
 from tests.routing import router_rig
 
 SHARDS = tuple(f'shard-{number:02}' for number in range(20))
@@ -173,8 +173,9 @@
     first = [send for send in rig.pop_sent() if send.key.number == 1]
     rig.advance_time(1)
     budget = rig.router.get_budget(SHARDS[0])
+    share = load_shares.Share(load_shares.USED_FRACTION, 4)
     assert len(first) <= 50 * 20
-    assert budget.count_remaining(rig.now, 4) >= 0
+    assert budget.count_remaining(rig.now, share) >= 0
 
 
 def test_sends_a_part_to_no_more_targets_than_allowed() -> None:
