Hold no caller off for a balancer that does not poll

Found on the paths of a stop: a host that nobody polls tells each caller that it refuses to come back in 2 s, for as long as it stops, because two polls are always missing. The balancer's removal is now awaited from the last poll, or from when the host was no longer ready if the polls had ended before.

--- a/fuchsiahaven/relay/readiness.py
+++ b/fuchsiahaven/relay/readiness.py
@@ -25,6 +25,7 @@
         self._find_obstacle = find_obstacle
         self._log = log
         self._obstacle = ''
+        self._changed_at = float('-inf')
         self._expires_at = float('-inf')
         self._polls = balancer_polls.BalancerPolls()
 
@@ -64,13 +65,15 @@
             # No other host would accept it sooner.
             return outcome
         delay_s = balancer_polls.estimate_removal_delay(
-            self._polls, time.monotonic()
+            self._polls, self._changed_at, time.monotonic()
         )
         return outcome._replace(retry_after=round(delay_s, RETRY_DIGITS))
 
     def _update_obstacle(self, obstacle: str) -> None:
         if obstacle == self._obstacle:
             return
+        if bool(obstacle) is not bool(self._obstacle):
+            self._changed_at = time.monotonic()
         self._obstacle = obstacle
         text = 'not ready' if obstacle else 'ready'
         self._log.log_event(PART, text, why=obstacle)
--- a/fuchsiahaven/routing/balancer_polls.py
+++ b/fuchsiahaven/routing/balancer_polls.py
@@ -39,12 +39,19 @@
     return BalancerPolls(now, period, 0 if ready else polls.failures + 1)
 
 
-def estimate_removal_delay(polls: BalancerPolls, now: float) -> float:
-    """Estimate in how many seconds new connections go to other hosts."""
+def estimate_removal_delay(
+    polls: BalancerPolls, not_ready_since: float, now: float
+) -> float:
+    """Estimate in how many seconds new connections go to other hosts.
+
+    A host that is not polled has no balancer to wait for: after the time that
+    one would need, its callers find other hosts by themselves.
+    """
     missing_failures = REMOVAL_FAILURES - polls.failures
     if missing_failures <= 0:
         return SWITCH_DELAY_S
-    removal_time = polls.polled_at + missing_failures * polls.period
-    if removal_time == float('-inf'):
-        return missing_failures * polls.period
+    last_poll = polls.polled_at
+    if not_ready_since - last_poll > MAX_GAP_PERIODS * polls.period:
+        last_poll = not_ready_since
+    removal_time = last_poll + missing_failures * polls.period
     return max(0.0, removal_time - now) + SWITCH_DELAY_S
