Report a settings file that ends within a character

A file that is being written may end within a UTF-8 character. It is a fault of the file now, as a truncated line is, and the settings in force stay. The file is read as UTF-8 whatever the locale. The test raised UnicodeDecodeError before.

--- a/fuchsiahaven/platform/settings.py
+++ b/fuchsiahaven/platform/settings.py
@@ -61,8 +61,8 @@
 def read_file(path: Path) -> Reading:
     """Read and parse a settings file."""
     try:
-        text = path.read_text()
-    except OSError as error:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
         return Reading(None, (Fault(str(path), str(error)),))
     return parse_text(text)
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,5 +1,7 @@
 """Test the parsing of the platform's settings file."""
 
+from pathlib import Path
+
 import pytest
 
 from fuchsiahaven.platform import settings
@@ -105,6 +107,15 @@
     assert names == {'bounds.retry_slack', 'heartbeat_ms'}
 
 
+def test_reports_a_file_that_ends_within_a_character(tmp_path: Path) -> None:
+    """Guard against a process that ends when its file is partly written."""
+    path = tmp_path / 'boot.conf'
+    path.write_bytes(f'{TEXT}a=é'.encode()[:-1])
+    reading = settings.read_file(path)
+    assert reading.settings is None
+    assert [fault.name for fault in reading.faults] == [str(path)]
+
+
 def test_peer_address_defaults_to_the_first_internal_port() -> None:
     """Without `listen.control` peers use the first of `internal_ports`."""
     lines = [it for it in TEXT.splitlines() if 'listen.control' not in it]
