Ignore numbers of a target that are beyond all bounds

A load over a million requests counts as none, a Keep-Alive is read as a float, and a digit that is not decimal, which raised ValueError there, as no time. The three tests failed before.

--- a/fuchsiahaven/platform/http_codecs.py
+++ b/fuchsiahaven/platform/http_codecs.py
@@ -20,6 +20,8 @@
 #: Path at which the load balancer asks whether this host takes requests.
 READINESS_PATH: Final = '/ready'
 LOAD_VALUES: Final = 3
+#: A larger number of requests is no load; estimates multiply it as a float.
+MAX_LOAD: Final = 1_000_000
 
 #: Authentication scheme of customer keys, in any letter case.
 AUTH_SCHEME: Final = 'token'
@@ -272,6 +274,7 @@
     if len(numbers) < LOAD_VALUES:
         return None
     try:
-        return messages.Load(*[int(number) for number in numbers[:LOAD_VALUES]])
+        counts = [int(number) for number in numbers[:LOAD_VALUES]]
     except ValueError:
         return None
+    return messages.Load(*counts) if max(counts) <= MAX_LOAD else None
--- a/fuchsiahaven/relay/pools.py
+++ b/fuchsiahaven/relay/pools.py
@@ -237,6 +237,7 @@
     keep_alive = dict(message.fields).get('keep-alive', '')
     _, prefix, seconds = keep_alive.partition(KEEP_ALIVE_TIMEOUT)
     digits = seconds.partition(',')[0].strip()
-    if not prefix or not digits.isdigit():
+    if not prefix or not digits.isdecimal():
         return float('inf')
-    return int(digits) - IDLE_MARGIN_S
+    # As a float, a number of hundreds of digits is infinite.
+    return float(digits) - IDLE_MARGIN_S
--- a/tests/platform/test_http_codecs.py
+++ b/tests/platform/test_http_codecs.py
@@ -84,6 +84,16 @@
     )
 
 
+def test_ignores_a_load_beyond_all_bounds() -> None:
+    """Guard against an estimate that fails and leaves its attempt open.
+
+    A number of 400 digits is too large for a float.
+    """
+    event = decode_answer(200, {**SIGNED, headers.LOAD: f'{"9" * 400},0,2'})
+    assert isinstance(event, events.TargetAnswered)
+    assert event.answer.load is None
+
+
 def test_relays_an_answer_unchanged() -> None:
     """Status, body and signature are relayed; fields for this host are not."""
     fields = {
--- a/tests/relay/test_pools.py
+++ b/tests/relay/test_pools.py
@@ -94,6 +94,27 @@
     servers.run(check())
 
 
+@pytest.mark.parametrize('seconds', ['9' * 400, '\xb2'])
+def test_ignores_a_keep_alive_beyond_all_bounds(seconds: str) -> None:
+    """Guard against an answer that is lost because its handling fails.
+
+    The time is too large for a float, or no number at all.
+    """
+
+    async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+        request_id = servers.find_request_id(head)
+        field = f'Keep-Alive: timeout={seconds}'
+        writer.write(servers.encode_response(request_id, b'ok', (field,)))
+
+    async def check() -> None:
+        async with servers.listen(script) as server:
+            rig = PoolRig(server)
+            rig.send()
+            assert isinstance(await rig.wait_for_end(), events.TargetAnswered)
+
+    servers.run(check())
+
+
 def test_reads_a_body_until_the_connection_closes() -> None:
     """A response without a length ends with its connection."""
 
