Accept what waits in the kernel before a port closes

Closing a listening socket resets the connections that the kernel has accepted and the process has not. The host now accepts these itself when it stops listening, and answers them like any other. The test hung without the new loop, as the five requests in the queue were never read.

--- a/fuchsiahaven/relay/listeners.py
+++ b/fuchsiahaven/relay/listeners.py
@@ -1,6 +1,9 @@
 """Accept HTTP requests on one address, one at a time on each connection."""
 
 import asyncio
+import contextlib
+import functools
+import socket
 import time
 from collections.abc import Callable
 from http import HTTPStatus
@@ -40,6 +43,10 @@
 ]
 
 
+#: Connections that may wait to be accepted.
+BACKLOG: Final = 1024
+
+
 def _never() -> bool:
     return False
 
@@ -56,6 +63,13 @@
     closes_connections: Callable[[], bool] = _never
 
 
+class Listening(NamedTuple):
+    """Hold a socket that accepts connections, and the server that does so."""
+
+    sock: socket.socket
+    server: asyncio.Server
+
+
 class Listener:
     """Hold the connections of callers on one address."""
 
@@ -66,22 +80,41 @@
         self.connections: set[CallerConnection] = set()
         #: When a caller last opened a connection or sent bytes.
         self.active_at = time.monotonic()
-        self._servers: list[asyncio.Server] = []
+        self._listening: list[Listening] = []
 
     async def listen(self, address: str) -> asyncio.Server:
         """Listen at `ip:port`."""
         host, _, port = address.rpartition(':')
+        family = socket.AF_INET6 if ':' in host else socket.AF_INET
+        sock = socket.create_server((host, int(port)), family=family)
+        sock.setblocking(False)
         loop = asyncio.get_running_loop()
         server = await loop.create_server(
-            lambda: CallerConnection(self), host, int(port), backlog=1024
+            self._make_connection, sock=sock, backlog=BACKLOG
         )
-        self._servers.append(server)
+        self._listening.append(Listening(sock, server))
         return server
 
-    def stop_listening(self) -> None:
-        """Accept no more connections; the open ones stay."""
-        for server in self._servers:
-            server.close()
+    async def stop_listening(self) -> None:
+        """Accept the connections that wait, and then no more.
+
+        Closing the socket resets connections that were not accepted, which
+        may hold whole requests.
+        """
+        loop = asyncio.get_running_loop()
+        accepted: list[socket.socket] = []
+        for listening in self._listening:
+            with contextlib.suppress(BlockingIOError):
+                while len(accepted) < BACKLOG:
+                    accepted.append(listening.sock.accept()[0])
+            listening.server.close()
+        connect = functools.partial(
+            loop.connect_accepted_socket, self._make_connection
+        )
+        await asyncio.gather(*map(connect, accepted))
+
+    def _make_connection(self) -> 'CallerConnection':
+        return CallerConnection(self)
 
     def stop(self) -> None:
         """Make each response end its connection from now on."""
--- a/fuchsiahaven/relay/shutdowns.py
+++ b/fuchsiahaven/relay/shutdowns.py
@@ -46,7 +46,7 @@
         caller_listener.close_idle(MAX_IDLE_S)
         await asyncio.sleep(CHECK_INTERVAL_S)
     runner.work_queue.refuse_all()
-    caller_listener.stop_listening()
+    await caller_listener.stop_listening()
     while time.monotonic() < schedule.exit_at and _is_busy(parts):
         caller_listener.close_idle(MAX_IDLE_AT_END_S)
         await asyncio.sleep(CHECK_INTERVAL_S)
--- a/tests/relay/test_listeners.py
+++ b/tests/relay/test_listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator, Callable
 
 import pytest
@@ -253,6 +254,28 @@
     servers.run(check())
 
 
+def test_answers_what_waits_when_it_stops_listening() -> None:
+    """Guard against requests that are reset when the port closes.
+
+    They are in the kernel's queue, and the host has not accepted them yet.
+    """
+
+    async def check() -> None:
+        async with serve() as rig:
+            callers = [socket.create_connection(rig.address) for _ in range(5)]
+            for caller in callers:
+                caller.sendall(GET)
+            await rig.listener.stop_listening()
+            with pytest.raises(ConnectionRefusedError):
+                await rig.connect()
+            await servers.wait_for(lambda: len(rig.messages) == len(callers))
+            for caller in callers:
+                assert caller.recv(SEGMENT_BYTES).startswith(b'HTTP/1.1 200')
+                caller.close()
+
+    servers.run(check())
+
+
 def test_detects_a_closed_peer_before_reading() -> None:
     """Guard against a suspended host that starts work for absent callers.
 
