--- a/fuchsiahaven/routing/stops.py
+++ b/fuchsiahaven/routing/stops.py
@@ -15,7 +15,7 @@
 #: With fewer latencies the objective of the route counts too.
 MIN_SAMPLES: Final = 40
 #: A caller cannot repeat an unfinished request that may run only once, so such
-#: a request needs several times the expected latency.
+#: a request needs more than the expected latency.
 AT_MOST_ONCE_FACTOR: Final = 2.0
 
 
