--- a/review/5/case.py
+++ b/review/5/case.py
@@ -110,6 +110,9 @@
 async def send(client, counts, request_id, fill):
     """Send one request and count its answer."""
     head = make_head(request_id, fill)
+    client.record.write(
+        f'sends {request_id} to {client.host.name}, {len(head)} bytes of head'
+    )
     answering = asyncio.create_task(client.read_answer(DEADLINE_MS / 1000))
     for start in range(0, len(head), SEGMENT_BYTES):
         # A client that is answered before its request is out stops sending.
@@ -118,11 +121,9 @@
             await asyncio.sleep(SEGMENT_PAUSE_S)
     status, fields, _ = await answering
     counts.sent += 1
-    if status != 200:
-        client.record.write(
-            f'{request_id} at {client.host.name}, {len(head)} bytes of head: '
-            f'status {status} {fields.get("error", "")}'
-        )
+    client.record.write(
+        f'answer to {request_id}: status {status} {fields.get("error", "")}'
+    )
     is_own = 'fuchsiahaven-response-signature' not in fields
     if 300 <= status < 500 and status not in {408, 421, 429} and is_own:
         counts.denied += 1
